Lay out the workspace: shared types, result codes, log events, internal messages, peer connections

Cause: every later part needs the same identifiers, terms, result codes and message shapes, or the parts would diverge. Change: the workspace of one crate per concern; types; the deku messages of the internal protocol and their framing; resolved settings; authenticated, multiplexed connections between nodes.

--- /dev/null
+++ b/crates/stairward-checker/src/lib.rs
@@ -0,0 +1,3 @@
+//! Recorded histories and one checker per invariant.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/stairward-lab/src/lib.rs
@@ -0,0 +1,3 @@
+//! Site emulator, load, experiments, simulation and reports.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/stairward-membership/src/lib.rs
@@ -0,0 +1,3 @@
+//! Membership view, failure detection, rendezvous ownership and dissemination.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/stairward-platform/src/lib.rs
@@ -0,0 +1,3 @@
+//! Client of the platform's object store.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/stairward-pool/src/lib.rs
@@ -0,0 +1,3 @@
+//! Connections, slots, shares, leases, admission and the acknowledgement fence of a back end.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/stairward-protocol/src/call.rs
@@ -0,0 +1,80 @@
+//! Short questions between nodes, each with one answer.
+
+use deku::prelude::*;
+
+use crate::field::{ByteString, Text, WireFreshness};
+
+/// What one node asks of another.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", id_type = "u8")]
+pub enum CallRequest {
+    /// Asks the owner of a back end to ask it, now, for its term, position and role. The owner must
+    /// send its question to the back end after this call arrived.
+    #[deku(id = "1")]
+    AskBackend {
+        /// The back end.
+        backend: Text,
+    },
+    /// Asks for every settings revision after this one.
+    #[deku(id = "2")]
+    FetchSettings {
+        /// The newest revision the asker holds; 0 for none.
+        after_revision: u64,
+    },
+    /// Tells of a newer settings revision held by the speaker.
+    #[deku(id = "3")]
+    AnnounceSettings {
+        /// The revision.
+        revision: u64,
+    },
+    /// Tells of a newer term of a group.
+    #[deku(id = "4")]
+    AnnounceTerm {
+        /// The group.
+        group: Text,
+        /// Its newest term.
+        term: u64,
+        /// The primary of that term.
+        primary: Text,
+    },
+    /// The speaker is leaving or has learnt of a better owner, and gives the back end to the node it
+    /// asks.
+    #[deku(id = "5")]
+    HandOver {
+        /// The back end.
+        backend: Text,
+    },
+}
+
+/// The answer to a [`CallRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", id_type = "u8")]
+pub enum CallReply {
+    /// Done, nothing to say.
+    #[deku(id = "1")]
+    Done,
+    /// The node asked cannot answer; a [`stairward_types::ResultCode`] says why.
+    #[deku(id = "2")]
+    Refused {
+        /// The result code.
+        code: u16,
+    },
+    /// A back end's own answer.
+    #[deku(id = "3")]
+    Backend {
+        /// Its term and position.
+        freshness: WireFreshness,
+        /// 1 when it says it is the primary.
+        is_primary: u8,
+    },
+    /// Settings as whole documents or as the edits since the asker's revision.
+    #[deku(id = "4")]
+    Settings {
+        /// The revision reached by applying `document`.
+        revision: u64,
+        /// 1 for a whole tree, 0 for a list of edits after the asker's revision.
+        whole: u8,
+        /// JSON, as the settings crate writes it.
+        document: ByteString,
+    },
+}
--- /dev/null
+++ b/crates/stairward-protocol/src/datagram.rs
@@ -0,0 +1,1 @@
+//! Membership datagrams on UDP.
--- /dev/null
+++ b/crates/stairward-protocol/src/frame.rs
@@ -0,0 +1,73 @@
+//! Framing on TCP: a four-byte length, then one encoded [`PeerMessage`].
+
+use bytes::{Buf, BufMut, BytesMut};
+use deku::prelude::*;
+use snafu::{ResultExt, Snafu, ensure};
+
+use crate::peer::PeerMessage;
+
+/// Longest frame accepted, without its length field, in bytes.
+pub const MAXIMUM_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+const LENGTH_BYTES: usize = 4;
+
+/// Why bytes from a peer could not be read, or a message not be written.
+#[derive(Debug, Snafu)]
+pub enum FrameError {
+    /// The length field is larger than [`MAXIMUM_FRAME_BYTES`].
+    #[snafu(display("a frame of {length} bytes is larger than the limit"))]
+    TooLarge {
+        /// The claimed length, in bytes.
+        length: usize,
+    },
+    /// The frame does not hold a message of this protocol version.
+    #[snafu(display("a frame does not hold a known message"))]
+    Malformed {
+        /// What the codec said.
+        source: DekuError,
+    },
+    /// Bytes follow the message within its frame.
+    #[snafu(display("{count} bytes follow the message in its frame"))]
+    TrailingBytes {
+        /// How many.
+        count: usize,
+    },
+}
+
+/// Appends the message, behind its length, to `output`.
+///
+/// # Errors
+/// [`FrameError::TooLarge`] or [`FrameError::Malformed`]; `output` is then unchanged.
+pub fn encode_frame(message: &PeerMessage, output: &mut BytesMut) -> Result<(), FrameError> {
+    let bytes = message.to_bytes().context(MalformedSnafu)?;
+    ensure!(
+        bytes.len() <= MAXIMUM_FRAME_BYTES,
+        TooLargeSnafu {
+            length: bytes.len()
+        }
+    );
+    output.reserve(LENGTH_BYTES + bytes.len());
+    output.put_u32(u32::try_from(bytes.len()).unwrap_or(u32::MAX));
+    output.put_slice(&bytes);
+    Ok(())
+}
+
+/// Takes one whole message off the front of `input`; `None` when more bytes are needed.
+///
+/// # Errors
+/// [`FrameError`]; the connection must then be closed, since the position of the next frame is lost.
+pub fn decode_frame(input: &mut BytesMut) -> Result<Option<PeerMessage>, FrameError> {
+    if input.len() < LENGTH_BYTES {
+        return Ok(None);
+    }
+    let length = usize::try_from((&input[..LENGTH_BYTES]).get_u32()).unwrap_or(usize::MAX);
+    ensure!(length <= MAXIMUM_FRAME_BYTES, TooLargeSnafu { length });
+    if input.len() < LENGTH_BYTES + length {
+        return Ok(None);
+    }
+    input.advance(LENGTH_BYTES);
+    let frame = input.split_to(length);
+    let ((rest, _), message) = PeerMessage::from_bytes((&frame, 0)).context(MalformedSnafu)?;
+    ensure!(rest.is_empty(), TrailingBytesSnafu { count: rest.len() });
+    Ok(Some(message))
+}
--- /dev/null
+++ b/crates/stairward-protocol/src/lib.rs
@@ -0,0 +1,25 @@
+//! Messages between stairward processes, and their framing.
+//!
+//! Two carriers use these messages. TCP connections carry [`PeerMessage`]s, each behind its length:
+//! multiplexed statement streams between an edge and an owner, and short calls. UDP datagrams carry
+//! membership (see [`datagram`]). All fields are big-endian; every message is encoded by `deku`.
+//!
+//! This crate opens no sockets: it turns messages into bytes and bytes into messages.
+
+#![forbid(unsafe_code)]
+
+mod authentication;
+pub mod call;
+pub mod datagram;
+mod field;
+mod frame;
+mod peer;
+pub mod stream;
+
+pub use authentication::{ClusterKey, InvalidClusterKey, NONCE_BYTES, PROOF_BYTES};
+pub use field::{ByteString, OptionalFreshness, Text, WireFreshness};
+pub use frame::{FrameError, MAXIMUM_FRAME_BYTES, decode_frame, encode_frame};
+pub use peer::{Hello, PeerMessage, Proof};
+
+/// Version of the internal protocol, checked in the first message of each connection.
+pub const PROTOCOL_VERSION: u16 = 1;
--- /dev/null
+++ b/crates/stairward-proxy/src/lib.rs
@@ -0,0 +1,9 @@
+//! Wires a stairward node: listeners, edge, owner, watcher, admin interface and drain.
+//!
+//! The decisions are made by the pure crates; this one holds the sockets, reads the clock and
+//! carries the effects out.
+
+#![forbid(unsafe_code)]
+
+pub mod cluster;
+pub mod peer;
--- /dev/null
+++ b/crates/stairward-proxy/src/peer/connection.rs
@@ -0,0 +1,368 @@
+//! One TCP connection between two nodes: handshake, writer, and dispatch of what arrives.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::BytesMut;
+use rand::Rng as _;
+use snafu::{OptionExt, ResultExt, ensure};
+use stairward_protocol::call::{CallReply, CallRequest};
+use stairward_protocol::stream::{EdgeMessage, OwnerMessage};
+use stairward_protocol::{
+    ClusterKey, Hello, NONCE_BYTES, PROTOCOL_VERSION, PeerMessage, Proof, decode_frame,
+    encode_frame,
+};
+use stairward_types::NodeId;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{mpsc, oneshot};
+
+use super::network::{
+    ConnectionLostSnafu, HandshakeSnafu, PeerError, PeerService, SocketSnafu, UnexpectedNodeSnafu,
+};
+use super::stream::{EdgeStream, OwnerStream};
+use crate::cluster::Identity;
+
+const PROOF_PURPOSE: &str = "peer-connection";
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Frames written with one system call at most.
+const WRITE_BATCH_FRAMES: usize = 256;
+
+/// Reads whole messages from a peer.
+struct MessageReader {
+    half: OwnedReadHalf,
+    buffer: BytesMut,
+}
+
+impl MessageReader {
+    async fn next(&mut self) -> Result<PeerMessage, PeerError> {
+        loop {
+            if let Some(message) = decode_frame(&mut self.buffer).map_err(PeerError::from)? {
+                return Ok(message);
+            }
+            let count = self
+                .half
+                .read_buf(&mut self.buffer)
+                .await
+                .context(SocketSnafu)?;
+            ensure!(count > 0, ConnectionLostSnafu);
+        }
+    }
+}
+
+async fn write_message(half: &mut OwnedWriteHalf, message: &PeerMessage) -> Result<(), PeerError> {
+    let mut buffer = BytesMut::new();
+    encode_frame(message, &mut buffer).map_err(PeerError::from)?;
+    half.write_all(&buffer).await.context(SocketSnafu)
+}
+
+type Streams<M> = Mutex<HashMap<u64, mpsc::UnboundedSender<M>>>;
+
+/// What a connection has open. Dropping the entries tells their users that the peer is lost.
+#[derive(Default)]
+struct OpenWork {
+    /// Streams opened by this node's edge.
+    edge_streams: Streams<OwnerMessage>,
+    /// Streams opened by the peer's edge.
+    owner_streams: Streams<EdgeMessage>,
+    calls: Mutex<HashMap<u64, oneshot::Sender<CallReply>>>,
+    next_number: std::sync::atomic::AtomicU64,
+    closed: std::sync::atomic::AtomicBool,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl OpenWork {
+    fn number(&self) -> u64 {
+        self.next_number
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed)
+    }
+
+    fn is_closed(&self) -> bool {
+        self.closed.load(std::sync::atomic::Ordering::SeqCst)
+    }
+
+    fn close(&self) {
+        self.closed.store(true, std::sync::atomic::Ordering::SeqCst);
+        lock(&self.edge_streams).clear();
+        lock(&self.owner_streams).clear();
+        lock(&self.calls).clear();
+    }
+}
+
+/// A live connection to a peer. Cheap to clone.
+#[derive(Clone)]
+pub(super) struct Connection {
+    outgoing: mpsc::UnboundedSender<PeerMessage>,
+    work: Arc<OpenWork>,
+}
+
+impl Connection {
+    /// Exchanges [`Hello`] and [`Proof`], then starts the connection's tasks. With `expected`, the
+    /// peer must be that node.
+    pub(super) async fn establish(
+        socket: TcpStream,
+        identity: &Identity,
+        key: &ClusterKey,
+        expected: Option<NodeId>,
+        service: Arc<dyn PeerService>,
+    ) -> Result<(NodeId, Self), PeerError> {
+        socket.set_nodelay(true).context(SocketSnafu)?;
+        let (read_half, mut write_half) = socket.into_split();
+        let buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
+        let mut reader = MessageReader {
+            half: read_half,
+            buffer,
+        };
+        let peer = shake_hands(&mut reader, &mut write_half, identity, key).await?;
+        if let Some(expected) = expected {
+            ensure!(
+                peer == expected,
+                UnexpectedNodeSnafu {
+                    expected,
+                    found: peer
+                }
+            );
+        }
+        let (outgoing, queue) = mpsc::unbounded_channel();
+        let connection = Self {
+            outgoing,
+            work: Arc::default(),
+        };
+        tokio::spawn(write_queue(write_half, queue, Arc::clone(&connection.work)));
+        tokio::spawn(connection.clone().read_messages(reader, peer, service));
+        Ok((peer, connection))
+    }
+
+    /// Whether the connection is lost.
+    pub(super) fn is_closed(&self) -> bool {
+        self.work.is_closed() || self.outgoing.is_closed()
+    }
+
+    /// Opens a stream to the peer as owner.
+    pub(super) fn open_stream(&self) -> EdgeStream {
+        let stream = self.work.number();
+        let (sender, receiver) = mpsc::unbounded_channel();
+        lock(&self.work.edge_streams).insert(stream, sender);
+        if self.work.is_closed() {
+            lock(&self.work.edge_streams).remove(&stream);
+        }
+        let guard = StreamGuard {
+            connection: self.clone(),
+            stream,
+            side: Side::Edge,
+        };
+        EdgeStream {
+            sender: Box::new(move |message| {
+                guard.connection.send(PeerMessage::ToOwner {
+                    stream: guard.stream,
+                    message,
+                })
+            }),
+            receiver,
+        }
+    }
+
+    /// Asks the peer and waits for its answer.
+    pub(super) async fn call(&self, request: CallRequest) -> Result<CallReply, PeerError> {
+        let call = self.work.number();
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.work.calls).insert(call, sender);
+        if !self.send(PeerMessage::Call { call, request }) {
+            lock(&self.work.calls).remove(&call);
+        }
+        receiver.await.ok().context(ConnectionLostSnafu)
+    }
+
+    fn send(&self, message: PeerMessage) -> bool {
+        !self.work.is_closed() && self.outgoing.send(message).is_ok()
+    }
+
+    async fn read_messages(
+        self,
+        mut reader: MessageReader,
+        peer: NodeId,
+        service: Arc<dyn PeerService>,
+    ) {
+        while let Ok(message) = reader.next().await {
+            self.dispatch(message, peer, &service);
+        }
+        self.work.close();
+        service.peer_lost(peer);
+    }
+
+    fn dispatch(&self, message: PeerMessage, peer: NodeId, service: &Arc<dyn PeerService>) {
+        match message {
+            // Both belong to the handshake only; ignoring them later harms nobody.
+            PeerMessage::Hello(_) | PeerMessage::Proof(_) => {}
+            PeerMessage::ToEdge { stream, message } => {
+                // A message for a stream that has ended is late and is dropped.
+                if let Some(sender) = lock(&self.work.edge_streams).get(&stream) {
+                    let _ = sender.send(message);
+                }
+            }
+            PeerMessage::ToOwner {
+                stream,
+                message: open @ EdgeMessage::Open(_),
+            } => {
+                let accepted = self.accept_stream(stream, peer);
+                if let Some(sender) = lock(&self.work.owner_streams).get(&stream) {
+                    let _ = sender.send(open);
+                }
+                service.accept_stream(accepted);
+            }
+            PeerMessage::ToOwner { stream, message } => {
+                if let Some(sender) = lock(&self.work.owner_streams).get(&stream) {
+                    let _ = sender.send(message);
+                }
+            }
+            PeerMessage::Call { call, request } => {
+                let connection = self.clone();
+                let service = Arc::clone(service);
+                tokio::spawn(async move {
+                    let reply = service.answer_call(peer, request).await;
+                    connection.send(PeerMessage::Reply { call, reply });
+                });
+            }
+            PeerMessage::Reply { call, reply } => {
+                if let Some(waiting) = lock(&self.work.calls).remove(&call) {
+                    let _ = waiting.send(reply);
+                }
+            }
+        }
+    }
+
+    fn accept_stream(&self, stream: u64, peer: NodeId) -> OwnerStream {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        lock(&self.work.owner_streams).insert(stream, sender);
+        let guard = StreamGuard {
+            connection: self.clone(),
+            stream,
+            side: Side::Owner,
+        };
+        OwnerStream {
+            edge: peer,
+            sender: Box::new(move |message| {
+                guard.connection.send(PeerMessage::ToEdge {
+                    stream: guard.stream,
+                    message,
+                })
+            }),
+            receiver,
+        }
+    }
+}
+
+enum Side {
+    Edge,
+    Owner,
+}
+
+/// Forgets a stream when its end is dropped, so that late messages match nothing.
+struct StreamGuard {
+    connection: Connection,
+    stream: u64,
+    side: Side,
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        match self.side {
+            Side::Edge => {
+                lock(&self.connection.work.edge_streams).remove(&self.stream);
+                // The owner must not keep a connection for an edge that has let go.
+                let message = EdgeMessage::Abandon;
+                self.connection.send(PeerMessage::ToOwner {
+                    stream: self.stream,
+                    message,
+                });
+            }
+            Side::Owner => {
+                lock(&self.connection.work.owner_streams).remove(&self.stream);
+            }
+        }
+    }
+}
+
+async fn shake_hands(
+    reader: &mut MessageReader,
+    writer: &mut OwnedWriteHalf,
+    identity: &Identity,
+    key: &ClusterKey,
+) -> Result<NodeId, PeerError> {
+    let mut nonce = [0_u8; NONCE_BYTES];
+    rand::rng().fill_bytes(&mut nonce);
+    let hello = Hello {
+        version: PROTOCOL_VERSION,
+        node: identity.node.0,
+        incarnation: identity.incarnation.0,
+        nonce,
+    };
+    write_message(writer, &PeerMessage::Hello(hello)).await?;
+    let PeerMessage::Hello(theirs) = reader.next().await? else {
+        return HandshakeSnafu {
+            reason: "the first message is not Hello",
+        }
+        .fail();
+    };
+    ensure!(
+        theirs.version == PROTOCOL_VERSION,
+        HandshakeSnafu {
+            reason: "the peer speaks another protocol version"
+        }
+    );
+    let proof = key.prove(
+        PROOF_PURPOSE,
+        &[
+            &theirs.nonce,
+            &identity.node.0.to_be_bytes(),
+            &identity.incarnation.0.to_be_bytes(),
+        ],
+    );
+    write_message(writer, &PeerMessage::Proof(Proof { proof })).await?;
+    let PeerMessage::Proof(their_proof) = reader.next().await? else {
+        return HandshakeSnafu {
+            reason: "the second message is not Proof",
+        }
+        .fail();
+    };
+    let proved = key.verify(
+        PROOF_PURPOSE,
+        &[
+            &nonce,
+            &theirs.node.to_be_bytes(),
+            &theirs.incarnation.to_be_bytes(),
+        ],
+        &their_proof.proof,
+    );
+    // A proof of our own number would be our own answer sent back to us.
+    ensure!(
+        proved && theirs.node != identity.node.0,
+        HandshakeSnafu {
+            reason: "the peer does not know the cluster key"
+        }
+    );
+    Ok(NodeId(theirs.node))
+}
+
+async fn write_queue(
+    mut writer: OwnedWriteHalf,
+    mut queue: mpsc::UnboundedReceiver<PeerMessage>,
+    work: Arc<OpenWork>,
+) {
+    let mut waiting = Vec::with_capacity(WRITE_BATCH_FRAMES);
+    let mut buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
+    while queue.recv_many(&mut waiting, WRITE_BATCH_FRAMES).await > 0 {
+        let encoded = waiting
+            .drain(..)
+            .try_for_each(|message| encode_frame(&message, &mut buffer));
+        if encoded.is_err() || writer.write_all(&buffer).await.is_err() {
+            break;
+        }
+        buffer.clear();
+    }
+    work.close();
+}
--- /dev/null
+++ b/crates/stairward-proxy/src/peer/mod.rs
@@ -0,0 +1,12 @@
+//! Connections between nodes: statement streams and calls, multiplexed over one TCP connection per
+//! pair and direction of use.
+//!
+//! A node's own edge and owner talk through the same [`EdgeStream`] and [`OwnerStream`] types
+//! without a socket.
+
+mod connection;
+mod network;
+mod stream;
+
+pub use network::{PeerError, PeerNetwork, PeerService};
+pub use stream::{EdgeStream, OwnerStream};
--- /dev/null
+++ b/crates/stairward-proxy/src/peer/network.rs
@@ -0,0 +1,243 @@
+//! Finding and keeping connections to other nodes.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use snafu::{OptionExt, ResultExt, Snafu};
+use stairward_protocol::call::{CallReply, CallRequest};
+use stairward_protocol::stream::{EdgeMessage, Open};
+use stairward_protocol::{ClusterKey, FrameError};
+use stairward_types::NodeId;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Mutex;
+
+use super::connection::Connection;
+use super::stream::{EdgeStream, OwnerStream, local_pair};
+use crate::cluster::Cluster;
+
+/// How long a connection to a peer may take to be made and proved.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why a peer could not be spoken to. Nothing of the request was sent, unless it is
+/// [`PeerError::ConnectionLost`] or [`PeerError::Timeout`].
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum PeerError {
+    /// The node is not in the membership view.
+    #[snafu(display("node {node} is not a member"))]
+    UnknownNode {
+        /// The node asked for.
+        node: NodeId,
+    },
+    /// The socket failed.
+    #[snafu(display("the connection to the peer failed"))]
+    Socket {
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The peer closed the connection.
+    #[snafu(display("the connection to the peer was lost"))]
+    ConnectionLost,
+    /// Bytes from the peer are not of this protocol.
+    #[snafu(display("the peer sent a bad frame"), context(false))]
+    Frame {
+        /// What is wrong with them.
+        source: FrameError,
+    },
+    /// The handshake failed.
+    #[snafu(display("the handshake with the peer failed: {reason}"))]
+    Handshake {
+        /// In which way.
+        reason: &'static str,
+    },
+    /// Another node answers at the address.
+    #[snafu(display("expected node {expected}, found node {found}"))]
+    UnexpectedNode {
+        /// The node asked for.
+        expected: NodeId,
+        /// The node that answered.
+        found: NodeId,
+    },
+    /// The peer did not answer in time.
+    #[snafu(display("the peer did not answer in time"))]
+    Timeout,
+}
+
+/// The future of an answer to a call.
+pub type CallFuture = Pin<Box<dyn Future<Output = CallReply> + Send>>;
+
+/// What a node does for its peers.
+pub trait PeerService: Send + Sync + 'static {
+    /// Serves a stream opened by an edge. Its first message is always [`EdgeMessage::Open`].
+    fn accept_stream(&self, stream: OwnerStream);
+
+    /// Answers a call.
+    fn answer_call(&self, from: NodeId, request: CallRequest) -> CallFuture;
+
+    /// Hears that a connection to a peer was lost, a hint that the peer may have failed.
+    fn peer_lost(&self, _peer: NodeId) {}
+}
+
+/// All of a node's connections to its peers. Cheap to clone.
+#[derive(Clone)]
+pub struct PeerNetwork {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    cluster: Cluster,
+    key: ClusterKey,
+    service: OnceLock<Arc<dyn PeerService>>,
+    connections: Mutex<HashMap<NodeId, Arc<Mutex<Option<Connection>>>>>,
+}
+
+impl PeerNetwork {
+    /// A network without connections. [`PeerNetwork::serve`] must be called before streams to the
+    /// node itself are opened.
+    #[must_use]
+    pub fn new(cluster: Cluster, key: ClusterKey) -> Self {
+        let inner = Inner {
+            cluster,
+            key,
+            service: OnceLock::new(),
+            connections: Mutex::default(),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// Answers peers that connect to `listener`, and this node itself, with `service`. Runs until
+    /// the listener fails.
+    ///
+    /// # Errors
+    /// [`PeerError::Socket`] from the listener.
+    pub async fn serve(
+        &self,
+        listener: TcpListener,
+        service: Arc<dyn PeerService>,
+    ) -> Result<(), PeerError> {
+        self.set_service(service);
+        loop {
+            let (socket, _) = listener.accept().await.context(SocketSnafu)?;
+            let network = self.clone();
+            tokio::spawn(async move {
+                if let Err(error) = network.accept(socket).await {
+                    tracing::warn!(
+                        event = stairward_types::LogEvent::PeerRefused.number(),
+                        %error,
+                        "a peer connection was refused"
+                    );
+                }
+            });
+        }
+    }
+
+    /// Sets what answers peers, for when the listener starts later. Only the first call counts.
+    pub fn set_service(&self, service: Arc<dyn PeerService>) {
+        let _ = self.inner.service.set(service);
+    }
+
+    /// Opens a stream to an owner and sends its first message.
+    ///
+    /// # Errors
+    /// [`PeerError`]; nothing was sent then.
+    pub async fn open_stream(&self, owner: NodeId, open: Open) -> Result<EdgeStream, PeerError> {
+        if owner == self.inner.cluster.identity.node {
+            return self.open_local_stream(open);
+        }
+        let connection = self.connection(owner).await?;
+        let stream = connection.open_stream();
+        if !stream.send(EdgeMessage::Open(open)) {
+            return ConnectionLostSnafu.fail();
+        }
+        Ok(stream)
+    }
+
+    /// Asks a node and waits for its answer.
+    ///
+    /// # Errors
+    /// [`PeerError`]; the peer may have acted when it is `ConnectionLost` or `Timeout`.
+    pub async fn call(
+        &self,
+        node: NodeId,
+        request: CallRequest,
+        timeout: Duration,
+    ) -> Result<CallReply, PeerError> {
+        let answer = async {
+            if node == self.inner.cluster.identity.node {
+                let service = self.service()?;
+                return Ok(service.answer_call(node, request).await);
+            }
+            self.connection(node).await?.call(request).await
+        };
+        tokio::time::timeout(timeout, answer)
+            .await
+            .ok()
+            .context(TimeoutSnafu)?
+    }
+
+    fn service(&self) -> Result<&Arc<dyn PeerService>, PeerError> {
+        let node = self.inner.cluster.identity.node;
+        self.inner.service.get().context(UnknownNodeSnafu { node })
+    }
+
+    fn open_local_stream(&self, open: Open) -> Result<EdgeStream, PeerError> {
+        let service = self.service()?;
+        let (edge, owner) = local_pair(self.inner.cluster.identity.node);
+        edge.send(EdgeMessage::Open(open));
+        service.accept_stream(owner);
+        Ok(edge)
+    }
+
+    async fn accept(&self, socket: TcpStream) -> Result<(), PeerError> {
+        let service = Arc::clone(self.service()?);
+        let identity = &self.inner.cluster.identity;
+        let established = Connection::establish(socket, identity, &self.inner.key, None, service);
+        tokio::time::timeout(CONNECT_TIMEOUT, established)
+            .await
+            .ok()
+            .context(TimeoutSnafu)??;
+        Ok(())
+    }
+
+    async fn connection(&self, node: NodeId) -> Result<Connection, PeerError> {
+        let slot = {
+            let mut connections = self.inner.connections.lock().await;
+            Arc::clone(connections.entry(node).or_default())
+        };
+        // Held while connecting, so that a burst of requests makes one connection.
+        let mut slot = slot.lock().await;
+        if let Some(connection) = slot.as_ref().filter(|connection| !connection.is_closed()) {
+            return Ok(connection.clone());
+        }
+        let connection = self.connect(node).await?;
+        *slot = Some(connection.clone());
+        Ok(connection)
+    }
+
+    async fn connect(&self, node: NodeId) -> Result<Connection, PeerError> {
+        let members = self.inner.cluster.members();
+        let member = members.member(node).context(UnknownNodeSnafu { node })?;
+        let address = member.peer_address;
+        let service = Arc::clone(self.service()?);
+        let connected = async {
+            let socket = TcpStream::connect(address).await.context(SocketSnafu)?;
+            let identity = &self.inner.cluster.identity;
+            Connection::establish(socket, identity, &self.inner.key, Some(node), service).await
+        };
+        let (_, connection) = tokio::time::timeout(CONNECT_TIMEOUT, connected)
+            .await
+            .ok()
+            .context(TimeoutSnafu)??;
+        tracing::debug!(
+            event = stairward_types::LogEvent::PeerConnected.number(),
+            peer = node.0,
+            "connected to a peer"
+        );
+        Ok(connection)
+    }
+}
--- /dev/null
+++ b/crates/stairward-routing/src/lib.rs
@@ -0,0 +1,3 @@
+//! Which back end may answer a request: freshness, retries, hold queue.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/stairward-session/src/lib.rs
@@ -0,0 +1,3 @@
+//! Session state, floors, tokens and statement classes.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/stairward-types/src/event.rs
@@ -0,0 +1,134 @@
+//! Numbered log events. docs/EVENTS.md is their catalogue; a test compares the two.
+
+use std::fmt;
+
+/// How grave a log event is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum LogLevel {
+    /// Something needs a person.
+    Error,
+    /// Something is off and handled.
+    Warn,
+    /// A change of state worth knowing.
+    Info,
+    /// Detail for finding causes.
+    Debug,
+}
+
+macro_rules! log_events {
+    ($($(#[doc = $documentation:literal])+ $name:ident = $number:literal, $level:ident;)+) => {
+        /// A kind of log line. Pass it as the `event` field of a `tracing` line.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[repr(u16)]
+        pub enum LogEvent {
+            $($(#[doc = $documentation])+ $name = $number,)+
+        }
+
+        impl LogEvent {
+            /// Every event, in the order of its number.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)+];
+
+            /// The level it is logged at.
+            #[must_use]
+            pub const fn level(self) -> LogLevel {
+                match self { $(Self::$name => LogLevel::$level,)+ }
+            }
+
+            /// The event's name in the catalogue.
+            #[must_use]
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$name => stringify!($name),)+ }
+            }
+        }
+    };
+}
+
+log_events! {
+    /// The node has started and listens.
+    NodeStarted = 100, Info;
+    /// The node has a confirmed configuration and serves callers.
+    NodeReady = 101, Info;
+    /// A planned stop has begun.
+    DrainStarted = 102, Info;
+    /// The planned stop has ended; the process exits.
+    DrainFinished = 103, Info;
+    /// A listener could not be opened or failed.
+    ListenerFailed = 104, Error;
+
+    /// A caller's session was refused.
+    SessionRefused = 200, Warn;
+    /// A caller broke the protocol and was disconnected.
+    ProtocolViolated = 201, Warn;
+    /// A request was refused as not run.
+    RequestRefused = 202, Debug;
+    /// A request ended with its outcome unknown.
+    OutcomeUnknown = 203, Warn;
+
+    /// A connection to another node was made.
+    PeerConnected = 300, Debug;
+    /// A connection to another node was lost.
+    PeerLost = 301, Warn;
+    /// Another node failed to prove that it belongs to this cluster.
+    PeerRefused = 302, Warn;
+
+    /// This node has become owner of a back end.
+    OwnershipTaken = 400, Info;
+    /// This node has given a back end up.
+    OwnershipReleased = 401, Info;
+    /// This node's lease on a back end lapsed before it was renewed.
+    LeaseLapsed = 402, Warn;
+    /// A back end cannot be reached.
+    BackendUnreachable = 403, Warn;
+    /// A back end can be reached again.
+    BackendReachable = 404, Info;
+    /// A group has a newer term.
+    TermChanged = 405, Info;
+    /// A commit could not be proved to survive in time.
+    FenceFailed = 406, Warn;
+    /// A back end has stopped taking new work because operators marked it as leaving.
+    BackendLeaving = 407, Info;
+
+    /// A node was found or came back.
+    MemberJoined = 500, Info;
+    /// A node is suspected to have failed.
+    MemberSuspected = 501, Debug;
+    /// A node was declared failed.
+    MemberFailed = 502, Warn;
+    /// A node announced that it leaves.
+    MemberLeft = 503, Info;
+    /// A packet without a valid proof was dropped.
+    PacketRefused = 504, Warn;
+
+    /// A newer revision of the settings is in force on this node.
+    ConfigurationApplied = 600, Info;
+    /// A revision was refused, because it is older than the one in force or not valid.
+    ConfigurationRefused = 601, Warn;
+    /// The platform's store does not answer; the known settings stay in force.
+    StoreUnreachable = 602, Warn;
+    /// The platform's store answers again.
+    StoreReachable = 603, Info;
+    /// This node has begun to watch the store for its region.
+    WatcherStarted = 604, Info;
+    /// This node has stopped watching the store.
+    WatcherStopped = 605, Info;
+    /// An operator's edit was accepted.
+    EditAccepted = 606, Info;
+    /// An operator's edit was refused.
+    EditRefused = 607, Warn;
+    /// Certificates and keys were read again.
+    CertificatesReloaded = 608, Info;
+}
+
+impl LogEvent {
+    /// The number shown in log lines.
+    #[must_use]
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+impl fmt::Display for LogEvent {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "E{:03} {}", self.number(), self.name())
+    }
+}
--- /dev/null
+++ b/crates/stairward-types/src/result_code.rs
@@ -0,0 +1,167 @@
+//! Numbered result codes. docs/RESULT_CODES.md is their table; a test compares the two.
+
+use std::fmt;
+
+/// What a caller may conclude from a result code about its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum OutcomeClass {
+    /// The back end answered; its answer was passed on.
+    Answered,
+    /// The request provably did not run and may be sent again.
+    NotRun,
+    /// The request may or may not have run.
+    OutcomeUnknown,
+}
+
+impl fmt::Display for OutcomeClass {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Answered => "answered",
+            Self::NotRun => "not run",
+            Self::OutcomeUnknown => "outcome unknown",
+        })
+    }
+}
+
+macro_rules! result_codes {
+    ($($(#[doc = $documentation:literal])+ $name:ident = $number:literal, $class:ident, $sqlstate:literal, $message:literal;)+) => {
+        /// Why stairward itself answered a request, or how it ended.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[repr(u16)]
+        pub enum ResultCode {
+            $($(#[doc = $documentation])+ $name = $number,)+
+        }
+
+        impl ResultCode {
+            /// Every code, in the order of its number.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)+];
+
+            /// The class that tells the caller whether the request ran.
+            #[must_use]
+            pub const fn class(self) -> OutcomeClass {
+                match self { $(Self::$name => OutcomeClass::$class,)+ }
+            }
+
+            /// The standard SQLSTATE sent with it.
+            #[must_use]
+            pub const fn sqlstate(self) -> &'static str {
+                match self { $(Self::$name => $sqlstate,)+ }
+            }
+
+            /// A sentence for people.
+            #[must_use]
+            pub const fn message(self) -> &'static str {
+                match self { $(Self::$name => $message,)+ }
+            }
+
+            /// The code's name in the table.
+            #[must_use]
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$name => stringify!($name),)+ }
+            }
+        }
+    };
+}
+
+result_codes! {
+    /// The request ran and its answer was passed on whole.
+    Answered = 1000, Answered, "00000", "answered";
+    /// A request with the same key had already run; its recorded outcome is reported.
+    AlreadyRun = 1001, Answered, "00000", "a request with this key has already run";
+
+    /// No back end of the group is fresh enough for this session in time.
+    NotFreshEnough = 2001, NotRun, "57P03", "not run: no copy is fresh enough for this session";
+    /// The back end is leaving and takes no new work.
+    BackendLeaving = 2002, NotRun, "57P03", "not run: the back end is leaving";
+    /// Queue, slots or connections are full.
+    Overloaded = 2003, NotRun, "53300", "not run: the back end is at its limits";
+    /// The back end is not, or no longer, the primary of the expected term.
+    PrimaryReplaced = 2004, NotRun, "57P03", "not run: the primary has been replaced";
+    /// The node asked does not own the back end.
+    NotOwner = 2005, NotRun, "57P03", "not run: the node asked does not own the back end";
+    /// No back end of the group can be reached.
+    BackendUnavailable = 2006, NotRun, "57P03", "not run: no back end can be reached";
+    /// The deadline passed before the request was sent to a back end.
+    DeadlineBeforeSend = 2007, NotRun, "57014", "not run: the deadline passed while waiting";
+    /// The hold queue for a failover is full.
+    HoldQueueFull = 2008, NotRun, "53300", "not run: too many requests wait for a new primary";
+    /// The caller cancelled the request before it was sent to a back end.
+    CancelledBeforeSend = 2009, NotRun, "57014", "not run: cancelled by the caller";
+    /// This proxy is stopping; connect again.
+    ProxyStopping = 2010, NotRun, "57P01", "not run: this proxy is stopping, connect again";
+    /// The session's settings or prepared statements could not be set up on the back end.
+    SessionSetupFailed = 2011, NotRun, "57P03", "not run: session set-up on the back end failed";
+    /// The owner has had no configuration for too long to take new work.
+    ConfigurationTooOld = 2012, NotRun, "57P03", "not run: the owner's configuration is too old";
+    /// The database named at start-up is not a group in the settings.
+    UnknownDatabase = 2013, NotRun, "3D000", "not run: no such database group";
+    /// The password or the SCRAM proof is wrong.
+    AuthenticationFailed = 2014, NotRun, "28P01", "not run: authentication failed";
+    /// The message breaks the protocol.
+    ProtocolViolation = 2015, NotRun, "08P01", "not run: the message breaks the protocol";
+    /// The message or statement is larger than the setting allows.
+    MessageTooLarge = 2016, NotRun, "54000", "not run: the message is too large";
+    /// The feature would bind the session to one connection.
+    FeatureRefused = 2017, NotRun, "0A000", "not run: the feature would bind the session to one back end";
+    /// The session token is forged, damaged or of another cluster.
+    InvalidToken = 2018, NotRun, "22023", "not run: the session token is not valid";
+    /// The hint's name is unknown or its value is out of range.
+    InvalidHint = 2019, NotRun, "22023", "not run: the hint is not valid";
+    /// Text is not UTF-8.
+    InvalidEncoding = 2020, NotRun, "22021", "not run: the text is not valid UTF-8";
+    /// The transaction has ended; the statement is of an earlier one.
+    StaleTransaction = 2021, NotRun, "25000", "not run: the statement belongs to a transaction that has ended";
+    /// The retry budget is spent; the last refusal stands.
+    RetryBudgetSpent = 2022, NotRun, "53300", "not run: too many retries, come back later";
+    /// The node is still learning its configuration.
+    NotReady = 2023, NotRun, "57P03", "not run: this proxy is not ready yet";
+    /// The transaction was lost with its primary before commit; all of it was rolled back.
+    TransactionLost = 2024, NotRun, "40001", "not run: the transaction was lost with its primary and rolled back";
+    /// Too many client connections at this proxy.
+    TooManyClients = 2025, NotRun, "53300", "not run: too many client connections";
+
+    /// The connection to the back end was lost after the request was sent.
+    BackendLostAfterSend = 3001, OutcomeUnknown, "08007", "outcome unknown: the back end was lost while the request ran";
+    /// The write could not be proved to survive in time.
+    FenceNotProved = 3002, OutcomeUnknown, "08007", "outcome unknown: the write could not be confirmed by a majority";
+    /// The connection to the owner was lost after the request was sent.
+    OwnerLostAfterSend = 3003, OutcomeUnknown, "08007", "outcome unknown: the owning proxy was lost while the request ran";
+    /// The deadline passed while the request ran.
+    DeadlineAfterSend = 3004, OutcomeUnknown, "08007", "outcome unknown: the deadline passed while the request ran";
+
+    /// An edit of the settings names a revision that is no longer the newest.
+    EditConflict = 4001, NotRun, "40001", "the settings changed since; look at the newer revision";
+    /// An edit of the settings has an unknown name, a bad value or breaks the tree as a whole.
+    InvalidSettings = 4002, NotRun, "22023", "the settings are not valid";
+    /// The platform's store cannot be reached; the edit may have taken effect.
+    StoreUnavailable = 4003, OutcomeUnknown, "08007", "the platform's store does not answer; ask again with the same change id";
+    /// A process file has an unknown option or a bad value.
+    InvalidProcessFile = 4004, NotRun, "F0000", "the process file is not valid";
+    /// The command line is wrong.
+    InvalidCommandLine = 4005, NotRun, "22023", "the command line is not valid";
+    /// The admin interface refuses the token.
+    AdminForbidden = 4006, NotRun, "28000", "the admin token is wrong";
+}
+
+impl ResultCode {
+    /// The number shown to callers.
+    #[must_use]
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// The code with this number.
+    #[must_use]
+    pub fn from_number(number: u16) -> Option<Self> {
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|code| code.number() == number)
+    }
+}
+
+impl fmt::Display for ResultCode {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "SW{} {}", self.number(), self.message())
+    }
+}
--- /dev/null
+++ b/crates/stairward/src/main.rs
@@ -0,0 +1,5 @@
+//! The stairward command line.
+
+#![forbid(unsafe_code)]
+
+fn main() {}
