--- a/crates/stairward-protocol/src/call.rs
+++ b/crates/stairward-protocol/src/call.rs
@@ -44,6 +44,14 @@
         /// The back end.
         backend: Text,
     },
+    /// A caller's `CancelRequest` that reached another proxy than the one its session is on.
+    #[deku(id = "6")]
+    CancelStatement {
+        /// The process number from the session's `BackendKeyData`.
+        process: u32,
+        /// The secret from the same message.
+        secret: u32,
+    },
 }
 
 /// The answer to a [`CallRequest`].
