--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -1,3 +1,5 @@
-//! Site emulator, load, experiments, simulation and reports.
+//! The lab: emulates the sites' load, runs experiments and simulations, and writes reports.
 
 #![forbid(unsafe_code)]
+
+pub mod command;
