Rank the owners of a back end by rendezvous hashing

Owners must be chosen alike by every node with the same view, near the back end. The rule now gets the back end's settings, since a zone without live members does not tell its region. Seven tests cover nearness, leaving members and stability.

--- /dev/null
+++ b/crates/stairward-membership/tests/ownership.rs
@@ -0,0 +1,117 @@
+//! Rendezvous ranking: nearness, leaving members, stability.
+
+use stairward_membership::{Candidate, Ranking, rank_owners};
+use stairward_types::{BackendId, NodeId, RegionName, ZoneName};
+
+struct Place {
+    node: u64,
+    region: RegionName,
+    zone: ZoneName,
+    leaving: bool,
+}
+
+fn place(node: u64, region: &str, zone: &str) -> Place {
+    Place {
+        node,
+        region: RegionName::new(region).unwrap(),
+        zone: ZoneName::new(zone).unwrap(),
+        leaving: false,
+    }
+}
+
+fn rank(places: &[Place], backend: &str, region: &str, zone: &str) -> Option<Ranking> {
+    let candidates = places.iter().map(|place| Candidate {
+        node: NodeId(place.node),
+        region: &place.region,
+        zone: &place.zone,
+        leaving: place.leaving,
+    });
+    let backend = BackendId::new(backend).unwrap();
+    let region = RegionName::new(region).unwrap();
+    let zone = ZoneName::new(zone).unwrap();
+    rank_owners(candidates, &backend, &region, &zone)
+}
+
+/// Twelve nodes: two regions, two zones in each, three nodes in a zone.
+fn fleet() -> Vec<Place> {
+    (0..12)
+        .map(|node| {
+            let region = ["east", "west"][node as usize / 6];
+            let zone = ["east-a", "east-b", "west-a", "west-b"][node as usize / 3];
+            place(node, region, zone)
+        })
+        .collect()
+}
+
+fn backends() -> Vec<String> {
+    (0..200).map(|number| format!("db-{number}")).collect()
+}
+
+#[test]
+fn no_member_means_no_owner() {
+    assert_eq!(rank(&[], "db-1", "east", "east-a"), None);
+}
+
+#[test]
+fn a_single_member_owns_without_standby() {
+    let ranking = rank(&[place(7, "west", "west-a")], "db-1", "east", "east-a").unwrap();
+    assert_eq!((ranking.owner, ranking.standby), (NodeId(7), None));
+}
+
+#[test]
+fn owner_and_standby_stand_in_the_zone_of_the_back_end() {
+    for backend in backends() {
+        let ranking = rank(&fleet(), &backend, "west", "west-a").unwrap();
+        assert!((6..9).contains(&ranking.owner.0));
+        assert!((6..9).contains(&ranking.standby.unwrap().0));
+        assert_ne!(Some(ranking.owner), ranking.standby);
+    }
+}
+
+#[test]
+fn a_lost_zone_falls_to_its_region() {
+    let mut places = fleet();
+    places.retain(|place| place.zone.as_str() != "west-a");
+    for backend in backends() {
+        let ranking = rank(&places, &backend, "west", "west-a").unwrap();
+        assert!((9..12).contains(&ranking.owner.0));
+    }
+}
+
+#[test]
+fn a_leaving_member_owns_only_when_nobody_else_is_left() {
+    let mut places = fleet();
+    for place in &mut places {
+        place.leaving = place.node != 2;
+    }
+    let ranking = rank(&places, "db-1", "west", "west-a").unwrap();
+    assert_eq!(ranking.owner, NodeId(2));
+    assert!((6..9).contains(&ranking.standby.unwrap().0));
+}
+
+#[test]
+fn the_loss_of_a_member_moves_only_its_own_back_ends_to_the_standby() {
+    let before = fleet();
+    let mut after = fleet();
+    after.retain(|place| place.node != 7);
+    for backend in backends() {
+        let old = rank(&before, &backend, "west", "west-a").unwrap();
+        let new = rank(&after, &backend, "west", "west-a").unwrap();
+        let expected = if old.owner == NodeId(7) {
+            old.standby.unwrap()
+        } else {
+            old.owner
+        };
+        assert_eq!(new.owner, expected);
+    }
+}
+
+#[test]
+fn back_ends_spread_over_the_members_of_a_zone() {
+    let mut owned = [0_usize; 12];
+    for backend in backends() {
+        let ranking = rank(&fleet(), &backend, "west", "west-a").unwrap();
+        owned[usize::try_from(ranking.owner.0).unwrap()] += 1;
+    }
+    assert!(owned[6..9].iter().all(|count| (45..=90).contains(count)));
+}
--- a/crates/stairward-proxy/src/cluster.rs
+++ b/crates/stairward-proxy/src/cluster.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, RwLock};
 use std::time::Instant;
 
-use stairward_settings::ResolvedSettings;
+use stairward_settings::{BackendSettings, ResolvedSettings};
 use stairward_types::{BackendId, GroupId, Incarnation, NodeId, RegionName, Term, Time, ZoneName};
 use tokio::sync::watch;
 
@@ -77,7 +77,7 @@
 
 /// Ranks the members for a back end: first the owner, then the standby.
 pub type OwnershipRule =
-    Arc<dyn Fn(&MembershipView, &BackendId, &ZoneName) -> Option<Owners> + Send + Sync>;
+    Arc<dyn Fn(&MembershipView, &BackendId, &BackendSettings) -> Option<Owners> + Send + Sync>;
 
 /// A monotonic clock for the decision code.
 #[derive(Debug, Clone, Copy)]
@@ -205,6 +205,6 @@
             .ownership
             .read()
             .unwrap_or_else(std::sync::PoisonError::into_inner);
-        rule(&self.members(), backend, &backend_settings.zone)
+        rule(&self.members(), backend, backend_settings)
     }
 }
--- a/crates/stairward-proxy/src/lib.rs
+++ b/crates/stairward-proxy/src/lib.rs
@@ -6,4 +6,5 @@
 #![forbid(unsafe_code)]
 
 pub mod cluster;
+pub mod control;
 pub mod peer;
