--- /dev/null
+++ b/crates/stairward-session/src/class.rs
@@ -0,0 +1,175 @@
+//! What a piece of SQL text needs and changes.
+
+use std::fmt;
+
+use stairward_types::AccessClass;
+
+/// A feature that would bind a session to one connection or isn't offered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum RefusedFeature {
+    /// `COPY`.
+    Copy,
+    /// `LISTEN` and `UNLISTEN`.
+    Listen,
+    /// Temporary tables, views and sequences.
+    TemporaryObject,
+    /// Advisory locks held by a session.
+    AdvisoryLock,
+    /// Cursors that outlive their transaction.
+    CursorWithHold,
+    /// `SET ROLE` and `SET SESSION AUTHORIZATION`.
+    RoleChange,
+    /// `PREPARE TRANSACTION` and what ends such a transaction.
+    TwoPhaseCommit,
+}
+
+impl fmt::Display for RefusedFeature {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Copy => "COPY",
+            Self::Listen => "LISTEN",
+            Self::TemporaryObject => "temporary objects",
+            Self::AdvisoryLock => "advisory locks held by a session",
+            Self::CursorWithHold => "cursors WITH HOLD",
+            Self::RoleChange => "SET ROLE and SET SESSION AUTHORIZATION",
+            Self::TwoPhaseCommit => "two-phase commit",
+        })
+    }
+}
+
+/// How a transaction was begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TransactionStart {
+    /// `READ ONLY`: a replica may serve it.
+    ReadOnly,
+    /// Anything else.
+    ReadWrite,
+}
+
+/// How a transaction is asked to end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TransactionEnd {
+    /// `COMMIT` or `END`.
+    Commit,
+    /// `ROLLBACK` or `ABORT`.
+    Rollback,
+}
+
+/// A change of session state, to be remembered when the statement succeeded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SessionChange {
+    /// `SET name = value`.
+    Set {
+        /// The parameter, in lower case.
+        name: String,
+        /// The value as SQL text, ready for another `SET`.
+        value: String,
+        /// `SET LOCAL`: forgotten at the end of the transaction.
+        local: bool,
+    },
+    /// `RESET name` or `SET name TO DEFAULT`.
+    Reset {
+        /// The parameter, in lower case.
+        name: String,
+    },
+    /// `RESET ALL`.
+    ResetAll,
+    /// `DISCARD ALL`.
+    DiscardAll,
+    /// `PREPARE name AS ...`.
+    Prepare {
+        /// The statement's name.
+        name: String,
+        /// The whole `PREPARE` statement.
+        text: String,
+    },
+    /// `DEALLOCATE name`.
+    Deallocate {
+        /// The statement's name.
+        name: String,
+    },
+    /// `DEALLOCATE ALL`.
+    DeallocateAll,
+}
+
+/// What a text of one or more statements needs and changes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StatementClass {
+    /// The strongest access of any of its statements.
+    pub access: AccessClass,
+    /// Statements in the text; zero for an empty text.
+    pub statements: usize,
+    /// Whether it holds `COMMIT` or `END`.
+    pub has_commit: bool,
+    /// The transaction that it leaves open when run outside of one.
+    pub leaves_open: Option<TransactionStart>,
+    /// How its last transaction control statement ends a transaction.
+    pub ends: Option<TransactionEnd>,
+    /// Whether it may leave state on the connection that must be reset.
+    pub alters_session: bool,
+    /// A feature in it that is refused.
+    pub refused: Option<RefusedFeature>,
+    /// Changes of session state, in order.
+    pub changes: Vec<SessionChange>,
+}
+
+impl StatementClass {
+    /// The class of nothing at all.
+    #[must_use]
+    pub const fn empty() -> Self {
+        Self {
+            access: AccessClass::Read,
+            statements: 0,
+            has_commit: false,
+            leaves_open: None,
+            ends: None,
+            alters_session: false,
+            refused: None,
+            changes: Vec::new(),
+        }
+    }
+
+    /// The class of text that can't be understood: a write that may change anything.
+    #[must_use]
+    pub fn unknown() -> Self {
+        Self {
+            access: AccessClass::Write,
+            statements: 1,
+            alters_session: true,
+            ..Self::empty()
+        }
+    }
+
+    /// Whether running it may commit writes.
+    #[must_use]
+    pub fn may_commit(&self, in_transaction: bool) -> bool {
+        if in_transaction || self.leaves_open.is_some() {
+            return self.has_commit;
+        }
+        self.access == AccessClass::Write
+    }
+
+    /// Whether it holds transaction control statements.
+    #[must_use]
+    pub fn controls_transaction(&self) -> bool {
+        self.leaves_open.is_some() || self.ends.is_some() || self.has_commit
+    }
+
+    /// Adds what follows in the same batch.
+    pub fn append(&mut self, next: Self) {
+        self.access = self.access.max(next.access);
+        self.statements += next.statements;
+        self.has_commit |= next.has_commit;
+        if next.ends.is_some() {
+            self.leaves_open = None;
+            self.ends = next.ends;
+        }
+        if next.leaves_open.is_some() {
+            self.leaves_open = next.leaves_open;
+            self.ends = None;
+        }
+        self.alters_session |= next.alters_session;
+        self.refused = self.refused.or(next.refused);
+        self.changes.extend(next.changes);
+    }
+}
--- /dev/null
+++ b/crates/stairward-session/src/classify.rs
@@ -0,0 +1,441 @@
+//! Classes of SQL text, by the `sqlparser` syntax tree. What can't be classified is a write.
+
+use std::ops::ControlFlow;
+
+use sqlparser::ast::{
+    ContextModifier, DiscardObject, Expr, ObjectName, Query, Reset, Select, Set, SetExpr,
+    Statement, TableFactor, TransactionAccessMode, TransactionMode, UtilityOption, Visit, Visitor,
+};
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::keywords::Keyword;
+use sqlparser::parser::Parser;
+use sqlparser::tokenizer::{Token, Tokenizer};
+use stairward_types::AccessClass;
+
+use crate::class::{
+    RefusedFeature, SessionChange, StatementClass, TransactionEnd, TransactionStart,
+};
+use crate::pure_functions::{is_pure_function, is_session_lock_function};
+
+/// Longest text parsed, in bytes. Longer text is classified by its first words.
+const MAXIMUM_PARSED_BYTES: usize = 256 * 1024;
+/// Most operators parsed. Each may deepen the syntax tree by one level, and a tree is walked and
+/// dropped by recursion, which must fit the stack of a thread.
+const MAXIMUM_OPERATORS: usize = 500;
+
+/// Says what a text of one or more statements needs.
+#[must_use]
+pub fn classify(text: &str) -> StatementClass {
+    if text.len() > MAXIMUM_PARSED_BYTES {
+        return by_first_word(text.split_whitespace().next().unwrap_or_default());
+    }
+    let dialect = PostgreSqlDialect {};
+    let Ok(tokens) = Tokenizer::new(&dialect, text).tokenize() else {
+        return by_first_word(text.split_whitespace().next().unwrap_or_default());
+    };
+    let operators = tokens.iter().filter(|token| is_operator(token)).count();
+    if operators > MAXIMUM_OPERATORS {
+        return by_keywords(&tokens);
+    }
+    match Parser::new(&dialect)
+        .with_tokens(tokens.clone())
+        .parse_statements()
+    {
+        Ok(statements) => classify_all(&statements),
+        Err(_) => by_keywords(&tokens),
+    }
+}
+
+fn classify_all(statements: &[Statement]) -> StatementClass {
+    let mut class = StatementClass::empty();
+    for statement in statements {
+        class.append(classify_statement(statement));
+    }
+    class
+}
+
+fn read() -> StatementClass {
+    StatementClass {
+        statements: 1,
+        ..StatementClass::empty()
+    }
+}
+
+fn write() -> StatementClass {
+    StatementClass {
+        access: AccessClass::Write,
+        ..read()
+    }
+}
+
+fn refused(feature: RefusedFeature) -> StatementClass {
+    StatementClass {
+        refused: Some(feature),
+        ..write()
+    }
+}
+
+/// A change of the session that any back end can make.
+fn changes(change: SessionChange) -> StatementClass {
+    StatementClass {
+        alters_session: true,
+        changes: vec![change],
+        ..read()
+    }
+}
+
+fn begins(start: TransactionStart) -> StatementClass {
+    let access = match start {
+        TransactionStart::ReadOnly => AccessClass::Read,
+        TransactionStart::ReadWrite => AccessClass::Write,
+    };
+    StatementClass {
+        access,
+        leaves_open: Some(start),
+        ..read()
+    }
+}
+
+fn ends(end: TransactionEnd) -> StatementClass {
+    StatementClass {
+        has_commit: end == TransactionEnd::Commit,
+        ends: Some(end),
+        ..read()
+    }
+}
+
+fn classify_statement(statement: &Statement) -> StatementClass {
+    match statement {
+        Statement::Query(_) => by_syntax_tree(statement),
+        Statement::Insert(_) | Statement::Update(_) | Statement::Delete(_) => {
+            let mut class = by_syntax_tree(statement);
+            class.access = AccessClass::Write;
+            class
+        }
+        Statement::ShowVariable { .. } => read(),
+        Statement::Explain {
+            analyze,
+            options,
+            statement,
+            ..
+        } => classify_explain(*analyze, options.as_deref(), statement),
+        Statement::StartTransaction { modes, .. } => begins(transaction_start(modes)),
+        Statement::Commit { chain, .. } => chained(TransactionEnd::Commit, *chain),
+        Statement::Rollback {
+            savepoint: Some(_), ..
+        }
+        | Statement::Savepoint { .. }
+        | Statement::ReleaseSavepoint { .. }
+        | Statement::Fetch { .. }
+        | Statement::Close { .. } => read(),
+        Statement::Rollback { chain, .. } => chained(TransactionEnd::Rollback, *chain),
+        Statement::Set(set) => classify_set(set),
+        Statement::Reset(reset) => classify_reset(&reset.reset),
+        Statement::Discard { object_type } => classify_discard(*object_type),
+        Statement::Prepare { name, .. } => changes(SessionChange::Prepare {
+            name: name.value.clone(),
+            text: statement.to_string(),
+        }),
+        Statement::Deallocate { name, .. } => changes(deallocate(&name.value)),
+        Statement::LISTEN { .. } | Statement::UNLISTEN { .. } => refused(RefusedFeature::Listen),
+        Statement::Copy { .. } => refused(RefusedFeature::Copy),
+        other => classify_other(other),
+    }
+}
+
+/// Definitions and whatever else: writes, save for temporary objects and cursors that outlive their
+/// transaction.
+fn classify_other(statement: &Statement) -> StatementClass {
+    match statement {
+        Statement::CreateTable(table) if table.temporary => {
+            refused(RefusedFeature::TemporaryObject)
+        }
+        Statement::CreateView(view) if view.temporary => refused(RefusedFeature::TemporaryObject),
+        Statement::CreateSequence {
+            temporary: true, ..
+        } => refused(RefusedFeature::TemporaryObject),
+        Statement::Declare { stmts, .. } => {
+            if stmts.iter().any(|cursor| cursor.hold == Some(true)) {
+                return refused(RefusedFeature::CursorWithHold);
+            }
+            by_syntax_tree(statement)
+        }
+        Statement::CreateTable(_) | Statement::CreateIndex(_) | Statement::Truncate(_) => {
+            by_syntax_tree_of_write(statement)
+        }
+        _ => StatementClass {
+            alters_session: true,
+            ..by_syntax_tree_of_write(statement)
+        },
+    }
+}
+
+fn classify_explain(
+    analyze: bool,
+    options: Option<&[UtilityOption]>,
+    statement: &Statement,
+) -> StatementClass {
+    let runs = analyze
+        || options.is_some_and(|options| {
+            options
+                .iter()
+                .any(|option| option.name.value.eq_ignore_ascii_case("analyze"))
+        });
+    if runs {
+        return classify_statement(statement);
+    }
+    read()
+}
+
+fn transaction_start(modes: &[TransactionMode]) -> TransactionStart {
+    let is_read_only = modes.contains(&TransactionMode::AccessMode(
+        TransactionAccessMode::ReadOnly,
+    ));
+    if is_read_only {
+        TransactionStart::ReadOnly
+    } else {
+        TransactionStart::ReadWrite
+    }
+}
+
+fn chained(end: TransactionEnd, chain: bool) -> StatementClass {
+    let mut class = ends(end);
+    if chain {
+        class.access = AccessClass::Write;
+        class.leaves_open = Some(TransactionStart::ReadWrite);
+    }
+    class
+}
+
+fn classify_set(set: &Set) -> StatementClass {
+    match set {
+        Set::SingleAssignment {
+            scope,
+            variable,
+            values,
+            ..
+        } => {
+            let values: Vec<String> = values.iter().map(ToString::to_string).collect();
+            let local = *scope == Some(ContextModifier::Local);
+            changes(assignment(plain_name(variable), values.join(", "), local))
+        }
+        Set::SetTimeZone { local, value } => {
+            changes(assignment("timezone".to_owned(), value.to_string(), *local))
+        }
+        Set::SetNames { charset_name, .. } => changes(assignment(
+            "client_encoding".to_owned(),
+            format!("'{charset_name}'"),
+            false,
+        )),
+        Set::SetTransaction { session: false, .. } => read(),
+        Set::SetRole { .. } | Set::SetSessionAuthorization(_) => {
+            refused(RefusedFeature::RoleChange)
+        }
+        _ => StatementClass::unknown(),
+    }
+}
+
+fn assignment(name: String, value: String, local: bool) -> SessionChange {
+    if value.eq_ignore_ascii_case("default") {
+        return SessionChange::Reset { name };
+    }
+    SessionChange::Set { name, value, local }
+}
+
+fn classify_reset(reset: &Reset) -> StatementClass {
+    match reset {
+        Reset::ALL => changes(SessionChange::ResetAll),
+        Reset::SessionAuthorization => refused(RefusedFeature::RoleChange),
+        Reset::ConfigurationParameter(name) => changes(SessionChange::Reset {
+            name: plain_name(name),
+        }),
+    }
+}
+
+fn classify_discard(object: DiscardObject) -> StatementClass {
+    match object {
+        DiscardObject::ALL => changes(SessionChange::DiscardAll),
+        _ => StatementClass {
+            alters_session: true,
+            ..read()
+        },
+    }
+}
+
+fn deallocate(name: &str) -> SessionChange {
+    if name.eq_ignore_ascii_case("all") {
+        return SessionChange::DeallocateAll;
+    }
+    SessionChange::Deallocate {
+        name: name.to_owned(),
+    }
+}
+
+/// A name without quotes, in lower case.
+fn plain_name(name: &ObjectName) -> String {
+    let parts: Vec<String> = name
+        .0
+        .iter()
+        .map(|part| match part.as_ident() {
+            Some(identifier) => identifier.value.to_ascii_lowercase(),
+            None => part.to_string(),
+        })
+        .collect();
+    parts.join(".")
+}
+
+fn by_syntax_tree_of_write(statement: &Statement) -> StatementClass {
+    let mut class = by_syntax_tree(statement);
+    class.access = AccessClass::Write;
+    class
+}
+
+fn by_syntax_tree(statement: &Statement) -> StatementClass {
+    let mut search = WriteSearch { class: read() };
+    let _: ControlFlow<()> = statement.visit(&mut search);
+    search.class
+}
+
+/// Looks through a syntax tree for anything that writes or locks.
+struct WriteSearch {
+    class: StatementClass,
+}
+
+impl WriteSearch {
+    fn found_function(&mut self, name: &ObjectName) {
+        let name = plain_name(name);
+        let name = name.strip_prefix("pg_catalog.").unwrap_or(&name);
+        if is_session_lock_function(name) {
+            self.class.refused = Some(RefusedFeature::AdvisoryLock);
+        }
+        if !is_pure_function(name) {
+            self.found_write();
+            // It may call set_config or do anything else to the session.
+            self.class.alters_session = true;
+        }
+    }
+
+    fn found_write(&mut self) {
+        self.class.access = AccessClass::Write;
+    }
+}
+
+impl Visitor for WriteSearch {
+    type Break = ();
+
+    fn pre_visit_statement(&mut self, statement: &Statement) -> ControlFlow<()> {
+        let is_read = matches!(statement, Statement::Query(_) | Statement::Declare { .. });
+        if !is_read {
+            self.found_write();
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_query(&mut self, query: &Query) -> ControlFlow<()> {
+        let writes = matches!(
+            *query.body,
+            SetExpr::Insert(_) | SetExpr::Update(_) | SetExpr::Delete(_) | SetExpr::Merge(_)
+        );
+        if writes || !query.locks.is_empty() {
+            self.found_write();
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_select(&mut self, select: &Select) -> ControlFlow<()> {
+        if select.into.is_some() {
+            self.found_write();
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_table_factor(&mut self, factor: &TableFactor) -> ControlFlow<()> {
+        match factor {
+            TableFactor::Table {
+                name,
+                args: Some(_),
+                ..
+            }
+            | TableFactor::Function { name, .. } => self.found_function(name),
+            TableFactor::Table { .. }
+            | TableFactor::Derived { .. }
+            | TableFactor::NestedJoin { .. }
+            | TableFactor::UNNEST { .. } => {}
+            _ => self.found_write(),
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_expr(&mut self, expression: &Expr) -> ControlFlow<()> {
+        if let Expr::Function(function) = expression {
+            self.found_function(&function.name);
+        }
+        ControlFlow::Continue(())
+    }
+}
+
+/// Whether a token may deepen the syntax tree. Nesting by brackets is bounded by the parser.
+fn is_operator(token: &Token) -> bool {
+    match token {
+        Token::Word(word) => matches!(
+            word.keyword,
+            Keyword::AND
+                | Keyword::OR
+                | Keyword::NOT
+                | Keyword::IS
+                | Keyword::UNION
+                | Keyword::EXCEPT
+                | Keyword::INTERSECT
+                | Keyword::LIKE
+                | Keyword::ILIKE
+                | Keyword::BETWEEN
+                | Keyword::COLLATE
+                | Keyword::AT
+        ),
+        Token::Whitespace(_)
+        | Token::Comma
+        | Token::LParen
+        | Token::RParen
+        | Token::Number(..)
+        | Token::SingleQuotedString(_)
+        | Token::Placeholder(_)
+        | Token::SemiColon
+        | Token::Period => false,
+        _ => true,
+    }
+}
+
+/// Classifies text that doesn't parse, by the first word of each statement.
+fn by_keywords(tokens: &[Token]) -> StatementClass {
+    let mut class = StatementClass::empty();
+    for statement in tokens.split(|token| *token == Token::SemiColon) {
+        let first = statement.iter().find_map(|token| match token {
+            Token::Word(word) => Some(word.value.as_str()),
+            _ => None,
+        });
+        if let Some(first) = first {
+            class.append(by_first_word(first));
+        }
+    }
+    if class.statements == 0 && tokens.iter().any(|token| !is_blank(token)) {
+        return StatementClass::unknown();
+    }
+    class
+}
+
+fn is_blank(token: &Token) -> bool {
+    matches!(token, Token::Whitespace(_) | Token::SemiColon | Token::EOF)
+}
+
+fn by_first_word(word: &str) -> StatementClass {
+    match word.to_ascii_uppercase().as_str() {
+        "" => StatementClass::empty(),
+        "COPY" => refused(RefusedFeature::Copy),
+        "LISTEN" | "UNLISTEN" => refused(RefusedFeature::Listen),
+        "SHOW" => read(),
+        "BEGIN" | "START" => begins(TransactionStart::ReadWrite),
+        "COMMIT" | "END" => ends(TransactionEnd::Commit),
+        "ROLLBACK" | "ABORT" => ends(TransactionEnd::Rollback),
+        _ => StatementClass::unknown(),
+    }
+}
--- a/crates/stairward-session/src/lib.rs
+++ b/crates/stairward-session/src/lib.rs
@@ -1,3 +1,32 @@
-//! Session state, floors, tokens and statement classes.
+//! The state of a caller's session that outlives any back end, and what its statements need.
+//!
+//! * [`classify`] says what a statement needs from the back end that runs it.
+//! * [`Hints`] carries the `stairward.*` wishes of a session, a transaction or a statement.
+//! * [`SessionFloor`] is how fresh an answer must be; [`TokenKey`] signs it for the caller.
+//! * [`SessionVariables`] and [`PreparedStatements`] are what must be set up again on each
+//!   connection that serves the session.
+//!
+//! This crate does no I/O and reads no clock.
 
 #![forbid(unsafe_code)]
+
+mod cache;
+mod class;
+mod classify;
+mod comment;
+mod floor;
+mod hints;
+mod prepared;
+mod pure_functions;
+mod token;
+mod variables;
+
+pub use cache::ClassCache;
+pub use class::{RefusedFeature, SessionChange, StatementClass, TransactionEnd, TransactionStart};
+pub use classify::classify;
+pub use comment::hints_in_comments;
+pub use floor::SessionFloor;
+pub use hints::{HintError, Hints, SessionHints};
+pub use prepared::{PreparedStatement, PreparedStatements, TooManyPreparedBytes};
+pub use token::{SessionToken, TokenError, TokenKey};
+pub use variables::{SessionVariables, TooManyVariableBytes, quote_literal};
--- /dev/null
+++ b/crates/stairward-session/src/prepared.rs
@@ -0,0 +1,87 @@
+//! Named prepared statements of a session, kept so that any connection can serve them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use snafu::{Snafu, ensure};
+
+use crate::class::StatementClass;
+
+/// Most bytes of `Parse` messages kept per session.
+const MAXIMUM_BYTES: usize = 1024 * 1024;
+
+/// A session prepares more than is kept for it.
+#[derive(Debug, Snafu, PartialEq, Eq)]
+#[snafu(display("the session's prepared statements exceed {MAXIMUM_BYTES} bytes"))]
+pub struct TooManyPreparedBytes;
+
+/// One prepared statement.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PreparedStatement {
+    /// The whole `Parse` message that made it.
+    pub message: Vec<u8>,
+    /// The class of its text.
+    pub class: Arc<StatementClass>,
+    /// Its text.
+    pub text: Arc<str>,
+}
+
+/// The prepared statements of a session, by name. The empty name is the unnamed statement.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PreparedStatements {
+    statements: BTreeMap<String, PreparedStatement>,
+    bytes: usize,
+}
+
+impl PreparedStatements {
+    /// The statement with this name.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&PreparedStatement> {
+        self.statements.get(name)
+    }
+
+    /// Remembers a statement. One of the same name is replaced.
+    ///
+    /// # Errors
+    /// [`TooManyPreparedBytes`]; nothing changes then.
+    pub fn insert(
+        &mut self,
+        name: &str,
+        statement: PreparedStatement,
+    ) -> Result<(), TooManyPreparedBytes> {
+        let freed = self.statements.get(name).map_or(0, size);
+        let bytes = self.bytes - freed + size(&statement);
+        ensure!(bytes <= MAXIMUM_BYTES, TooManyPreparedBytesSnafu);
+        self.bytes = bytes;
+        self.statements.insert(name.to_owned(), statement);
+        Ok(())
+    }
+
+    /// Forgets a statement.
+    pub fn remove(&mut self, name: &str) {
+        if let Some(statement) = self.statements.remove(name) {
+            self.bytes -= size(&statement);
+        }
+    }
+
+    /// Forgets every statement.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// How many statements there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.statements.len()
+    }
+
+    /// Whether there are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.statements.is_empty()
+    }
+}
+
+fn size(statement: &PreparedStatement) -> usize {
+    statement.message.len() + statement.text.len()
+}
