--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -3,3 +3,4 @@
 #![forbid(unsafe_code)]
 
 pub mod command;
+pub mod site;
