Add recorded histories and a checker for each of the nine invariants

Cause: nothing could say whether a run kept what must always hold. Change: HistoryEvent, a bounded thread-safe Recorder, check() with one module per invariant, each with a good and a bad history in its tests. Conclusion: 24 tests pass; each checker passes its good history and catches its bad one.

--- /dev/null
+++ b/crates/stairward-checker/src/checks/mod.rs
@@ -0,0 +1,61 @@
+//! The checkers, one per invariant.
+
+mod configuration_reverted;
+mod foreign_answer;
+mod leaving_got_work;
+mod mixed_transactions;
+mod not_run_ran;
+mod own_reads;
+mod ran_twice;
+mod replaced_primary_ack;
+mod stop_cut_request;
+
+use stairward_types::Duration;
+
+use crate::index::Index;
+use crate::recorder::History;
+use crate::report::Report;
+
+/// How long the invariants that name "seconds" allow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CheckLimits {
+    /// How long after its mark a leaving back end may still be given new work.
+    pub leaving: Duration,
+    /// How long after its acceptance a revision may be missing on a proxy without faults.
+    pub configuration: Duration,
+}
+
+impl Default for CheckLimits {
+    fn default() -> Self {
+        Self {
+            leaving: Duration::from_secs(3),
+            configuration: Duration::from_secs(6),
+        }
+    }
+}
+
+/// Checks a history with the default limits.
+#[must_use]
+pub fn check(history: &History) -> Report {
+    check_with(history, CheckLimits::default())
+}
+
+/// Checks a history.
+#[must_use]
+pub fn check_with(history: &History, limits: CheckLimits) -> Report {
+    let index = Index::build(history);
+    let mut report = Report {
+        dropped: history.dropped,
+        ..Report::default()
+    };
+    own_reads::check(&index, &mut report);
+    replaced_primary_ack::check(&index, &mut report);
+    mixed_transactions::check(&index, &mut report);
+    foreign_answer::check(&index, &mut report);
+    not_run_ran::check(&index, &mut report);
+    ran_twice::check(&index, &mut report);
+    leaving_got_work::check(history, &index, limits.leaving, &mut report);
+    stop_cut_request::check(history, &index, &mut report);
+    configuration_reverted::check(history, limits.configuration, &mut report);
+    report
+}
--- /dev/null
+++ b/crates/stairward-checker/src/checks/stop_cut_request.rs
@@ -0,0 +1,113 @@
+//! A planned stop of a proxy cuts no request in flight.
+
+use stairward_types::{NodeId, ResultCode, Time};
+
+use crate::event::{HistoryEvent, Outcome, RequestId};
+use crate::index::{Index, Request, RequestEnd};
+use crate::recorder::History;
+use crate::report::{Invariant, Report};
+
+/// A planned stop that nothing else disturbed.
+struct Stop {
+    proxy: NodeId,
+    began_at: Time,
+    ended_at: Time,
+    undisturbed: bool,
+}
+
+pub(super) fn check(history: &History, index: &Index<'_>, report: &mut Report) {
+    for stop in stops(history) {
+        for (&number, request) in &index.requests {
+            check_request(&stop, number, request, report);
+        }
+    }
+}
+
+fn stops(history: &History) -> Vec<Stop> {
+    let mut stops = Vec::new();
+    for (position, record) in history.records.iter().enumerate() {
+        if let HistoryEvent::StopBegan { proxy } = record.event {
+            stops.push(stop(history, position, proxy, record.at));
+        }
+    }
+    stops
+}
+
+fn stop(history: &History, position: usize, proxy: NodeId, began_at: Time) -> Stop {
+    let mut stop = Stop {
+        proxy,
+        began_at,
+        ended_at: Time::NEVER,
+        undisturbed: !is_faulty_before(history, position, proxy),
+    };
+    for record in &history.records[position..] {
+        match record.event {
+            HistoryEvent::StopEnded { proxy: ended } if ended == proxy => {
+                stop.ended_at = record.at;
+                break;
+            }
+            HistoryEvent::ProxyKilled { proxy: other }
+            | HistoryEvent::ProxyFaultBegan { proxy: other }
+                if other == proxy =>
+            {
+                stop.undisturbed = false;
+            }
+            _ => {}
+        }
+    }
+    stop
+}
+
+fn is_faulty_before(history: &History, position: usize, proxy: NodeId) -> bool {
+    let last = history.records[..position]
+        .iter()
+        .rev()
+        .find_map(|record| match record.event {
+            HistoryEvent::ProxyFaultBegan { proxy: other } if other == proxy => Some(true),
+            HistoryEvent::ProxyFaultEnded { proxy: other } if other == proxy => Some(false),
+            _ => None,
+        });
+    last.unwrap_or(false)
+}
+
+fn check_request(stop: &Stop, number: RequestId, request: &Request<'_>, report: &mut Report) {
+    let end = request.ends.first();
+    let sent_before = request.sent_at < stop.began_at;
+    let ended_before = end.is_some_and(|end| end.at < stop.began_at);
+    let is_concerned = request.proxy == stop.proxy || request.last_owner == Some(stop.proxy);
+    if !stop.undisturbed || !sent_before || ended_before || !is_concerned {
+        return;
+    }
+    report.observe(Invariant::StopCutRequest);
+    if let Some(reason) = cut_reason(stop, request, end) {
+        let text = format!(
+            "request {number} was in flight when the stop of proxy {} began, and {reason}",
+            stop.proxy
+        );
+        report.violate(Invariant::StopCutRequest, vec![number], text);
+    }
+}
+
+fn cut_reason(
+    stop: &Stop,
+    request: &Request<'_>,
+    end: Option<&RequestEnd<'_>>,
+) -> Option<&'static str> {
+    let at_stopping_proxy = request.proxy == stop.proxy;
+    let Some(end) = end else {
+        let exited = stop.ended_at != Time::NEVER;
+        return (at_stopping_proxy && exited).then_some("never ended");
+    };
+    let has_code = |code: ResultCode| end.code == Some(code.number());
+    if at_stopping_proxy && end.outcome == Outcome::ConnectionLost {
+        return Some("its connection was closed");
+    }
+    if at_stopping_proxy && has_code(ResultCode::ProxyStopping) {
+        return Some("it was refused because of the stop");
+    }
+    let owner_stopped = request.last_owner == Some(stop.proxy);
+    if owner_stopped && has_code(ResultCode::OwnerLostAfterSend) {
+        return Some("its owner left without answering");
+    }
+    None
+}
--- /dev/null
+++ b/crates/stairward-checker/tests/checkers.rs
@@ -0,0 +1,482 @@
+//! Each checker passes a small good history and catches a small bad one.
+
+use stairward_checker::{
+    CallerTransactionKind, History, HistoryEvent, HistoryRecord, Invariant, Outcome, Recorder,
+    RequestId, RowSeen, RowWritten, SessionId, TransactionId, check,
+};
+use stairward_types::{
+    AdminState, BackendId, GroupId, LogPosition, NodeId, ResultCode, Revision, Term, Time,
+};
+
+const PROXY: NodeId = NodeId(1);
+const OTHER_PROXY: NodeId = NodeId(2);
+
+/// Builds a history one event a millisecond.
+#[derive(Default)]
+struct Script {
+    records: Vec<HistoryRecord>,
+    milliseconds: u64,
+}
+
+impl Script {
+    fn then(mut self, event: HistoryEvent) -> Self {
+        self.milliseconds += 1;
+        self.records.push(HistoryRecord {
+            at: Time::from_millis(self.milliseconds),
+            event,
+        });
+        self
+    }
+
+    fn wait(mut self, milliseconds: u64) -> Self {
+        self.milliseconds += milliseconds;
+        self
+    }
+
+    fn sent(self, request: u64, kind: CallerTransactionKind) -> Self {
+        self.sent_with(request, kind, None)
+    }
+
+    fn sent_with(self, request: u64, kind: CallerTransactionKind, key: Option<&str>) -> Self {
+        let writes = match kind {
+            CallerTransactionKind::Read => Vec::new(),
+            _ => vec![RowWritten {
+                key: "bookmark".to_owned(),
+                version: request,
+            }],
+        };
+        self.then(HistoryEvent::RequestSent {
+            request: RequestId(request),
+            session: SessionId(1),
+            proxy: PROXY,
+            group: group(),
+            kind,
+            repeatable: false,
+            request_key: key.map(str::to_owned),
+            writes,
+        })
+    }
+
+    fn ran(self, request: u64, transaction: u64) -> Self {
+        self.then(HistoryEvent::StatementRan {
+            group: group(),
+            backend: backend(),
+            connection: 1,
+            transaction: TransactionId(transaction),
+            autocommit: true,
+            request: Some(RequestId(request)),
+        })
+    }
+
+    fn committed(self, transaction: u64, term: u64, position: u64) -> Self {
+        self.then(HistoryEvent::Committed {
+            group: group(),
+            backend: backend(),
+            transaction: TransactionId(transaction),
+            term: Term(term),
+            position: LogPosition(position),
+        })
+    }
+
+    fn elected(self, term: u64, log_start: u64) -> Self {
+        self.then(HistoryEvent::Elected {
+            group: group(),
+            term: Term(term),
+            backend: backend(),
+            log_start: LogPosition(log_start),
+            continues: None,
+        })
+    }
+
+    fn ended(self, request: u64, outcome: Outcome) -> Self {
+        self.ended_with(request, outcome, None, 0, Some(request))
+    }
+
+    fn ended_with(
+        self,
+        request: u64,
+        outcome: Outcome,
+        code: Option<ResultCode>,
+        version: u64,
+        echo: Option<u64>,
+    ) -> Self {
+        let reads = match version {
+            0 => Vec::new(),
+            version => vec![RowSeen {
+                key: "bookmark".to_owned(),
+                version,
+            }],
+        };
+        self.then(HistoryEvent::RequestEnded {
+            request: RequestId(request),
+            outcome,
+            code: code.map(ResultCode::number),
+            echo: echo.map(RequestId),
+            rows_expected: Some(1),
+            rows_received: 1,
+            reads,
+        })
+    }
+
+    /// A whole write: sent, run, committed and acknowledged.
+    fn write(self, request: u64, term: u64, position: u64) -> Self {
+        self.sent(request, CallerTransactionKind::Write)
+            .ran(request, request)
+            .committed(request, term, position)
+            .ended(request, Outcome::Answered)
+    }
+
+    fn read(self, request: u64, version: u64) -> Self {
+        self.sent(request, CallerTransactionKind::Read)
+            .ran(request, request)
+            .ended_with(request, Outcome::Answered, None, version, Some(request))
+    }
+
+    fn history(self) -> History {
+        let recorder = Recorder::new();
+        for record in self.records {
+            recorder.record(record.at, record.event);
+        }
+        recorder.history()
+    }
+}
+
+fn group() -> GroupId {
+    GroupId::new("reader-core-1").unwrap()
+}
+
+fn backend() -> BackendId {
+    BackendId::new("reader-core-1-a").unwrap()
+}
+
+#[track_caller]
+fn assert_good(invariant: Invariant, script: Script) {
+    let report = check(&script.history());
+    assert!(report.is_clean(), "{:?}", report.examples);
+    assert_ne!(report.checked_of(invariant), 0);
+}
+
+#[track_caller]
+fn assert_bad(invariant: Invariant, script: Script) {
+    let report = check(&script.history());
+    assert_ne!(report.violations_of(invariant), 0);
+    let example = report
+        .examples
+        .iter()
+        .find(|example| example.invariant == invariant);
+    assert!(!example.unwrap().text.is_empty());
+}
+
+#[test]
+fn own_reads_compares_with_the_newest_acknowledged_write() {
+    let written = || Script::default().write(5, 1, 10);
+    assert_good(Invariant::OwnReads, written().read(6, 5));
+    assert_bad(Invariant::OwnReads, written().read(6, 4));
+}
+
+#[test]
+fn own_reads_ignores_a_write_acknowledged_after_the_read_was_sent() {
+    let script = Script::default()
+        .sent(5, CallerTransactionKind::Write)
+        .ran(5, 5)
+        .committed(5, 1, 10)
+        .sent(6, CallerTransactionKind::Read)
+        .ended(5, Outcome::Answered)
+        .ended_with(6, Outcome::Answered, None, 4, Some(6))
+        .read(7, 5);
+    assert_good(Invariant::OwnReads, script);
+}
+
+#[test]
+fn replaced_primary_ack_follows_the_surviving_log() {
+    let written = || Script::default().elected(1, 0).write(5, 1, 10);
+    assert_good(Invariant::ReplacedPrimaryAck, written().elected(2, 10));
+    assert_bad(Invariant::ReplacedPrimaryAck, written().elected(2, 9));
+}
+
+#[test]
+fn replaced_primary_ack_catches_a_commit_after_the_next_election() {
+    let before = || Script::default().elected(1, 0);
+    assert_good(
+        Invariant::ReplacedPrimaryAck,
+        before().elected(2, 20).write(5, 2, 25),
+    );
+    assert_bad(
+        Invariant::ReplacedPrimaryAck,
+        before().elected(2, 20).write(5, 1, 10),
+    );
+}
+
+#[test]
+fn replaced_primary_ack_catches_an_acknowledgement_without_commit() {
+    let script = Script::default()
+        .sent(5, CallerTransactionKind::Write)
+        .ended(5, Outcome::Answered);
+    assert_bad(Invariant::ReplacedPrimaryAck, script);
+}
+
+#[test]
+fn replaced_primary_ack_follows_the_log_that_an_election_names() {
+    let elected = |continues| HistoryEvent::Elected {
+        group: group(),
+        term: Term(3),
+        backend: backend(),
+        log_start: LogPosition(10),
+        continues,
+    };
+    let written = || {
+        Script::default()
+            .elected(1, 0)
+            .write(5, 1, 10)
+            .elected(2, 9)
+    };
+    assert_good(
+        Invariant::ReplacedPrimaryAck,
+        written().then(elected(Some(Term(1)))),
+    );
+    assert_bad(
+        Invariant::ReplacedPrimaryAck,
+        written().then(elected(Some(Term(2)))),
+    );
+}
+
+#[test]
+fn mixed_transactions_wants_one_request_a_transaction() {
+    let first = || Script::default().ran(5, 1).ran(5, 1);
+    assert_good(Invariant::MixedTransactions, first().ran(6, 2));
+    assert_bad(Invariant::MixedTransactions, first().ran(6, 1));
+}
+
+#[test]
+fn foreign_answer_compares_echo_and_rows() {
+    let sent = || Script::default().sent(5, CallerTransactionKind::Read);
+    assert_good(Invariant::ForeignAnswer, sent().ended(5, Outcome::Answered));
+    assert_bad(
+        Invariant::ForeignAnswer,
+        sent().ended_with(5, Outcome::Answered, None, 0, Some(6)),
+    );
+    let half = HistoryEvent::RequestEnded {
+        request: RequestId(5),
+        outcome: Outcome::Answered,
+        code: None,
+        echo: Some(RequestId(5)),
+        rows_expected: Some(10),
+        rows_received: 4,
+        reads: Vec::new(),
+    };
+    assert_bad(Invariant::ForeignAnswer, sent().then(half));
+}
+
+#[test]
+fn foreign_answer_catches_a_second_answer() {
+    let script = Script::default()
+        .sent(5, CallerTransactionKind::Read)
+        .ended(5, Outcome::Answered)
+        .ended(5, Outcome::Answered);
+    assert_bad(Invariant::ForeignAnswer, script);
+}
+
+#[test]
+fn not_run_ran_catches_a_commit_of_a_refused_request() {
+    let sent = || Script::default().sent(5, CallerTransactionKind::Write);
+    let rolled_back = HistoryEvent::RolledBack {
+        backend: backend(),
+        transaction: TransactionId(1),
+    };
+    assert_good(
+        Invariant::NotRunRan,
+        sent().ran(5, 1).then(rolled_back).ended(5, Outcome::NotRun),
+    );
+    assert_bad(
+        Invariant::NotRunRan,
+        sent()
+            .ran(5, 1)
+            .committed(1, 1, 10)
+            .ended(5, Outcome::NotRun),
+    );
+}
+
+#[test]
+fn not_run_ran_catches_a_read_that_ran() {
+    let sent = || Script::default().sent(5, CallerTransactionKind::Read);
+    assert_good(Invariant::NotRunRan, sent().ended(5, Outcome::NotRun));
+    assert_bad(
+        Invariant::NotRunRan,
+        sent().ran(5, 1).ended(5, Outcome::NotRun),
+    );
+}
+
+#[test]
+fn ran_twice_counts_commits_of_a_request() {
+    let once = || Script::default().write(5, 1, 10);
+    assert_good(Invariant::RanTwice, once());
+    assert_bad(Invariant::RanTwice, once().ran(5, 9).committed(9, 1, 11));
+}
+
+#[test]
+fn ran_twice_counts_surviving_commits_of_a_key() {
+    let kind = CallerTransactionKind::Write;
+    let twice = || {
+        Script::default()
+            .sent_with(5, kind, Some("booking-1"))
+            .ran(5, 5)
+            .committed(5, 1, 10)
+            .sent_with(6, kind, Some("booking-1"))
+    };
+    let lost_first = twice().elected(2, 9).ran(6, 6).committed(6, 2, 10);
+    assert_good(Invariant::RanTwice, lost_first);
+    assert_bad(Invariant::RanTwice, twice().ran(6, 6).committed(6, 1, 11));
+}
+
+#[test]
+fn leaving_got_work_allows_three_seconds() {
+    let marked = |state| HistoryEvent::BackendMarked {
+        backend: backend(),
+        state,
+    };
+    let leaving = || Script::default().then(marked(AdminState::Leaving));
+    assert_good(Invariant::LeavingGotWork, leaving().wait(2_900).ran(5, 1));
+    assert_bad(Invariant::LeavingGotWork, leaving().wait(3_100).ran(5, 1));
+    let back = leaving().wait(3_100).then(marked(AdminState::Active));
+    assert_good(Invariant::LeavingGotWork, back.ran(5, 1));
+}
+
+#[test]
+fn leaving_got_work_lets_a_transaction_finish() {
+    let script = Script::default()
+        .then(HistoryEvent::BackendMarked {
+            backend: backend(),
+            state: AdminState::Leaving,
+        })
+        .ran(5, 1)
+        .wait(10_000)
+        .ran(5, 1);
+    assert_good(Invariant::LeavingGotWork, script);
+}
+
+#[test]
+fn stop_cut_request_wants_an_answer_to_what_was_in_flight() {
+    let stopping = || {
+        Script::default()
+            .sent(5, CallerTransactionKind::Read)
+            .then(HistoryEvent::StopBegan { proxy: PROXY })
+    };
+    let stopped = HistoryEvent::StopEnded { proxy: PROXY };
+    assert_good(
+        Invariant::StopCutRequest,
+        stopping().ended(5, Outcome::Answered).then(stopped.clone()),
+    );
+    assert_bad(Invariant::StopCutRequest, stopping().then(stopped));
+    assert_bad(
+        Invariant::StopCutRequest,
+        stopping().ended(5, Outcome::ConnectionLost),
+    );
+}
+
+#[test]
+fn stop_cut_request_covers_requests_forwarded_to_the_stopping_owner() {
+    let stopping = || {
+        Script::default()
+            .sent(5, CallerTransactionKind::Read)
+            .then(HistoryEvent::RequestForwarded {
+                request: RequestId(5),
+                owner: OTHER_PROXY,
+            })
+            .then(HistoryEvent::StopBegan { proxy: OTHER_PROXY })
+    };
+    assert_good(
+        Invariant::StopCutRequest,
+        stopping().ended(5, Outcome::Answered),
+    );
+    let lost = Some(ResultCode::OwnerLostAfterSend);
+    assert_bad(
+        Invariant::StopCutRequest,
+        stopping().ended_with(5, Outcome::OutcomeUnknown, lost, 0, None),
+    );
+}
+
+fn accepted(revision: u64) -> HistoryEvent {
+    HistoryEvent::SettingsAccepted {
+        revision: Revision(revision),
+    }
+}
+
+fn applied(revision: u64) -> HistoryEvent {
+    HistoryEvent::SettingsApplied {
+        proxy: PROXY,
+        revision: Revision(revision),
+    }
+}
+
+#[test]
+fn configuration_reverted_catches_an_older_revision() {
+    let two = || Script::default().then(accepted(1)).then(accepted(2));
+    assert_good(
+        Invariant::ConfigurationReverted,
+        two().then(applied(1)).then(applied(2)),
+    );
+    assert_bad(
+        Invariant::ConfigurationReverted,
+        two().then(applied(2)).then(applied(1)),
+    );
+}
+
+#[test]
+fn configuration_reverted_catches_a_revision_nobody_accepted() {
+    let script = Script::default().then(accepted(1)).then(applied(7));
+    assert_bad(Invariant::ConfigurationReverted, script);
+}
+
+#[test]
+fn configuration_reverted_catches_a_revision_that_never_arrives() {
+    let started = || {
+        Script::default()
+            .then(HistoryEvent::ProxyStarted { proxy: PROXY })
+            .then(accepted(1))
+    };
+    let late = |script: Script| script.wait(7_000).then(accepted(2));
+    assert_good(
+        Invariant::ConfigurationReverted,
+        late(started().then(applied(1))),
+    );
+    assert_bad(Invariant::ConfigurationReverted, late(started()));
+}
+
+#[test]
+fn configuration_reverted_excuses_a_proxy_that_is_cut_off() {
+    let script = Script::default()
+        .then(HistoryEvent::ProxyStarted { proxy: PROXY })
+        .then(accepted(1))
+        .then(HistoryEvent::ProxyFaultBegan { proxy: PROXY })
+        .wait(7_000)
+        .then(accepted(2))
+        .then(applied(1));
+    assert_good(Invariant::ConfigurationReverted, script);
+}
+
+#[test]
+fn a_history_with_dropped_records_is_not_clean() {
+    let recorder = Recorder::with_maximum(1);
+    recorder.record(Time::ZERO, accepted(1));
+    recorder.record(Time::ZERO, accepted(2));
+    let report = check(&recorder.history());
+    assert_eq!(report.dropped, 1);
+    assert!(!report.is_clean());
+}
+
+#[test]
+fn reports_name_every_invariant() {
+    let report = serde_json::to_value(check(&History::default())).unwrap();
+    for invariant in Invariant::ALL {
+        assert_eq!(report["violations"][invariant.name()], 0);
+        assert_eq!(report["checked"][invariant.name()], 0);
+    }
+}
+
+#[test]
+fn histories_survive_json() {
+    let history = Script::default().write(5, 1, 10).read(6, 5).history();
+    let text = serde_json::to_string(&history).unwrap();
+    let back: History = serde_json::from_str(&text).unwrap();
+    assert_eq!(back, history);
+}
