--- a/crates/stairward-proxy/src/lib.rs
+++ b/crates/stairward-proxy/src/lib.rs
@@ -7,4 +7,5 @@
 
 pub mod cluster;
 pub mod control;
+pub mod owner;
 pub mod peer;
--- /dev/null
+++ b/crates/stairward-proxy/src/owner/status.rs
@@ -0,0 +1,74 @@
+//! How the proxy asks a back end for its term, position and role.
+
+use stairward_types::{BackendRole, Freshness, Term};
+
+use super::connection::{BackendConnection, TextRow};
+use super::error::{BackendError, StatusSnafu};
+use snafu::OptionExt;
+
+/// Asks for role, term and position with PostgreSQL's own functions.
+///
+/// The position is what reads can see: the replayed position on a replica, the written one on a
+/// primary. The timeline is PostgreSQL's term.
+const STATUS_QUERY: &str = "SELECT pg_is_in_recovery(); \
+    SELECT timeline_id FROM pg_control_checkpoint(); \
+    SELECT CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() \
+    ELSE pg_current_wal_lsn() END";
+
+/// What a back end says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BackendStatus {
+    /// Its term and position.
+    pub freshness: Freshness,
+    /// The role it believes to have.
+    pub role: BackendRole,
+}
+
+impl BackendStatus {
+    /// Whether it believes to be the primary.
+    #[must_use]
+    pub fn is_primary(&self) -> bool {
+        self.role == BackendRole::Primary
+    }
+}
+
+/// Asks the back end at the other end of an idle connection.
+pub(super) async fn ask_status(
+    connection: &mut BackendConnection,
+) -> Result<BackendStatus, BackendError> {
+    let rows = connection.query(STATUS_QUERY).await?;
+    parse_status(&rows)
+}
+
+fn parse_status(rows: &[TextRow]) -> Result<BackendStatus, BackendError> {
+    let [recovery, timeline, position] = rows else {
+        return StatusSnafu {
+            reason: "three rows were expected",
+        }
+        .fail();
+    };
+    let role = match column(recovery)? {
+        "t" => BackendRole::Replica,
+        "f" => BackendRole::Primary,
+        _ => {
+            return StatusSnafu {
+                reason: "the role is not a boolean",
+            }
+            .fail();
+        }
+    };
+    let term = column(timeline)?.parse().ok().context(StatusSnafu {
+        reason: "the timeline is not a number",
+    })?;
+    let position = column(position)?.parse().ok().context(StatusSnafu {
+        reason: "the position is not a pg_lsn",
+    })?;
+    let freshness = Freshness::new(Term(term), position);
+    Ok(BackendStatus { freshness, role })
+}
+
+fn column(row: &TextRow) -> Result<&str, BackendError> {
+    row.first().and_then(Option::as_deref).context(StatusSnafu {
+        reason: "a value is missing",
+    })
+}
