--- a/crates/stairward-membership/src/configuration/watcher_quorum.rs
+++ b/crates/stairward-membership/src/configuration/watcher_quorum.rs
@@ -55,7 +55,7 @@
 
     /// The latest moment at which a majority of the watchers, this node included, were heard.
     pub(super) fn majority_heard_at(&self, now: Time) -> Option<Time> {
-        let majority = (self.others.len() + 1) / 2 + 1;
+        let majority = self.others.len().div_ceil(2) + 1;
         let mut heard: Vec<Time> = self.others.values().copied().flatten().collect();
         heard.push(now);
         heard.sort_unstable_by(|left, right| right.cmp(left));
--- a/crates/stairward-proxy/src/lib.rs
+++ b/crates/stairward-proxy/src/lib.rs
@@ -6,4 +6,6 @@
 #![forbid(unsafe_code)]
 
 pub mod cluster;
+pub mod control;
+pub mod owner;
 pub mod peer;
