--- a/crates/stairward-membership/src/configuration/digest.rs
+++ b/crates/stairward-membership/src/configuration/digest.rs
@@ -8,10 +8,10 @@
 /// What a node wants to be sent when it holds an older revision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum WantedContent {
-    /// The deltas it lacks, or the whole tree when they are not kept any more.
+    /// The edits it lacks, or the whole tree when they are not kept any more.
     #[default]
     Newer,
-    /// The whole tree, because it could not apply deltas.
+    /// The whole tree, because it could not apply edits.
     WholeTree,
     /// Nothing for now, because it could not use what it was sent.
     Nothing,
--- a/crates/stairward-membership/src/configuration/gossip.rs
+++ b/crates/stairward-membership/src/configuration/gossip.rs
@@ -1,13 +1,11 @@
-//! Exchanges with peers: pushing deltas, telling of fresh proof, and healing what was missed.
+//! Exchanges with peers: pushing edits, telling of fresh proof, and healing what was missed.
 
 use rand::{Rng, RngExt as _};
 use stairward_types::{Duration, NodeId, Revision, Time};
 
 use super::digest::{SettingsDigest, WantedContent};
 use super::exchange::{OpenExchange, PeerKnowledge};
-use super::message::{
-    AnswerContent, Content, Delta, Effect, ExchangeAnswer, ExchangeId, ExchangeRequest,
-};
+use super::message::{Effect, ExchangeAnswer, ExchangeId, ExchangeRequest, OutgoingUpdate, Update};
 use super::spreader::ConfigurationSpreader;
 
 /// Members tried before a random exchange is given up until the next tick.
@@ -42,15 +40,16 @@
         if let Some(known) = self.neighbours.get_mut(&from) {
             known.learn(now, &theirs);
         }
-        let content = self.content_for(now, &theirs);
+        let update = self.update_for(now, &theirs);
         effects.push(Effect::Answer {
             call,
             digest: self.digest(now),
-            content,
+            update,
         });
         let is_behind = self.revision < theirs.revision;
-        if is_behind && self.can_apply(now, &request.deltas) {
-            effects.push(Effect::Apply(Content::Deltas(request.deltas)));
+        let usable = request.update.filter(|update| self.is_usable(now, update));
+        if let Some(update) = usable {
+            effects.push(Effect::Apply(update));
         } else if is_behind {
             self.ask_unless_asked(now, from, effects);
         } else if self.is_fresher(now, &theirs) {
@@ -77,9 +76,8 @@
         if let Some(known) = self.neighbours.get_mut(&to) {
             known.learn(now, &theirs);
         }
-        if self.is_applicable(now, &answer.content) {
-            effects.push(Effect::Apply(answer.content));
-        }
+        let usable = answer.update.filter(|update| self.is_usable(now, update));
+        effects.extend(usable.map(Effect::Apply));
         self.notify_neighbours(now, effects);
     }
 
@@ -102,7 +100,7 @@
         }
     }
 
-    /// Sends the deltas that neighbours are thought to lack, at a bounded rate.
+    /// Sends the edits that neighbours are thought to lack, at a bounded rate.
     pub(super) fn push_if_due(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let interval = self.parameters.push_interval;
         if !self.push_due || !has_passed(now, self.last_push, interval) {
@@ -117,12 +115,7 @@
             .map(|(peer, known)| (*peer, known.revision))
             .collect();
         for (peer, held) in lacking {
-            let deltas = self
-                .log
-                .since(held)
-                .or_else(|| self.log.newest())
-                .unwrap_or_default();
-            self.ask(now, peer, deltas, effects);
+            self.ask(now, peer, self.pushed_update(held), effects);
         }
     }
 
@@ -135,7 +128,7 @@
             .map(|(peer, _)| *peer)
             .collect();
         for peer in lacking {
-            self.ask(now, peer, Vec::new(), effects);
+            self.ask(now, peer, OutgoingUpdate::Nothing, effects);
         }
     }
 
@@ -169,7 +162,7 @@
             .iter()
             .find(|peer| is_collecting && !already_asked.contains(peer));
         if let Some(peer) = unasked.or(choices.first()) {
-            self.ask(now, *peer, Vec::new(), effects);
+            self.ask(now, *peer, OutgoingUpdate::Nothing, effects);
         }
     }
 
@@ -182,14 +175,14 @@
         }
     }
 
-    /// Starts an exchange without deltas, unless one with the peer is under way.
+    /// Starts an exchange without an update, unless one with the peer is under way.
     pub(super) fn ask_unless_asked(&mut self, now: Time, peer: NodeId, effects: &mut Vec<Effect>) {
         if !self.exchanges.includes(peer) {
-            self.ask(now, peer, Vec::new(), effects);
+            self.ask(now, peer, OutgoingUpdate::Nothing, effects);
         }
     }
 
-    fn ask(&mut self, now: Time, to: NodeId, deltas: Vec<Delta>, effects: &mut Vec<Effect>) {
+    fn ask(&mut self, now: Time, to: NodeId, update: OutgoingUpdate, effects: &mut Vec<Effect>) {
         let maximum = self.parameters.maximum_exchanges;
         let Some(exchange) = self.exchanges.start(to, now, maximum) else {
             return;
@@ -198,48 +191,61 @@
         if let Some(known) = self.neighbours.get_mut(&to) {
             known.learn(now, &digest);
         }
-        let request = ExchangeRequest { digest, deltas };
         effects.push(Effect::Ask {
             exchange,
             to,
-            request,
+            digest,
+            update,
         });
     }
 
-    fn content_for(&mut self, now: Time, theirs: &SettingsDigest) -> AnswerContent {
+    /// The edits since what a neighbour is thought to hold. When that is not known, the last edit,
+    /// which is what most neighbours lack; the others will ask for more.
+    fn pushed_update(&self, held: Revision) -> OutgoingUpdate {
+        let previous = Revision(self.revision.0.saturating_sub(1));
+        let after = if held >= self.history_from && held > Revision(0) {
+            held
+        } else {
+            previous
+        };
+        if after >= self.history_from && after > Revision(0) {
+            OutgoingUpdate::EditsAfter(after)
+        } else {
+            OutgoingUpdate::Nothing
+        }
+    }
+
+    fn update_for(&mut self, now: Time, theirs: &SettingsDigest) -> OutgoingUpdate {
         if theirs.revision >= self.revision {
-            return AnswerContent::Nothing;
+            return OutgoingUpdate::Nothing;
         }
+        let has_edits = theirs.revision >= self.history_from && theirs.revision > Revision(0);
         match theirs.wanted {
-            WantedContent::Nothing => AnswerContent::Nothing,
-            WantedContent::WholeTree => self.whole_tree(now),
-            WantedContent::Newer => match self.log.since(theirs.revision) {
-                Some(deltas) => AnswerContent::Deltas(deltas),
-                None => self.whole_tree(now),
-            },
+            WantedContent::Nothing => OutgoingUpdate::Nothing,
+            WantedContent::Newer if has_edits => OutgoingUpdate::EditsAfter(theirs.revision),
+            WantedContent::Newer | WantedContent::WholeTree => self.whole_tree(now),
         }
     }
 
-    fn whole_tree(&mut self, now: Time) -> AnswerContent {
+    fn whole_tree(&mut self, now: Time) -> OutgoingUpdate {
         let interval = self.parameters.whole_tree_interval;
         if !has_passed(now, self.last_whole_tree, interval) {
-            return AnswerContent::Nothing;
+            return OutgoingUpdate::Nothing;
         }
         self.last_whole_tree = Some(now);
-        AnswerContent::WholeTree
-    }
-
-    /// Whether deltas lead from the revision in force to a newer one.
-    fn can_apply(&self, now: Time, deltas: &[Delta]) -> bool {
-        let wants_deltas = self.wanted_content(now) == WantedContent::Newer;
-        wants_deltas && deltas.iter().any(|delta| delta.after == self.revision)
+        OutgoingUpdate::WholeTree
     }
 
-    fn is_applicable(&self, now: Time, content: &Content) -> bool {
-        match content {
-            Content::Nothing => false,
-            Content::Deltas(deltas) => self.can_apply(now, deltas),
-            Content::Whole { revision, .. } => *revision > self.revision,
+    /// Whether an update leads from the revision in force to a newer one. A revision lower than
+    /// the one in force is never taken in.
+    fn is_usable(&self, now: Time, update: &Update) -> bool {
+        if update.revision <= self.revision {
+            return false;
+        }
+        match self.wanted_content(now) {
+            WantedContent::Nothing => false,
+            WantedContent::Newer => update.whole || update.after <= self.revision,
+            WantedContent::WholeTree => update.whole,
         }
     }
 
--- a/crates/stairward-membership/src/configuration/message.rs
+++ b/crates/stairward-membership/src/configuration/message.rs
@@ -7,42 +7,28 @@
 use super::digest::SettingsDigest;
 use super::readiness::Readiness;
 
-/// The change from one revision to a later one, encoded by the settings crate.
+/// Settings received from a peer, encoded by the settings crate.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Delta {
-    /// The revision it applies to, and to no other.
+pub struct Update {
+    /// The lowest revision that edits can be applied to; 0 for a whole tree.
     pub after: Revision,
-    /// The revision it leads to.
+    /// The revision reached.
     pub revision: Revision,
-    /// The encoded changes.
+    /// Whether `document` is a whole tree instead of the edits since `after`.
+    pub whole: bool,
+    /// The edits or the tree.
     pub document: Arc<[u8]>,
 }
 
-/// Settings received from a peer.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub enum Content {
-    /// The peer has nothing newer, or cannot send it now.
+/// Settings to send to a peer; the driver encodes them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum OutgoingUpdate {
+    /// None.
     #[default]
     Nothing,
-    /// A chain of deltas, each applying to the revision the one before leads to.
-    Deltas(Vec<Delta>),
-    /// The whole tree.
-    Whole {
-        /// Its revision.
-        revision: Revision,
-        /// The encoded tree.
-        document: Arc<[u8]>,
-    },
-}
-
-/// What to answer an exchange with.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AnswerContent {
-    /// Only the digest.
-    Nothing,
-    /// These deltas.
-    Deltas(Vec<Delta>),
-    /// The whole tree in force, which the driver encodes.
+    /// The edits since this revision.
+    EditsAfter(Revision),
+    /// The whole tree in force.
     WholeTree,
 }
 
@@ -55,8 +41,8 @@
 pub struct ExchangeRequest {
     /// What the asking node holds.
     pub digest: SettingsDigest,
-    /// Deltas the asked node may lack.
-    pub deltas: Vec<Delta>,
+    /// What the asked node may lack.
+    pub update: Option<Update>,
 }
 
 /// The other half: what the answering side holds, and what the asking side lacks.
@@ -65,7 +51,7 @@
     /// What the answering node holds.
     pub digest: SettingsDigest,
     /// What the asking node lacks.
-    pub content: Content,
+    pub update: Option<Update>,
 }
 
 /// A member as the spreader needs to know it.
@@ -130,8 +116,8 @@
     Applied {
         /// The revision.
         revision: Revision,
-        /// The deltas that led to it; empty when they are not known.
-        deltas: Vec<Delta>,
+        /// The lowest revision from which the edits up to this one are known.
+        history_from: Revision,
     },
     /// What a peer sent could not be put in force.
     ApplyRefused,
@@ -148,8 +134,10 @@
         exchange: ExchangeId,
         /// The peer.
         to: NodeId,
-        /// What to say.
-        request: ExchangeRequest,
+        /// What this node holds.
+        digest: SettingsDigest,
+        /// What the peer may lack.
+        update: OutgoingUpdate,
     },
     /// Answer a peer's exchange.
     Answer {
@@ -158,10 +146,10 @@
         /// What this node holds.
         digest: SettingsDigest,
         /// What the peer lacks.
-        content: AnswerContent,
+        update: OutgoingUpdate,
     },
     /// Put newer settings in force; report [`Event::Applied`] or [`Event::ApplyRefused`].
-    Apply(Content),
+    Apply(Update),
     /// Read the store, letting it wait up to `wait` for a revision after `after`; report
     /// [`Event::StoreAnswered`].
     ReadStore {
--- a/crates/stairward-membership/src/configuration/mod.rs
+++ b/crates/stairward-membership/src/configuration/mod.rs
@@ -1,11 +1,10 @@
 //! Spreading of settings revisions to every node.
 //!
 //! A few watchers per region read the platform's store. Each node keeps exchanging digests with a
-//! handful of neighbours; whoever turns out to hold less is given the missing deltas, or the whole
+//! handful of neighbours; whoever turns out to hold less is given the missing edits, or the whole
 //! tree. [`ConfigurationSpreader`] makes the decisions of one node. It does no I/O: the settings
 //! themselves pass through it as opaque bytes.
 
-mod delta_log;
 mod digest;
 mod exchange;
 mod gossip;
@@ -21,11 +20,10 @@
 #[cfg(test)]
 mod tests;
 
-pub use delta_log::DeltaLog;
 pub use digest::{SettingsDigest, SourceAge, WantedContent};
 pub use message::{
-    AnswerContent, Content, Delta, Effect, Event, ExchangeAnswer, ExchangeId, ExchangeRequest,
-    PeerPlace, StoreAnswer,
+    Effect, Event, ExchangeAnswer, ExchangeId, ExchangeRequest, OutgoingUpdate, PeerPlace,
+    StoreAnswer, Update,
 };
 pub use overlay::neighbours;
 pub use parameters::SpreaderParameters;
--- a/crates/stairward-membership/src/configuration/parameters.rs
+++ b/crates/stairward-membership/src/configuration/parameters.rs
@@ -30,7 +30,7 @@
     pub notice_step: Duration,
     /// Time between exchanges with random members, which heal what pushes miss.
     pub exchange_interval: Duration,
-    /// Shortest time between two rounds of pushes; newer deltas wait and go together.
+    /// Shortest time between two rounds of pushes; newer edits wait and go together.
     pub push_interval: Duration,
     /// Shortest time between two whole trees sent.
     pub whole_tree_interval: Duration,
--- a/crates/stairward-membership/src/configuration/spreader.rs
+++ b/crates/stairward-membership/src/configuration/spreader.rs
@@ -5,10 +5,9 @@
 use rand::Rng;
 use stairward_types::{Duration, NodeId, RegionName, Revision, Time};
 
-use super::delta_log::DeltaLog;
 use super::digest::{SettingsDigest, SourceAge, WantedContent};
 use super::exchange::{OpenExchanges, PeerKnowledge};
-use super::message::{Delta, Effect, Event, PeerPlace, StoreAnswer};
+use super::message::{Effect, Event, PeerPlace, StoreAnswer};
 use super::overlay::neighbours;
 use super::parameters::SpreaderParameters;
 use super::readiness::{Readiness, ReadinessFacts, ReadinessGate};
@@ -26,7 +25,8 @@
     pub(super) revision: Revision,
     /// The highest revision any peer or the store has told of.
     pub(super) newest_heard: Revision,
-    pub(super) log: DeltaLog,
+    /// The lowest revision from which the edits up to the one in force are known.
+    pub(super) history_from: Revision,
     pub(super) members: Vec<PeerPlace>,
     /// Neighbours, and what each is thought to hold.
     pub(super) neighbours: BTreeMap<NodeId, PeerKnowledge>,
@@ -62,7 +62,7 @@
             parameters,
             revision: Revision(0),
             newest_heard: Revision(0),
-            log: DeltaLog::default(),
+            history_from: Revision(0),
             members: Vec::new(),
             neighbours: BTreeMap::new(),
             exchanges: OpenExchanges::default(),
@@ -97,9 +97,10 @@
                 self.answered(now, exchange, answer, &mut effects);
             }
             Event::AskFailed { exchange } => self.ask_failed(now, exchange, rng, &mut effects),
-            Event::Applied { revision, deltas } => {
-                self.applied(now, revision, deltas, &mut effects);
-            }
+            Event::Applied {
+                revision,
+                history_from,
+            } => self.applied(now, revision, history_from, &mut effects),
             Event::ApplyRefused => self.refused_at = Some(now),
             Event::StoreAnswered(answer) => self.store_answered(now, answer, rng, &mut effects),
         }
@@ -231,31 +232,21 @@
         &mut self,
         now: Time,
         revision: Revision,
-        deltas: Vec<Delta>,
+        history_from: Revision,
         effects: &mut Vec<Effect>,
     ) {
         if revision <= self.revision {
             return;
         }
         self.revision = revision;
+        self.history_from = history_from;
         self.newest_heard = self.newest_heard.max(revision);
         self.refused_at = None;
         self.source.applied(revision);
-        self.remember(deltas);
         self.push_due = true;
         self.push_if_due(now, effects);
     }
 
-    fn remember(&mut self, deltas: Vec<Delta>) {
-        if deltas.last().map(|delta| delta.revision) != Some(self.revision) {
-            self.log.clear();
-            return;
-        }
-        for delta in deltas {
-            self.log.push(delta);
-        }
-    }
-
     fn store_answered(
         &mut self,
         now: Time,
