--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -3,4 +3,5 @@
 #![forbid(unsafe_code)]
 
 pub mod command;
+pub mod load;
 pub mod site;
--- a/crates/stairward-lab/src/site/mod.rs
+++ b/crates/stairward-lab/src/site/mod.rs
@@ -100,8 +100,10 @@
     pub roam_with_token_share: f64,
     /// Share of own writes that the session's next request reads back.
     pub read_back_share: f64,
-    /// Rows of the shared table in each group.
-    pub shared_rows: u32,
+    /// Lists in the shared table of each group.
+    pub shared_lists: u32,
+    /// Rows of each such list.
+    pub rows_per_list: u32,
     /// Rows of the own table that each session writes.
     pub rows_per_session: u32,
 }
@@ -143,7 +145,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum OperationKind {
-    /// Reads a row that all sessions share.
+    /// Reads a list that all sessions share.
     ReadShared,
     /// Reads a row that only this session writes.
     ReadOwn,
