lab: drive a site's sessions against running proxies

Cause: the demo and the operators need load with latencies that count waiting, and a history to judge. Change: load opens sessions with tokio-postgres, lets requests arrive on a seeded open-loop schedule, records each request for the checkers and classes each end by its result code; `stairward-lab load` prints it as JSON.

--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -21,7 +21,7 @@
 }
 
 /// Every subcommand, in the order of the list that `--help` prints.
-pub const COMMANDS: &[Command] = &[];
+pub const COMMANDS: &[Command] = &[crate::load::command::COMMAND];
 
 /// Reads the subcommand's name from the command line and runs it.
 #[must_use]
--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -4,4 +4,6 @@
 
 pub mod command;
 pub mod load;
+pub mod output;
+pub mod provenance;
 pub mod site;
--- a/crates/stairward-lab/src/load/connection.rs
+++ b/crates/stairward-lab/src/load/connection.rs
@@ -89,7 +89,10 @@
         drop(self.client);
         // The driver may still hold an unread token until the last message has been handled.
         let mut driver = self.driver;
-        if tokio::time::timeout(CLOSE_TIMEOUT, &mut driver).await.is_err() {
+        if tokio::time::timeout(CLOSE_TIMEOUT, &mut driver)
+            .await
+            .is_err()
+        {
             driver.abort();
         }
         self.token
@@ -123,10 +126,7 @@
 }
 
 /// Moves the connection's bytes until it ends, and keeps the newest session token.
-async fn drive(
-    mut connection: Connection<Socket, NoTlsStream>,
-    token: Arc<Mutex<Option<String>>>,
-) {
+async fn drive(mut connection: Connection<Socket, NoTlsStream>, token: Arc<Mutex<Option<String>>>) {
     poll_fn(|context| poll_connection(&mut connection, &token, context)).await;
 }
 
--- a/crates/stairward-lab/src/load/run.rs
+++ b/crates/stairward-lab/src/load/run.rs
@@ -17,8 +17,8 @@
 use super::session::Session;
 use super::statements::StatementWriter;
 use super::tally::Tally;
-use stairward_proxy::cluster::Clock;
 use crate::site::{Site, SiteError};
+use stairward_proxy::cluster::Clock;
 
 /// Arrivals that may wait for one session.
 const SESSION_QUEUE: usize = 256;
--- a/crates/stairward-lab/src/load/session.rs
+++ b/crates/stairward-lab/src/load/session.rs
@@ -148,14 +148,12 @@
         let statements = StatementWriter::new(&self.context.options.site).request(request);
         let executed = match statements {
             RequestStatements::Read(statement) => self.run_statement(&statement).await,
-            RequestStatements::Write(statement) => self
-                .run_statement(&statement)
-                .await
-                .map(|_| Vec::new()),
-            RequestStatements::Transaction(statements) => self
-                .run_transaction(&statements)
-                .await
-                .map(|()| Vec::new()),
+            RequestStatements::Write(statement) => {
+                self.run_statement(&statement).await.map(|_| Vec::new())
+            }
+            RequestStatements::Transaction(statements) => {
+                self.run_transaction(&statements).await.map(|()| Vec::new())
+            }
         };
         match executed {
             Ok(messages) => (Outcome::Answered, read_answer(&messages)),
@@ -163,10 +161,7 @@
         }
     }
 
-    async fn run_statement(
-        &mut self,
-        statement: &str,
-    ) -> Result<Vec<SimpleQueryMessage>, Outcome> {
+    async fn run_statement(&mut self, statement: &str) -> Result<Vec<SimpleQueryMessage>, Outcome> {
         let Some(connection) = &self.connection else {
             return Err(Outcome::NotSent);
         };
--- a/crates/stairward-lab/src/load/statements.rs
+++ b/crates/stairward-lab/src/load/statements.rs
@@ -100,16 +100,19 @@
             create_table(&tables.balance, "amount BIGINT"),
             create_table(&tables.record, "version BIGINT"),
         ];
-        for table in [
-            &tables.shared,
-            &tables.own,
-            &tables.balance,
-            &tables.record,
-        ] {
+        for table in [&tables.shared, &tables.own, &tables.balance, &tables.record] {
             statements.push(format!("DELETE FROM {table}"));
         }
-        statements.extend(inserts(&tables.shared, "id, list, version", &self.shared_rows()));
-        statements.extend(inserts(&tables.own, "id, version", &self.own_rows(sessions)));
+        statements.extend(inserts(
+            &tables.shared,
+            "id, list, version",
+            &self.shared_rows(),
+        ));
+        statements.extend(inserts(
+            &tables.own,
+            "id, version",
+            &self.own_rows(sessions),
+        ));
         let balances: Vec<String> = sessions
             .iter()
             .map(|&session| format!("('{}', {OPENING_BALANCE})", balance_key(session)))
--- a/crates/stairward-lab/src/load/tally.rs
+++ b/crates/stairward-lab/src/load/tally.rs
@@ -66,14 +66,15 @@
 
     /// Counts an attempt to connect that failed.
     pub fn connect_failed(&self, error: &tokio_postgres::Error) {
-        let label = error
-            .as_db_error()
-            .map_or_else(|| "connection failed".to_owned(), |error| {
+        let label = error.as_db_error().map_or_else(
+            || "connection failed".to_owned(),
+            |error| {
                 result_code(error.message()).map_or_else(
                     || error.code().code().to_owned(),
                     |code| format!("SW{} {}", code.number(), code.name()),
                 )
-            });
+            },
+        );
         self.with(|state| *state.connect_failures.entry(label).or_default() += 1);
     }
 
@@ -177,4 +178,3 @@
         }
     }
 }
-
