Replace the settings calls by one symmetric exchange

Nobody used the calls that fetched and announced settings. One exchange, in which each side tells its revision and the age of its knowledge and sends what the other lacks, serves pushes, pulls and periodic comparison alike.

--- a/crates/stairward-protocol/src/call.rs
+++ b/crates/stairward-protocol/src/call.rs
@@ -2,7 +2,8 @@
 
 use deku::prelude::*;
 
-use crate::field::{ByteString, Text, WireFreshness};
+use crate::field::{Text, WireFreshness};
+use crate::settings::SettingsExchange;
 
 /// What one node asks of another.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
@@ -15,18 +16,9 @@
         /// The back end.
         backend: Text,
     },
-    /// Asks for every settings revision after this one.
+    /// Tells what settings the speaker holds, and asks for newer ones.
     #[deku(id = "2")]
-    FetchSettings {
-        /// The newest revision the asker holds; 0 for none.
-        after_revision: u64,
-    },
-    /// Tells of a newer settings revision held by the speaker.
-    #[deku(id = "3")]
-    AnnounceSettings {
-        /// The revision.
-        revision: u64,
-    },
+    ExchangeSettings(SettingsExchange),
     /// Tells of a newer term of a group.
     #[deku(id = "4")]
     AnnounceTerm {
@@ -75,14 +67,7 @@
         /// 1 when it says it is the primary.
         is_primary: u8,
     },
-    /// Settings as whole documents or as the edits since the asker's revision.
+    /// What settings the asked node holds, and what the asking one lacks.
     #[deku(id = "4")]
-    Settings {
-        /// The revision reached by applying `document`.
-        revision: u64,
-        /// 1 for a whole tree, 0 for a list of edits after the asker's revision.
-        whole: u8,
-        /// JSON, as the settings crate writes it.
-        document: ByteString,
-    },
+    Settings(SettingsExchange),
 }
--- a/crates/stairward-protocol/src/lib.rs
+++ b/crates/stairward-protocol/src/lib.rs
@@ -14,6 +14,7 @@
 mod field;
 mod frame;
 mod peer;
+pub mod settings;
 pub mod stream;
 
 pub use authentication::{ClusterKey, InvalidClusterKey, NONCE_BYTES, PROOF_BYTES};
