Add the settings tree, process file, edits and platform client

The other crates need the types of the settings to build on: a tree with one schema, a process file, edits with change ids, and a client of the store.

--- /dev/null
+++ b/crates/stairward-settings/src/edit.rs
@@ -0,0 +1,167 @@
+//! Edits of the settings tree, and why one is refused.
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use stairward_types::{ChangeId, ResultCode, Revision};
+
+use crate::path::SettingsPath;
+use crate::problem::{ProblemKind, SettingsProblem};
+use crate::schema::SettingsOption;
+use crate::tree::{SettingsTree, problem};
+use crate::value::Value;
+
+/// Most changes in one edit.
+pub const MAXIMUM_CHANGES: usize = 10_000;
+
+/// One step of an edit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "action", rename_all = "snake_case")]
+pub enum Change {
+    /// Sets an option, adding the place when it is new.
+    Set {
+        /// Where.
+        path: SettingsPath,
+        /// Which option.
+        option: SettingsOption,
+        /// To what.
+        value: Value,
+    },
+    /// Takes an option back, so that the place inherits it again.
+    Unset {
+        /// Where.
+        path: SettingsPath,
+        /// Which option.
+        option: SettingsOption,
+    },
+    /// Removes a place and all below it.
+    Remove {
+        /// Which place.
+        path: SettingsPath,
+    },
+}
+
+/// What an operator wants changed, all of it or nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Edit {
+    /// Chosen at random by whoever edits; tells after a lost reply whether the edit took effect.
+    pub change_id: ChangeId,
+    /// The revision the operator looked at.
+    pub based_on: Revision,
+    /// The changes, made in this order.
+    pub changes: Vec<Change>,
+}
+
+/// An edit that took effect.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AppliedEdit {
+    /// The revision it made.
+    pub revision: Revision,
+    /// The edit.
+    pub edit: Edit,
+}
+
+/// Why an edit was not applied. In every case the document is unchanged.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum EditError {
+    /// The settings changed since the revision the edit is based on.
+    #[snafu(display(
+        "the settings are at revision {newest}, the edit is based on {based_on}: look at the newer revision"
+    ))]
+    Conflict {
+        /// The revision the edit is based on.
+        based_on: Revision,
+        /// The newest revision.
+        newest: Revision,
+        /// What changed since; none when that lies before the kept history. Then it cannot be told
+        /// either whether an edit with this change id took effect long ago.
+        changed_since: Option<Vec<AppliedEdit>>,
+    },
+    /// An edit with this change id has taken effect before.
+    #[snafu(display("the edit took effect before, as revision {revision}"))]
+    AlreadyApplied {
+        /// The revision it made.
+        revision: Revision,
+    },
+    /// Another edit, with other changes, has used the change id.
+    #[snafu(display("another edit has used change id {change_id}, as revision {revision}"))]
+    ChangeIdReused {
+        /// The change id.
+        change_id: ChangeId,
+        /// The revision the other edit made.
+        revision: Revision,
+    },
+    /// A change does not fit the schema, or the tree would not be valid as a whole.
+    #[snafu(display("the settings would not be valid: {}", join(problems)))]
+    Invalid {
+        /// Every problem found.
+        problems: Vec<SettingsProblem>,
+    },
+}
+
+impl EditError {
+    /// The result code to show; none when the edit has in fact taken effect.
+    #[must_use]
+    pub const fn code(&self) -> Option<ResultCode> {
+        match self {
+            Self::Conflict { .. } | Self::ChangeIdReused { .. } => Some(ResultCode::EditConflict),
+            Self::AlreadyApplied { .. } => None,
+            Self::Invalid { .. } => Some(ResultCode::InvalidSettings),
+        }
+    }
+}
+
+fn join(problems: &[SettingsProblem]) -> String {
+    let lines: Vec<_> = problems.iter().map(ToString::to_string).collect();
+    lines.join("; ")
+}
+
+/// Makes the changes of an edit in a copy of the tree and checks the result as a whole.
+pub(crate) fn change_tree(
+    tree: &SettingsTree,
+    changes: &[Change],
+) -> Result<SettingsTree, Vec<SettingsProblem>> {
+    check_size(changes)?;
+    let mut changed = tree.clone();
+    let problems: Vec<_> = changes
+        .iter()
+        .filter_map(|change| make_change(&mut changed, change).err())
+        .collect();
+    if !problems.is_empty() {
+        return Err(problems);
+    }
+    changed.resolve()?;
+    Ok(changed)
+}
+
+fn check_size(changes: &[Change]) -> Result<(), Vec<SettingsProblem>> {
+    if changes.len() <= MAXIMUM_CHANGES {
+        return Ok(());
+    }
+    let kind = ProblemKind::TooMany {
+        count: changes.len(),
+        maximum: MAXIMUM_CHANGES,
+    };
+    Err(vec![problem(&SettingsPath::Root, None, kind)])
+}
+
+fn make_change(tree: &mut SettingsTree, change: &Change) -> Result<(), SettingsProblem> {
+    match change {
+        Change::Set {
+            path,
+            option,
+            value,
+        } => tree.set(path, *option, value.clone()),
+        Change::Unset { path, option } => match tree.unset(path, *option) {
+            Some(_) => Ok(()),
+            None => Err(problem(path, Some(*option), ProblemKind::NotSet)),
+        },
+        Change::Remove { path } => {
+            if tree.remove(path) {
+                Ok(())
+            } else {
+                Err(problem(path, None, ProblemKind::NoSuchPlace))
+            }
+        }
+    }
+}
--- a/crates/stairward-settings/src/lib.rs
+++ b/crates/stairward-settings/src/lib.rs
@@ -3,10 +3,33 @@
 //! Two kinds of settings exist. The *process file* tells one process its own addresses and place.
 //! The *settings tree* is shared by the fleet: root, regions, services and groups, each level
 //! inheriting from the one above. [`ResolvedSettings`] is the tree with inheritance applied, which
-//! is all the other crates see.
+//! is all the other crates see. [`SettingsDocument`] is the tree with its revision and latest edits,
+//! as the platform's store keeps it.
 
 #![forbid(unsafe_code)]
 
+mod document;
+mod edit;
+mod path;
+mod problem;
+pub mod process;
 mod resolved;
+mod schema;
+mod toml_text;
+pub mod tree;
+mod update;
+mod value;
 
+pub use document::{
+    InvalidDocument, MAXIMUM_HISTORY_CHANGES, MAXIMUM_HISTORY_EDITS, SETTINGS_OBJECT,
+    SettingsDocument,
+};
+pub use edit::{AppliedEdit, Change, Edit, EditError, MAXIMUM_CHANGES};
+pub use path::{InvalidPath, Level, SettingsPath};
+pub use problem::{ProblemKind, SettingsProblem};
+pub use process::ProcessSettings;
 pub use resolved::{BackendSettings, GroupSettings, ResolvedSettings, ServiceSettings};
+pub use schema::{DefaultValue, OptionSchema, SettingsOption, Unit, UnknownOption, ValueKind};
+pub use tree::{ExplainedValue, Origin, SettingsTree};
+pub use update::{MAXIMUM_UPDATE_BYTES, SettingsUpdate, UpdateError};
+pub use value::Value;
--- /dev/null
+++ b/crates/stairward-settings/src/path.rs
@@ -0,0 +1,215 @@
+//! Places in the settings tree, and how they are written.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+use stairward_types::{BackendId, GroupId, InvalidName, RegionName, ServiceName};
+
+/// A level of the settings tree, from the most general to the most specific.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Level {
+    /// The whole fleet.
+    Root,
+    /// One region.
+    Region,
+    /// One service.
+    Service,
+    /// One database group.
+    Group,
+    /// One back end of a group.
+    Backend,
+}
+
+impl fmt::Display for Level {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Root => "root",
+            Self::Region => "region",
+            Self::Service => "service",
+            Self::Group => "group",
+            Self::Backend => "backend",
+        })
+    }
+}
+
+/// A place in the settings tree.
+///
+/// Written `root`, or as pairs of level and name joined by `/`, for example
+/// `region/south/service/reader-core/group/reader-core-1/backend/reader-core-1-a`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub enum SettingsPath {
+    /// The whole fleet.
+    Root,
+    /// A region.
+    Region(RegionName),
+    /// A service below a region.
+    Service(RegionName, ServiceName),
+    /// A group below a service.
+    Group(RegionName, ServiceName, GroupId),
+    /// A back end below a group.
+    Backend(RegionName, ServiceName, GroupId, BackendId),
+}
+
+/// Text that is not a place in the settings tree.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum InvalidPath {
+    /// The levels are not in the order of the tree.
+    #[snafu(display(
+        "{text:?} is not a path: write root, or region/NAME/service/NAME/group/NAME/backend/NAME up to the level meant"
+    ))]
+    UnknownShape {
+        /// The refused text.
+        text: String,
+    },
+    /// A name in it breaks the rules for names.
+    #[snafu(display("{text:?} is not a path: {source}"))]
+    BadName {
+        /// The refused text.
+        text: String,
+        /// Which rule the name breaks.
+        source: InvalidName,
+    },
+}
+
+impl SettingsPath {
+    /// The level this place is at.
+    #[must_use]
+    pub const fn level(&self) -> Level {
+        match self {
+            Self::Root => Level::Root,
+            Self::Region(..) => Level::Region,
+            Self::Service(..) => Level::Service,
+            Self::Group(..) => Level::Group,
+            Self::Backend(..) => Level::Backend,
+        }
+    }
+
+    /// The place one level up; none for the root.
+    #[must_use]
+    pub fn parent(&self) -> Option<Self> {
+        match self {
+            Self::Root => None,
+            Self::Region(_) => Some(Self::Root),
+            Self::Service(region, _) => Some(Self::Region(region.clone())),
+            Self::Group(region, service, _) => Some(Self::Service(region.clone(), service.clone())),
+            Self::Backend(region, service, group, _) => {
+                Some(Self::Group(region.clone(), service.clone(), group.clone()))
+            }
+        }
+    }
+
+    /// This place and those above it, the most specific first.
+    pub fn self_and_ancestors(&self) -> impl Iterator<Item = Self> {
+        std::iter::successors(Some(self.clone()), Self::parent)
+    }
+
+    /// Whether `self` is `other` or lies below it.
+    #[must_use]
+    pub fn is_within(&self, other: &Self) -> bool {
+        self.self_and_ancestors().any(|place| place == *other)
+    }
+
+    /// The place one level down with this name; an error when the name is bad or nothing lies below.
+    ///
+    /// # Errors
+    /// [`InvalidPath`] says which.
+    pub fn child(&self, name: &str) -> Result<Self, InvalidPath> {
+        let context = || BadNameSnafu { text: name };
+        match self.clone() {
+            Self::Root => RegionName::new(name)
+                .map(Self::Region)
+                .with_context(|_| context()),
+            Self::Region(region) => ServiceName::new(name)
+                .map(|service| Self::Service(region, service))
+                .with_context(|_| context()),
+            Self::Service(region, service) => GroupId::new(name)
+                .map(|group| Self::Group(region, service, group))
+                .with_context(|_| context()),
+            Self::Group(region, service, group) => BackendId::new(name)
+                .map(|backend| Self::Backend(region, service, group, backend))
+                .with_context(|_| context()),
+            Self::Backend(..) => UnknownShapeSnafu { text: name }.fail(),
+        }
+    }
+
+    /// The level below this one; none below a back end.
+    #[must_use]
+    pub const fn child_level(&self) -> Option<Level> {
+        match self {
+            Self::Root => Some(Level::Region),
+            Self::Region(..) => Some(Level::Service),
+            Self::Service(..) => Some(Level::Group),
+            Self::Group(..) => Some(Level::Backend),
+            Self::Backend(..) => None,
+        }
+    }
+
+    /// The region named in the path; none at the root.
+    #[must_use]
+    pub const fn region(&self) -> Option<&RegionName> {
+        match self {
+            Self::Root => None,
+            Self::Region(region)
+            | Self::Service(region, ..)
+            | Self::Group(region, ..)
+            | Self::Backend(region, ..) => Some(region),
+        }
+    }
+}
+
+impl fmt::Display for SettingsPath {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Root => formatter.write_str("root"),
+            Self::Region(region) => write!(formatter, "region/{region}"),
+            Self::Service(region, service) => {
+                write!(formatter, "region/{region}/service/{service}")
+            }
+            Self::Group(region, service, group) => {
+                write!(formatter, "region/{region}/service/{service}/group/{group}")
+            }
+            Self::Backend(region, service, group, backend) => write!(
+                formatter,
+                "region/{region}/service/{service}/group/{group}/backend/{backend}"
+            ),
+        }
+    }
+}
+
+impl FromStr for SettingsPath {
+    type Err = InvalidPath;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text == "root" {
+            return Ok(Self::Root);
+        }
+        let unknown_shape = || UnknownShapeSnafu { text }.build();
+        let mut path = Self::Root;
+        let mut parts = text.split('/');
+        while let Some(level_word) = parts.next() {
+            let level = path.child_level().ok_or_else(unknown_shape)?;
+            if level_word != level.to_string() {
+                return Err(unknown_shape());
+            }
+            let name = parts.next().ok_or_else(unknown_shape)?;
+            path = path.child(name)?;
+        }
+        Ok(path)
+    }
+}
+
+impl TryFrom<String> for SettingsPath {
+    type Error = InvalidPath;
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<SettingsPath> for String {
+    fn from(path: SettingsPath) -> Self {
+        path.to_string()
+    }
+}
--- /dev/null
+++ b/crates/stairward-settings/src/process/secret.rs
@@ -0,0 +1,192 @@
+//! Keys, passwords and certificates: where a process takes them from.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::Read;
+use std::path::{Path, PathBuf};
+
+use stairward_types::ResultCode;
+
+use crate::problem::{ProblemKind, SettingsProblem};
+use crate::toml_text::{self, LineIndex};
+
+/// Largest secret file accepted, in bytes.
+const MAXIMUM_SECRET_BYTES: usize = 64 << 10;
+
+/// Largest users file accepted, in bytes.
+const MAXIMUM_USERS_BYTES: usize = 4 << 20;
+
+/// Bytes that must not appear in logs.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(Vec<u8>);
+
+impl Secret {
+    /// Wraps bytes.
+    #[must_use]
+    pub fn new(bytes: impl Into<Vec<u8>>) -> Self {
+        Self(bytes.into())
+    }
+
+    /// The bytes themselves.
+    #[must_use]
+    pub fn expose(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// The bytes as text; none when they are not UTF-8.
+    #[must_use]
+    pub fn expose_text(&self) -> Option<&str> {
+        std::str::from_utf8(&self.0).ok()
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Secret(..)")
+    }
+}
+
+/// Where a key or password comes from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SecretSource {
+    /// A file; a line end at its end is not part of the secret.
+    File(PathBuf),
+    /// Given by the program that embeds the node.
+    Given(Secret),
+}
+
+impl SecretSource {
+    /// Reads it, anew each time.
+    ///
+    /// # Errors
+    /// [`SettingsProblem`] when the file cannot be read, is empty or larger than 64 KiB.
+    pub fn load(&self) -> Result<Secret, SettingsProblem> {
+        match self {
+            Self::Given(secret) => Ok(secret.clone()),
+            Self::File(path) => read_secret(path),
+        }
+    }
+}
+
+/// The users that may log in, and their passwords.
+pub type Users = BTreeMap<String, Secret>;
+
+/// Where the users come from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum UsersSource {
+    /// A TOML file with one `user = "password"` a line.
+    File(PathBuf),
+    /// Given by the program that embeds the node.
+    Given(Users),
+}
+
+impl UsersSource {
+    /// Reads them, anew each time.
+    ///
+    /// # Errors
+    /// Every problem of the file.
+    pub fn load(&self) -> Result<Users, Vec<SettingsProblem>> {
+        match self {
+            Self::Given(users) => Ok(users.clone()),
+            Self::File(path) => {
+                let text = read_text(path).map_err(|problem| vec![problem])?;
+                parse_users(path, &text)
+            }
+        }
+    }
+}
+
+/// A certificate chain and its private key, both PEM files.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TlsFiles {
+    /// The certificate chain, the server's own first.
+    pub certificate_file: PathBuf,
+    /// The private key.
+    pub key_file: PathBuf,
+}
+
+fn file_problem(path: &Path, kind: ProblemKind) -> SettingsProblem {
+    SettingsProblem {
+        path: path.display().to_string(),
+        option: None,
+        line: None,
+        code: ResultCode::InvalidProcessFile,
+        kind: Box::new(kind),
+    }
+}
+
+fn unreadable(path: &Path, reason: impl fmt::Display) -> SettingsProblem {
+    let kind = ProblemKind::Unreadable {
+        reason: reason.to_string(),
+    };
+    file_problem(path, kind)
+}
+
+fn read_bounded(path: &Path, maximum_bytes: usize) -> Result<Vec<u8>, SettingsProblem> {
+    let file = std::fs::File::open(path).map_err(|error| unreadable(path, error))?;
+    let mut bytes = Vec::new();
+    file.take(maximum_bytes as u64 + 1)
+        .read_to_end(&mut bytes)
+        .map_err(|error| unreadable(path, error))?;
+    if bytes.len() > maximum_bytes {
+        let reason = format!("it is larger than {maximum_bytes} bytes");
+        return Err(unreadable(path, reason));
+    }
+    Ok(bytes)
+}
+
+fn read_secret(path: &Path) -> Result<Secret, SettingsProblem> {
+    let mut bytes = read_bounded(path, MAXIMUM_SECRET_BYTES)?;
+    while bytes
+        .last()
+        .is_some_and(|byte| matches!(byte, b'\n' | b'\r'))
+    {
+        bytes.pop();
+    }
+    if bytes.is_empty() {
+        return Err(unreadable(path, "it is empty"));
+    }
+    Ok(Secret(bytes))
+}
+
+fn read_text(path: &Path) -> Result<String, SettingsProblem> {
+    let bytes = read_bounded(path, MAXIMUM_USERS_BYTES)?;
+    String::from_utf8(bytes).map_err(|error| unreadable(path, error))
+}
+
+fn parse_users(path: &Path, text: &str) -> Result<Users, Vec<SettingsProblem>> {
+    let lines = LineIndex::new(text);
+    let table =
+        toml_text::parse(text, &lines, ResultCode::InvalidProcessFile).map_err(|problem| {
+            vec![SettingsProblem {
+                path: path.display().to_string(),
+                ..problem
+            }]
+        })?;
+    let mut users = Users::new();
+    let mut problems = Vec::new();
+    for (user, password) in &table {
+        match password.get_ref().as_str() {
+            Some(password) if !password.is_empty() => {
+                users.insert(user.get_ref().to_string(), Secret::new(password));
+            }
+            _ => problems.push(SettingsProblem {
+                option: Some(user.get_ref().to_string()),
+                line: Some(lines.line(&user.span())),
+                ..file_problem(path, bad_password(password.get_ref().type_str()))
+            }),
+        }
+    }
+    if problems.is_empty() {
+        Ok(users)
+    } else {
+        Err(problems)
+    }
+}
+
+fn bad_password(found: &'static str) -> ProblemKind {
+    ProblemKind::WrongType {
+        expected: "a password that is not empty",
+        found,
+    }
+}
--- /dev/null
+++ b/crates/stairward-settings/src/schema.rs
@@ -0,0 +1,380 @@
+//! The one table of options in the settings tree. docs/CONFIGURATION.md documents the same table; a
+//! test compares the two.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use stairward_types::RegionName;
+
+use crate::path::Level;
+use crate::problem::ProblemKind;
+use crate::value::Value;
+
+/// Longest text accepted as a value, in bytes.
+pub const MAXIMUM_TEXT_BYTES: usize = 63;
+
+/// What values of an option look like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ValueKind {
+    /// A whole number within a range, both ends allowed.
+    Integer {
+        /// Least value.
+        minimum: u64,
+        /// Greatest value.
+        maximum: u64,
+    },
+    /// One of these words.
+    Choice(&'static [&'static str]),
+    /// Text of 1 to [`MAXIMUM_TEXT_BYTES`] bytes without control characters.
+    Text,
+    /// A name: 1 to 63 of `a-z`, `0-9`, `-`, `_`, `.`.
+    Name,
+    /// An IP number and a port, for example `10.0.0.7:5432`.
+    Address,
+}
+
+impl ValueKind {
+    /// Checks that a value is of this kind and within its range.
+    ///
+    /// # Errors
+    /// The [`ProblemKind`] that says what is wrong with it.
+    pub fn check(self, value: &Value) -> Result<(), ProblemKind> {
+        match (self, value) {
+            (Self::Integer { minimum, maximum }, Value::Integer(number)) => {
+                check_range(*number, minimum, maximum)
+            }
+            (Self::Choice(choices), Value::Text(text)) => check_choice(text, choices),
+            (Self::Text, Value::Text(text)) => check_text(text),
+            (Self::Name, Value::Text(text)) => check_name(text),
+            (Self::Address, Value::Text(text)) => check_address(text),
+            (kind, value) => Err(ProblemKind::WrongType {
+                expected: kind.type_name(),
+                found: value.type_name(),
+            }),
+        }
+    }
+
+    /// What a value has to be, for messages.
+    #[must_use]
+    pub const fn type_name(self) -> &'static str {
+        match self {
+            Self::Integer { .. } => "an integer",
+            Self::Choice(_) => "one of several words",
+            Self::Text => "text",
+            Self::Name => "a name",
+            Self::Address => "an address",
+        }
+    }
+}
+
+impl fmt::Display for ValueKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Integer { minimum, maximum } => {
+                write!(formatter, "integer, {minimum} to {maximum}")
+            }
+            Self::Choice(choices) => write!(formatter, "one of {}", choices.join(", ")),
+            Self::Text => formatter.write_str("text"),
+            Self::Name => formatter.write_str("name"),
+            Self::Address => formatter.write_str("IP:port"),
+        }
+    }
+}
+
+fn check_range(number: u64, minimum: u64, maximum: u64) -> Result<(), ProblemKind> {
+    if (minimum..=maximum).contains(&number) {
+        return Ok(());
+    }
+    Err(ProblemKind::OutOfRange {
+        value: number,
+        minimum,
+        maximum,
+    })
+}
+
+fn check_choice(text: &str, choices: &'static [&'static str]) -> Result<(), ProblemKind> {
+    if choices.contains(&text) {
+        return Ok(());
+    }
+    Err(ProblemKind::NotAChoice {
+        value: text.to_owned(),
+        choices,
+    })
+}
+
+fn check_text(text: &str) -> Result<(), ProblemKind> {
+    let length_fits = (1..=MAXIMUM_TEXT_BYTES).contains(&text.len());
+    if length_fits && !text.chars().any(char::is_control) {
+        return Ok(());
+    }
+    Err(ProblemKind::UnusableText {
+        maximum_bytes: MAXIMUM_TEXT_BYTES,
+    })
+}
+
+fn check_name(text: &str) -> Result<(), ProblemKind> {
+    RegionName::new(text)
+        .map(|_| ())
+        .map_err(|source| ProblemKind::BadName { source })
+}
+
+fn check_address(text: &str) -> Result<(), ProblemKind> {
+    let address: Option<SocketAddr> = text.parse().ok();
+    match address {
+        Some(address) if address.port() != 0 => Ok(()),
+        _ => Err(ProblemKind::BadAddress {
+            value: text.to_owned(),
+        }),
+    }
+}
+
+/// The unit a number counts in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unit {
+    /// Not a quantity.
+    None,
+    /// Thousandths of a second.
+    Milliseconds,
+    /// Seconds.
+    Seconds,
+    /// Bytes.
+    Bytes,
+    /// Thousandths of a whole.
+    Permille,
+    /// A number of things.
+    Count,
+}
+
+impl fmt::Display for Unit {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::None => "-",
+            Self::Milliseconds => "ms",
+            Self::Seconds => "s",
+            Self::Bytes => "bytes",
+            Self::Permille => "permille",
+            Self::Count => "count",
+        })
+    }
+}
+
+/// The value of an option that no level sets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DefaultValue {
+    /// A number.
+    Integer(u64),
+    /// A text.
+    Text(&'static str),
+    /// The region in the path.
+    RegionOfPath,
+    /// There is none; it must be set.
+    Required,
+}
+
+impl fmt::Display for DefaultValue {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Integer(number) => number.fmt(formatter),
+            Self::Text(text) => formatter.write_str(text),
+            Self::RegionOfPath => formatter.write_str("the region in the path"),
+            Self::Required => formatter.write_str("required"),
+        }
+    }
+}
+
+/// One option of the settings tree, as the schema describes it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OptionSchema {
+    /// How it is written.
+    pub name: &'static str,
+    /// What its values look like.
+    pub kind: ValueKind,
+    /// The unit of its values.
+    pub unit: Unit,
+    /// Its value when no level sets it.
+    pub default: DefaultValue,
+    /// The most general level that may set it.
+    pub highest: Level,
+    /// The most specific level that may set it.
+    pub lowest: Level,
+    /// What it does, in one line.
+    pub documentation: &'static str,
+}
+
+impl OptionSchema {
+    /// Whether this level may set the option.
+    #[must_use]
+    pub fn is_allowed_at(&self, level: Level) -> bool {
+        (self.highest..=self.lowest).contains(&level)
+    }
+}
+
+/// A name that no option has.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("no option is called {name:?}"))]
+pub struct UnknownOption {
+    /// The refused name.
+    pub name: String,
+}
+
+macro_rules! settings_options {
+    ($(
+        #[doc = $documentation:literal]
+        $option:ident = $name:literal, $kind:expr, $unit:ident, $default:expr, $highest:ident to $lowest:ident;
+    )+) => {
+        /// An option of the settings tree.
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(try_from = "String", into = "String")]
+        pub enum SettingsOption {
+            $(#[doc = $documentation] $option,)+
+        }
+
+        impl SettingsOption {
+            /// Every option, in the order of the documentation.
+            pub const ALL: &'static [Self] = &[$(Self::$option,)+];
+
+            /// The option's row of the schema.
+            #[must_use]
+            pub const fn schema(self) -> OptionSchema {
+                match self {
+                    $(Self::$option => OptionSchema {
+                        name: $name,
+                        kind: $kind,
+                        unit: Unit::$unit,
+                        default: $default,
+                        highest: Level::$highest,
+                        lowest: Level::$lowest,
+                        documentation: $documentation.trim_ascii_start(),
+                    },)+
+                }
+            }
+        }
+    };
+}
+
+const fn integer(minimum: u64, maximum: u64) -> ValueKind {
+    ValueKind::Integer { minimum, maximum }
+}
+
+/// One hour, in milliseconds.
+const HOUR_MS: u64 = 3_600_000;
+/// 30 days, in seconds.
+const MONTH_S: u64 = 2_592_000;
+/// One mebibyte, in bytes.
+const MEBIBYTE: u64 = 1 << 20;
+
+/// Words for `fence`.
+pub(crate) const FENCE_TERM: &str = "term";
+pub(crate) const FENCE_POSITION: &str = "position";
+/// Words for `admin_state`.
+pub(crate) const STATE_JOINING: &str = "joining";
+pub(crate) const STATE_ACTIVE: &str = "active";
+pub(crate) const STATE_LEAVING: &str = "leaving";
+
+settings_options! {
+    /// Share of a contended back end, relative to other services.
+    Weight = "weight", integer(1, 1_000), Count, DefaultValue::Integer(1), Root to Service;
+    /// User that proxies log in as at the back ends.
+    BackendUser = "backend_user", ValueKind::Text, None, DefaultValue::Text("stairward"), Root to Group;
+    /// Deadline of a request that names none.
+    RequestTimeout = "request_timeout_ms", integer(1, HOUR_MS), Milliseconds, DefaultValue::Integer(10_000), Root to Group;
+    /// How long a replica may be waited for before the request goes elsewhere.
+    FreshnessWait = "freshness_wait_ms", integer(0, 60_000), Milliseconds, DefaultValue::Integer(20), Root to Group;
+    /// How stale a read may be beyond the session's own floor; 0 sets no bound besides the floor.
+    MaximumStaleness = "maximum_staleness_ms", integer(0, HOUR_MS), Milliseconds, DefaultValue::Integer(0), Root to Group;
+    /// What a majority must prove before a write is acknowledged: no later term, or also the position.
+    Fence = "fence", ValueKind::Choice(&[FENCE_TERM, FENCE_POSITION]), None, DefaultValue::Text(FENCE_POSITION), Root to Group;
+    /// How long that proof may take before the outcome is called unknown.
+    FenceTimeout = "fence_timeout_ms", integer(1, 60_000), Milliseconds, DefaultValue::Integer(2_000), Root to Group;
+    /// Requests that may wait, per edge and group, for a new primary; 0 holds none.
+    HoldQueueRequests = "hold_queue_requests", integer(0, 100_000), Count, DefaultValue::Integer(1_000), Root to Group;
+    /// Bytes of requests that may wait, per edge and group, for a new primary.
+    HoldQueueBytes = "hold_queue_bytes", integer(0, 1_024 * MEBIBYTE), Bytes, DefaultValue::Integer(16 * MEBIBYTE), Root to Group;
+    /// How long a request may wait for a new primary.
+    HoldQueueTime = "hold_queue_time_ms", integer(0, HOUR_MS), Milliseconds, DefaultValue::Integer(5_000), Root to Group;
+    /// Requests that may wait at one owner for one back end.
+    AdmissionQueueRequests = "admission_queue_requests", integer(0, 100_000), Count, DefaultValue::Integer(200), Root to Group;
+    /// Retries allowed, as a share of recent successes; 0 allows none.
+    RetryBudget = "retry_budget_permille", integer(0, 1_000), Permille, DefaultValue::Integer(100), Root to Group;
+    /// How long transactions on a leaving back end may go on.
+    LeaveTimeout = "leave_timeout_ms", integer(0, HOUR_MS), Milliseconds, DefaultValue::Integer(30_000), Root to Group;
+    /// Largest message accepted from a caller.
+    MaximumMessageBytes = "maximum_message_bytes", integer(1_024, 256 * MEBIBYTE), Bytes, DefaultValue::Integer(4 * MEBIBYTE), Root to Group;
+    /// How long ledger rows of request keys are kept.
+    RequestKeyRetention = "request_key_retention_s", integer(60, MONTH_S), Seconds, DefaultValue::Integer(86_400), Root to Group;
+    /// Connections to one back end that all proxies together may hold.
+    ConnectionLimit = "connection_limit", integer(1, 10_000), Count, DefaultValue::Integer(40), Root to Backend;
+    /// Statements that may run at one back end at once.
+    Slots = "slots", integer(1, 10_000), Count, DefaultValue::Integer(5), Root to Backend;
+    /// Connections to one back end being opened at once.
+    OpeningLimit = "opening_limit", integer(1, 1_000), Count, DefaultValue::Integer(4), Root to Backend;
+    /// Where the back end listens, by IP number.
+    Address = "address", ValueKind::Address, None, DefaultValue::Required, Backend to Backend;
+    /// The region the back end stands in.
+    Region = "region", ValueKind::Name, None, DefaultValue::RegionOfPath, Backend to Backend;
+    /// The zone the back end stands in.
+    Zone = "zone", ValueKind::Name, None, DefaultValue::Required, Backend to Backend;
+    /// Whether the back end is warmed up, in use, or finishing what it has begun.
+    AdminState = "admin_state", ValueKind::Choice(&[STATE_JOINING, STATE_ACTIVE, STATE_LEAVING]), None, DefaultValue::Text(STATE_ACTIVE), Backend to Backend;
+}
+
+impl SettingsOption {
+    /// How it is written.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        self.schema().name
+    }
+
+    /// The option with this name.
+    ///
+    /// # Errors
+    /// [`UnknownOption`] when there is none.
+    pub fn from_name(name: &str) -> Result<Self, UnknownOption> {
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|option| option.name() == name)
+            .ok_or_else(|| UnknownOption {
+                name: name.to_owned(),
+            })
+    }
+
+    /// Checks that a level may set this option to this value.
+    ///
+    /// # Errors
+    /// The [`ProblemKind`] that says why not.
+    pub fn check(self, level: Level, value: &Value) -> Result<(), ProblemKind> {
+        let schema = self.schema();
+        if !schema.is_allowed_at(level) {
+            return Err(ProblemKind::NotAllowedHere {
+                level,
+                highest: schema.highest,
+                lowest: schema.lowest,
+            });
+        }
+        schema.kind.check(value)
+    }
+}
+
+impl fmt::Display for SettingsOption {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.name())
+    }
+}
+
+impl TryFrom<String> for SettingsOption {
+    type Error = UnknownOption;
+    fn try_from(name: String) -> Result<Self, Self::Error> {
+        Self::from_name(&name)
+    }
+}
+
+impl From<SettingsOption> for String {
+    fn from(option: SettingsOption) -> Self {
+        option.name().to_owned()
+    }
+}
