--- a/crates/stairward-membership/src/configuration/spreader.rs
+++ b/crates/stairward-membership/src/configuration/spreader.rs
@@ -147,6 +147,26 @@
         }
     }
 
+    /// When the settings in force were last known to be the newest in the store.
+    #[must_use]
+    pub fn store_read_at(&self) -> Option<Time> {
+        self.source.store_read_at()
+    }
+
+    /// Until when the status will not become [`SourceStatus::CutOff`] without further news.
+    #[must_use]
+    pub fn trusted_until(&self, now: Time) -> Time {
+        let limit = self.parameters.source_limit;
+        let by_store = self.source.store_read_at();
+        let by_watcher = self
+            .source
+            .watcher_heard_at()
+            .filter(|_| self.source_status(now) == SourceStatus::StoreUnreachable);
+        by_store
+            .max(by_watcher)
+            .map_or(Time::ZERO, |heard_at| heard_at + limit)
+    }
+
     /// What this node tells its peers.
     #[must_use]
     pub fn digest(&self, now: Time) -> SettingsDigest {
--- a/crates/stairward-proxy/src/cluster.rs
+++ b/crates/stairward-proxy/src/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
 use std::time::Instant;
 
@@ -112,6 +113,7 @@
     members: Arc<watch::Sender<Arc<MembershipView>>>,
     primaries: Arc<watch::Sender<Arc<KnownPrimaries>>>,
     ownership: Arc<RwLock<OwnershipRule>>,
+    settings_trusted_until: Arc<AtomicU64>,
 }
 
 impl Cluster {
@@ -125,6 +127,7 @@
             members: Arc::new(watch::Sender::new(Arc::default())),
             primaries: Arc::new(watch::Sender::new(Arc::default())),
             ownership: Arc::new(RwLock::new(ownership)),
+            settings_trusted_until: Arc::new(AtomicU64::new(Time::NEVER.0)),
         }
     }
 
@@ -152,6 +155,20 @@
         })
     }
 
+    /// Until when the settings in force may be taken for the newest of the fleet. After that an
+    /// owner gives its back ends no new work: they may have been marked as leaving.
+    /// [`Time::NEVER`] when nothing watches over the settings.
+    #[must_use]
+    pub fn settings_trusted_until(&self) -> Time {
+        Time(self.settings_trusted_until.load(Ordering::Acquire))
+    }
+
+    /// Sets until when the settings may be taken for the newest.
+    pub fn trust_settings_until(&self, moment: Time) {
+        self.settings_trusted_until
+            .store(moment.0, Ordering::Release);
+    }
+
     /// The nodes believed alive.
     #[must_use]
     pub fn members(&self) -> Arc<MembershipView> {
