--- /dev/null
+++ b/crates/stairward-pool/src/pool/check.rs
@@ -0,0 +1,94 @@
+//! Whether a back end may take a request at this moment.
+
+use stairward_types::{AccessClass, AdminState, BackendRole, Freshness, ResultCode, Term};
+
+use super::message::{BackendState, ConnectionRequest};
+
+/// What decides on admission besides limits.
+#[derive(Debug, Clone, Default)]
+pub(super) struct AdmissionConditions {
+    /// Whether the lease is held.
+    pub lease_held: bool,
+    /// Whether the back end is being handed over.
+    pub draining: bool,
+    /// Whether the settings are too old to take work by them.
+    pub configuration_too_old: bool,
+    /// What operators have said.
+    pub admin_state: AdminState,
+    /// What the back end last said; none while it cannot be reached.
+    pub state: Option<BackendState>,
+    /// The newest term known of the group.
+    pub newest_term: Term,
+}
+
+/// The answer to whether a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Admission {
+    /// It may run.
+    Allowed,
+    /// It may run once the back end has come further.
+    NotYetFresh,
+    /// It may not run here.
+    Refused(ResultCode),
+}
+
+impl AdmissionConditions {
+    /// Checks everything but limits.
+    pub(super) fn check(&self, request: &ConnectionRequest) -> Admission {
+        if let Some(code) = self.general_refusal() {
+            return Admission::Refused(code);
+        }
+        let Some(state) = self.state else {
+            return Admission::Refused(ResultCode::BackendUnavailable);
+        };
+        match request.access {
+            AccessClass::Write => self.check_write(state, request.expected_term),
+            AccessClass::Read => Self::check_read(state, request),
+        }
+    }
+
+    /// Whether any request could be admitted.
+    pub(super) fn takes_work(&self) -> bool {
+        self.general_refusal().is_none() && self.state.is_some()
+    }
+
+    fn general_refusal(&self) -> Option<ResultCode> {
+        if !self.lease_held || self.draining {
+            return Some(ResultCode::NotOwner);
+        }
+        if self.configuration_too_old {
+            return Some(ResultCode::ConfigurationTooOld);
+        }
+        match self.admin_state {
+            AdminState::Leaving => Some(ResultCode::BackendLeaving),
+            AdminState::Joining => Some(ResultCode::BackendUnavailable),
+            AdminState::Active => None,
+        }
+    }
+
+    fn check_write(&self, state: BackendState, expected_term: Term) -> Admission {
+        let least_term = expected_term.max(self.newest_term);
+        let leads = state.role == BackendRole::Primary && state.freshness.term >= least_term;
+        if leads {
+            Admission::Allowed
+        } else {
+            Admission::Refused(ResultCode::PrimaryReplaced)
+        }
+    }
+
+    fn check_read(state: BackendState, request: &ConnectionRequest) -> Admission {
+        let floor = request.floor.unwrap_or_default();
+        let least_term = request.expected_term.max(floor.term);
+        let is_primary = state.role == BackendRole::Primary;
+        let leads = is_primary && state.freshness.term >= least_term;
+        let expected = Freshness::new(least_term, floor.position);
+        if leads || state.freshness.covers(expected) {
+            Admission::Allowed
+        } else if is_primary {
+            // A replaced primary does not get further in the term it was replaced in.
+            Admission::Refused(ResultCode::NotFreshEnough)
+        } else {
+            Admission::NotYetFresh
+        }
+    }
+}
