--- a/crates/stairward-membership/src/lib.rs
+++ b/crates/stairward-membership/src/lib.rs
@@ -4,6 +4,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod configuration;
 mod ownership;
 
 pub use ownership::{Candidate, Ranking, rank_owners};
