Membership: SWIM state machine, datagrams and UDP driver

Nodes need one view of who is alive. The state machine is pure (probes, indirect probes, suspicion with confirmations, refutation, piggybacked news, comparison of views, terms); the driver holds the socket and sets the cluster's view.

--- a/crates/stairward-membership/src/lib.rs
+++ b/crates/stairward-membership/src/lib.rs
@@ -1,9 +1,29 @@
 //! Membership view, failure detection, rendezvous ownership and dissemination.
 //!
-//! Pure: time, randomness and what arrives are passed in, and what to do is returned.
+//! Pure: time, randomness and what arrives are passed in, and what to do is returned. A driver owns
+//! the socket: it turns received bytes into a [`Packet`] with [`decode`], hands events to
+//! [`SwimMember::handle`], carries out the effects, and calls again with [`Event::Tick`] at
+//! [`SwimMember::next_deadline`].
 
 #![forbid(unsafe_code)]
 
+mod broadcast;
+mod config;
+mod introduction;
+mod local_health;
+mod member;
 mod ownership;
+mod packet;
+mod probe;
+mod suspicion;
+mod swim;
+mod table;
+mod terms;
+mod wire;
 
+pub use config::SwimConfig;
+pub use member::{Profile, Status, Version};
 pub use ownership::{Candidate, Ranking, rank_owners};
+pub use packet::{Message, Packet, PacketDigest, TermNews, Update};
+pub use swim::{Effect, Event, MemberChange, SwimMember};
+pub use wire::{decode, encode, encoded_length};
--- /dev/null
+++ b/crates/stairward-membership/src/swim/dissemination.rs
@@ -0,0 +1,178 @@
+//! Sending: news rides on every packet, and goes out on its own in rounds while it is fresh.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::RngExt as _;
+use stairward_protocol::datagram::MAXIMUM_DATAGRAM_BYTES;
+use stairward_types::{Duration, NodeId, Time};
+
+use super::{Effect, Step, SwimMember};
+use crate::broadcast::News;
+use crate::member::{Status, Version};
+use crate::packet::{Message, Packet, PacketDigest, TermNews, Update};
+use crate::wire::{encoded_length, update_length};
+
+/// Fresh news waits up to this long for more to share the round.
+const GOSSIP_JITTER: Duration = Duration::from_millis(10);
+/// Nodes told at once of a planned stop.
+const ANNOUNCEMENT_FANOUT: usize = 8;
+
+impl News for Update {
+    type Key = NodeId;
+
+    fn key(&self) -> NodeId {
+        match self {
+            Self::Alive(profile) => profile.node,
+            Self::Suspect { node, .. } | Self::Failed { node, .. } | Self::Left { node, .. } => {
+                *node
+            }
+        }
+    }
+
+    fn encoded_length(&self) -> usize {
+        update_length(self)
+    }
+}
+
+impl SwimMember {
+    /// Sends a message with the given updates and as much other news as fits.
+    pub(super) fn send(
+        &mut self,
+        to: SocketAddr,
+        message: Message,
+        updates: Vec<Update>,
+        step: &mut Step<'_>,
+    ) {
+        let mut packet = self.packet(message, updates, Vec::new());
+        let mut room = MAXIMUM_DATAGRAM_BYTES.saturating_sub(encoded_length(&packet));
+        let limit = self.config.retransmit_limit(self.table.live_count());
+        packet.updates.extend(self.news.take(&mut room, limit));
+        packet.terms.extend(self.terms.queue.take(&mut room, limit));
+        step.effects.push(Effect::Send { to, packet });
+    }
+
+    /// Sends a message with these updates and terms only.
+    pub(super) fn send_exactly(
+        &self,
+        to: SocketAddr,
+        message: Message,
+        updates: Vec<Update>,
+        terms: Vec<Arc<TermNews>>,
+        step: &mut Step<'_>,
+    ) {
+        let packet = self.packet(message, updates, terms);
+        step.effects.push(Effect::Send { to, packet });
+    }
+
+    fn packet(&self, message: Message, updates: Vec<Update>, terms: Vec<Arc<TermNews>>) -> Packet {
+        Packet {
+            sender: self.me.node,
+            sender_version: self.me.version,
+            digest: PacketDigest {
+                settings_revision: self.settings_revision,
+                members: self.table.digest(),
+                terms: self.terms.digest(),
+            },
+            message,
+            updates,
+            terms,
+        }
+    }
+
+    /// What a member must hear of itself to refute it, if it is not believed alive.
+    pub(super) fn accusation(&self, node: NodeId, version: Version) -> Vec<Update> {
+        let Some(record) = self.table.get(node) else {
+            return Vec::new();
+        };
+        if record.version < version {
+            return Vec::new();
+        }
+        let version = record.version;
+        match record.status {
+            Status::Alive => Vec::new(),
+            Status::Suspect => {
+                let accusers = self.suspicions.accusers(node);
+                vec![Update::Suspect {
+                    node,
+                    version,
+                    accusers,
+                }]
+            }
+            Status::Failed => vec![Update::Failed { node, version }],
+            Status::Left => vec![Update::Left { node, version }],
+        }
+    }
+
+    /// Makes sure that a round of gossip comes soon.
+    pub(super) fn schedule_gossip(&mut self, step: &mut Step<'_>) {
+        if self.next_gossip == Time::NEVER {
+            let soon = step.now + GOSSIP_JITTER.mul_f64(step.rng.random::<f64>());
+            self.next_gossip = soon.max(self.last_gossip + self.config.gossip_interval);
+        }
+    }
+
+    pub(super) fn gossip_if_due(&mut self, step: &mut Step<'_>) {
+        if self.next_gossip > step.now {
+            return;
+        }
+        self.gossip(self.config.gossip_fanout, step);
+    }
+
+    /// Tells several nodes at once.
+    pub(super) fn gossip_now(&mut self, step: &mut Step<'_>) {
+        self.gossip(ANNOUNCEMENT_FANOUT, step);
+    }
+
+    fn gossip(&mut self, fanout: usize, step: &mut Step<'_>) {
+        for node in self.order.pick(fanout, step.rng, |_| true) {
+            if self.has_no_news() {
+                break;
+            }
+            if let Some(address) = self.address(node) {
+                self.send(address, Message::Gossip, Vec::new(), step);
+            }
+        }
+        self.last_gossip = step.now;
+        self.next_gossip = if self.has_no_news() {
+            Time::NEVER
+        } else {
+            step.now + self.config.gossip_interval
+        };
+    }
+
+    fn has_no_news(&self) -> bool {
+        self.news.is_empty() && self.terms.queue.is_empty()
+    }
+
+    pub(super) fn address(&self, node: NodeId) -> Option<SocketAddr> {
+        self.table.get(node).map(|record| record.profile.address)
+    }
+
+    /// Spreads a newer term learnt here.
+    pub(super) fn spread_term(&mut self, news: &Arc<TermNews>, step: &mut Step<'_>) {
+        if self.terms.learn(news) {
+            self.terms.queue.push(Arc::clone(news));
+            self.schedule_gossip(step);
+        }
+    }
+
+    /// Takes a term from a peer; fresh ones are passed on.
+    pub(super) fn apply_term(
+        &mut self,
+        news: &Arc<TermNews>,
+        is_fresh: bool,
+        step: &mut Step<'_>,
+    ) -> bool {
+        if !self.terms.is_newer(news) {
+            return false;
+        }
+        if is_fresh {
+            self.spread_term(news, step);
+        } else {
+            self.terms.learn(news);
+        }
+        step.effects.push(Effect::TermArrived(Arc::clone(news)));
+        true
+    }
+}
--- /dev/null
+++ b/crates/stairward-membership/src/swim/receiving.rs
@@ -0,0 +1,159 @@
+//! Taking packets in.
+
+use std::net::SocketAddr;
+
+use stairward_types::NodeId;
+
+use super::updates::Source;
+use super::{Effect, Step, SwimMember};
+use crate::member::Version;
+use crate::packet::{Message, Packet, PacketDigest, Update};
+use crate::probe::{ProbeStage, Relay};
+
+impl SwimMember {
+    pub(super) fn receive(&mut self, from: SocketAddr, packet: Packet, step: &mut Step<'_>) {
+        let sender = packet.sender;
+        if sender == self.me.node {
+            // An own packet come back, or another process with the same number.
+            return;
+        }
+        let is_comparison = matches!(
+            packet.message,
+            Message::Members { .. } | Message::Terms { .. }
+        );
+        let source = if is_comparison {
+            Source::Comparison(sender)
+        } else {
+            Source::Gossip
+        };
+        let brought_members = self.apply_all(&packet.updates, source, step);
+        let brought_terms = packet.terms.iter().fold(false, |any, news| {
+            self.apply_term(news, !is_comparison, step) | any
+        });
+        self.after_comparison(&packet.message, brought_members, brought_terms, step.now);
+        self.notice_settings(sender, packet.digest, step);
+        self.answer(from, &packet, step);
+        self.notice_differences(from, packet.digest, step);
+    }
+
+    fn apply_all(&mut self, updates: &[Update], source: Source, step: &mut Step<'_>) -> bool {
+        updates
+            .iter()
+            .fold(false, |any, update| self.apply(update, source, step) | any)
+    }
+
+    fn notice_settings(&self, node: NodeId, digest: PacketDigest, step: &mut Step<'_>) {
+        let settings_revision = digest.settings_revision;
+        if settings_revision != self.settings_revision {
+            step.effects.push(Effect::PeerDigest {
+                node,
+                settings_revision,
+            });
+        }
+    }
+
+    fn answer(&mut self, from: SocketAddr, packet: &Packet, step: &mut Step<'_>) {
+        let (sender, version) = (packet.sender, packet.sender_version);
+        match &packet.message {
+            Message::Ping { sequence, target } => {
+                self.answer_ping(from, sender, version, *sequence, *target, step);
+            }
+            Message::Introduce { sequence } => {
+                self.acknowledge(from, sender, version, *sequence, step);
+            }
+            Message::Ack { sequence } => self.take_ack(*sequence, step),
+            Message::Nack { sequence } => self.take_nack(*sequence),
+            Message::IndirectPing {
+                sequence,
+                target,
+                address,
+            } => self.ping_for_other(from, *sequence, *target, *address, step),
+            Message::Gossip => {}
+            Message::CompareMembers { digests } => self.answer_members(from, digests, step),
+            Message::Members { bucket, is_answer } => {
+                if *is_answer {
+                    self.return_members(from, *bucket, &packet.updates, step);
+                }
+            }
+            Message::CompareTerms { digests } => self.answer_terms(from, digests, step),
+            Message::Terms { bucket, is_answer } => {
+                if *is_answer {
+                    self.return_terms(from, *bucket, &packet.terms, step);
+                }
+            }
+        }
+    }
+
+    fn answer_ping(
+        &mut self,
+        from: SocketAddr,
+        sender: NodeId,
+        version: Version,
+        sequence: u64,
+        target: NodeId,
+        step: &mut Step<'_>,
+    ) {
+        if self.has_departed {
+            return;
+        }
+        if target == self.me.node {
+            self.acknowledge(from, sender, version, sequence, step);
+        } else {
+            // Another process was here before. Its pinger should learn who is here now.
+            let myself = Update::Alive(self.me.clone());
+            self.send(from, Message::Gossip, vec![myself], step);
+        }
+    }
+
+    fn acknowledge(
+        &mut self,
+        to: SocketAddr,
+        node: NodeId,
+        version: Version,
+        sequence: u64,
+        step: &mut Step<'_>,
+    ) {
+        let accusation = self.accusation(node, version);
+        self.send(to, Message::Ack { sequence }, accusation, step);
+    }
+
+    fn take_ack(&mut self, sequence: u64, step: &mut Step<'_>) {
+        if self.outstanding.probes.remove(&sequence).is_some() {
+            self.health.improve();
+            return;
+        }
+        if let Some(relay) = self.outstanding.take_relay(sequence) {
+            let sequence = relay.sequence;
+            self.send(relay.requester, Message::Ack { sequence }, Vec::new(), step);
+        }
+    }
+
+    fn take_nack(&mut self, sequence: u64) {
+        if let Some(probe) = self.outstanding.probes.get_mut(&sequence)
+            && let ProbeStage::Indirect { heard_nack, .. } = &mut probe.stage
+        {
+            *heard_nack = true;
+        }
+    }
+
+    fn ping_for_other(
+        &mut self,
+        requester: SocketAddr,
+        requested_sequence: u64,
+        target: NodeId,
+        address: SocketAddr,
+        step: &mut Step<'_>,
+    ) {
+        let sequence = self.next_sequence();
+        let relay = Relay {
+            requester,
+            sequence: requested_sequence,
+            deadline: step.now + self.config.direct_timeout,
+        };
+        if !self.has_departed && self.outstanding.add_relay(sequence, relay) {
+            let accusation = self.accusation(target, Version::default());
+            let message = Message::Ping { sequence, target };
+            self.send(address, message, accusation, step);
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-membership/src/table.rs
@@ -0,0 +1,168 @@
+//! All members a node knows, with digests to compare views by.
+
+use std::collections::{BTreeMap, HashMap};
+use std::hash::BuildHasherDefault;
+use std::net::SocketAddr;
+
+use stairward_protocol::datagram::SYNC_BUCKETS;
+use stairward_types::{Duration, NodeId, Time};
+use xxhash_rust::xxh3::{Xxh3Default, xxh3_64};
+
+use crate::member::{Record, Status};
+use crate::packet::BucketDigests;
+
+/// Failed and left members kept at most; beyond that the oldest go.
+const MAXIMUM_NOT_LIVE: usize = 4_096;
+const BUCKET_SEED: u64 = 0x6275_636b_6574;
+
+/// Lookup only; never iterated, so its order plays no part.
+type AddressIndex = HashMap<SocketAddr, NodeId, BuildHasherDefault<Xxh3Default>>;
+
+/// All members a node knows, this one included.
+#[derive(Debug, Clone)]
+pub(crate) struct MemberTable {
+    records: BTreeMap<NodeId, Record>,
+    /// Live members by address.
+    addresses: AddressIndex,
+    live: usize,
+    digest: u64,
+    buckets: Box<BucketDigests>,
+}
+
+impl Default for MemberTable {
+    fn default() -> Self {
+        Self {
+            records: BTreeMap::new(),
+            addresses: AddressIndex::default(),
+            live: 0,
+            digest: 0,
+            buckets: Box::new([0; SYNC_BUCKETS]),
+        }
+    }
+}
+
+impl MemberTable {
+    pub fn get(&self, node: NodeId) -> Option<&Record> {
+        self.records.get(&node)
+    }
+
+    /// The record of a live member.
+    pub fn live(&self, node: NodeId) -> Option<&Record> {
+        self.get(node).filter(|record| record.status.is_live())
+    }
+
+    /// The live member at an address.
+    pub fn live_at(&self, address: SocketAddr) -> Option<&Record> {
+        self.live(*self.addresses.get(&address)?)
+    }
+
+    /// How many members are live.
+    pub fn live_count(&self) -> usize {
+        self.live
+    }
+
+    /// Every record, by number.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    /// Digest of the live members. Equal views have equal digests.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// The same by bucket.
+    pub fn buckets(&self) -> &BucketDigests {
+        &self.buckets
+    }
+
+    /// Every record of the wanted buckets, by bucket.
+    pub fn group_by_bucket(&self, wanted: &[usize]) -> BTreeMap<usize, Vec<&Record>> {
+        let mut groups: BTreeMap<usize, Vec<&Record>> =
+            wanted.iter().map(|bucket| (*bucket, Vec::new())).collect();
+        for record in self.records.values() {
+            if let Some(group) = groups.get_mut(&bucket_of(record.profile.node)) {
+                group.push(record);
+            }
+        }
+        groups
+    }
+
+    /// Adds or replaces a record.
+    pub fn put(&mut self, record: Record) {
+        let node = record.profile.node;
+        if let Some(old) = self.records.remove(&node) {
+            self.uncount(&old);
+        }
+        if record.status.is_live() {
+            self.live += 1;
+            self.toggle(&record);
+            self.addresses.insert(record.profile.address, node);
+        }
+        self.records.insert(node, record);
+    }
+
+    fn uncount(&mut self, old: &Record) {
+        if !old.status.is_live() {
+            return;
+        }
+        self.live -= 1;
+        self.toggle(old);
+        if self.addresses.get(&old.profile.address) == Some(&old.profile.node) {
+            self.addresses.remove(&old.profile.address);
+        }
+    }
+
+    /// Forgets members that failed or left long ago.
+    pub fn forget_old(&mut self, now: Time, failed_retention: Duration, left_retention: Duration) {
+        self.records.retain(|_, record| {
+            let retention = match record.status {
+                Status::Failed => failed_retention,
+                Status::Left => left_retention,
+                Status::Alive | Status::Suspect => Duration::MAX,
+            };
+            now.since(record.since) <= retention
+        });
+        while self.records.len() - self.live > MAXIMUM_NOT_LIVE {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self
+            .records
+            .values()
+            .filter(|record| !record.status.is_live())
+            .min_by_key(|record| (record.since, record.profile.node))
+            .map(|record| record.profile.node);
+        if let Some(node) = oldest {
+            self.records.remove(&node);
+        }
+    }
+
+    /// Adds a record to the digests, or takes it out again: exclusive or is its own inverse.
+    fn toggle(&mut self, record: &Record) {
+        let hash = record_hash(record);
+        self.digest ^= hash;
+        self.buckets[bucket_of(record.profile.node)] ^= truncate(hash);
+    }
+}
+
+fn truncate(hash: u64) -> u32 {
+    (hash >> 32) as u32
+}
+
+fn record_hash(record: &Record) -> u64 {
+    let mut bytes = [0; 21];
+    bytes[..8].copy_from_slice(&record.profile.node.0.to_be_bytes());
+    bytes[8..16].copy_from_slice(&record.version.incarnation.0.to_be_bytes());
+    bytes[16..20].copy_from_slice(&record.version.refutation.to_be_bytes());
+    bytes[20] = u8::from(record.profile.leaving);
+    xxh3_64(&bytes)
+}
+
+/// The bucket a member belongs to.
+pub(crate) fn bucket_of(node: NodeId) -> usize {
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&node.0.to_be_bytes(), BUCKET_SEED);
+    usize::try_from(hash % SYNC_BUCKETS as u64).unwrap_or_default()
+}
