--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -3,3 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod command;
+pub mod load;
+pub mod output;
+pub mod provenance;
+pub mod site;
--- a/crates/stairward-membership/src/lib.rs
+++ b/crates/stairward-membership/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod broadcast;
 mod config;
+pub mod configuration;
 mod introduction;
 mod local_health;
 mod member;
