--- /dev/null
+++ b/crates/stairward-proxy/src/edge/cancel.rs
@@ -0,0 +1,110 @@
+//! Cancel requests: finding the session that a key belongs to.
+//!
+//! The process number in a session's key data holds the low bits of its node's number, so that any
+//! proxy can pass a cancel request on to the right one.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use stairward_types::NodeId;
+use tokio::sync::watch;
+
+/// Bits of the process number that tell sessions of one node apart.
+const SESSION_BITS: u32 = 19;
+const SESSION_MASK: u32 = (1 << SESSION_BITS) - 1;
+/// Bits of the process number that tell nodes apart; the sign bit stays free.
+const NODE_MASK: u64 = 0xFFF;
+
+/// What a caller needs to cancel a statement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct CancelKey {
+    pub(super) process: u32,
+    pub(super) secret: u32,
+}
+
+struct Entry {
+    secret: u32,
+    cancels: watch::Sender<u64>,
+}
+
+#[derive(Default)]
+struct Entries {
+    next: u32,
+    sessions: HashMap<u32, Entry>,
+}
+
+/// The sessions of this node that can be cancelled.
+pub(super) struct CancelRegistry {
+    node_bits: u32,
+    entries: Mutex<Entries>,
+}
+
+/// A session's place in the registry; given back when dropped.
+pub(super) struct Registration {
+    pub(super) key: CancelKey,
+    /// Changes with each cancel request.
+    pub(super) cancels: watch::Receiver<u64>,
+    registry: Arc<CancelRegistry>,
+}
+
+/// Whether a process number may have been given out by this node.
+pub(super) fn is_process_of(process: u32, node: NodeId) -> bool {
+    u64::from(process >> SESSION_BITS) == node.0 & NODE_MASK
+}
+
+impl CancelRegistry {
+    pub(super) fn new(node: NodeId) -> Self {
+        let node_bits = u32::try_from(node.0 & NODE_MASK).unwrap_or_default();
+        Self {
+            node_bits: node_bits << SESSION_BITS,
+            entries: Mutex::default(),
+        }
+    }
+
+    /// Adds a session. The secret must be random.
+    pub(super) fn register(self: &Arc<Self>, secret: u32) -> Registration {
+        let (sender, cancels) = watch::channel(0);
+        let mut entries = self.lock();
+        let process = loop {
+            entries.next = (entries.next + 1) & SESSION_MASK;
+            let process = self.node_bits | entries.next;
+            if !entries.sessions.contains_key(&process) {
+                break process;
+            }
+        };
+        let entry = Entry {
+            secret,
+            cancels: sender,
+        };
+        entries.sessions.insert(process, entry);
+        Registration {
+            key: CancelKey { process, secret },
+            cancels,
+            registry: Arc::clone(self),
+        }
+    }
+
+    /// Cancels what the session with this key runs now, if anything. Returns whether there is such
+    /// a session.
+    pub(super) fn cancel(&self, key: CancelKey) -> bool {
+        let entries = self.lock();
+        let Some(entry) = entries.sessions.get(&key.process) else {
+            return false;
+        };
+        let matches = entry.secret == key.secret;
+        if matches {
+            entry.cancels.send_modify(|count| *count += 1);
+        }
+        matches
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Entries> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Registration {
+    fn drop(&mut self) {
+        self.registry.lock().sessions.remove(&self.key.process);
+    }
+}
--- /dev/null
+++ b/crates/stairward-proxy/src/edge/error.rs
@@ -0,0 +1,111 @@
+//! Errors as callers see them.
+
+use std::fmt;
+use std::time::Duration;
+
+use stairward_routing::Failure;
+use stairward_types::ResultCode;
+
+/// SQLSTATE `invalid_sql_statement_name`.
+const UNKNOWN_STATEMENT: &str = "26000";
+
+/// An answer that stairward gives in the back end's place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum EdgeError {
+    /// A numbered result.
+    Result {
+        /// The result code.
+        code: ResultCode,
+        /// When to come back, if that helps.
+        retry_after: Option<Duration>,
+        /// What is wrong in particular; empty when the code says all.
+        explanation: String,
+    },
+    /// A `Bind` or `Describe` names a prepared statement that the session doesn't have; said in
+    /// PostgreSQL's own words, since drivers look for them.
+    UnknownStatement {
+        /// The name.
+        name: String,
+    },
+}
+
+impl EdgeError {
+    pub(super) fn new(code: ResultCode) -> Self {
+        Failure::new(code).into()
+    }
+
+    pub(super) fn explained(code: ResultCode, explanation: impl fmt::Display) -> Self {
+        Self::Result {
+            code,
+            retry_after: None,
+            explanation: explanation.to_string(),
+        }
+    }
+
+    /// The result code, if it is a numbered one.
+    pub(super) fn code(&self) -> Option<ResultCode> {
+        match self {
+            Self::Result { code, .. } => Some(*code),
+            Self::UnknownStatement { .. } => None,
+        }
+    }
+
+    pub(super) fn sqlstate(&self) -> &'static str {
+        match self {
+            Self::Result { code, .. } => code.sqlstate(),
+            Self::UnknownStatement { .. } => UNKNOWN_STATEMENT,
+        }
+    }
+
+    pub(super) fn message(&self) -> String {
+        match self {
+            Self::Result {
+                code, explanation, ..
+            } if explanation.is_empty() => code.to_string(),
+            Self::Result {
+                code, explanation, ..
+            } => format!("{code}: {explanation}"),
+            Self::UnknownStatement { name } => {
+                format!("prepared statement \"{name}\" does not exist")
+            }
+        }
+    }
+
+    /// The outcome class, and when to come back in a form that programs can read.
+    pub(super) fn detail(&self) -> String {
+        match self {
+            Self::Result {
+                code,
+                retry_after: Some(delay),
+                ..
+            } => format!(
+                "outcome={}; retry_after_ms={}",
+                code.class(),
+                delay.as_millis()
+            ),
+            Self::Result { code, .. } => format!("outcome={}", code.class()),
+            Self::UnknownStatement { .. } => "outcome=not run".to_owned(),
+        }
+    }
+
+    /// Advice for people; `None` when there is none.
+    pub(super) fn hint(&self) -> Option<String> {
+        match self {
+            Self::Result {
+                retry_after: Some(delay),
+                ..
+            } => Some(format!("Send it again after {} ms.", delay.as_millis())),
+            _ => None,
+        }
+    }
+}
+
+impl From<Failure> for EdgeError {
+    fn from(failure: Failure) -> Self {
+        Self::Result {
+            code: failure.code,
+            retry_after: failure.retry_after,
+            explanation: String::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-proxy/src/edge/execute.rs
@@ -0,0 +1,282 @@
+//! Deciding how a batch runs: answered by the edge, on the stream of an open transaction, or on a
+//! new stream.
+
+use stairward_session::Hints;
+use stairward_types::{AccessClass, Freshness, ResultCode, Time};
+
+use super::batch::{Batch, BatchKind, only_change};
+use super::error::EdgeError;
+use super::frontend::{Frame, FrontendMessage, Target};
+use super::hint_changes;
+use super::reply;
+use super::session::{Flow, Session, Transaction};
+
+/// How a batch is to be run.
+pub(super) struct Request {
+    pub(super) batch: Batch,
+    pub(super) access: AccessClass,
+    pub(super) repeatable: bool,
+    pub(super) request_key: Option<String>,
+    pub(super) read_only: bool,
+    pub(super) deadline: Time,
+    pub(super) staleness: std::time::Duration,
+    pub(super) service: String,
+}
+
+/// The floor that a read must be answered at.
+pub(super) struct ReadFloor {
+    pub(super) freshness: Option<Freshness>,
+    /// Whether only the primary may answer, since the floor couldn't be learnt.
+    pub(super) primary_only: bool,
+}
+
+impl Session {
+    /// Runs a batch, answers it, and reports that the session is ready unless more of it follows.
+    pub(super) async fn execute(&mut self, mut batch: Batch) -> Flow<()> {
+        let statements = batch.class.statements as u64;
+        self.service.counters.statements.add(statements);
+        if let Transaction::Lost { reported } = self.transaction {
+            self.answer_lost(&batch, reported);
+            return Ok(());
+        }
+        if let Some(error) = batch.error.take() {
+            self.refuse(batch.kind, error);
+            return Ok(());
+        }
+        if self.answer_locally(&batch) {
+            return Ok(());
+        }
+        let request = match self.request(batch) {
+            Ok(request) => request,
+            Err((kind, error)) => {
+                self.refuse(kind, error);
+                return Ok(());
+            }
+        };
+        if self.active.is_some() {
+            self.run_on_active(request).await
+        } else {
+            self.run_on_new(request).await
+        }
+    }
+
+    /// Answers what concerns nobody but the edge. Returns false when a back end is needed.
+    fn answer_locally(&mut self, batch: &Batch) -> bool {
+        if self.transaction == Transaction::Failed || batch.kind != BatchKind::Simple {
+            return false;
+        }
+        if batch.class.statements == 0 {
+            reply::empty_query(&mut self.client.output);
+            self.ready();
+            return true;
+        }
+        if hint_changes::shows_token(&batch.text) {
+            let token = self.token().unwrap_or_default();
+            let output = &mut self.client.output;
+            reply::text_row(output, hint_changes::TOKEN_PARAMETER, &token);
+            reply::command_complete(output, "SHOW");
+            self.ready();
+            return true;
+        }
+        let Some(change) = only_change(batch).filter(|change| hint_changes::is_hint_change(change))
+        else {
+            return false;
+        };
+        let is_local = matches!(
+            change,
+            stairward_session::SessionChange::Set { local: true, .. }
+        );
+        // Outside a transaction SET LOCAL has no effect, as in PostgreSQL.
+        let has_effect = !is_local || self.transaction == Transaction::Open;
+        if has_effect && let Err(error) = hint_changes::apply(change, &mut self.hints) {
+            self.refuse(batch.kind, error);
+            return true;
+        }
+        let is_reset = matches!(change, stairward_session::SessionChange::Reset { .. });
+        let tag = if is_reset { "RESET" } else { "SET" };
+        reply::command_complete(&mut self.client.output, tag);
+        self.ready();
+        true
+    }
+
+    /// Joins a batch with the hints and settings in force.
+    fn request(&mut self, batch: Batch) -> Result<Request, (BatchKind, EdgeError)> {
+        let hints = self.hints.in_force(batch.hints.clone());
+        let now = self.now();
+        let in_force = self.group.with_settings(|settings| {
+            let timeout = hints.deadline.unwrap_or(settings.request_timeout);
+            let staleness = hints
+                .maximum_staleness
+                .unwrap_or(settings.maximum_staleness);
+            (timeout, staleness, settings.service.to_string())
+        });
+        let Some((timeout, staleness, service)) = in_force else {
+            let error = EdgeError::explained(ResultCode::UnknownDatabase, self.group.id.as_str());
+            return Err((batch.kind, error));
+        };
+        let read_only = hints.read_only == Some(true);
+        let access = batch.access();
+        if read_only && access == AccessClass::Write && !batch.class.controls_transaction() {
+            let error = EdgeError::explained(
+                ResultCode::InvalidHint,
+                "stairward.read_only is on and the statement may write",
+            );
+            return Err((batch.kind, error));
+        }
+        let access = if read_only { AccessClass::Read } else { access };
+        let request_key = self
+            .request_key(&batch, access, &hints)
+            .map_err(|error| (batch.kind, error))?;
+        Ok(Request {
+            access,
+            repeatable: access == AccessClass::Read
+                || hints.repeatable == Some(true)
+                || request_key.is_some(),
+            request_key,
+            read_only,
+            deadline: now + timeout,
+            staleness,
+            service,
+            batch,
+        })
+    }
+
+    /// The key under which the batch runs once. A key serves one write by itself: within a
+    /// transaction of the caller's own the ledger row could not stand for the whole.
+    fn request_key(
+        &mut self,
+        batch: &Batch,
+        access: AccessClass,
+        hints: &Hints,
+    ) -> Result<Option<String>, EdgeError> {
+        let Some(key) = hints.request_key.clone() else {
+            return Ok(None);
+        };
+        if access == AccessClass::Read {
+            return Ok(None);
+        }
+        let is_alone = self.transaction == Transaction::Idle
+            && !batch.class.controls_transaction()
+            && batch.kind != BatchKind::Partial;
+        if !is_alone {
+            return Err(EdgeError::explained(
+                ResultCode::InvalidHint,
+                "stairward.request_key can't be used within an explicit transaction",
+            ));
+        }
+        self.hints.spend_request_key();
+        Ok(Some(key))
+    }
+
+    /// The floor for a read on a new stream. The first read of a session without a token asks a
+    /// majority of the group.
+    pub(super) async fn read_floor(&mut self, request: &Request) -> ReadFloor {
+        let remaining = request.deadline.since(self.now());
+        let must_check_token = self
+            .floor
+            .get()
+            .is_some_and(|floor| self.is_term_unheard_of(floor));
+        if !self.floor_is_known || must_check_token {
+            let confirmed = self.group.confirmed_freshness(remaining).await;
+            match confirmed {
+                Some(confirmed) if self.floor_is_known => self.floor.clamp(confirmed),
+                Some(confirmed) => {
+                    self.floor.raise(confirmed);
+                    self.floor_is_known = true;
+                }
+                None => {
+                    return ReadFloor {
+                        freshness: self.floor.get(),
+                        primary_only: true,
+                    };
+                }
+            }
+        }
+        ReadFloor {
+            freshness: self.with_staleness(request),
+            primary_only: false,
+        }
+    }
+
+    fn is_term_unheard_of(&self, floor: Freshness) -> bool {
+        self.group.with_routing(|routing| {
+            floor.term > routing.view.newest().term.max(known_term(routing))
+        })
+    }
+
+    /// The session's floor, raised to what was seen anywhere as long ago as the answer may be old.
+    fn with_staleness(&self, request: &Request) -> Option<Freshness> {
+        let floor = self.floor.get();
+        if request.staleness.is_zero() {
+            return floor;
+        }
+        let now = self.now();
+        let seen = self
+            .group
+            .with_routing(|routing| routing.view.staleness_floor(now, request.staleness));
+        match (floor, seen) {
+            (Some(floor), Some(seen)) => Some(floor.join(seen)),
+            (floor, seen) => floor.or(seen),
+        }
+    }
+
+    /// Answers while the session's transaction is lost: its end is confirmed, all else is refused.
+    fn answer_lost(&mut self, batch: &Batch, reported: bool) {
+        let ends = batch.class.ends.is_some() && batch.class.leaves_open.is_none();
+        let commits = batch.class.has_commit;
+        if ends && (reported || !commits) {
+            self.transaction = Transaction::Idle;
+            self.answer_rolled_back(batch);
+            return;
+        }
+        let code = if reported {
+            ResultCode::StaleTransaction
+        } else {
+            ResultCode::TransactionLost
+        };
+        self.refuse(batch.kind, EdgeError::new(code));
+        if ends && batch.kind != BatchKind::Partial {
+            self.transaction = Transaction::Idle;
+        }
+    }
+
+    /// Plays the back end for the end of a transaction that no longer exists.
+    fn answer_rolled_back(&mut self, batch: &Batch) {
+        for bytes in &batch.frames {
+            let frame = Frame {
+                bytes: bytes.clone(),
+            };
+            if let Ok(message) = frame.message() {
+                answer_message(message, &mut self.client.output);
+            }
+        }
+        if batch.kind != BatchKind::Partial {
+            self.ready();
+        }
+    }
+}
+
+fn known_term(routing: &stairward_routing::GroupRouting) -> stairward_types::Term {
+    routing
+        .view
+        .primary()
+        .map_or_else(Default::default, |primary| primary.term)
+}
+
+fn answer_message(message: FrontendMessage<'_>, output: &mut bytes::BytesMut) {
+    match message {
+        FrontendMessage::Query { .. } | FrontendMessage::Execute { .. } => {
+            reply::command_complete(output, "ROLLBACK");
+        }
+        FrontendMessage::Parse { .. } => reply::parse_complete(output),
+        FrontendMessage::Bind { .. } => reply::bind_complete(output),
+        FrontendMessage::Close { .. } => reply::close_complete(output),
+        FrontendMessage::Describe { target, .. } => {
+            if target == Target::Statement {
+                reply::no_parameters(output);
+            }
+            reply::no_data(output);
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/stairward-proxy/src/edge/frontend.rs
@@ -0,0 +1,241 @@
+//! Messages from callers: framing, and the few fields that the edge looks at.
+//!
+//! pgwire's decoder isn't used for these: it replaces bad UTF-8 and reads past the end of malformed
+//! bodies, and the edge passes the bytes on unchanged anyway. Source: PostgreSQL documentation,
+//! "Message Formats" of protocol 3.0.
+
+use bytes::{Buf, Bytes, BytesMut};
+use snafu::{OptionExt, Snafu, ensure};
+
+/// The type byte and the length field.
+const HEADER_BYTES: usize = 5;
+const LENGTH_BYTES: usize = 4;
+
+/// Bytes that are not a message of the protocol. The position of the next message may be lost, so
+/// the connection must be closed, unless it is [`FrontendError::NotUtf8`].
+#[derive(Debug, Snafu, PartialEq, Eq)]
+pub(super) enum FrontendError {
+    /// The length field is too small, or too large for the settings.
+    #[snafu(display("a message of {length} bytes is larger than the limit of {limit}"))]
+    TooLarge {
+        /// The length claimed, in bytes.
+        length: usize,
+        /// The largest allowed.
+        limit: usize,
+    },
+    /// A type byte that callers never send.
+    #[snafu(display("there is no message type {tag:#04x}"))]
+    UnknownType {
+        /// The type byte.
+        tag: u8,
+    },
+    /// The body doesn't have the shape of its type.
+    #[snafu(display("the body of message type {:?} is malformed", char::from(*tag)))]
+    Malformed {
+        /// The type byte.
+        tag: u8,
+    },
+    /// A text field isn't UTF-8.
+    #[snafu(display("a text in message type {:?} is not valid UTF-8", char::from(*tag)))]
+    NotUtf8 {
+        /// The type byte.
+        tag: u8,
+    },
+}
+
+/// One whole message as it came, with its header.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Frame {
+    pub(super) bytes: Bytes,
+}
+
+/// What a `Describe` or `Close` is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Target {
+    Statement,
+    Portal,
+}
+
+/// The fields of a message that the edge looks at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum FrontendMessage<'a> {
+    Query { text: &'a str },
+    Parse { name: &'a str, text: &'a str },
+    Bind { portal: &'a str, statement: &'a str },
+    Describe { target: Target, name: &'a str },
+    Close { target: Target, name: &'a str },
+    Execute { portal: &'a str },
+    Flush,
+    Sync,
+    Terminate,
+    Password,
+    FunctionCall,
+    CopyData,
+    CopyDone,
+    CopyFail,
+}
+
+/// Takes one whole message off the front of `input`; `None` when more bytes are needed.
+///
+/// # Errors
+/// [`FrontendError`] as soon as the header is wrong, before the body is waited for.
+pub(super) fn take_frame(
+    input: &mut BytesMut,
+    limit: usize,
+) -> Result<Option<Frame>, FrontendError> {
+    if input.len() < HEADER_BYTES {
+        return Ok(None);
+    }
+    let tag = input[0];
+    let is_known = matches!(
+        tag,
+        b'Q' | b'P'
+            | b'B'
+            | b'D'
+            | b'C'
+            | b'E'
+            | b'H'
+            | b'S'
+            | b'X'
+            | b'p'
+            | b'F'
+            | b'd'
+            | b'c'
+            | b'f'
+    );
+    ensure!(is_known, UnknownTypeSnafu { tag });
+    let length = (&input[1..HEADER_BYTES]).get_u32() as usize;
+    ensure!(length >= LENGTH_BYTES, MalformedSnafu { tag });
+    ensure!(length <= limit, TooLargeSnafu { length, limit });
+    if input.len() < length + 1 {
+        return Ok(None);
+    }
+    let bytes = input.split_to(length + 1).freeze();
+    Ok(Some(Frame { bytes }))
+}
+
+impl Frame {
+    /// The type byte.
+    pub(super) fn tag(&self) -> u8 {
+        self.bytes[0]
+    }
+
+    /// The body, without the header.
+    pub(super) fn body(&self) -> &[u8] {
+        &self.bytes[HEADER_BYTES..]
+    }
+
+    /// Reads the fields.
+    ///
+    /// # Errors
+    /// [`FrontendError::Malformed`] or [`FrontendError::NotUtf8`].
+    pub(super) fn message(&self) -> Result<FrontendMessage<'_>, FrontendError> {
+        let mut body = Body {
+            tag: self.tag(),
+            rest: self.body(),
+        };
+        let message = match self.tag() {
+            b'Q' => FrontendMessage::Query { text: body.text()? },
+            b'P' => body.parse()?,
+            b'B' => body.bind()?,
+            b'D' => FrontendMessage::Describe {
+                target: body.target()?,
+                name: body.text()?,
+            },
+            b'C' => FrontendMessage::Close {
+                target: body.target()?,
+                name: body.text()?,
+            },
+            b'E' => body.execute()?,
+            b'H' => FrontendMessage::Flush,
+            b'S' => FrontendMessage::Sync,
+            b'X' => FrontendMessage::Terminate,
+            b'p' => return Ok(FrontendMessage::Password),
+            b'F' => return Ok(FrontendMessage::FunctionCall),
+            b'd' => return Ok(FrontendMessage::CopyData),
+            b'f' => return Ok(FrontendMessage::CopyFail),
+            b'c' => FrontendMessage::CopyDone,
+            tag => return UnknownTypeSnafu { tag }.fail(),
+        };
+        body.finish()?;
+        Ok(message)
+    }
+}
+
+/// Reads the fields of a body in order.
+struct Body<'a> {
+    tag: u8,
+    rest: &'a [u8],
+}
+
+impl<'a> Body<'a> {
+    fn take(&mut self, count: usize) -> Result<&'a [u8], FrontendError> {
+        let (taken, rest) = self
+            .rest
+            .split_at_checked(count)
+            .context(MalformedSnafu { tag: self.tag })?;
+        self.rest = rest;
+        Ok(taken)
+    }
+
+    /// Text up to a zero byte.
+    fn text(&mut self) -> Result<&'a str, FrontendError> {
+        let tag = self.tag;
+        let length = self
+            .rest
+            .iter()
+            .position(|byte| *byte == 0)
+            .context(MalformedSnafu { tag })?;
+        let bytes = self.take(length)?;
+        self.take(1)?;
+        std::str::from_utf8(bytes)
+            .ok()
+            .context(NotUtf8Snafu { tag })
+    }
+
+    fn target(&mut self) -> Result<Target, FrontendError> {
+        match self.take(1)? {
+            b"S" => Ok(Target::Statement),
+            b"P" => Ok(Target::Portal),
+            _ => MalformedSnafu { tag: self.tag }.fail(),
+        }
+    }
+
+    fn count(&mut self) -> Result<usize, FrontendError> {
+        Ok(usize::from(self.take(2)?.get_u16()))
+    }
+
+    fn parse(&mut self) -> Result<FrontendMessage<'a>, FrontendError> {
+        let name = self.text()?;
+        let text = self.text()?;
+        let types = self.count()?;
+        self.take(types * 4)?;
+        Ok(FrontendMessage::Parse { name, text })
+    }
+
+    fn bind(&mut self) -> Result<FrontendMessage<'a>, FrontendError> {
+        let portal = self.text()?;
+        let statement = self.text()?;
+        let parameter_formats = self.count()?;
+        self.take(parameter_formats * 2)?;
+        for _ in 0..self.count()? {
+            let length = self.take(4)?.get_i32();
+            // A negative length stands for NULL.
+            self.take(usize::try_from(length).unwrap_or(0))?;
+        }
+        let result_formats = self.count()?;
+        self.take(result_formats * 2)?;
+        Ok(FrontendMessage::Bind { portal, statement })
+    }
+
+    fn execute(&mut self) -> Result<FrontendMessage<'a>, FrontendError> {
+        let portal = self.text()?;
+        self.take(4)?;
+        Ok(FrontendMessage::Execute { portal })
+    }
+
+    fn finish(&self) -> Result<(), FrontendError> {
+        ensure!(self.rest.is_empty(), MalformedSnafu { tag: self.tag });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/stairward-proxy/src/edge/majority.rs
@@ -0,0 +1,115 @@
+//! Asking a majority of a group's members how far the group has come.
+
+use std::future::Future;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
+use stairward_protocol::call::CallReply;
+use stairward_routing::{GroupView, Observation};
+use stairward_types::{BackendId, BackendRole, Freshness};
+use tokio::sync::Mutex;
+
+use crate::peer::PeerError;
+
+/// What a member said when asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct MemberAnswer {
+    pub(super) backend: BackendId,
+    pub(super) freshness: Freshness,
+    pub(super) is_primary: bool,
+}
+
+impl MemberAnswer {
+    pub(super) fn read(backend: &BackendId, reply: Result<CallReply, PeerError>) -> Option<Self> {
+        match reply {
+            Ok(CallReply::Backend {
+                freshness,
+                is_primary,
+            }) => Some(Self {
+                backend: backend.clone(),
+                freshness: freshness.into(),
+                is_primary: is_primary != 0,
+            }),
+            _ => None,
+        }
+    }
+
+    /// The answer as a routing hint. It doesn't tell the load, so the last one known stays.
+    pub(super) fn observation(&self, view: &GroupView) -> Observation {
+        let last = view
+            .backends()
+            .get(&self.backend)
+            .and_then(|state| state.last);
+        let role = if self.is_primary {
+            BackendRole::Primary
+        } else {
+            BackendRole::Replica
+        };
+        Observation {
+            freshness: self.freshness,
+            role,
+            waiting: last.map_or(0, |last| last.waiting),
+        }
+    }
+}
+
+#[derive(Default)]
+struct LastRound {
+    /// Its number; rounds are counted from 1.
+    number: u64,
+    result: Option<Freshness>,
+}
+
+/// Rounds of questions to a group's members, one at a time.
+///
+/// Any number of sessions that wait are served by one round, as long as it began after they asked:
+/// only then does it cover all that was acknowledged before.
+#[derive(Default)]
+pub(super) struct MajorityRounds {
+    begun: AtomicU64,
+    last: Mutex<LastRound>,
+}
+
+impl MajorityRounds {
+    /// The join of the answers of a majority, asked after this call; `None` without a majority.
+    ///
+    /// The join is right whichever majority answers: a write acknowledged at a position is held
+    /// there by a majority, so one of those that answer holds it, or follows a later term whose log
+    /// includes it.
+    pub(super) async fn run<F>(
+        &self,
+        members: usize,
+        questions: impl FnOnce() -> FuturesUnordered<F>,
+    ) -> Option<Freshness>
+    where
+        F: Future<Output = Option<MemberAnswer>>,
+    {
+        let begun_before = self.begun.load(Ordering::SeqCst);
+        let mut last = self.last.lock().await;
+        if last.number > begun_before {
+            return last.result;
+        }
+        last.number = self.begun.fetch_add(1, Ordering::SeqCst) + 1;
+        last.result = join_of_majority(members, questions()).await;
+        last.result
+    }
+}
+
+async fn join_of_majority<F>(members: usize, mut answers: FuturesUnordered<F>) -> Option<Freshness>
+where
+    F: Future<Output = Option<MemberAnswer>>,
+{
+    let needed = members / 2 + 1;
+    let mut count = 0;
+    let mut joined = Freshness::default();
+    while let Some(answer) = answers.next().await {
+        let Some(answer) = answer else { continue };
+        joined = joined.join(answer.freshness);
+        count += 1;
+        if count >= needed {
+            return Some(joined);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/stairward-proxy/src/edge/parameters.rs
@@ -0,0 +1,187 @@
+//! The parameters of a start-up packet, and those reported to callers.
+
+use std::collections::BTreeMap;
+
+use bytes::BytesMut;
+use stairward_session::{Hints, quote_literal};
+use stairward_types::ResultCode;
+
+use super::error::EdgeError;
+use super::reply;
+
+/// What the name of every hint starts with.
+const HINT_PREFIX: &str = "stairward.";
+/// The version of PostgreSQL whose protocol behaviour is offered.
+const SERVER_VERSION: &str = "16.4";
+
+/// What a caller asks for when it starts up.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub(super) struct StartupParameters {
+    pub(super) user: String,
+    pub(super) database: String,
+    pub(super) application_name: String,
+    /// Settings to make on each connection, as SQL text.
+    pub(super) settings: BTreeMap<String, String>,
+    pub(super) hints: Hints,
+}
+
+/// Sorts the parameters of a start-up packet.
+///
+/// # Errors
+/// A numbered error for a missing user, a bad hint, or what isn't offered.
+pub(super) fn read_parameters(
+    parameters: BTreeMap<String, String>,
+) -> Result<StartupParameters, EdgeError> {
+    let mut read = StartupParameters::default();
+    let mut options = Vec::new();
+    for (name, value) in parameters {
+        match name.as_str() {
+            "user" => read.user = value,
+            "database" => read.database = value,
+            "options" => options = split_options(&value)?,
+            "replication" if is_off(&value) => {}
+            "replication" => {
+                return Err(EdgeError::explained(
+                    ResultCode::FeatureRefused,
+                    "replication connections",
+                ));
+            }
+            _ => read.set(&name, &value)?,
+        }
+    }
+    for (name, value) in options {
+        read.set(&name, &value)?;
+    }
+    if read.user.is_empty() {
+        return Err(EdgeError::explained(
+            ResultCode::ProtocolViolation,
+            "no user name was given",
+        ));
+    }
+    if read.database.is_empty() {
+        read.database.clone_from(&read.user);
+    }
+    Ok(read)
+}
+
+fn is_off(value: &str) -> bool {
+    matches!(value, "false" | "off" | "no" | "0")
+}
+
+impl StartupParameters {
+    fn set(&mut self, name: &str, value: &str) -> Result<(), EdgeError> {
+        let name = name.to_ascii_lowercase();
+        if name.starts_with(HINT_PREFIX) {
+            return self
+                .hints
+                .set(&name, value)
+                .map_err(|error| EdgeError::explained(ResultCode::InvalidHint, error));
+        }
+        if name == "application_name" {
+            value.clone_into(&mut self.application_name);
+            return Ok(());
+        }
+        if name == "client_encoding" {
+            return check_encoding(value);
+        }
+        if !is_default(&name, value) {
+            self.settings.insert(name, quote_literal(value));
+        }
+        Ok(())
+    }
+}
+
+/// Only UTF-8 is spoken, since texts are passed on unchanged.
+fn check_encoding(value: &str) -> Result<(), EdgeError> {
+    let plain: String = value
+        .chars()
+        .filter(char::is_ascii_alphanumeric)
+        .map(|character| character.to_ascii_lowercase())
+        .collect();
+    match plain.as_str() {
+        "utf8" | "unicode" => Ok(()),
+        _ => Err(EdgeError::explained(
+            ResultCode::FeatureRefused,
+            format!("client encoding {value}; use UTF8"),
+        )),
+    }
+}
+
+/// Whether a setting that drivers send at every start is what back ends have anyway, so that it
+/// needn't be made on each connection.
+fn is_default(name: &str, value: &str) -> bool {
+    match name {
+        "datestyle" => value.to_ascii_uppercase().starts_with("ISO"),
+        "intervalstyle" => value.eq_ignore_ascii_case("postgres"),
+        "timezone" => matches!(value, "UTC" | "Etc/UTC" | "GMT"),
+        // From PostgreSQL 12 on, every value above 0 has the same effect, and 1 is the default.
+        "extra_float_digits" => value.parse::<i32>().is_ok_and(|digits| digits > 0),
+        "standard_conforming_strings" => value.eq_ignore_ascii_case("on"),
+        _ => false,
+    }
+}
+
+/// Splits `-c name=value` and `--name=value`, with `\` before spaces that belong to a value.
+fn split_options(text: &str) -> Result<Vec<(String, String)>, EdgeError> {
+    let malformed =
+        || EdgeError::explained(ResultCode::ProtocolViolation, "the options are malformed");
+    let mut settings = Vec::new();
+    let mut words = split_words(text).into_iter();
+    while let Some(word) = words.next() {
+        let setting = if word == "-c" {
+            words.next().ok_or_else(malformed)?
+        } else if let Some(setting) = word.strip_prefix("--") {
+            setting.to_owned()
+        } else if let Some(setting) = word.strip_prefix("-c") {
+            setting.to_owned()
+        } else {
+            return Err(malformed());
+        };
+        let (name, value) = setting.split_once('=').ok_or_else(malformed)?;
+        settings.push((name.replace('-', "_"), value.to_owned()));
+    }
+    Ok(settings)
+}
+
+fn split_words(text: &str) -> Vec<String> {
+    let mut words = Vec::new();
+    let mut word = String::new();
+    let mut characters = text.chars();
+    while let Some(character) = characters.next() {
+        match character {
+            '\\' => word.extend(characters.next()),
+            space if space.is_whitespace() => {
+                if !word.is_empty() {
+                    words.push(std::mem::take(&mut word));
+                }
+            }
+            other => word.push(other),
+        }
+    }
+    if !word.is_empty() {
+        words.push(word);
+    }
+    words
+}
+
+/// Reports the parameters that drivers wait for.
+pub(super) fn report(output: &mut BytesMut, parameters: &StartupParameters) {
+    let reported = [
+        ("server_version", SERVER_VERSION),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("application_name", &parameters.application_name),
+        ("DateStyle", "ISO, MDY"),
+        ("IntervalStyle", "postgres"),
+        ("TimeZone", "UTC"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+        ("is_superuser", "off"),
+        ("session_authorization", &parameters.user),
+        ("default_transaction_read_only", "off"),
+        ("in_hot_standby", "off"),
+    ];
+    for (name, value) in reported {
+        reply::parameter(output, name, value);
+    }
+}
--- /dev/null
+++ b/crates/stairward-proxy/src/edge/reply.rs
@@ -0,0 +1,151 @@
+//! Messages to callers that the edge makes itself, encoded by pgwire.
+
+use bytes::BytesMut;
+use pgwire::messages::PgWireBackendMessage;
+use pgwire::messages::data::{DataRow, FieldDescription, RowDescription};
+use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
+use pgwire::messages::response::{
+    CommandComplete, EmptyQueryResponse, ErrorResponse, NoticeResponse, ReadyForQuery,
+    TransactionStatus,
+};
+use pgwire::messages::startup::{
+    Authentication, BackendKeyData, NegotiateProtocolVersion, ParameterStatus, SecretKey,
+};
+use stairward_types::ResultCode;
+
+use super::error::EdgeError;
+
+/// How grave an error is for the session.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Severity {
+    /// The session goes on.
+    Error,
+    /// The connection is closed after it.
+    Fatal,
+}
+
+/// PostgreSQL type number of `text`.
+const TEXT_TYPE: u32 = 25;
+/// Type size of values of any length.
+const VARIABLE_SIZE: i16 = -1;
+
+fn put(output: &mut BytesMut, message: &PgWireBackendMessage) {
+    let start = output.len();
+    // Encoding fails only for messages far larger than any made here.
+    if message.encode(output).is_err() {
+        output.truncate(start);
+    }
+}
+
+fn fields(severity: &str, error: &EdgeError) -> Vec<(u8, String)> {
+    let mut fields = vec![
+        (b'S', severity.to_owned()),
+        (b'V', severity.to_owned()),
+        (b'C', error.sqlstate().to_owned()),
+        (b'M', error.message()),
+        (b'D', error.detail()),
+    ];
+    if let Some(hint) = error.hint() {
+        fields.push((b'H', hint));
+    }
+    fields
+}
+
+pub(super) fn error(output: &mut BytesMut, severity: Severity, error: &EdgeError) {
+    let severity = match severity {
+        Severity::Error => "ERROR",
+        Severity::Fatal => "FATAL",
+    };
+    let response = ErrorResponse::new(fields(severity, error));
+    put(output, &PgWireBackendMessage::ErrorResponse(response));
+}
+
+/// Tells of a result code of the class *answered* other than plain success.
+pub(super) fn notice(output: &mut BytesMut, code: ResultCode) {
+    let response = NoticeResponse::new(fields("NOTICE", &EdgeError::new(code)));
+    put(output, &PgWireBackendMessage::NoticeResponse(response));
+}
+
+pub(super) fn ready(output: &mut BytesMut, status: TransactionStatus) {
+    let message = ReadyForQuery::new(status);
+    put(output, &PgWireBackendMessage::ReadyForQuery(message));
+}
+
+pub(super) fn parameter(output: &mut BytesMut, name: &str, value: &str) {
+    let message = ParameterStatus::new(name.to_owned(), value.to_owned());
+    put(output, &PgWireBackendMessage::ParameterStatus(message));
+}
+
+pub(super) fn authentication(output: &mut BytesMut, message: Authentication) {
+    put(output, &PgWireBackendMessage::Authentication(message));
+}
+
+pub(super) fn key_data(output: &mut BytesMut, process: i32, secret: i32) {
+    let message = BackendKeyData::new(process, SecretKey::I32(secret));
+    put(output, &PgWireBackendMessage::BackendKeyData(message));
+}
+
+/// Offers protocol 3.0 and names the protocol options that aren't known.
+pub(super) fn negotiate(output: &mut BytesMut, unknown_options: Vec<String>) {
+    let message = NegotiateProtocolVersion::new(0, unknown_options);
+    put(
+        output,
+        &PgWireBackendMessage::NegotiateProtocolVersion(message),
+    );
+}
+
+pub(super) fn command_complete(output: &mut BytesMut, tag: &str) {
+    let message = CommandComplete::new(tag.to_owned());
+    put(output, &PgWireBackendMessage::CommandComplete(message));
+}
+
+pub(super) fn empty_query(output: &mut BytesMut) {
+    let message = EmptyQueryResponse::new();
+    put(output, &PgWireBackendMessage::EmptyQueryResponse(message));
+}
+
+pub(super) fn parse_complete(output: &mut BytesMut) {
+    put(
+        output,
+        &PgWireBackendMessage::ParseComplete(ParseComplete::new()),
+    );
+}
+
+pub(super) fn bind_complete(output: &mut BytesMut) {
+    put(
+        output,
+        &PgWireBackendMessage::BindComplete(BindComplete::new()),
+    );
+}
+
+pub(super) fn close_complete(output: &mut BytesMut) {
+    put(
+        output,
+        &PgWireBackendMessage::CloseComplete(CloseComplete::new()),
+    );
+}
+
+pub(super) fn no_data(output: &mut BytesMut) {
+    let message = pgwire::messages::data::NoData::new();
+    put(output, &PgWireBackendMessage::NoData(message));
+}
+
+/// One row with one text column, as `SHOW` gives it.
+pub(super) fn text_row(output: &mut BytesMut, column: &str, value: &str) {
+    let field = FieldDescription::new(column.to_owned(), 0, 0, TEXT_TYPE, VARIABLE_SIZE, -1, 0);
+    let description = RowDescription::new(vec![field]);
+    put(output, &PgWireBackendMessage::RowDescription(description));
+    let mut data = BytesMut::new();
+    data.extend((value.len() as u32).to_be_bytes());
+    data.extend(value.as_bytes());
+    put(
+        output,
+        &PgWireBackendMessage::DataRow(DataRow::new(data, 1)),
+    );
+}
+
+/// Describes a statement without parameters.
+pub(super) fn no_parameters(output: &mut BytesMut) {
+    let message = pgwire::messages::data::ParameterDescription::new(Vec::new());
+    put(output, &PgWireBackendMessage::ParameterDescription(message));
+}
--- /dev/null
+++ b/crates/stairward-proxy/src/edge/service.rs
@@ -0,0 +1,372 @@
+//! The edge: accepts callers and keeps what their sessions share.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use stairward_protocol::call::{CallReply, CallRequest};
+use stairward_session::{
+    ClassCache, PreparedStatements, SessionFloor, SessionHints, SessionVariables, StatementClass,
+    TokenKey,
+};
+use stairward_types::{GroupId, LogEvent, ResultCode};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio_util::either::Either;
+
+use super::authentication::Passwords;
+use super::batch::BatchBuilder;
+use super::cancel::{CancelKey, CancelRegistry, is_process_of};
+use super::client::Client;
+use super::error::EdgeError;
+use super::group::Group;
+use super::parameters::{self, StartupParameters};
+use super::reply::{self, Severity};
+use super::session::{Session, Transaction};
+use super::settings::{EdgeSettings, Users};
+use super::startup::{self, Opening, StartupError};
+use super::statistics::{Counters, EdgeStatistics};
+use crate::cluster::Cluster;
+use crate::peer::PeerNetwork;
+
+/// Texts per generation of the class cache; see [`ClassCache`].
+const CLASS_CACHE_TEXTS: usize = 2_000;
+/// How long another proxy may take to pass a cancel request on.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// How often a drain looks whether all sessions have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+/// Pause after the listener failed, for example for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The side of a node that speaks PostgreSQL to callers.
+pub struct EdgeService {
+    pub(super) cluster: Cluster,
+    pub(super) network: PeerNetwork,
+    pub(super) counters: Counters,
+    settings: EdgeSettings,
+    passwords: RwLock<Option<Arc<Passwords>>>,
+    tls: RwLock<Option<Arc<rustls::ServerConfig>>>,
+    classes: Mutex<ClassCache>,
+    groups: Mutex<BTreeMap<GroupId, Arc<Group>>>,
+    cancels: Arc<CancelRegistry>,
+    draining: watch::Sender<bool>,
+    clients: Arc<Semaphore>,
+}
+
+impl EdgeService {
+    /// An edge that has no callers yet.
+    #[must_use]
+    pub fn new(cluster: Cluster, network: PeerNetwork, settings: EdgeSettings) -> Arc<Self> {
+        let passwords = settings.users.clone().map(Passwords::new).map(Arc::new);
+        Arc::new(Self {
+            cancels: Arc::new(CancelRegistry::new(cluster.identity.node)),
+            cluster,
+            network,
+            counters: Counters::default(),
+            passwords: RwLock::new(passwords),
+            tls: RwLock::new(settings.tls.clone()),
+            classes: Mutex::new(ClassCache::new(CLASS_CACHE_TEXTS)),
+            groups: Mutex::default(),
+            draining: watch::Sender::new(false),
+            clients: Arc::new(Semaphore::new(settings.maximum_clients)),
+            settings,
+        })
+    }
+
+    /// Serves callers that connect to the listener, until the edge is drained.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let follower = tokio::spawn(Arc::clone(&self).follow_primaries());
+        let mut draining = self.draining.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = draining.wait_for(|draining| *draining) => break,
+            };
+            match accepted {
+                Ok((socket, _)) => {
+                    tokio::spawn(Arc::clone(&self).accept(socket));
+                }
+                Err(error) => {
+                    tracing::error!(
+                        event = LogEvent::ListenerFailed.number(),
+                        %error,
+                        "a caller could not be accepted"
+                    );
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        // Callers that are on their way are told to connect elsewhere.
+        let mut turned_away = listener;
+        self.turn_away(&mut turned_away).await;
+        follower.abort();
+    }
+
+    /// Tells new callers that this proxy stops, until the last session has ended.
+    async fn turn_away(self: &Arc<Self>, listener: &mut TcpListener) {
+        while self.statistics().sessions > 0 {
+            let accepted = tokio::time::timeout(DRAIN_POLL, listener.accept()).await;
+            if let Ok(Ok((socket, _))) = accepted {
+                tokio::spawn(Arc::clone(self).accept(socket));
+            }
+        }
+    }
+
+    /// A planned stop: refuses new sessions, tells idle ones to connect elsewhere, and lets the
+    /// others finish their batch or transaction. Returns whether all had ended by the deadline.
+    pub async fn drain(&self, deadline: Duration) -> bool {
+        self.draining.send_replace(true);
+        let started = Instant::now();
+        while self.statistics().sessions > 0 {
+            if started.elapsed() >= deadline {
+                return false;
+            }
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        true
+    }
+
+    /// Reads the counters.
+    #[must_use]
+    pub fn statistics(&self) -> EdgeStatistics {
+        self.counters.read()
+    }
+
+    /// Replaces the users for sessions that start from now on.
+    pub fn set_users(&self, users: Option<Users>) {
+        let passwords = users.map(Passwords::new).map(Arc::new);
+        *write(&self.passwords) = passwords;
+    }
+
+    /// Replaces the certificates for connections that are made from now on.
+    pub fn set_tls(&self, tls: Option<Arc<rustls::ServerConfig>>) {
+        *write(&self.tls) = tls;
+    }
+
+    /// Cancels what a session of this node runs, for another proxy that was asked to. Returns false
+    /// when this node has no such session.
+    pub fn cancel_statement(&self, process: u32, secret: u32) -> bool {
+        self.cancels.cancel(CancelKey { process, secret })
+    }
+
+    /// Answers a [`CallRequest::CancelStatement`] of another proxy; `None` for any other call.
+    #[must_use]
+    pub fn answer_call(&self, request: &CallRequest) -> Option<CallReply> {
+        match request {
+            CallRequest::CancelStatement { process, secret } => {
+                self.cancel_statement(*process, *secret);
+                // A caller must not learn whether its guess was right.
+                Some(CallReply::Done)
+            }
+            _ => None,
+        }
+    }
+
+    pub(super) fn token_key(&self) -> &TokenKey {
+        &self.settings.token_key
+    }
+
+    pub(super) fn classify(&self, text: &str) -> Arc<StatementClass> {
+        self.classes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .classify(text)
+    }
+
+    fn group(&self, id: &GroupId) -> Arc<Group> {
+        let mut groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
+        let group = groups.entry(id.clone()).or_insert_with(|| {
+            let group = Group::new(id.clone(), self.cluster.clone(), self.network.clone());
+            Arc::new(group)
+        });
+        Arc::clone(group)
+    }
+
+    /// Wakes the requests that wait for a primary whenever one is learnt.
+    async fn follow_primaries(self: Arc<Self>) {
+        let mut primaries = self.cluster.watch_primaries();
+        let mut terms = BTreeMap::new();
+        while primaries.changed().await.is_ok() {
+            let known = Arc::clone(&primaries.borrow_and_update());
+            for (group, primary) in known.iter() {
+                if terms.insert(group.clone(), primary.term) != Some(primary.term) {
+                    self.group(group).wake_held();
+                }
+            }
+        }
+    }
+
+    async fn accept(self: Arc<Self>, socket: TcpStream) {
+        let _ = socket.set_nodelay(true);
+        let permit = Arc::clone(&self.clients).try_acquire_owned().ok();
+        let mut client = Some(Client::new(Either::Left(socket)));
+        let timeout = self.settings.startup_timeout;
+        let started = tokio::time::timeout(timeout, self.start(&mut client, permit.is_some()));
+        let error = match started.await {
+            Ok(Ok(Some(session))) => {
+                return Arc::clone(&self).run(client, session, permit).await;
+            }
+            Ok(Ok(None)) | Err(_) => return,
+            Ok(Err(StartupError::Refused { error })) => error,
+            Ok(Err(error)) => {
+                tracing::debug!(
+                    event = LogEvent::ProtocolViolated.number(),
+                    %error,
+                    "a caller did not come to a session"
+                );
+                return;
+            }
+        };
+        tracing::warn!(
+            event = LogEvent::SessionRefused.number(),
+            code = error.code().map(ResultCode::number),
+            "a session was refused"
+        );
+        self.counters.refused.add(1);
+        if let Some(mut client) = client {
+            reply::error(&mut client.output, Severity::Fatal, &error);
+            let _ = tokio::time::timeout(timeout, client.close()).await;
+        }
+    }
+
+    /// Brings a connection to a session; `None` for a cancel request.
+    async fn start(
+        &self,
+        client: &mut Option<Client>,
+        has_room: bool,
+    ) -> Result<Option<Started>, StartupError> {
+        let tls = read(&self.tls);
+        let parameters = match startup::open(client, tls).await? {
+            Opening::Session(parameters) => parameters,
+            Opening::Cancel(key) => {
+                self.pass_cancel_on(key).await;
+                return Ok(None);
+            }
+        };
+        if !has_room {
+            return Err(EdgeError::new(ResultCode::TooManyClients).into());
+        }
+        if *self.draining.borrow() {
+            return Err(EdgeError::new(ResultCode::ProxyStopping).into());
+        }
+        let Some(connection) = client else {
+            return Ok(None);
+        };
+        let passwords = read(&self.passwords);
+        startup::authenticate(connection, &parameters.user, passwords.as_deref()).await?;
+        let settings = self.cluster.settings();
+        let group = startup::requested_group(&settings, &parameters.database)?;
+        let floor = self.floor_of_token(&parameters, &group)?;
+        Ok(Some(Started {
+            parameters,
+            group: self.group(&group),
+            floor,
+        }))
+    }
+
+    fn floor_of_token(
+        &self,
+        parameters: &StartupParameters,
+        group: &GroupId,
+    ) -> Result<Option<SessionFloor>, EdgeError> {
+        let Some(text) = &parameters.hints.session_token else {
+            return Ok(None);
+        };
+        let token = self
+            .token_key()
+            .verify(text, group)
+            .map_err(|error| EdgeError::explained(ResultCode::InvalidToken, error))?;
+        Ok(Some(SessionFloor::starting_at(token.floor)))
+    }
+
+    async fn run(
+        self: Arc<Self>,
+        client: Option<Client>,
+        started: Started,
+        permit: Option<OwnedSemaphorePermit>,
+    ) {
+        let Some(mut client) = client else { return };
+        let registration = self.cancels.register(rand::random());
+        parameters::report(&mut client.output, &started.parameters);
+        let key = registration.key;
+        reply::key_data(
+            &mut client.output,
+            key.process.cast_signed(),
+            key.secret.cast_signed(),
+        );
+        let _count = SessionCount::new(&self);
+        let mut session = Session {
+            draining: self.draining.subscribe(),
+            service: Arc::clone(&self),
+            group: started.group,
+            client,
+            registration,
+            hints: SessionHints::new(started.parameters.hints),
+            variables: SessionVariables::new(started.parameters.settings),
+            prepared: PreparedStatements::default(),
+            floor_is_known: started.floor.is_some(),
+            reported_floor: None,
+            floor: started.floor.unwrap_or_default(),
+            transaction: Transaction::Idle,
+            active: None,
+            builder: BatchBuilder::default(),
+            skipping: false,
+        };
+        session.ready();
+        session.run().await;
+        drop(permit);
+    }
+
+    /// Cancels here, or passes the request on to the proxies whose number the key bears.
+    async fn pass_cancel_on(&self, key: CancelKey) {
+        if self.cancels.cancel(key) {
+            return;
+        }
+        let own = self.cluster.identity.node;
+        let members = self.cluster.members();
+        let others = members
+            .members
+            .iter()
+            .map(|member| member.node)
+            .filter(|node| *node != own && is_process_of(key.process, *node));
+        for node in others {
+            let request = CallRequest::CancelStatement {
+                process: key.process,
+                secret: key.secret,
+            };
+            let _ = self.network.call(node, request, CANCEL_TIMEOUT).await;
+        }
+    }
+}
+
+/// Counts a session for as long as it lives.
+struct SessionCount(Arc<EdgeService>);
+
+impl SessionCount {
+    fn new(service: &Arc<EdgeService>) -> Self {
+        service.counters.session_opened();
+        Self(Arc::clone(service))
+    }
+}
+
+impl Drop for SessionCount {
+    fn drop(&mut self) {
+        self.0.counters.session_closed();
+    }
+}
+
+/// A caller that has started up.
+struct Started {
+    parameters: StartupParameters,
+    group: Arc<Group>,
+    /// The floor of the token that it presented.
+    floor: Option<SessionFloor>,
+}
+
+fn read<T: Clone>(lock: &RwLock<T>) -> T {
+    lock.read().unwrap_or_else(PoisonError::into_inner).clone()
+}
+
+fn write<T>(lock: &RwLock<T>) -> std::sync::RwLockWriteGuard<'_, T> {
+    lock.write().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/stairward-proxy/src/edge/session.rs
@@ -0,0 +1,350 @@
+//! One caller's session: reads messages, gathers them into batches and has them run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pgwire::messages::response::TransactionStatus;
+use stairward_protocol::stream::OwnerMessage;
+use stairward_session::{
+    PreparedStatements, SessionFloor, SessionHints, SessionToken, SessionVariables,
+};
+use stairward_types::{Freshness, LogEvent, OutcomeClass, ResultCode, Time};
+use tokio::sync::watch;
+
+use super::active::ActiveStream;
+use super::batch::{Batch, BatchBuilder, BatchKind};
+use super::cancel::Registration;
+use super::client::{Client, ClientError, OUTPUT_BYTES};
+use super::error::EdgeError;
+use super::frontend::{Frame, FrontendError, FrontendMessage};
+use super::group::Group;
+use super::hint_changes::TOKEN_PARAMETER;
+use super::reply::{self, Severity};
+use super::service::EdgeService;
+
+/// How long answers are gathered before they are written although more may come.
+pub(super) const GATHER_TIME: Duration = Duration::from_millis(5);
+/// Largest message accepted while the group's settings can't be read, in bytes.
+const FALLBACK_MESSAGE_BYTES: usize = 1024 * 1024;
+
+/// Why a session ended.
+pub(super) enum SessionEnd {
+    /// The caller said goodbye.
+    Terminated,
+    /// This proxy stops, and the caller was told.
+    Drained,
+    /// The connection can't go on.
+    Client(ClientError),
+    /// The caller broke the protocol.
+    Violated(FrontendError),
+}
+
+impl From<ClientError> for SessionEnd {
+    fn from(error: ClientError) -> Self {
+        match error {
+            ClientError::Protocol { source } => Self::Violated(source),
+            other => Self::Client(other),
+        }
+    }
+}
+
+pub(super) type Flow<T> = Result<T, SessionEnd>;
+
+/// The session's transaction as the caller sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Transaction {
+    /// None is open.
+    Idle,
+    /// One is open on the active stream.
+    Open,
+    /// One is open on the active stream and has failed.
+    Failed,
+    /// It was lost or given up, and is rolled back; the caller has yet to end it.
+    Lost {
+        /// Whether the caller has been told.
+        reported: bool,
+    },
+}
+
+impl Transaction {
+    fn status(self) -> TransactionStatus {
+        match self {
+            Self::Idle => TransactionStatus::Idle,
+            Self::Open => TransactionStatus::Transaction,
+            Self::Failed | Self::Lost { .. } => TransactionStatus::Error,
+        }
+    }
+}
+
+/// A caller's session. It outlives any back end.
+pub(super) struct Session {
+    pub(super) service: Arc<EdgeService>,
+    pub(super) group: Arc<Group>,
+    pub(super) client: Client,
+    pub(super) registration: Registration,
+    pub(super) draining: watch::Receiver<bool>,
+    pub(super) hints: SessionHints,
+    pub(super) variables: SessionVariables,
+    pub(super) prepared: PreparedStatements,
+    pub(super) floor: SessionFloor,
+    /// Whether the floor covers all that the session may have seen on earlier connections.
+    pub(super) floor_is_known: bool,
+    /// The floor that the caller was last given a token for.
+    pub(super) reported_floor: Option<Freshness>,
+    pub(super) transaction: Transaction,
+    pub(super) active: Option<Box<ActiveStream>>,
+    pub(super) builder: BatchBuilder,
+    /// Set after an error in a batch whose `Sync` hasn't come yet.
+    pub(super) skipping: bool,
+}
+
+/// What a session waits for between batches.
+enum Step {
+    Frame(Frame),
+    /// From the owner: answers to a part of a batch, or the loss of a transaction.
+    Owner(Option<OwnerMessage>),
+    Drain,
+}
+
+impl Session {
+    /// Serves the caller to the end of its session.
+    pub(super) async fn run(mut self) {
+        let end = loop {
+            if let Err(end) = self.step().await {
+                break end;
+            }
+        };
+        self.finish(end).await;
+    }
+
+    async fn step(&mut self) -> Flow<()> {
+        match self.next_step().await? {
+            Step::Frame(frame) => self.take_frame(frame).await,
+            Step::Owner(message) => self.hear_between_batches(message).await,
+            Step::Drain => Err(SessionEnd::Drained),
+        }
+    }
+
+    async fn next_step(&mut self) -> Flow<Step> {
+        if self.is_at_boundary() && *self.draining.borrow() {
+            return Ok(Step::Drain);
+        }
+        let limit = self.message_limit();
+        if self.client.output.len() < OUTPUT_BYTES
+            && let Some(frame) = self.client.buffered_frame(limit)?
+        {
+            return Ok(Step::Frame(frame));
+        }
+        self.client.flush().await?;
+        let may_drain = self.is_at_boundary();
+        tokio::select! {
+            frame = self.client.frame(limit) => Ok(Step::Frame(frame?)),
+            message = receive(&mut self.active) => Ok(Step::Owner(message)),
+            _ = self.draining.wait_for(|draining| *draining), if may_drain => Ok(Step::Drain),
+        }
+    }
+
+    /// Whether nothing of the caller's is under way.
+    fn is_at_boundary(&self) -> bool {
+        self.transaction == Transaction::Idle && self.active.is_none() && self.builder.is_empty()
+    }
+
+    fn message_limit(&self) -> usize {
+        self.group
+            .with_settings(|settings| settings.maximum_message_bytes)
+            .unwrap_or(FALLBACK_MESSAGE_BYTES)
+    }
+
+    async fn take_frame(&mut self, frame: Frame) -> Flow<()> {
+        let parsed = match frame.message() {
+            Ok(message) => message,
+            Err(FrontendError::NotUtf8 { tag }) => return self.refuse_encoding(tag).await,
+            Err(error) => return Err(SessionEnd::Violated(error)),
+        };
+        match parsed {
+            FrontendMessage::Terminate => Err(SessionEnd::Terminated),
+            FrontendMessage::Query { text } => {
+                self.skipping = false;
+                let class = self.service.classify(text);
+                let batch = Batch::simple(frame.clone(), text, class);
+                self.execute(batch).await
+            }
+            FrontendMessage::Sync => self.sync(frame).await,
+            FrontendMessage::Flush if !self.skipping && !self.builder.is_empty() => {
+                let batch = self.builder.finish(frame, BatchKind::Partial);
+                self.execute(batch).await
+            }
+            FrontendMessage::FunctionCall => {
+                let error =
+                    EdgeError::explained(ResultCode::FeatureRefused, "function call messages");
+                self.refuse(BatchKind::Simple, error);
+                Ok(())
+            }
+            // What is left of a COPY that was refused is passed over, as PostgreSQL does.
+            FrontendMessage::CopyData | FrontendMessage::CopyDone | FrontendMessage::CopyFail => {
+                Ok(())
+            }
+            FrontendMessage::Password => Err(SessionEnd::Violated(FrontendError::Malformed {
+                tag: frame.tag(),
+            })),
+            message => {
+                self.gather(&frame, message);
+                Ok(())
+            }
+        }
+    }
+
+    fn gather(&mut self, frame: &Frame, message: FrontendMessage<'_>) {
+        let is_flush = matches!(message, FrontendMessage::Flush);
+        if self.skipping || is_flush {
+            return;
+        }
+        let service = &self.service;
+        self.builder.add(frame, message, &self.prepared, |text| {
+            service.classify(text)
+        });
+    }
+
+    async fn sync(&mut self, frame: Frame) -> Flow<()> {
+        let is_empty = self.builder.is_empty();
+        let batch = self.builder.finish(frame, BatchKind::Extended);
+        let has_part_running = self
+            .active
+            .as_ref()
+            .is_some_and(|active| active.running.is_some());
+        if self.skipping || (is_empty && !has_part_running) {
+            self.skipping = false;
+            self.ready();
+            return Ok(());
+        }
+        self.execute(batch).await
+    }
+
+    async fn refuse_encoding(&mut self, tag: u8) -> Flow<()> {
+        let error = EdgeError::new(ResultCode::InvalidEncoding);
+        if tag == b'Q' {
+            self.refuse(BatchKind::Simple, error);
+        } else if !self.skipping {
+            self.refuse(BatchKind::Partial, error);
+        }
+        Ok(())
+    }
+
+    /// Answers a batch with an error in the back end's place. An open transaction is given up, as a
+    /// database would have it fail.
+    pub(super) fn refuse(&mut self, kind: BatchKind, error: EdgeError) {
+        self.count_refusal(&error);
+        if self.transaction != Transaction::Idle {
+            self.transaction = Transaction::Lost { reported: true };
+            self.variables.roll_back();
+            self.hints.end_transaction();
+        }
+        // Its owner rolls back what was open on it.
+        self.active = None;
+        reply::error(&mut self.client.output, Severity::Error, &error);
+        if kind == BatchKind::Partial {
+            self.skipping = true;
+            self.builder = BatchBuilder::default();
+        } else {
+            self.ready();
+        }
+    }
+
+    fn count_refusal(&self, error: &EdgeError) {
+        let Some(code) = error.code() else { return };
+        let counters = &self.service.counters;
+        match code.class() {
+            OutcomeClass::OutcomeUnknown => {
+                counters.unknown.add(1);
+                tracing::warn!(
+                    event = LogEvent::OutcomeUnknown.number(),
+                    code = code.number(),
+                    group = %self.group.id,
+                    "a request ended with its outcome unknown"
+                );
+            }
+            _ => {
+                counters.refused.add(1);
+                tracing::debug!(
+                    event = LogEvent::RequestRefused.number(),
+                    code = code.number(),
+                    group = %self.group.id,
+                    "a request was refused"
+                );
+            }
+        }
+    }
+
+    /// Reports a changed token, then that the session is ready for the next batch.
+    pub(super) fn ready(&mut self) {
+        self.report_token();
+        reply::ready(&mut self.client.output, self.transaction.status());
+    }
+
+    fn report_token(&mut self) {
+        if self.floor.get() == self.reported_floor {
+            return;
+        }
+        if let Some(token) = self.token() {
+            reply::parameter(&mut self.client.output, TOKEN_PARAMETER, &token);
+            self.reported_floor = self.floor.get();
+        }
+    }
+
+    /// The session's token; `None` while nothing is known of its floor.
+    pub(super) fn token(&self) -> Option<String> {
+        let floor = self.floor.get()?;
+        let token = SessionToken {
+            group: self.group.id.clone(),
+            floor,
+        };
+        Some(self.service.token_key().sign(&token))
+    }
+
+    pub(super) fn now(&self) -> Time {
+        self.service.cluster.clock.now()
+    }
+
+    async fn finish(mut self, end: SessionEnd) {
+        // Lets the owner roll back before the caller hears that the session has ended.
+        self.active = None;
+        let error = match end {
+            SessionEnd::Terminated => return self.client.close().await,
+            SessionEnd::Client(ClientError::Closed | ClientError::Socket { .. }) => return,
+            SessionEnd::Client(error) => {
+                tracing::warn!(
+                    event = LogEvent::ProtocolViolated.number(),
+                    %error,
+                    "a caller was disconnected"
+                );
+                return;
+            }
+            SessionEnd::Drained => EdgeError::new(ResultCode::ProxyStopping),
+            SessionEnd::Violated(error) => violation(&error),
+        };
+        reply::error(&mut self.client.output, Severity::Fatal, &error);
+        self.client.close().await;
+    }
+}
+
+/// The next message on the active stream; never comes when there is none. Safe to cancel.
+async fn receive(active: &mut Option<Box<ActiveStream>>) -> Option<OwnerMessage> {
+    match active {
+        Some(active) => active.stream.receive().await,
+        None => std::future::pending().await,
+    }
+}
+
+fn violation(error: &FrontendError) -> EdgeError {
+    tracing::warn!(
+        event = LogEvent::ProtocolViolated.number(),
+        %error,
+        "a caller broke the protocol and is disconnected"
+    );
+    let code = match error {
+        FrontendError::TooLarge { .. } => ResultCode::MessageTooLarge,
+        FrontendError::NotUtf8 { .. } => ResultCode::InvalidEncoding,
+        _ => ResultCode::ProtocolViolation,
+    };
+    EdgeError::explained(code, error)
+}
--- /dev/null
+++ b/crates/stairward-proxy/src/edge/startup.rs
@@ -0,0 +1,216 @@
+//! From a new socket to a session: TLS, start-up packet, authentication.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bytes::{Buf, BytesMut};
+use pgwire::messages::startup::{Authentication, Startup};
+use pgwire::messages::{DecodeContext, Message};
+use snafu::{OptionExt, ResultExt, Snafu};
+use stairward_types::{GroupId, ResultCode};
+use tokio_rustls::TlsAcceptor;
+use tokio_util::either::Either;
+
+use super::authentication::{self, Passwords};
+use super::cancel::CancelKey;
+use super::client::{Client, ClientError, ClientSocket};
+use super::error::EdgeError;
+use super::parameters::{StartupParameters, read_parameters};
+use super::reply;
+
+const CANCEL_CODE: u32 = 80_877_102;
+const TLS_CODE: u32 = 80_877_103;
+const GSS_CODE: u32 = 80_877_104;
+const PROTOCOL_MAJOR: u16 = 3;
+/// Longest message of an authentication exchange, in bytes.
+const MAXIMUM_PASSWORD_BYTES: usize = 4 * 1024;
+/// Negotiations of encryption that a caller may try before it starts up.
+const MAXIMUM_NEGOTIATIONS: usize = 3;
+
+/// Why no session came about.
+#[derive(Debug, Snafu)]
+pub(super) enum StartupError {
+    /// The connection can't go on; there is nobody to tell.
+    #[snafu(display("{source}"), context(false))]
+    Client { source: ClientError },
+    /// The caller is told.
+    #[snafu(display("{}", error.message()))]
+    Refused { error: EdgeError },
+    /// The TLS handshake failed.
+    #[snafu(display("the TLS handshake failed"))]
+    Tls { source: std::io::Error },
+}
+
+impl From<EdgeError> for StartupError {
+    fn from(error: EdgeError) -> Self {
+        Self::Refused { error }
+    }
+}
+
+/// What a new connection turned out to be.
+pub(super) enum Opening {
+    /// A caller that wants a session.
+    Session(StartupParameters),
+    /// A cancel request. The connection is to be closed without an answer.
+    Cancel(CancelKey),
+}
+
+/// Negotiates encryption and reads the start-up packet. The client is put back even on failure, so
+/// that the caller can be told.
+pub(super) async fn open(
+    client: &mut Option<Client>,
+    tls: Option<Arc<rustls::ServerConfig>>,
+) -> Result<Opening, StartupError> {
+    for _ in 0..=MAXIMUM_NEGOTIATIONS {
+        let connection = client.as_mut().context(ClosedSnafu)?;
+        let packet = connection.startup_packet().await?;
+        match (&packet[4..8]).get_u32() {
+            TLS_CODE => negotiate_tls(client, tls.clone()).await?,
+            GSS_CODE => refuse_encryption(connection).await?,
+            CANCEL_CODE => return Ok(Opening::Cancel(cancel_key(&packet)?)),
+            _ => return Ok(Opening::Session(parameters(connection, packet)?)),
+        }
+    }
+    Err(violation("encryption was negotiated too often").into())
+}
+
+#[derive(Debug, Snafu)]
+#[snafu(display("the connection is gone"))]
+struct Closed;
+
+impl From<Closed> for StartupError {
+    fn from(_: Closed) -> Self {
+        Self::Client {
+            source: ClientError::Closed,
+        }
+    }
+}
+
+fn violation(explanation: &str) -> EdgeError {
+    EdgeError::explained(ResultCode::ProtocolViolation, explanation)
+}
+
+async fn refuse_encryption(client: &mut Client) -> Result<(), ClientError> {
+    client.output.extend_from_slice(b"N");
+    client.flush().await
+}
+
+async fn negotiate_tls(
+    slot: &mut Option<Client>,
+    tls: Option<Arc<rustls::ServerConfig>>,
+) -> Result<(), StartupError> {
+    let mut client = slot.take().context(ClosedSnafu)?;
+    let Some(tls) = tls else {
+        refuse_encryption(&mut client).await?;
+        *slot = Some(client);
+        return Ok(());
+    };
+    client.output.extend_from_slice(b"S");
+    client.flush().await?;
+    let socket = match client.into_socket()? {
+        Either::Left(socket) => socket,
+        encrypted @ Either::Right(_) => {
+            *slot = Some(Client::new(encrypted));
+            return Err(violation("the connection is encrypted already").into());
+        }
+    };
+    let encrypted = TlsAcceptor::from(tls)
+        .accept(socket)
+        .await
+        .context(TlsSnafu)?;
+    let socket: ClientSocket = Either::Right(Box::new(encrypted));
+    *slot = Some(Client::new(socket));
+    Ok(())
+}
+
+fn cancel_key(packet: &[u8]) -> Result<CancelKey, EdgeError> {
+    // Length, code, process number and a secret of four bytes, the form given out.
+    let Ok(body) = <[u8; 8]>::try_from(&packet[8..]) else {
+        return Err(violation("the cancel request is malformed"));
+    };
+    Ok(CancelKey {
+        process: (&body[..4]).get_u32(),
+        secret: (&body[4..]).get_u32(),
+    })
+}
+
+fn parameters(client: &mut Client, mut packet: BytesMut) -> Result<StartupParameters, EdgeError> {
+    let major = (&packet[4..6]).get_u16();
+    let minor = (&packet[6..8]).get_u16();
+    if major != PROTOCOL_MAJOR {
+        return Err(violation("only version 3 of the protocol is spoken"));
+    }
+    if std::str::from_utf8(&packet[8..]).is_err() {
+        return Err(EdgeError::new(ResultCode::InvalidEncoding));
+    }
+    if packet.last() != Some(&0) {
+        return Err(violation("the start-up packet does not end in a zero byte"));
+    }
+    let startup = Startup::decode(&mut packet, &DecodeContext::default())
+        .ok()
+        .flatten()
+        .ok_or_else(|| violation("the start-up packet is malformed"))?;
+    let (protocol_options, parameters): (BTreeMap<_, _>, BTreeMap<_, _>) = startup
+        .parameters
+        .into_iter()
+        .partition(|(name, _)| name.starts_with("_pq_."));
+    if minor > 0 || !protocol_options.is_empty() {
+        reply::negotiate(&mut client.output, protocol_options.into_keys().collect());
+    }
+    read_parameters(parameters)
+}
+
+/// Has the caller prove its password, or trusts it when there are none.
+pub(super) async fn authenticate(
+    client: &mut Client,
+    user: &str,
+    passwords: Option<&Passwords>,
+) -> Result<(), StartupError> {
+    if let Some(passwords) = passwords {
+        exchange(client, user, passwords).await?;
+    }
+    reply::authentication(&mut client.output, Authentication::Ok);
+    Ok(())
+}
+
+async fn exchange(
+    client: &mut Client,
+    user: &str,
+    passwords: &Passwords,
+) -> Result<(), StartupError> {
+    let refused = |_| EdgeError::new(ResultCode::AuthenticationFailed);
+    let mechanisms = vec![authentication::MECHANISM.to_owned()];
+    reply::authentication(&mut client.output, Authentication::SASL(mechanisms));
+    let initial = password_message(client).await?;
+    let (server_first, exchange) = passwords.begin(user, initial.body()).map_err(refused)?;
+    let message = Authentication::SASLContinue(server_first.into());
+    reply::authentication(&mut client.output, message);
+    let response = password_message(client).await?;
+    let server_final = authentication::finish(&exchange, response.body()).map_err(refused)?;
+    let message = Authentication::SASLFinal(server_final.into());
+    reply::authentication(&mut client.output, message);
+    Ok(())
+}
+
+async fn password_message(client: &mut Client) -> Result<super::frontend::Frame, StartupError> {
+    client.flush().await?;
+    let frame = client.frame(MAXIMUM_PASSWORD_BYTES).await?;
+    if frame.tag() != b'p' {
+        return Err(violation("a password message was expected").into());
+    }
+    Ok(frame)
+}
+
+/// The group that a session asks for by its database name.
+pub(super) fn requested_group(
+    settings: &stairward_settings::ResolvedSettings,
+    database: &str,
+) -> Result<GroupId, EdgeError> {
+    if settings.groups.is_empty() {
+        return Err(EdgeError::new(ResultCode::NotReady));
+    }
+    GroupId::new(database)
+        .ok()
+        .filter(|group| settings.groups.contains_key(group))
+        .ok_or_else(|| EdgeError::explained(ResultCode::UnknownDatabase, database))
+}
--- a/crates/stairward-proxy/src/lib.rs
+++ b/crates/stairward-proxy/src/lib.rs
@@ -7,5 +7,6 @@
 
 pub mod cluster;
 pub mod control;
+pub mod edge;
 pub mod owner;
 pub mod peer;
--- a/crates/stairward-routing/src/request.rs
+++ b/crates/stairward-routing/src/request.rs
@@ -43,8 +43,8 @@
 pub enum Event {
     /// It arrived. Always the first event.
     Start,
-    /// The owner lent a connection.
-    Admitted(Observation),
+    /// The owner lent a connection. Carries the back end's state, if known.
+    Admitted(Option<Observation>),
     /// The owner refused; nothing ran.
     Refused {
         /// Why, of the class *not run*.
@@ -56,8 +56,8 @@
     },
     /// The first bytes of the answer were passed to the caller.
     AnswerBegun,
-    /// The batch ended and its answer was passed on whole.
-    Done(Observation),
+    /// The batch ended and its answer was passed on whole. Carries the back end's state, if known.
+    Done(Option<Observation>),
     /// The owner cannot tell the outcome.
     OutcomeUnknown {
         /// Why, of the class *outcome unknown*.
@@ -100,7 +100,7 @@
 pub enum Effect {
     /// Send the request.
     Send(Attempt),
-    /// Deliver [`Event::Tick`] at this moment.
+    /// Deliver [`Event::Tick`] at this moment. Replaces the moment named before.
     WakeAt(Time),
     /// Ask the group's members for the newest primary, then deliver [`Event::PrimaryLearnt`].
     FindPrimary,
@@ -320,7 +320,9 @@
             return self.fail(failure);
         };
         self.machine.tried.clear();
-        self.effects.push(Effect::WakeAt(until.min(resume)));
+        let deadline = self.machine.spec.deadline;
+        self.effects
+            .push(Effect::WakeAt(until.min(resume).min(deadline)));
         self.set_state(State::Waiting(Waiting {
             ticket: Some(ticket),
             until,
@@ -344,7 +346,8 @@
         if release <= self.now {
             self.attempt();
         } else {
-            self.effects.push(Effect::WakeAt(release));
+            let deadline = self.machine.spec.deadline;
+            self.effects.push(Effect::WakeAt(release.min(deadline)));
         }
     }
 
@@ -386,9 +389,7 @@
         };
         let backend = sent.backend.clone();
         match event {
-            Event::Admitted(observation) => {
-                self.group.view.observe(self.now, &backend, observation);
-            }
+            Event::Admitted(observation) => self.observe(&backend, observation),
             Event::AnswerBegun => sent.answered = true,
             Event::Done(observation) => self.done(&backend, observation),
             Event::Refused {
@@ -419,8 +420,8 @@
         }
     }
 
-    fn done(&mut self, backend: &BackendId, observation: Observation) {
-        self.group.view.observe(self.now, backend, observation);
+    fn done(&mut self, backend: &BackendId, observation: Option<Observation>) {
+        self.observe(backend, observation);
         self.group.view.succeeded(backend);
         self.group.budget.deposit();
         self.finish(Outcome::Answered);
