--- /dev/null
+++ b/crates/stairward-lab/src/demo/observer.rs
@@ -0,0 +1,121 @@
+//! Turns what the stand-in back ends report into the history that is checked.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+
+use stairward_checker::{HistoryEvent, Recorder, RequestId, TransactionId};
+use stairward_proxy::cluster::Clock;
+use stairward_standins::{GroundTruth, Observation, StatementOutcome, TransactionNumber};
+use stairward_types::{BackendId, GroupId};
+
+/// Key of the sqlcommenter comment that holds a request's number.
+const REQUEST_KEY: &str = "request='";
+
+/// Records the ground truth of all groups. The moments are taken from the run's own clock as the
+/// reports come in, which is while the back end still holds the state that it reports on.
+#[derive(Debug)]
+pub struct Observer {
+    recorder: Recorder,
+    clock: Clock,
+    groups: BTreeMap<BackendId, GroupId>,
+    explicit: Mutex<BTreeMap<(BackendId, TransactionNumber), bool>>,
+}
+
+impl Observer {
+    /// An observer of the back ends of the groups given.
+    #[must_use]
+    pub fn new(recorder: Recorder, clock: Clock, groups: BTreeMap<BackendId, GroupId>) -> Self {
+        Self {
+            recorder,
+            clock,
+            groups,
+            explicit: Mutex::default(),
+        }
+    }
+
+    /// Records one report.
+    pub fn observe(&self, truth: &GroundTruth) {
+        if let Some(event) = self.event(truth) {
+            self.recorder.record(self.clock.now(), event);
+        }
+    }
+
+    fn event(&self, truth: &GroundTruth) -> Option<HistoryEvent> {
+        let backend = truth.backend.clone();
+        let group = self.groups.get(&backend)?.clone();
+        match &truth.observation {
+            Observation::TransactionBegun {
+                transaction,
+                explicit,
+                ..
+            } => {
+                self.begin(backend, *transaction, *explicit);
+                None
+            }
+            Observation::StatementRan {
+                connection,
+                transaction: Some(transaction),
+                sql,
+                outcome: StatementOutcome::Succeeded { .. },
+                ..
+            } => Some(HistoryEvent::StatementRan {
+                autocommit: !self.is_explicit(&backend, *transaction),
+                group,
+                backend,
+                connection: connection.0,
+                transaction: TransactionId(transaction.0),
+                request: request_in(sql),
+            }),
+            Observation::TransactionCommitted {
+                transaction,
+                wrote: true,
+                freshness,
+                ..
+            } => Some(HistoryEvent::Committed {
+                group,
+                backend,
+                transaction: TransactionId(transaction.0),
+                term: freshness.term,
+                position: freshness.position,
+            }),
+            Observation::TransactionRolledBack { transaction, .. } => {
+                Some(HistoryEvent::RolledBack {
+                    backend,
+                    transaction: TransactionId(transaction.0),
+                })
+            }
+            Observation::ElectionWon { term, begins } => Some(HistoryEvent::Elected {
+                group,
+                term: *term,
+                backend,
+                log_start: begins.position,
+                continues: Some(begins.term),
+            }),
+            _ => None,
+        }
+    }
+
+    fn begin(&self, backend: BackendId, transaction: TransactionNumber, explicit: bool) {
+        self.explicit
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert((backend, transaction), explicit);
+    }
+
+    fn is_explicit(&self, backend: &BackendId, transaction: TransactionNumber) -> bool {
+        self.explicit
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(&(backend.clone(), transaction))
+            .copied()
+            .unwrap_or(false)
+    }
+}
+
+/// The request's number in a statement's comment.
+#[must_use]
+pub fn request_in(sql: &str) -> Option<RequestId> {
+    let (_, after) = sql.split_once(REQUEST_KEY)?;
+    let (digits, _) = after.split_once('\'')?;
+    digits.parse().ok().map(RequestId)
+}
--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod command;
+pub mod demo;
 pub mod load;
 pub mod output;
 pub mod provenance;
