--- a/crates/stairward-lab/src/demo/failover.rs
+++ b/crates/stairward-lab/src/demo/failover.rs
@@ -31,7 +31,8 @@
         .filter(|write| write.answered && write.ended >= failover.elected_at)
         .map(|write| write.ended)
         .min()?;
-    let completed_on_old = |write: &&WriteTiming| write.answered && write.ended < failover.elected_at;
+    let completed_on_old =
+        |write: &&WriteTiming| write.answered && write.ended < failover.elected_at;
     let first_stalled = of_group()
         .filter(|write| !completed_on_old(write))
         .map(|write| write.due)
--- a/crates/stairward-lab/src/demo/observer.rs
+++ b/crates/stairward-lab/src/demo/observer.rs
@@ -1,6 +1,6 @@
 //! Turns what the stand-in back ends report into the history that is checked.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Mutex, PoisonError};
 
 use stairward_checker::{HistoryEvent, Recorder, RequestId, TransactionId};
@@ -18,7 +18,8 @@
     recorder: Recorder,
     clock: Clock,
     groups: BTreeMap<BackendId, GroupId>,
-    explicit: Mutex<BTreeMap<(BackendId, TransactionNumber), bool>>,
+    /// Transactions opened by `BEGIN`. Kept for the whole run, as the history is.
+    explicit: Mutex<BTreeSet<(BackendId, TransactionNumber)>>,
 }
 
 impl Observer {
@@ -46,10 +47,10 @@
         match &truth.observation {
             Observation::TransactionBegun {
                 transaction,
-                explicit,
+                explicit: true,
                 ..
             } => {
-                self.begin(backend, *transaction, *explicit);
+                self.begin(backend, *transaction);
                 None
             }
             Observation::StatementRan {
@@ -95,20 +96,18 @@
         }
     }
 
-    fn begin(&self, backend: BackendId, transaction: TransactionNumber, explicit: bool) {
+    fn begin(&self, backend: BackendId, transaction: TransactionNumber) {
         self.explicit
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .insert((backend, transaction), explicit);
+            .insert((backend, transaction));
     }
 
     fn is_explicit(&self, backend: &BackendId, transaction: TransactionNumber) -> bool {
         self.explicit
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .get(&(backend.clone(), transaction))
-            .copied()
-            .unwrap_or(false)
+            .contains(&(backend.clone(), transaction))
     }
 }
 
