--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -3,8 +3,10 @@
 #![forbid(unsafe_code)]
 
 pub mod command;
+pub mod compare;
 pub mod demo;
 pub mod load;
 pub mod output;
 pub mod provenance;
+pub mod report;
 pub mod site;
--- a/crates/stairward-lab/src/load/statements.rs
+++ b/crates/stairward-lab/src/load/statements.rs
@@ -159,7 +159,7 @@
     let mut comment = format!("/*request='{number}'");
     if operation.repeatable {
         // Writing to a `String` cannot fail.
-        let _ = write!(comment, ",stairward.repeatable='true'");
+        let _ = write!(comment, ",stairward.repeatable='on'");
     }
     comment.push_str("*/");
     comment
--- a/crates/stairward-lab/src/report/chart.rs
+++ b/crates/stairward-lab/src/report/chart.rs
@@ -131,7 +131,10 @@
     fn extent(&self) -> (f64, f64) {
         let points = || self.series.iter().flat_map(|series| &series.points);
         let marks = self.marks.iter().map(|mark| mark.at);
-        let width = points().map(|point| point.0).chain(marks).fold(0.0, f64::max);
+        let width = points()
+            .map(|point| point.0)
+            .chain(marks)
+            .fold(0.0, f64::max);
         let height = points().map(|point| point.1).fold(0.0, f64::max);
         (
             (width * HEADROOM).max(SMALLEST_RANGE),
--- a/crates/stairward-lab/src/report/page.rs
+++ b/crates/stairward-lab/src/report/page.rs
@@ -61,10 +61,16 @@
 }
 
 fn sources_table(sources: &[SourceRow]) -> String {
-    let mut table =
-        String::from("<table>\n<tr><th>File</th><th>Command</th><th>Commit</th><th>Machine</th></tr>\n");
+    let mut table = String::from(
+        "<table>\n<tr><th>File</th><th>Command</th><th>Commit</th><th>Machine</th></tr>\n",
+    );
     for source in sources {
-        let cells = [&source.file, &source.command, &source.commit, &source.machine];
+        let cells = [
+            &source.file,
+            &source.command,
+            &source.commit,
+            &source.machine,
+        ];
         let cells: String = cells
             .iter()
             .map(|cell| format!("<td>{}</td>", escape(cell)))
