--- /dev/null
+++ b/crates/stairward-proxy/src/admin/edits.rs
@@ -0,0 +1,215 @@
+//! Editing the settings and marking back ends.
+
+use gotham::handler::SimpleHandlerResult;
+use gotham::helpers::http::Body;
+use gotham::http_body_util::{BodyExt as _, Limited};
+use gotham::hyper::header::CONTENT_TYPE;
+use gotham::hyper::{HeaderMap, Response};
+use gotham::router::response::StaticResponseExtender;
+use gotham::state::{FromState as _, State, StateData};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use stairward_settings::{Change, Edit, SettingsDocument, SettingsOption, SettingsPath, Value};
+use stairward_types::{ChangeId, ResultCode, Revision};
+
+use super::context::AdminContext;
+use super::error::{AdminError, ProblemBody, answer};
+use super::settings::document;
+
+/// Largest body accepted, in bytes.
+const MAXIMUM_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// Body of `POST /settings/edits`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EditBody {
+    change_id: ChangeId,
+    based_on: Revision,
+    changes: Vec<ChangeBody>,
+}
+
+/// One change of an edit, with names that may be wrong.
+#[derive(Debug, Deserialize)]
+#[serde(tag = "action", rename_all = "snake_case", deny_unknown_fields)]
+enum ChangeBody {
+    Set {
+        path: String,
+        option: String,
+        value: Value,
+    },
+    Unset {
+        path: String,
+        option: String,
+    },
+    Remove {
+        path: String,
+    },
+}
+
+/// Body of `POST /backends/NAME`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MarkBody {
+    /// `joining`, `active` or `leaving`.
+    admin_state: String,
+    /// Chosen anew when not given; then a lost reply cannot be settled.
+    change_id: Option<ChangeId>,
+    /// The revision looked at; the one in force here when not given.
+    based_on: Option<Revision>,
+}
+
+/// Path of `POST /backends/NAME`.
+#[derive(Debug, Deserialize)]
+pub(super) struct BackendName {
+    name: String,
+}
+
+impl StateData for BackendName {}
+
+impl StaticResponseExtender for BackendName {
+    type ResBody = Body;
+    fn extend(_state: &mut State, _response: &mut Response<Body>) {}
+}
+
+/// Answer to an accepted edit.
+#[derive(Serialize)]
+struct EditedBody {
+    change_id: ChangeId,
+    /// The revision the edit made.
+    revision: Revision,
+}
+
+/// Makes an edit.
+pub(super) async fn post_edit(state: &mut State) -> SimpleHandlerResult {
+    let context = AdminContext::borrow_from(state).clone();
+    let body = read_json::<EditBody>(state).await;
+    let edit = body.and_then(EditBody::into_edit);
+    answer(match edit {
+        Ok(edit) => make_edit(&context, &edit).await,
+        Err(error) => Err(error),
+    })
+}
+
+/// Marks a back end as joining, active or leaving.
+pub(super) async fn mark_backend(state: &mut State) -> SimpleHandlerResult {
+    let context = AdminContext::borrow_from(state).clone();
+    let name = BackendName::take_from(state).name;
+    let body = read_json::<MarkBody>(state).await;
+    let document = document(state);
+    let edit = body.and_then(|body| mark_edit(&*document?, &name, body));
+    answer(match edit {
+        Ok(edit) => make_edit(&context, &edit).await,
+        Err(error) => Err(error),
+    })
+}
+
+async fn make_edit(context: &AdminContext, edit: &Edit) -> Result<EditedBody, AdminError> {
+    let outcome = context.configuration.edit(edit).await?;
+    Ok(EditedBody {
+        change_id: edit.change_id,
+        revision: outcome.revision,
+    })
+}
+
+fn mark_edit(document: &SettingsDocument, name: &str, body: MarkBody) -> Result<Edit, AdminError> {
+    let path = document
+        .tree()
+        .places()
+        .map(|(path, _)| path)
+        .find(|path| matches!(path, SettingsPath::Backend(.., backend) if backend.as_str() == name))
+        .ok_or_else(|| AdminError::not_found(format!("there is no back end {name}")))?;
+    Ok(Edit {
+        change_id: body.change_id.unwrap_or_else(|| ChangeId(rand::random())),
+        based_on: body.based_on.unwrap_or_else(|| document.revision()),
+        changes: vec![Change::Set {
+            path: path.clone(),
+            option: SettingsOption::AdminState,
+            value: Value::Text(body.admin_state),
+        }],
+    })
+}
+
+impl EditBody {
+    /// Checks every name; all that are wrong are told at once.
+    fn into_edit(self) -> Result<Edit, AdminError> {
+        let mut problems = Vec::new();
+        let mut changes = Vec::new();
+        for change in self.changes {
+            match change.into_change() {
+                Ok(change) => changes.push(change),
+                Err(problem) => problems.push(problem),
+            }
+        }
+        if !problems.is_empty() {
+            return Err(AdminError::invalid_settings(problems));
+        }
+        Ok(Edit {
+            change_id: self.change_id,
+            based_on: self.based_on,
+            changes,
+        })
+    }
+}
+
+impl ChangeBody {
+    fn into_change(self) -> Result<Change, ProblemBody> {
+        match self {
+            Self::Set {
+                path,
+                option,
+                value,
+            } => Ok(Change::Set {
+                option: parse_option(&path, &option)?,
+                path: parse_path(&path)?,
+                value,
+            }),
+            Self::Unset { path, option } => Ok(Change::Unset {
+                option: parse_option(&path, &option)?,
+                path: parse_path(&path)?,
+            }),
+            Self::Remove { path } => Ok(Change::Remove {
+                path: parse_path(&path)?,
+            }),
+        }
+    }
+}
+
+fn parse_path(path: &str) -> Result<SettingsPath, ProblemBody> {
+    path.parse()
+        .map_err(|error: stairward_settings::InvalidPath| name_problem(path, None, &error))
+}
+
+fn parse_option(path: &str, option: &str) -> Result<SettingsOption, ProblemBody> {
+    SettingsOption::from_name(option).map_err(|error| name_problem(path, Some(option), &error))
+}
+
+fn name_problem(path: &str, option: Option<&str>, error: &impl ToString) -> ProblemBody {
+    ProblemBody {
+        path: path.to_owned(),
+        option: option.map(str::to_owned),
+        code: ResultCode::InvalidSettings.number(),
+        message: error.to_string(),
+    }
+}
+
+/// Reads a JSON body of bounded size. The content type must say JSON, which a page in a browser
+/// cannot send to another site without being asked.
+async fn read_json<T: DeserializeOwned>(state: &mut State) -> Result<T, AdminError> {
+    let is_json = HeaderMap::borrow_from(state)
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse::<mime::Mime>().ok())
+        .is_some_and(|value| value.essence_str() == mime::APPLICATION_JSON.essence_str());
+    if !is_json {
+        return Err(AdminError::bad_request(
+            "the content type must be application/json",
+        ));
+    }
+    let body = Limited::new(Body::take_from(state), MAXIMUM_BODY_BYTES);
+    let bytes = body
+        .collect()
+        .await
+        .map_err(|_| AdminError::new(ResultCode::MessageTooLarge))?
+        .to_bytes();
+    serde_json::from_slice(&bytes).map_err(|error| AdminError::bad_request(error.to_string()))
+}
--- /dev/null
+++ b/crates/stairward-proxy/src/admin/mod.rs
@@ -0,0 +1,29 @@
+//! The admin interface: health, metrics, status, and reading and editing the settings, over HTTP.
+//!
+//! | Request | Answer |
+//! |---|---|
+//! | `GET /health` | 200 while the process runs |
+//! | `GET /ready` | 200 when callers are served, else 503 with the reason |
+//! | `GET /metrics` | Prometheus text |
+//! | `GET /status` | [`status::NodeStatus`] |
+//! | `GET /settings` | the tree, or with `?path=PLACE` its options and where each value comes from |
+//! | `GET /settings/history` | the latest edits |
+//! | `POST /settings/edits` | makes an edit |
+//! | `POST /backends/NAME` | marks a back end as joining, active or leaving |
+//!
+//! Bodies are JSON; a refusal is an [`error::ErrorBody`] with a numbered result code. Loopback
+//! addresses need no token, all others need a bearer token.
+
+mod authorization;
+mod connection;
+mod context;
+mod edits;
+pub mod error;
+mod routes;
+mod server;
+mod settings;
+pub mod status;
+
+pub use authorization::AdminToken;
+pub use server::{AdminOptions, AdminService};
+pub use status::{BackendActivity, NodeActivity, StatusSource};
--- /dev/null
+++ b/crates/stairward-proxy/src/admin/settings.rs
@@ -0,0 +1,117 @@
+//! Reading the settings.
+
+use std::collections::BTreeMap;
+
+use gotham::handler::SimpleHandlerResult;
+use gotham::helpers::http::Body;
+use gotham::hyper::Response;
+use gotham::router::response::StaticResponseExtender;
+use gotham::state::{FromState as _, State, StateData};
+use serde::{Deserialize, Serialize};
+use stairward_settings::{
+    AppliedEdit, ExplainedValue, SettingsDocument, SettingsOption, SettingsPath, SettingsTree,
+    Value,
+};
+use stairward_types::{ResultCode, Revision};
+
+use super::context::AdminContext;
+use super::error::{AdminError, answer};
+
+/// Query of `GET /settings`.
+#[derive(Debug, Deserialize)]
+pub(super) struct SettingsQuery {
+    /// The place to explain; the whole tree as it is set without.
+    path: Option<String>,
+}
+
+impl StateData for SettingsQuery {}
+
+impl StaticResponseExtender for SettingsQuery {
+    type ResBody = Body;
+    fn extend(_state: &mut State, _response: &mut Response<Body>) {}
+}
+
+/// Answer to `GET /settings`.
+#[derive(Serialize)]
+#[serde(untagged)]
+enum SettingsBody {
+    Tree {
+        revision: Revision,
+        /// What is set at each place, without what is inherited.
+        tree: BTreeMap<SettingsPath, BTreeMap<SettingsOption, Value>>,
+    },
+    Place {
+        revision: Revision,
+        path: SettingsPath,
+        /// The places directly below.
+        children: Vec<SettingsPath>,
+        /// What is in force at the place, and where each value comes from.
+        options: Vec<ExplainedValue>,
+    },
+}
+
+/// Answer to `GET /settings/history`.
+#[derive(Serialize)]
+struct HistoryBody {
+    revision: Revision,
+    /// The latest edits, the oldest first.
+    edits: Vec<AppliedEdit>,
+}
+
+/// The tree, or one place explained.
+pub(super) async fn get_settings(state: &mut State) -> SimpleHandlerResult {
+    let query = SettingsQuery::take_from(state);
+    let document = document(state);
+    answer(document.and_then(|document| match query.path {
+        None => Ok(whole_tree(&document)),
+        Some(path) => explain(&document, &path),
+    }))
+}
+
+/// The latest edits.
+pub(super) async fn get_history(state: &mut State) -> SimpleHandlerResult {
+    let document = document(state);
+    answer(document.map(|document| HistoryBody {
+        revision: document.revision(),
+        edits: document.history().cloned().collect(),
+    }))
+}
+
+/// The settings in force on this node.
+pub(super) fn document(state: &State) -> Result<std::sync::Arc<SettingsDocument>, AdminError> {
+    AdminContext::borrow_from(state)
+        .configuration
+        .document()
+        .ok_or_else(|| AdminError::new(ResultCode::NotReady))
+}
+
+fn whole_tree(document: &SettingsDocument) -> SettingsBody {
+    SettingsBody::Tree {
+        revision: document.revision(),
+        tree: set_values(document.tree()),
+    }
+}
+
+fn set_values(tree: &SettingsTree) -> BTreeMap<SettingsPath, BTreeMap<SettingsOption, Value>> {
+    tree.places()
+        .map(|(path, options)| (path.clone(), options.clone()))
+        .collect()
+}
+
+fn explain(document: &SettingsDocument, path: &str) -> Result<SettingsBody, AdminError> {
+    let path: SettingsPath = path
+        .parse()
+        .map_err(|error: stairward_settings::InvalidPath| {
+            AdminError::bad_request(error.to_string())
+        })?;
+    let tree = document.tree();
+    let options = tree
+        .explain(&path)
+        .ok_or_else(|| AdminError::not_found(format!("there is no place {path}")))?;
+    Ok(SettingsBody::Place {
+        revision: document.revision(),
+        children: tree.children(&path).cloned().collect(),
+        path,
+        options,
+    })
+}
--- /dev/null
+++ b/crates/stairward-proxy/src/admin/status.rs
@@ -0,0 +1,237 @@
+//! Health, readiness, metrics and status.
+
+use gotham::handler::SimpleHandlerResult;
+use gotham::hyper::StatusCode;
+use gotham::hyper::header::HeaderValue;
+use gotham::state::{FromState as _, State};
+use serde::Serialize;
+use stairward_membership::configuration::{NotReadyReason, Readiness, SourceStatus};
+use stairward_types::{
+    BackendId, Duration, Incarnation, NodeId, RegionName, ResultCode, Revision, ZoneName,
+};
+
+use super::context::AdminContext;
+use super::error::{AdminError, answer, response};
+use crate::cluster::{Cluster, Member};
+
+/// Content type of the Prometheus text format.
+const PROMETHEUS_TEXT: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
+
+/// Tells what a node is doing.
+pub trait StatusSource: Send + Sync + 'static {
+    /// What it is doing now.
+    fn activity(&self) -> NodeActivity;
+}
+
+/// What a node is doing, apart from membership and settings.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
+pub struct NodeActivity {
+    /// Whether a planned stop is under way.
+    pub draining: bool,
+    /// Client sessions.
+    pub sessions: usize,
+    /// Requests that wait for a new primary.
+    pub held_requests: usize,
+    /// The back ends served by this node.
+    pub backends: Vec<BackendActivity>,
+}
+
+/// What a node does for one back end.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct BackendActivity {
+    /// The back end.
+    pub backend: BackendId,
+    /// Time left of the lease, in milliseconds; none without a lease.
+    pub lease_remaining_ms: Option<u64>,
+    /// Connections open.
+    pub connections: usize,
+    /// Connections this node may open.
+    pub connection_share: usize,
+    /// Statements running.
+    pub running: usize,
+    /// Requests waiting.
+    pub queued: usize,
+}
+
+/// Answer to `GET /status`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct NodeStatus {
+    /// The node.
+    pub node: NodeId,
+    /// Which life of the process.
+    pub incarnation: Incarnation,
+    /// Its region.
+    pub region: RegionName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Whether it serves callers.
+    pub ready: bool,
+    /// Why not; none when it does.
+    pub not_ready_reason: Option<String>,
+    /// The state of its settings.
+    pub settings: SettingsStatus,
+    /// The members it sees, itself included.
+    pub members: Vec<MemberStatus>,
+    /// What it is doing.
+    #[serde(flatten)]
+    pub activity: NodeActivity,
+}
+
+/// The state of a node's settings.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct SettingsStatus {
+    /// The revision in force.
+    pub revision: Revision,
+    /// How long ago the revision was known to be the newest in the store, in milliseconds; none when
+    /// it never was.
+    pub age_ms: Option<u64>,
+    /// `current`, `store_unreachable` or `cut_off`.
+    pub source: &'static str,
+    /// Whether this node reads the store for its region.
+    pub watcher: bool,
+}
+
+/// One member as a node sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct MemberStatus {
+    /// Its number.
+    pub node: NodeId,
+    /// Which life of the process.
+    pub incarnation: Incarnation,
+    /// Where it listens for peers.
+    pub address: std::net::SocketAddr,
+    /// Its region.
+    pub region: RegionName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Whether it is stopping.
+    pub leaving: bool,
+}
+
+/// Answer to `GET /health`.
+#[derive(Serialize)]
+struct HealthBody {
+    status: &'static str,
+}
+
+/// Answer to `GET /ready` of a node that serves.
+#[derive(Serialize)]
+struct ReadyBody {
+    ready: bool,
+    revision: Revision,
+}
+
+/// Whether the process runs.
+pub(super) async fn get_health(_state: &mut State) -> SimpleHandlerResult {
+    answer(Ok(HealthBody { status: "ok" }))
+}
+
+/// Whether callers are served.
+pub(super) async fn get_ready(state: &mut State) -> SimpleHandlerResult {
+    let context = AdminContext::borrow_from(state);
+    let reason = not_ready_reason(context);
+    answer(match reason {
+        None => Ok(ReadyBody {
+            ready: true,
+            revision: context.cluster.settings().revision,
+        }),
+        Some((code, reason)) => Err(AdminError::with_message(code, reason)),
+    })
+}
+
+/// The metrics in the Prometheus text format.
+pub(super) async fn get_metrics(state: &mut State) -> SimpleHandlerResult {
+    let context = AdminContext::borrow_from(state);
+    let text = context.metrics.render();
+    Ok(response(StatusCode::OK, PROMETHEUS_TEXT, text))
+}
+
+/// What the node knows and does.
+pub(super) async fn get_status(state: &mut State) -> SimpleHandlerResult {
+    let context = AdminContext::borrow_from(state);
+    answer(Ok(node_status(context)))
+}
+
+fn node_status(context: &AdminContext) -> NodeStatus {
+    let identity = &context.cluster.identity;
+    let reason = not_ready_reason(context);
+    NodeStatus {
+        node: identity.node,
+        incarnation: identity.incarnation,
+        region: identity.region.clone(),
+        zone: identity.zone.clone(),
+        ready: reason.is_none(),
+        not_ready_reason: reason.map(|(_, reason)| reason),
+        settings: settings_status(context),
+        members: member_statuses(&context.cluster),
+        activity: context.status.activity(),
+    }
+}
+
+fn settings_status(context: &AdminContext) -> SettingsStatus {
+    let status = context.configuration.status();
+    SettingsStatus {
+        revision: status.revision,
+        age_ms: status.source_age.map(whole_milliseconds),
+        source: source_name(status.source),
+        watcher: status.is_watcher,
+    }
+}
+
+fn member_statuses(cluster: &Cluster) -> Vec<MemberStatus> {
+    cluster
+        .members()
+        .members
+        .iter()
+        .map(member_status)
+        .collect()
+}
+
+fn member_status(member: &Member) -> MemberStatus {
+    MemberStatus {
+        node: member.node,
+        incarnation: member.incarnation,
+        address: member.peer_address,
+        region: member.region.clone(),
+        zone: member.zone.clone(),
+        leaving: member.leaving,
+    }
+}
+
+fn not_ready_reason(context: &AdminContext) -> Option<(ResultCode, String)> {
+    if context.status.activity().draining {
+        let code = ResultCode::ProxyStopping;
+        return Some((code, code.message().to_owned()));
+    }
+    match context.configuration.status().readiness {
+        Readiness::Ready => None,
+        Readiness::NotReady(reason) => Some((ResultCode::NotReady, describe(reason))),
+    }
+}
+
+fn describe(reason: NotReadyReason) -> String {
+    match reason {
+        NotReadyReason::NoSettings => {
+            "neither the platform's store nor a peer has given this node settings".to_owned()
+        }
+        NotReadyReason::NewerRevisionHeard { heard } => {
+            format!("a peer holds the newer revision {heard}")
+        }
+        NotReadyReason::Unconfirmed { confirmations } => format!(
+            "the platform's store has not been read since this node started, \
+             and only {confirmations} serving peers have confirmed its settings"
+        ),
+    }
+}
+
+fn source_name(source: SourceStatus) -> &'static str {
+    match source {
+        SourceStatus::Current => "current",
+        SourceStatus::StoreUnreachable => "store_unreachable",
+        SourceStatus::CutOff => "cut_off",
+    }
+}
+
+fn whole_milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/stairward-proxy/src/lib.rs
+++ b/crates/stairward-proxy/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod admin;
 pub mod cluster;
 pub mod control;
 pub mod owner;
--- a/crates/stairward-types/src/result_code.rs
+++ b/crates/stairward-types/src/result_code.rs
@@ -141,6 +141,8 @@
     InvalidCommandLine = 4005, NotRun, "22023", "the command line is not valid";
     /// The admin interface refuses the token.
     AdminForbidden = 4006, NotRun, "28000", "the admin token is wrong";
+    /// A request to the admin interface cannot be understood or names nothing known.
+    InvalidAdminRequest = 4010, NotRun, "22023", "the admin request is not valid";
 }
 
 impl ResultCode {
