--- a/crates/stairward-standins/src/lib.rs
+++ b/crates/stairward-standins/src/lib.rs
@@ -6,6 +6,8 @@
 #![forbid(unsafe_code)]
 
 mod ground_truth;
+pub mod group;
+pub mod sql;
 
 pub use ground_truth::{
     ConnectionNumber, GroundTruth, Observation, StatementOutcome, TransactionNumber,
