lab: capacity table from measured slopes, settings tree of a site

Cause: docs/CAPACITY.md must say only what a measured slope carries. Change: `stairward-lab capacity` renders the table from a slopes file and compares it with the page; lines without a slope say so. The settings tree of a site is made from its data and the databases' addresses. Conclusion: no slope is measured yet.

--- a/crates/stairward-lab/src/demo/mod.rs
+++ b/crates/stairward-lab/src/demo/mod.rs
@@ -5,3 +5,4 @@
 pub mod observer;
 pub mod replica_reads;
 pub mod report;
+pub mod settings;
--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod capacity;
 pub mod command;
 pub mod compare;
 pub mod demo;
