Say which log record a newly elected primary continues

Cause: the checkers need the last record kept of the older terms; the new term's own first record lies after it, so a lost commit in between would pass as kept. Change: ElectionWon carries the term and position of the record that the new term continues.

--- a/crates/stairward-standins/src/ground_truth.rs
+++ b/crates/stairward-standins/src/ground_truth.rs
@@ -87,6 +87,8 @@
         /// Term and position at which the new term's log begins. What the new primary did not hold
         /// at that moment is lost.
         begins: Freshness,
+        /// Term and position of the last record before that, which the new term's log continues.
+        continues: Freshness,
     },
     /// The back end stopped leading since it learnt of a later term.
     SteppedDown {
--- a/crates/stairward-standins/src/group/consensus.rs
+++ b/crates/stairward-standins/src/group/consensus.rs
@@ -229,6 +229,7 @@
             Observation::ElectionWon {
                 term: self.term,
                 begins,
+                continues: last,
             },
             context,
         );
