--- a/crates/stairward-lab/src/demo/observer.rs
+++ b/crates/stairward-lab/src/demo/observer.rs
@@ -85,12 +85,14 @@
                     transaction: TransactionId(transaction.0),
                 })
             }
-            Observation::ElectionWon { term, begins } => Some(HistoryEvent::Elected {
+            Observation::ElectionWon {
+ term, continues, ..
+ } => Some(HistoryEvent::Elected {
                 group,
                 term: *term,
                 backend,
-                log_start: begins.position,
-                continues: Some(begins.term),
+                log_start: continues.position,
+                continues: Some(continues.term),
             }),
             _ => None,
         }
