--- a/crates/stairward-lab/src/demo/observer.rs
+++ b/crates/stairward-lab/src/demo/observer.rs
@@ -86,8 +86,8 @@
                 })
             }
             Observation::ElectionWon {
- term, continues, ..
- } => Some(HistoryEvent::Elected {
+                term, continues, ..
+            } => Some(HistoryEvent::Elected {
                 group,
                 term: *term,
                 backend,
