Check files of both kinds, and document every option

Operators need one command that tells what is wrong with a file, and a page that cannot drift from the code. check_file recognises a process file or a settings tree and reports each problem with path, line and code.

A change in JSON is now {path, option, value}, without a value to take it back, or {path, remove}. The suggested name for a misspelt one is the shortest of those equally near, and a group with an unusable member is no longer also told to lack a majority; tests found both.

--- a/crates/stairward-settings/src/edit.rs
+++ b/crates/stairward-settings/src/edit.rs
@@ -14,8 +14,11 @@
 pub const MAXIMUM_CHANGES: usize = 10_000;
 
 /// One step of an edit.
+///
+/// In JSON, `{"path", "option", "value"}` sets, the same without a value (or with null) takes back,
+/// and `{"path", "remove": true}` removes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "action", rename_all = "snake_case")]
+#[serde(try_from = "ChangeForm", into = "ChangeForm")]
 pub enum Change {
     /// Sets an option, adding the place when it is new.
     Set {
@@ -40,6 +43,70 @@
     },
 }
 
+/// The JSON form of a [`Change`].
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChangeForm {
+    path: SettingsPath,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    option: Option<SettingsOption>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    value: Option<Value>,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    remove: bool,
+}
+
+/// A change that names neither an option nor `"remove": true`, or both.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("a change at {path} names either an option or \"remove\": true"))]
+pub struct AmbiguousChange {
+    /// Where.
+    pub path: SettingsPath,
+}
+
+impl TryFrom<ChangeForm> for Change {
+    type Error = AmbiguousChange;
+
+    fn try_from(form: ChangeForm) -> Result<Self, Self::Error> {
+        let ChangeForm {
+            path,
+            option,
+            value,
+            remove,
+        } = form;
+        match (option, value, remove) {
+            (Some(option), Some(value), false) => Ok(Self::Set {
+                path,
+                option,
+                value,
+            }),
+            (Some(option), None, false) => Ok(Self::Unset { path, option }),
+            (None, None, true) => Ok(Self::Remove { path }),
+            _ => AmbiguousChangeSnafu { path }.fail(),
+        }
+    }
+}
+
+impl From<Change> for ChangeForm {
+    fn from(change: Change) -> Self {
+        let (path, option, value, remove) = match change {
+            Change::Set {
+                path,
+                option,
+                value,
+            } => (path, Some(option), Some(value), false),
+            Change::Unset { path, option } => (path, Some(option), None, false),
+            Change::Remove { path } => (path, None, None, true),
+        };
+        Self {
+            path,
+            option,
+            value,
+            remove,
+        }
+    }
+}
+
 /// What an operator wants changed, all of it or nothing.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Edit {
--- a/crates/stairward-settings/src/lib.rs
+++ b/crates/stairward-settings/src/lib.rs
@@ -8,6 +8,7 @@
 
 #![forbid(unsafe_code)]
 
+mod check;
 mod document;
 mod edit;
 mod path;
@@ -19,17 +20,20 @@
 pub mod tree;
 mod update;
 mod value;
+mod value_kind;
 
+pub use check::{CheckReport, FileKind, check_file, check_text};
 pub use document::{
     InvalidDocument, MAXIMUM_HISTORY_CHANGES, MAXIMUM_HISTORY_EDITS, SETTINGS_OBJECT,
     SettingsDocument,
 };
-pub use edit::{AppliedEdit, Change, Edit, EditError, MAXIMUM_CHANGES};
+pub use edit::{AmbiguousChange, AppliedEdit, Change, Edit, EditError, MAXIMUM_CHANGES};
 pub use path::{InvalidPath, Level, SettingsPath};
 pub use problem::{ProblemKind, SettingsProblem};
 pub use process::ProcessSettings;
 pub use resolved::{BackendSettings, GroupSettings, ResolvedSettings, ServiceSettings};
-pub use schema::{DefaultValue, OptionSchema, SettingsOption, Unit, UnknownOption, ValueKind};
+pub use schema::{DefaultValue, OptionSchema, SettingsOption, Unit, UnknownOption};
 pub use tree::{ExplainedValue, Origin, SettingsTree};
 pub use update::{MAXIMUM_UPDATE_BYTES, SettingsUpdate, UpdateError};
 pub use value::Value;
+pub use value_kind::{MAXIMUM_TEXT_BYTES, ValueKind};
--- a/crates/stairward-settings/src/problem.rs
+++ b/crates/stairward-settings/src/problem.rs
@@ -23,16 +23,25 @@
     pub kind: Box<ProblemKind>,
 }
 
+impl SettingsProblem {
+    /// The problem as text without its line, for those who show the line themselves.
+    #[must_use]
+    pub fn without_line(&self) -> String {
+        let mut place = self.path.clone();
+        if let Some(option) = &self.option {
+            place.push(' ');
+            place.push_str(option);
+        }
+        format!("{place}: {} (SW{})", self.kind, self.code.number())
+    }
+}
+
 impl fmt::Display for SettingsProblem {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         if let Some(line) = self.line {
             write!(formatter, "line {line}: ")?;
         }
-        formatter.write_str(&self.path)?;
-        if let Some(option) = &self.option {
-            write!(formatter, " {option}")?;
-        }
-        write!(formatter, ": {} (SW{})", self.kind, self.code.number())
+        formatter.write_str(&self.without_line())
     }
 }
 
@@ -191,6 +200,14 @@
         /// How many are allowed.
         maximum: usize,
     },
+    /// The key is too short to be safe.
+    #[snafu(display("the key has {bytes} bytes, at least {minimum} are needed"))]
+    ShortKey {
+        /// How many it has.
+        bytes: usize,
+        /// How many are needed.
+        minimum: usize,
+    },
     /// The admin interface would be reachable by others without protection.
     #[snafu(display("an address that is not loopback needs [admin] token_file and [admin.tls]"))]
     UnprotectedAdmin,
--- a/crates/stairward-settings/src/process/mod.rs
+++ b/crates/stairward-settings/src/process/mod.rs
@@ -2,6 +2,7 @@
 //! its keys. Read from a TOML file, or built by a program that embeds nodes.
 
 mod load;
+mod reader;
 mod schema;
 mod secret;
 
@@ -11,14 +12,14 @@
 
 use hmac::{Hmac, Mac};
 use sha2::{Digest, Sha256};
-use stairward_types::{NodeId, RegionName, ZoneName};
+use stairward_types::{NodeId, RegionName, ResultCode, ZoneName};
 
 pub use schema::{
     LOG_FORMATS, LOG_LEVELS, PROCESS_OPTIONS, ProcessDefault, ProcessOption, ProcessValueKind,
 };
 pub use secret::{Secret, SecretSource, TlsFiles, Users, UsersSource};
 
-use crate::problem::SettingsProblem;
+use crate::problem::{ProblemKind, SettingsProblem};
 use schema::{DEFAULT_DRAIN_TIMEOUT_MS, DEFAULT_MAXIMUM_CLIENTS};
 
 /// Fewest bytes of a cluster key.
@@ -206,6 +207,55 @@
             .unwrap_or_else(|| derived_node_id(peer_address))
     }
 
+    /// Reads every file that the settings name, and tells what is wrong with them.
+    #[must_use]
+    pub fn check_named_files(&self) -> Vec<SettingsProblem> {
+        let mut problems = Vec::new();
+        problems.extend(self.load_cluster_key().err());
+        problems.extend(self.callers.users.load().err().unwrap_or_default());
+        let secrets = [
+            self.callers.token_key.as_ref(),
+            Some(&self.backends.password),
+            self.admin.token.as_ref(),
+        ];
+        for secret in secrets.into_iter().flatten() {
+            problems.extend(secret.load().err());
+        }
+        let certificates = [self.callers.tls.as_ref(), self.admin.tls.as_ref()];
+        let files = certificates
+            .into_iter()
+            .flatten()
+            .flat_map(|tls| [&tls.certificate_file, &tls.key_file])
+            .chain(self.backends.root_certificate_file.as_ref());
+        for file in files {
+            problems.extend(SecretSource::File(file.clone()).load().err());
+        }
+        problems
+    }
+
+    /// Reads the key shared by all nodes.
+    ///
+    /// # Errors
+    /// [`SettingsProblem`] when the file cannot be read or the key is shorter than
+    /// [`MINIMUM_CLUSTER_KEY_BYTES`].
+    pub fn load_cluster_key(&self) -> Result<Secret, SettingsProblem> {
+        let key = self.cluster.key.load()?;
+        let bytes = key.expose().len();
+        if bytes >= MINIMUM_CLUSTER_KEY_BYTES {
+            return Ok(key);
+        }
+        Err(SettingsProblem {
+            path: "cluster".to_owned(),
+            option: Some("key_file".to_owned()),
+            line: None,
+            code: ResultCode::InvalidProcessFile,
+            kind: Box::new(ProblemKind::ShortKey {
+                bytes,
+                minimum: MINIMUM_CLUSTER_KEY_BYTES,
+            }),
+        })
+    }
+
     /// Reads the key of session tokens, or derives it from the cluster key.
     ///
     /// # Errors
@@ -213,7 +263,7 @@
     pub fn load_token_key(&self) -> Result<Secret, SettingsProblem> {
         match &self.callers.token_key {
             Some(source) => source.load(),
-            None => Ok(derive_token_key(&self.cluster.key.load()?)),
+            None => Ok(derive_token_key(&self.load_cluster_key()?)),
         }
     }
 }
--- a/crates/stairward-settings/src/process/schema.rs
+++ b/crates/stairward-settings/src/process/schema.rs
@@ -3,6 +3,8 @@
 
 use std::fmt;
 
+use crate::schema::Unit;
+
 /// What values of a process file option look like.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProcessValueKind {
@@ -81,6 +83,18 @@
     pub documentation: &'static str,
 }
 
+impl ProcessOption {
+    /// The unit of its values, told by the end of its name.
+    #[must_use]
+    pub fn unit(&self) -> Unit {
+        match self.kind {
+            ProcessValueKind::Integer { .. } if self.name.ends_with("_ms") => Unit::Milliseconds,
+            ProcessValueKind::Integer { .. } if self.name != "id" => Unit::Count,
+            _ => Unit::None,
+        }
+    }
+}
+
 const fn option(
     table: &'static str,
     name: &'static str,
@@ -270,6 +284,6 @@
         "timeout_ms",
         integer(0, 3_600_000),
         Integer(DEFAULT_DRAIN_TIMEOUT_MS),
-        "How long a planned stop may take before what is left is cut off, in milliseconds.",
+        "How long a planned stop may take before what is left is cut off.",
     ),
 ];
--- a/crates/stairward-settings/src/toml_text.rs
+++ b/crates/stairward-settings/src/toml_text.rs
@@ -1,5 +1,6 @@
 //! What both kinds of TOML file share: lines of spans, and the parser's errors as problems.
 
+use std::cmp::Reverse;
 use std::ops::Range;
 
 use stairward_types::ResultCode;
@@ -75,7 +76,7 @@
 }
 
 /// The known name most like a misspelt one: the one with the longest common beginning, of at least
-/// three letters.
+/// three letters; of several, the shortest.
 pub(crate) fn nearest_name<'name>(
     wrong: &str,
     known: impl Iterator<Item = &'name str>,
@@ -88,7 +89,7 @@
             .count()
     };
     known
-        .max_by_key(|name| common(name))
+        .max_by_key(|name| (common(name), Reverse(name.len())))
         .filter(|name| common(name) >= LEAST_COMMON)
         .map(str::to_owned)
 }
--- a/crates/stairward-settings/src/tree/mod.rs
+++ b/crates/stairward-settings/src/tree/mod.rs
@@ -12,6 +12,7 @@
 use stairward_types::ResultCode;
 
 pub use explain::{ExplainedValue, Origin};
+pub(crate) use load::{REGION_TABLE, ROOT_TABLE};
 
 use crate::path::SettingsPath;
 use crate::problem::{ProblemKind, SettingsProblem};
--- a/crates/stairward-settings/src/tree/validate.rs
+++ b/crates/stairward-settings/src/tree/validate.rs
@@ -1,6 +1,6 @@
 //! Checks of the tree as a whole: what no single option can tell.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -57,14 +57,14 @@
 ) -> Vec<SettingsProblem> {
     let mut problems = Vec::new();
     let mut addresses: BTreeMap<SocketAddr, &SettingsPath> = BTreeMap::new();
-    let groups_with_members = groups_with_members(tree);
+    let member_counts = count_members(tree);
     for (path, _) in tree.places() {
         match path {
             SettingsPath::Root | SettingsPath::Region(_) | SettingsPath::Service(..) => {}
             SettingsPath::Group(_, _, group) => {
                 if let Some(settings) = resolved.groups.get(group) {
-                    let has_members = groups_with_members.contains(path);
-                    check_members(path, has_members, settings, &mut problems);
+                    let members = member_counts.get(path).copied().unwrap_or_default();
+                    check_members(path, members, settings, &mut problems);
                     check_times(path, settings, &mut problems);
                     check_hold_queue(path, settings, &mut problems);
                 }
@@ -89,25 +89,37 @@
     problems
 }
 
-fn groups_with_members(tree: &SettingsTree) -> BTreeSet<SettingsPath> {
-    tree.places()
-        .filter(|(path, _)| path.level() == Level::Backend)
-        .filter_map(|(path, _)| path.parent())
-        .collect()
+/// How many back ends the tree has below each group.
+fn count_members(tree: &SettingsTree) -> BTreeMap<SettingsPath, usize> {
+    let mut counts = BTreeMap::new();
+    for (path, _) in tree.places() {
+        if path.level() != Level::Backend {
+            continue;
+        }
+        if let Some(group) = path.parent() {
+            *counts.entry(group).or_default() += 1;
+        }
+    }
+    counts
 }
 
 /// A group needs members, and a majority of the established ones must be in use: once those that
-/// leave are gone, no write could be confirmed by a majority.
+/// leave are gone, no write could be confirmed by a majority. Members without an address or zone are
+/// problems of their own.
 fn check_members(
     path: &SettingsPath,
-    has_members: bool,
+    members: usize,
     group: &GroupSettings,
     problems: &mut Vec<SettingsProblem>,
 ) {
-    if !has_members {
+    if members == 0 {
         problems.push(problem(path, None, ProblemKind::NoBackends));
         return;
     }
+    let are_all_usable = group.backends.len() == members;
+    if !are_all_usable {
+        return;
+    }
     let in_state = |state: AdminState| {
         group
             .backends
