--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -26,6 +26,7 @@
     crate::report::COMMAND,
     crate::compare::COMMAND,
     crate::capacity::COMMAND,
+    crate::experiment::idle::COMMAND,
 ];
 
 /// Reads the subcommand's name from the command line and runs it.
--- /dev/null
+++ b/crates/stairward-lab/src/experiment/mod.rs
@@ -0,0 +1,3 @@
+//! Measurements that the capacity and benchmark pages rest on.
+
+pub mod idle;
