--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -2,8 +2,15 @@
 
 #![forbid(unsafe_code)]
 
+pub mod capacity;
 pub mod command;
+pub mod compare;
+pub mod demo;
+pub mod experiment;
+pub mod fit;
 pub mod load;
 pub mod output;
+pub mod process;
 pub mod provenance;
+pub mod report;
 pub mod site;
