--- a/crates/stairward-routing/src/view.rs
+++ b/crates/stairward-routing/src/view.rs
@@ -10,6 +10,9 @@
 const FIRST_BACK_OFF: Duration = Duration::from_millis(50);
 /// Longest pause after failures.
 const MAXIMUM_BACK_OFF: Duration = Duration::from_secs(2);
+/// Longest time for which a replica that lagged isn't asked to catch up. Short, since asking in vain
+/// costs one hop, while not asking sends reads to the primary.
+const MAXIMUM_LAG_PAUSE: Duration = Duration::from_millis(200);
 /// Doublings until [`MAXIMUM_BACK_OFF`] is certain.
 const MAXIMUM_DOUBLINGS: u32 = 6;
 /// Age from which an observation no longer tells that a replica is behind.
@@ -254,7 +257,7 @@
     pub fn lagged(&mut self, now: Time, backend: &BackendId) {
         if let Some(view) = self.backends.get_mut(backend) {
             view.lagging_refusals = view.lagging_refusals.saturating_add(1);
-            view.lagging_until = now + back_off(view.lagging_refusals);
+            view.lagging_until = now + back_off(view.lagging_refusals).min(MAXIMUM_LAG_PAUSE);
         }
     }
 }
