--- a/crates/stairward-proxy/src/edge/pinned.rs
+++ b/crates/stairward-proxy/src/edge/pinned.rs
@@ -208,7 +208,7 @@
             },
             Some(OwnerMessage::OutcomeUnknown { code, .. }) => {
                 let code = ResultCode::from_number(code);
-                EdgeError::new(code.unwrap_or(ResultCode::BackendLostAfterSend))
+                self.loss(code.unwrap_or(ResultCode::BackendLostAfterSend))
             }
             Some(OwnerMessage::TransactionLost { .. }) => transaction_lost(),
             None => self.lost_without_word(),
--- a/crates/stairward-routing/src/request.rs
+++ b/crates/stairward-routing/src/request.rs
@@ -406,10 +406,7 @@
             }
             Event::TransactionLost => self.transaction_lost(),
             Event::StreamLost { opened: false } => self.owner_refused(ResultCode::NotOwner),
-            Event::StreamLost { opened: true } if self.may_have_committed() => {
-                self.lost(ResultCode::OwnerLostAfterSend);
-            }
-            Event::StreamLost { opened: true } => self.transaction_lost(),
+            Event::StreamLost { opened: true } => self.lost(ResultCode::OwnerLostAfterSend),
             Event::Start | Event::PrimaryLearnt | Event::Cancelled | Event::Tick => {}
         }
     }
@@ -427,10 +424,6 @@
         self.finish(Outcome::Answered);
     }
 
-    fn may_have_committed(&self) -> bool {
-        self.machine.spec.access == AccessClass::Read || self.machine.spec.may_commit
-    }
-
     fn refused(&mut self, code: ResultCode, retry_after: Option<Duration>) {
         match code {
             ResultCode::NotFreshEnough => self.not_fresh_enough(),
@@ -502,6 +495,11 @@
 
     /// An attempt ended without our knowing how.
     fn lost(&mut self, code: ResultCode) {
+        let spec = &self.machine.spec;
+        if spec.access == AccessClass::Write && !spec.may_commit {
+            // Its transaction was still open, so all of it is rolled back.
+            return self.transaction_lost();
+        }
         let answered = self.sent().is_some_and(|sent| sent.answered);
         self.mark_failed(None);
         if answered || !self.machine.spec.repeatable {
