--- /dev/null
+++ b/crates/stairward/src/command/mod.rs
@@ -0,0 +1,30 @@
+//! One module a command.
+
+pub mod backend;
+pub mod check;
+pub mod demo;
+pub mod serve;
+pub mod settings;
+pub mod status;
+
+use std::future::Future;
+
+use snafu::ResultExt as _;
+
+use crate::failure::{Failure, StartSnafu};
+
+/// Runs a command's asynchronous part on a runtime with a thread a core.
+fn block_on<T>(work: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| Box::new(error) as Box<dyn std::error::Error + Send + Sync>)
+        .context(StartSnafu)?;
+    runtime.block_on(work)
+}
+
+/// Prints a JSON document on standard output.
+fn print_json(document: &serde_json::Value) {
+    // A value always has a text form.
+    println!("{}", serde_json::to_string_pretty(document).unwrap_or_default());
+}
