--- /dev/null
+++ b/crates/stairward-proxy/src/node/mod.rs
@@ -0,0 +1,308 @@
+//! A whole node: binds its listeners, starts its parts, and stops them in order.
+
+mod embedded;
+mod error;
+mod listeners;
+mod service;
+mod status;
+mod tls;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rand::RngExt as _;
+use snafu::ResultExt as _;
+use stairward_membership::configuration::SpreaderParameters;
+use stairward_platform::{PlatformClient, PlatformClientSettings};
+use stairward_protocol::ClusterKey;
+use stairward_session::TokenKey;
+use stairward_settings::{ProcessSettings, Secret};
+use stairward_types::{Incarnation, LogEvent, NodeId};
+
+pub use embedded::{EmbeddedNode, EmbeddedNodeError};
+pub use error::NodeError;
+pub use listeners::NodeListeners;
+
+use crate::admin::{AdminOptions, AdminService, AdminToken};
+use crate::cluster::{Cluster, Identity};
+use crate::control::configuration::{self, ConfigurationHandle};
+use crate::control::membership::{self, MembershipHandle, rendezvous_rule};
+use crate::edge::{EdgeService, EdgeSettings, EdgeStatistics};
+use crate::owner::{OwnerService, OwnerSettings};
+use crate::peer::{PeerNetwork, PeerService};
+use error::{ClusterKeySnafu, PlatformSnafu, ProblemsSnafu, SocketSnafu};
+use service::NodeService;
+use status::{ActivitySource, metrics_handle};
+
+/// Share of the drain time left for handing back ends over, after the clients.
+const HAND_OVER_SHARE: f64 = 0.2;
+
+/// A running node.
+pub struct Node {
+    cluster: Cluster,
+    addresses: NodeAddresses,
+    edge: Arc<EdgeService>,
+    owner: Arc<OwnerService>,
+    membership: MembershipHandle,
+    configuration: ConfigurationHandle,
+    admin: AdminService,
+    draining: Arc<AtomicBool>,
+}
+
+/// Where a node listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NodeAddresses {
+    /// For clients.
+    pub client: SocketAddr,
+    /// For other nodes, TCP and UDP.
+    pub peer: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+impl Node {
+    /// Starts all parts. Clients are served once the settings are known to be the newest.
+    ///
+    /// # Errors
+    /// [`NodeError`] when a file or a socket cannot be used.
+    pub async fn start(
+        settings: &ProcessSettings,
+        listeners: NodeListeners,
+    ) -> Result<Self, NodeError> {
+        let addresses = listeners.addresses()?;
+        let key = ClusterKey::new(load_cluster_key(settings)?).context(ClusterKeySnafu)?;
+        let identity = identity(settings, addresses.peer);
+        let cluster = Cluster::new(identity, rendezvous_rule());
+        let network = PeerNetwork::new(cluster.clone(), key.clone());
+        let platform = Arc::new(platform_client(settings)?);
+
+        let (configuration, driver) = configuration::start(
+            cluster.clone(),
+            network.clone(),
+            platform,
+            SpreaderParameters::default(),
+        );
+        let seeds = settings.cluster.seeds.clone();
+        let membership = membership::run(cluster.clone(), listeners.membership, key, seeds)
+            .context(SocketSnafu)?;
+        let owner =
+            OwnerService::new(cluster.clone(), network.clone(), owner_settings(settings)?);
+        let edge =
+            EdgeService::new(cluster.clone(), network.clone(), edge_settings(settings)?);
+        let service: Arc<dyn PeerService> = Arc::new(NodeService {
+            cluster: cluster.clone(),
+            edge: Arc::clone(&edge),
+            owner: Arc::clone(&owner),
+            membership: membership.clone(),
+            configuration: configuration.clone(),
+        });
+        network.set_service(Arc::clone(&service));
+
+        tokio::spawn(driver.run());
+        tokio::spawn(async move { network.serve(listeners.peer, service).await });
+        tokio::spawn(Arc::clone(&owner).run());
+        tokio::spawn(pass_digests_on(membership.clone(), configuration.clone()));
+        tokio::spawn(pass_machines_on(membership.clone(), configuration.clone()));
+        tokio::spawn(serve_when_ready(
+            Arc::clone(&edge),
+            listeners.client,
+            configuration.clone(),
+        ));
+
+        let draining = Arc::new(AtomicBool::new(false));
+        let admin = AdminService::start(
+            listeners.admin,
+            AdminOptions {
+                token: load_admin_token(settings)?,
+                tls: tls::server(settings.admin.tls.as_ref())?,
+                cluster: cluster.clone(),
+                configuration: configuration.clone(),
+                status: Arc::new(ActivitySource {
+                    edge: Arc::clone(&edge),
+                    owner: Arc::clone(&owner),
+                    draining: Arc::clone(&draining),
+                }),
+                metrics: metrics_handle(),
+            },
+        )
+        .context(SocketSnafu)?;
+        tracing::info!(
+            event = LogEvent::NodeStarted.number(),
+            node = cluster.identity.node.0,
+            client = %addresses.client,
+            peer = %addresses.peer,
+            admin = %addresses.admin,
+            "the node has started"
+        );
+        Ok(Self {
+            cluster,
+            addresses,
+            edge,
+            owner,
+            membership,
+            configuration,
+            admin,
+            draining,
+        })
+    }
+
+    /// This node's number.
+    #[must_use]
+    pub fn id(&self) -> NodeId {
+        self.cluster.identity.node
+    }
+
+    /// What the node knows of the cluster.
+    #[must_use]
+    pub fn cluster(&self) -> &Cluster {
+        &self.cluster
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn addresses(&self) -> NodeAddresses {
+        self.addresses
+    }
+
+    /// What the edge has counted.
+    #[must_use]
+    pub fn statistics(&self) -> EdgeStatistics {
+        self.edge.statistics()
+    }
+
+    /// Reads and edits the settings.
+    #[must_use]
+    pub fn configuration(&self) -> &ConfigurationHandle {
+        &self.configuration
+    }
+
+    /// Reads certificates, keys and users again, for new connections.
+    ///
+    /// # Errors
+    /// [`NodeError`]; those in use stay then.
+    pub fn reload_files(&self, settings: &ProcessSettings) -> Result<(), NodeError> {
+        let renewed = edge_settings(settings)?;
+        self.edge.set_tls(renewed.tls);
+        self.edge.set_users(renewed.users);
+        tracing::info!(
+            event = LogEvent::CertificatesReloaded.number(),
+            "certificates, keys and users were read again"
+        );
+        Ok(())
+    }
+
+    /// The planned stop: announces it, refuses new sessions, lets what is in flight finish, hands the
+    /// back ends over, and leaves. Takes at most `timeout`.
+    pub async fn stop(self, timeout: Duration) {
+        tracing::info!(event = LogEvent::DrainStarted.number(), "a planned stop has begun");
+        self.draining.store(true, Ordering::SeqCst);
+        let hand_over_time = timeout.mul_f64(HAND_OVER_SHARE);
+        self.membership.announce_leaving().await;
+        self.edge.drain(timeout.saturating_sub(hand_over_time)).await;
+        self.owner.drain(hand_over_time).await;
+        self.membership.depart().await;
+        self.admin.stop();
+        tracing::info!(event = LogEvent::DrainFinished.number(), "the planned stop has ended");
+    }
+}
+
+fn identity(settings: &ProcessSettings, peer_address: SocketAddr) -> Identity {
+    // The clock of a machine that restarts may step back; a node that finds a higher incarnation of
+    // itself in the cluster takes a higher one still.
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let incarnation = u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX);
+    Identity {
+        node: settings.node_id(peer_address),
+        incarnation: Incarnation(incarnation),
+        region: settings.node.region.clone(),
+        zone: settings.node.zone.clone(),
+    }
+}
+
+fn platform_client(settings: &ProcessSettings) -> Result<PlatformClient, NodeError> {
+    let client_settings = PlatformClientSettings::new(settings.platform.addresses.clone());
+    let jitter = Box::new(|| rand::rng().random_range(0.0..1.0));
+    PlatformClient::new(client_settings, jitter).context(PlatformSnafu)
+}
+
+fn load_cluster_key(settings: &ProcessSettings) -> Result<Vec<u8>, NodeError> {
+    let key = settings.load_cluster_key().map_err(|problem| vec![problem]);
+    Ok(key.map_err(NodeError::from_problems)?.expose().to_vec())
+}
+
+fn load_admin_token(settings: &ProcessSettings) -> Result<Option<AdminToken>, NodeError> {
+    let Some(source) = &settings.admin.token else {
+        return Ok(None);
+    };
+    let secret = source.load().map_err(|problem| NodeError::from_problems(vec![problem]))?;
+    Ok(secret.expose_text().map(AdminToken::new))
+}
+
+fn owner_settings(settings: &ProcessSettings) -> Result<OwnerSettings, NodeError> {
+    let secret = settings
+        .backends
+        .password
+        .load()
+        .map_err(|problem| NodeError::from_problems(vec![problem]))?;
+    let password = secret.expose_text().filter(|text| !text.is_empty()).map(str::to_owned);
+    Ok(OwnerSettings {
+        backend_password: password,
+        backend_tls: tls::client(settings.backends.root_certificate_file.as_deref())?,
+    })
+}
+
+fn edge_settings(settings: &ProcessSettings) -> Result<EdgeSettings, NodeError> {
+    let token_key = settings
+        .load_token_key()
+        .map_err(|problem| NodeError::from_problems(vec![problem]))?;
+    let users = settings.callers.users.load().map_err(NodeError::from_problems)?;
+    let users = users
+        .into_iter()
+        .filter_map(|(user, secret)| Some((user, secret.expose_text()?.to_owned())))
+        .collect::<crate::edge::Users>();
+    let mut edge = EdgeSettings::trusting(token_key_from(&token_key));
+    // Embedded nodes without users trust their callers; a process file always names a users file.
+    edge.users = (!users.is_empty()).then_some(users);
+    edge.tls = tls::server(settings.callers.tls.as_ref())?;
+    edge.maximum_clients = settings.callers.maximum_clients as usize;
+    Ok(edge)
+}
+
+fn token_key_from(secret: &Secret) -> TokenKey {
+    TokenKey::new(secret.expose())
+}
+
+async fn serve_when_ready(
+    edge: Arc<EdgeService>,
+    listener: tokio::net::TcpListener,
+    configuration: ConfigurationHandle,
+) {
+    if configuration.ready().await.is_ok() {
+        tracing::info!(event = LogEvent::NodeReady.number(), "the node serves clients");
+        edge.serve(listener).await;
+    }
+}
+
+async fn pass_digests_on(membership: MembershipHandle, configuration: ConfigurationHandle) {
+    use tokio::sync::broadcast::error::RecvError;
+    let mut digests = membership.peer_digests();
+    loop {
+        match digests.recv().await {
+            Ok(digest) => configuration.heard(digest.node, digest.settings_revision),
+            // The next datagram tells it again.
+            Err(RecvError::Lagged(_)) => {}
+            Err(RecvError::Closed) => return,
+        }
+    }
+}
+
+async fn pass_machines_on(membership: MembershipHandle, configuration: ConfigurationHandle) {
+    let mut machines = configuration.watch_machines();
+    while machines.changed().await.is_ok() {
+        let addresses =
+            machines.borrow_and_update().iter().map(|machine| machine.address).collect();
+        membership.list_machines(addresses).await;
+    }
+}
--- a/crates/stairward-proxy/src/peer/mod.rs
+++ b/crates/stairward-proxy/src/peer/mod.rs
@@ -8,5 +8,5 @@
 mod network;
 mod stream;
 
-pub use network::{PeerError, PeerNetwork, PeerService};
+pub use network::{CallFuture, PeerError, PeerNetwork, PeerService};
 pub use stream::{EdgeStream, OwnerStream};
