--- a/crates/stairward-standins/src/lib.rs
+++ b/crates/stairward-standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod ground_truth;
 pub mod group;
+pub mod platform;
 pub mod server;
 pub mod sql;
 
