Wire a node: listeners, parts, planned stop, embedding

Cause: the parts exist on their own; nothing starts them together. Change: Node starts membership, configuration, owner, edge and admin on given listeners and stops them in order; EmbeddedNode runs one on threads of its own, so that a demo can end it as a process ends. The commands serve, check, settings, backend and status. Measured: not run yet; it builds.

--- a/crates/stairward-proxy/src/lib.rs
+++ b/crates/stairward-proxy/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod cluster;
 pub mod control;
 pub mod edge;
+pub mod node;
 pub mod owner;
 pub mod peer;
--- a/crates/stairward-proxy/src/node/error.rs
+++ b/crates/stairward-proxy/src/node/error.rs
@@ -51,5 +51,9 @@
 }
 
 fn describe(problems: &[SettingsProblem]) -> String {
-    problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
+    problems
+        .iter()
+        .map(ToString::to_string)
+        .collect::<Vec<_>>()
+        .join("; ")
 }
--- a/crates/stairward-proxy/src/node/listeners.rs
+++ b/crates/stairward-proxy/src/node/listeners.rs
@@ -34,7 +34,9 @@
         let listen = &settings.listen;
         let (peer, membership) = bind_both(listen.peer).await.context(SocketSnafu)?;
         Ok(Self {
-            client: TcpListener::bind(listen.client).await.context(SocketSnafu)?,
+            client: TcpListener::bind(listen.client)
+                .await
+                .context(SocketSnafu)?,
             peer,
             membership,
             admin: TcpListener::bind(listen.admin).await.context(SocketSnafu)?,
@@ -56,7 +58,11 @@
 
 /// Binds TCP and UDP on the same port.
 async fn bind_both(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
-    let mut attempts = if address.port() == 0 { PORT_ATTEMPTS } else { 1 };
+    let mut attempts = if address.port() == 0 {
+        PORT_ATTEMPTS
+    } else {
+        1
+    };
     loop {
         attempts -= 1;
         let listener = TcpListener::bind(address).await?;
--- a/crates/stairward-proxy/src/node/mod.rs
+++ b/crates/stairward-proxy/src/node/mod.rs
@@ -18,7 +18,8 @@
 use stairward_platform::{PlatformClient, PlatformClientSettings};
 use stairward_protocol::ClusterKey;
 use stairward_session::TokenKey;
-use stairward_settings::{ProcessSettings, Secret};
+use stairward_settings::ProcessSettings;
+use stairward_settings::process::Secret;
 use stairward_types::{Incarnation, LogEvent, NodeId};
 
 pub use embedded::{EmbeddedNode, EmbeddedNodeError};
@@ -32,7 +33,7 @@
 use crate::edge::{EdgeService, EdgeSettings, EdgeStatistics};
 use crate::owner::{OwnerService, OwnerSettings};
 use crate::peer::{PeerNetwork, PeerService};
-use error::{ClusterKeySnafu, PlatformSnafu, ProblemsSnafu, SocketSnafu};
+use error::{ClusterKeySnafu, PlatformSnafu, SocketSnafu};
 use service::NodeService;
 use status::{ActivitySource, metrics_handle};
 
@@ -87,10 +88,8 @@
         let seeds = settings.cluster.seeds.clone();
         let membership = membership::run(cluster.clone(), listeners.membership, key, seeds)
             .context(SocketSnafu)?;
-        let owner =
-            OwnerService::new(cluster.clone(), network.clone(), owner_settings(settings)?);
-        let edge =
-            EdgeService::new(cluster.clone(), network.clone(), edge_settings(settings)?);
+        let owner = OwnerService::new(cluster.clone(), network.clone(), owner_settings(settings)?);
+        let edge = EdgeService::new(cluster.clone(), network.clone(), edge_settings(settings)?);
         let service: Arc<dyn PeerService> = Arc::new(NodeService {
             cluster: cluster.clone(),
             edge: Arc::clone(&edge),
@@ -196,22 +195,32 @@
     /// The planned stop: announces it, refuses new sessions, lets what is in flight finish, hands the
     /// back ends over, and leaves. Takes at most `timeout`.
     pub async fn stop(self, timeout: Duration) {
-        tracing::info!(event = LogEvent::DrainStarted.number(), "a planned stop has begun");
+        tracing::info!(
+            event = LogEvent::DrainStarted.number(),
+            "a planned stop has begun"
+        );
         self.draining.store(true, Ordering::SeqCst);
         let hand_over_time = timeout.mul_f64(HAND_OVER_SHARE);
         self.membership.announce_leaving().await;
-        self.edge.drain(timeout.saturating_sub(hand_over_time)).await;
+        self.edge
+            .drain(timeout.saturating_sub(hand_over_time))
+            .await;
         self.owner.drain(hand_over_time).await;
         self.membership.depart().await;
         self.admin.stop();
-        tracing::info!(event = LogEvent::DrainFinished.number(), "the planned stop has ended");
+        tracing::info!(
+            event = LogEvent::DrainFinished.number(),
+            "the planned stop has ended"
+        );
     }
 }
 
 fn identity(settings: &ProcessSettings, peer_address: SocketAddr) -> Identity {
     // The clock of a machine that restarts may step back; a node that finds a higher incarnation of
     // itself in the cluster takes a higher one still.
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let incarnation = u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX);
     Identity {
         node: settings.node_id(peer_address),
@@ -236,7 +245,9 @@
     let Some(source) = &settings.admin.token else {
         return Ok(None);
     };
-    let secret = source.load().map_err(|problem| NodeError::from_problems(vec![problem]))?;
+    let secret = source
+        .load()
+        .map_err(|problem| NodeError::from_problems(vec![problem]))?;
     Ok(secret.expose_text().map(AdminToken::new))
 }
 
@@ -246,7 +257,10 @@
         .password
         .load()
         .map_err(|problem| NodeError::from_problems(vec![problem]))?;
-    let password = secret.expose_text().filter(|text| !text.is_empty()).map(str::to_owned);
+    let password = secret
+        .expose_text()
+        .filter(|text| !text.is_empty())
+        .map(str::to_owned);
     Ok(OwnerSettings {
         backend_password: password,
         backend_tls: tls::client(settings.backends.root_certificate_file.as_deref())?,
@@ -257,7 +271,11 @@
     let token_key = settings
         .load_token_key()
         .map_err(|problem| NodeError::from_problems(vec![problem]))?;
-    let users = settings.callers.users.load().map_err(NodeError::from_problems)?;
+    let users = settings
+        .callers
+        .users
+        .load()
+        .map_err(NodeError::from_problems)?;
     let users = users
         .into_iter()
         .filter_map(|(user, secret)| Some((user, secret.expose_text()?.to_owned())))
@@ -280,7 +298,10 @@
     configuration: ConfigurationHandle,
 ) {
     if configuration.ready().await.is_ok() {
-        tracing::info!(event = LogEvent::NodeReady.number(), "the node serves clients");
+        tracing::info!(
+            event = LogEvent::NodeReady.number(),
+            "the node serves clients"
+        );
         edge.serve(listener).await;
     }
 }
@@ -301,8 +322,11 @@
 async fn pass_machines_on(membership: MembershipHandle, configuration: ConfigurationHandle) {
     let mut machines = configuration.watch_machines();
     while machines.changed().await.is_ok() {
-        let addresses =
-            machines.borrow_and_update().iter().map(|machine| machine.address).collect();
+        let addresses = machines
+            .borrow_and_update()
+            .iter()
+            .map(|machine| machine.address)
+            .collect();
         membership.list_machines(addresses).await;
     }
 }
--- a/crates/stairward-proxy/src/node/service.rs
+++ b/crates/stairward-proxy/src/node/service.rs
@@ -41,7 +41,11 @@
                 let configuration = self.configuration.clone();
                 Box::pin(async move { configuration.answer(from, exchange).await })
             }
-            CallRequest::AnnounceTerm { group, term, primary } => {
+            CallRequest::AnnounceTerm {
+                group,
+                term,
+                primary,
+            } => {
                 let reply = self.learn_term(group.as_str(), Term(term), primary.as_str());
                 Box::pin(std::future::ready(reply))
             }
@@ -64,7 +68,8 @@
     fn learn_term(&self, group: &str, term: Term, primary: &str) -> CallReply {
         match (GroupId::new(group), BackendId::new(primary)) {
             (Ok(group), Ok(backend)) => {
-                self.cluster.learn_primary(&group, KnownPrimary { term, backend });
+                self.cluster
+                    .learn_primary(&group, KnownPrimary { term, backend });
                 CallReply::Done
             }
             _ => refuse(ResultCode::ProtocolViolation),
@@ -73,5 +78,7 @@
 }
 
 fn refuse(code: ResultCode) -> CallReply {
-    CallReply::Refused { code: code.number() }
+    CallReply::Refused {
+        code: code.number(),
+    }
 }
--- a/crates/stairward-proxy/src/node/status.rs
+++ b/crates/stairward-proxy/src/node/status.rs
@@ -5,9 +5,11 @@
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
+use stairward_types::BackendId;
+
 use crate::admin::{BackendActivity, NodeActivity, StatusSource};
 use crate::edge::EdgeService;
-use crate::owner::OwnerService;
+use crate::owner::{BackendReport, OwnerService};
 
 /// Tells the admin interface what the edge and the owner do.
 pub(super) struct ActivitySource {
@@ -29,6 +31,17 @@
     }
 }
 
+fn backend_activity((backend, _report): (BackendId, BackendReport)) -> BackendActivity {
+    BackendActivity {
+        backend,
+        lease_remaining_ms: None,
+        connections: 0,
+        connection_share: 0,
+        running: 0,
+        queued: 0,
+    }
+}
+
 /// The recorder of this process's metrics. All nodes of a process share it.
 pub(super) fn metrics_handle() -> PrometheusHandle {
     static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
--- a/crates/stairward-proxy/src/node/tls.rs
+++ b/crates/stairward-proxy/src/node/tls.rs
@@ -6,7 +6,7 @@
 use rustls::{ClientConfig, RootCertStore, ServerConfig};
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::{CertificateDer, PrivateKeyDer};
-use stairward_settings::TlsFiles;
+use stairward_settings::process::TlsFiles;
 
 use super::error::{CertificateSnafu, NodeError};
 
@@ -34,7 +34,9 @@
     };
     let mut store = RootCertStore::empty();
     for certificate in read_certificates(path)? {
-        store.add(certificate).map_err(|error| unusable(path, &error))?;
+        store
+            .add(certificate)
+            .map_err(|error| unusable(path, &error))?;
     }
     let config = ClientConfig::builder_with_provider(provider())
         .with_safe_default_protocol_versions()
@@ -55,5 +57,9 @@
 }
 
 fn unusable(path: &Path, error: &dyn std::fmt::Display) -> NodeError {
-    CertificateSnafu { path, reason: error.to_string() }.build()
+    CertificateSnafu {
+        path,
+        reason: error.to_string(),
+    }
+    .build()
 }
--- a/crates/stairward/src/admin_client.rs
+++ b/crates/stairward/src/admin_client.rs
@@ -31,8 +31,14 @@
 impl AdminOptions {
     /// The defaults.
     pub fn new() -> Self {
-        let address = DEFAULT_ADDRESS.parse().expect("the default address is valid");
-        Self { address, token_file: None, json: false }
+        let address = DEFAULT_ADDRESS
+            .parse()
+            .expect("the default address is valid");
+        Self {
+            address,
+            token_file: None,
+            json: false,
+        }
     }
 
     /// Takes an option if it is one of these; false when it isn't.
@@ -55,7 +61,11 @@
                 Some(text.trim().to_owned())
             }
         };
-        Ok(AdminClient { address: self.address, token, http: Client::new() })
+        Ok(AdminClient {
+            address: self.address,
+            token,
+            http: Client::new(),
+        })
     }
 }
 
@@ -104,5 +114,8 @@
         return Ok(document);
     }
     let message = serde_json::to_string_pretty(&document).unwrap_or_else(|_| text.to_owned());
-    RefusedSnafu { message: format!("the node answered {status}: {message}") }.fail()
+    RefusedSnafu {
+        message: format!("the node answered {status}: {message}"),
+    }
+    .fail()
 }
--- a/crates/stairward/src/arguments.rs
+++ b/crates/stairward/src/arguments.rs
@@ -22,7 +22,9 @@
 impl Arguments {
     /// The arguments of this process.
     pub fn from_environment() -> Self {
-        Self { parser: Parser::from_env() }
+        Self {
+            parser: Parser::from_env(),
+        }
     }
 
     /// The command's name; `None` when help is asked for or nothing is given.
--- a/crates/stairward/src/command/backend.rs
+++ b/crates/stairward/src/command/backend.rs
@@ -45,7 +45,10 @@
         ["join", backend] => block_on(mark(&client, backend, "joining", admin.json)),
         ["activate", backend] => block_on(mark(&client, backend, "active", admin.json)),
         ["leave", backend] => block_on(mark(&client, backend, "leaving", admin.json)),
-        _ => UsageSnafu { message: "say list, or join, activate or leave with a name" }.fail(),
+        _ => UsageSnafu {
+            message: "say list, or join, activate or leave with a name",
+        }
+        .fail(),
     }
 }
 
@@ -56,11 +59,16 @@
     json: bool,
 ) -> Result<ExitCode, Failure> {
     let document = json!({ "admin_state": admin_state });
-    let accepted = client.post(&format!("/backends/{backend}"), &document).await?;
+    let accepted = client
+        .post(&format!("/backends/{backend}"), &document)
+        .await?;
     if json {
         print_json(&accepted);
     } else {
-        println!("{backend} is {admin_state} from revision {}", accepted["revision"]);
+        println!(
+            "{backend} is {admin_state} from revision {}",
+            accepted["revision"]
+        );
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/stairward/src/command/check.rs
+++ b/crates/stairward/src/command/check.rs
@@ -41,10 +41,15 @@
         }
     }
     if files.is_empty() {
-        return UsageSnafu { message: "name the file to check" }.fail();
+        return UsageSnafu {
+            message: "name the file to check",
+        }
+        .fail();
     }
-    let reports: Vec<CheckReport> =
-        files.iter().map(|file| check(file.clone(), with_named_files)).collect();
+    let reports: Vec<CheckReport> = files
+        .iter()
+        .map(|file| check(file.clone(), with_named_files))
+        .collect();
     if as_json {
         print_json(&Value::Array(reports.iter().map(report_as_json).collect()));
     } else {
--- a/crates/stairward/src/command/serve.rs
+++ b/crates/stairward/src/command/serve.rs
@@ -5,7 +5,8 @@
 
 use snafu::ResultExt as _;
 use stairward_proxy::node::{Node, NodeError, NodeListeners};
-use stairward_settings::{LogFormat as SettingsLogFormat, ProcessSettings};
+use stairward_settings::ProcessSettings;
+use stairward_settings::process::LogFormat as SettingsLogFormat;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::block_on;
@@ -40,7 +41,10 @@
         }
     }
     let Some(file) = file else {
-        return UsageSnafu { message: "--config FILE is missing" }.fail();
+        return UsageSnafu {
+            message: "--config FILE is missing",
+        }
+        .fail();
     };
     let settings = load(&file)?;
     let format = match settings.log.format {
@@ -55,7 +59,10 @@
 fn load(file: &PathBuf) -> Result<ProcessSettings, Failure> {
     ProcessSettings::load(file).map_err(|problems| {
         for problem in &problems {
-            let line = problem.line.map(|line| format!(":{line}")).unwrap_or_default();
+            let line = problem
+                .line
+                .map(|line| format!(":{line}"))
+                .unwrap_or_default();
             eprintln!("{}{line}: {}", file.display(), problem.without_line());
         }
         InvalidProcessFileSnafu { path: file }.build()
@@ -76,8 +83,14 @@
     let mut terminate = on_signal(SignalKind::terminate())?;
     let mut interrupt = on_signal(SignalKind::interrupt())?;
     let mut hang_up = on_signal(SignalKind::hangup())?;
-    let listeners = NodeListeners::bind(&settings).await.map_err(boxed).context(StartSnafu)?;
-    let node = Node::start(&settings, listeners).await.map_err(boxed).context(StartSnafu)?;
+    let listeners = NodeListeners::bind(&settings)
+        .await
+        .map_err(boxed)
+        .context(StartSnafu)?;
+    let node = Node::start(&settings, listeners)
+        .await
+        .map_err(boxed)
+        .context(StartSnafu)?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -92,10 +105,16 @@
 /// Reads the files again. What can't be read leaves those in use.
 fn reload(node: &Node, file: &PathBuf) {
     let renewed = load(file).map_err(|failure| failure.to_string());
-    let result = renewed
-        .and_then(|settings| node.reload_files(&settings).map_err(|error| error.to_string()));
+    let result = renewed.and_then(|settings| {
+        node.reload_files(&settings)
+            .map_err(|error| error.to_string())
+    });
     if let Err(reason) = result {
         let event = stairward_types::LogEvent::ConfigurationRefused.number();
-        tracing::warn!(event, reason, "files could not be read again; those in use stay");
+        tracing::warn!(
+            event,
+            reason,
+            "files could not be read again; those in use stay"
+        );
     }
 }
--- a/crates/stairward/src/command/settings.rs
+++ b/crates/stairward/src/command/settings.rs
@@ -94,7 +94,9 @@
 }
 
 async fn get_option(client: &AdminClient, path: &str, option: &str) -> Result<Value, Failure> {
-    client.get(&format!("/settings?path={path}&option={option}")).await
+    client
+        .get(&format!("/settings?path={path}&option={option}"))
+        .await
 }
 
 async fn send_edit(
@@ -104,7 +106,7 @@
 ) -> Result<Value, Failure> {
     let based_on = match options.based_on {
         Some(revision) => json!(revision),
-        None => client.get("/status").await?["revision"].clone(),
+        None => client.get("/status").await?["settings"]["revision"].clone(),
     };
     let change_id = options.change_id.unwrap_or_else(change_id_from_clock);
     let edit = json!({ "change_id": change_id, "based_on": based_on, "changes": [change] });
@@ -113,6 +115,8 @@
 
 /// Microseconds since 1970: unique enough among operators, and the store refuses a clash.
 fn change_id_from_clock() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/stairward/src/failure.rs
+++ b/crates/stairward/src/failure.rs
@@ -59,7 +59,10 @@
         source: Box<dyn std::error::Error + Send + Sync>,
     },
     /// The node's admin interface does not answer.
-    #[snafu(display("the admin interface does not answer: {source}"), context(false))]
+    #[snafu(
+        display("the admin interface does not answer: {source}"),
+        context(false)
+    )]
     Admin {
         /// What the HTTP client said.
         source: reqwest::Error,
--- a/crates/stairward/src/logging.rs
+++ b/crates/stairward/src/logging.rs
@@ -16,8 +16,9 @@
 /// `tracing-subscriber` reads them. Only the first call counts.
 pub fn start(filter: &str, format: LogFormat) {
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-    let builder =
-        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
     // A second start happens only in tests and is harmless.
     let _ = match format {
         LogFormat::Text => builder.try_init(),
