Check a list of edits once, and look inheritance up without copies

Cause: a node that missed 50 edits of a tree of 3,300 back ends checked the whole tree after each, and each look-up of a value copied the path. Change: edits taken in together are checked as a whole once, after the last; the places above one are looked up once for all its options.

--- a/crates/stairward-settings/src/document.rs
+++ b/crates/stairward-settings/src/document.rs
@@ -114,6 +114,24 @@
     /// # Errors
     /// [`EditError`]; this document is as good as before.
     pub fn apply(&self, edit: &Edit) -> Result<Self, EditError> {
+        self.apply_all(std::slice::from_ref(edit))
+    }
+
+    /// The document after several edits, each based on the one before. Only the last tree is checked
+    /// as a whole: whoever accepted the edits checked each.
+    pub(crate) fn apply_all(&self, edits: &[Edit]) -> Result<Self, EditError> {
+        let mut document = self.clone();
+        for edit in edits {
+            document.apply_unchecked(edit)?;
+        }
+        document
+            .tree
+            .resolve()
+            .map_err(|problems| EditError::Invalid { problems })?;
+        Ok(document)
+    }
+
+    fn apply_unchecked(&mut self, edit: &Edit) -> Result<(), EditError> {
         if let Some(known) = self.find_change(edit.change_id) {
             return Err(repeated(known, edit));
         }
@@ -124,20 +142,15 @@
                 changed_since: self.edits_after(edit.based_on),
             });
         }
-        let tree = edit::change_tree(&self.tree, &edit.changes)
+        edit::make_changes(&mut self.tree, &edit.changes)
             .map_err(|problems| EditError::Invalid { problems })?;
-        let revision = Revision(self.revision.0 + 1);
-        let mut recent = self.recent.clone();
-        recent.push_back(AppliedEdit {
-            revision,
+        self.revision = Revision(self.revision.0 + 1);
+        self.recent.push_back(AppliedEdit {
+            revision: self.revision,
             edit: edit.clone(),
         });
-        trim(&mut recent);
-        Ok(Self {
-            revision,
-            tree,
-            recent,
-        })
+        trim(&mut self.recent);
+        Ok(())
     }
 
     /// The edits after a revision, the oldest first; none when the history does not reach back so
--- a/crates/stairward-settings/src/edit.rs
+++ b/crates/stairward-settings/src/edit.rs
@@ -183,22 +183,22 @@
     lines.join("; ")
 }
 
-/// Makes the changes of an edit in a copy of the tree and checks the result as a whole.
-pub(crate) fn change_tree(
-    tree: &SettingsTree,
+/// Makes the changes of an edit, without checking the tree as a whole. After an error the tree is to
+/// be dropped: some changes may have been made.
+pub(crate) fn make_changes(
+    tree: &mut SettingsTree,
     changes: &[Change],
-) -> Result<SettingsTree, Vec<SettingsProblem>> {
+) -> Result<(), Vec<SettingsProblem>> {
     check_size(changes)?;
-    let mut changed = tree.clone();
     let problems: Vec<_> = changes
         .iter()
-        .filter_map(|change| make_change(&mut changed, change).err())
+        .filter_map(|change| make_change(tree, change).err())
         .collect();
-    if !problems.is_empty() {
-        return Err(problems);
+    if problems.is_empty() {
+        Ok(())
+    } else {
+        Err(problems)
     }
-    changed.resolve()?;
-    Ok(changed)
 }
 
 fn check_size(changes: &[Change]) -> Result<(), Vec<SettingsProblem>> {
--- a/crates/stairward-settings/src/tree/explain.rs
+++ b/crates/stairward-settings/src/tree/explain.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use super::SettingsTree;
+use super::{PlaceOptions, SettingsTree};
 use crate::path::SettingsPath;
 use crate::schema::{DefaultValue, SettingsOption};
 use crate::value::Value;
@@ -42,16 +42,68 @@
     pub origin: Origin,
 }
 
+/// What is set at a place and at those above it, the place itself first.
+pub(super) struct Inheritance<'tree> {
+    path: &'tree SettingsPath,
+    places: Vec<(SettingsPath, &'tree PlaceOptions)>,
+}
+
+impl<'tree> Inheritance<'tree> {
+    pub(super) fn new(tree: &'tree SettingsTree, path: &'tree SettingsPath) -> Self {
+        let places = path
+            .self_and_ancestors()
+            .filter_map(|place| {
+                let options = tree.options_at(&place)?;
+                Some((place, options))
+            })
+            .collect();
+        Self { path, places }
+    }
+
+    /// The place's own path.
+    pub(super) const fn path(&self) -> &'tree SettingsPath {
+        self.path
+    }
+
+    /// The value in force; none when it has to be set and is not.
+    pub(super) fn value(&self, option: SettingsOption) -> Option<Value> {
+        let set = self
+            .places
+            .iter()
+            .find_map(|(_, options)| options.get(&option));
+        set.cloned().or_else(|| default_value(self.path, option))
+    }
+
+    fn explain(&self, option: SettingsOption) -> ExplainedValue {
+        let value = self.value(option);
+        let place = self
+            .places
+            .iter()
+            .find(|(_, options)| options.contains_key(&option));
+        let origin = match (place, &value) {
+            (Some((place, _)), _) => Origin::SetAt(place.clone()),
+            (None, Some(_)) => Origin::Default,
+            (None, None) => Origin::Missing,
+        };
+        ExplainedValue {
+            option,
+            value,
+            origin,
+        }
+    }
+}
+
 impl SettingsTree {
     /// Every option that matters at a place, its value in force and where that comes from; none when
     /// there is no such place.
     #[must_use]
     pub fn explain(&self, path: &SettingsPath) -> Option<Vec<ExplainedValue>> {
         self.options_at(path)?;
+        let inheritance = Inheritance::new(self, path);
         let explained = SettingsOption::ALL
             .iter()
             .filter(|option| option.schema().highest <= path.level())
-            .map(|option| self.explain_option(path, *option))
+            .map(|option| inheritance.explain(*option))
             .collect();
         Some(explained)
     }
@@ -59,28 +111,7 @@
     /// One option's value in force at a place, and where that comes from.
     #[must_use]
     pub fn explain_option(&self, path: &SettingsPath, option: SettingsOption) -> ExplainedValue {
-        let set = path.self_and_ancestors().find_map(|place| {
-            let value = self.options_at(&place)?.get(&option)?.clone();
-            Some((place, value))
-        });
-        if let Some((place, value)) = set {
-            return ExplainedValue {
-                option,
-                value: Some(value),
-                origin: Origin::SetAt(place),
-            };
-        }
-        let value = default_value(path, option);
-        let origin = if value.is_some() {
-            Origin::Default
-        } else {
-            Origin::Missing
-        };
-        ExplainedValue {
-            option,
-            value,
-            origin,
-        }
+        Inheritance::new(self, path).explain(option)
     }
 }
 
--- a/crates/stairward-settings/src/tree/mod.rs
+++ b/crates/stairward-settings/src/tree/mod.rs
@@ -61,10 +61,13 @@
         Self::default()
     }
 
-    /// Adds a place, and those above it, with nothing set.
+    /// Adds a place, and those above it, with nothing set. A place that is there keeps its options.
     pub fn add_place(&mut self, path: &SettingsPath) {
         for place in path.self_and_ancestors() {
-            self.places.entry(place).or_default();
+            if self.places.contains_key(&place) {
+                return;
+            }
+            self.places.insert(place, PlaceOptions::new());
         }
     }
 
--- a/crates/stairward-settings/src/tree/resolve.rs
+++ b/crates/stairward-settings/src/tree/resolve.rs
@@ -5,6 +5,7 @@
 
 use stairward_types::{AdminState, BackendId, FenceStrength, GroupId, ServiceName};
 
+use super::explain::Inheritance;
 use super::{SettingsTree, problem, validate};
 use crate::path::SettingsPath;
 use crate::problem::{ProblemKind, SettingsProblem};
@@ -23,8 +24,7 @@
         let mut resolved = ResolvedSettings::default();
         for (path, _) in self.places() {
             let mut values = Values {
-                tree: self,
-                path,
+                inheritance: Inheritance::new(self, path),
                 problems: &mut problems,
             };
             match path {
@@ -120,17 +120,17 @@
 /// Reads values in force at one place. A required value that is not set becomes a problem; a value
 /// of the wrong kind cannot be in a tree.
 struct Values<'tree> {
-    tree: &'tree SettingsTree,
-    path: &'tree SettingsPath,
+    inheritance: Inheritance<'tree>,
     problems: &'tree mut Vec<SettingsProblem>,
 }
 
 impl Values<'_> {
     fn value(&mut self, option: SettingsOption) -> Option<Value> {
-        let value = self.tree.explain_option(self.path, option).value;
+        let value = self.inheritance.value(option);
         if value.is_none() {
+            let path = self.inheritance.path();
             self.problems
-                .push(problem(self.path, Some(option), ProblemKind::Missing));
+                .push(problem(path, Some(option), ProblemKind::Missing));
         }
         value
     }
--- a/crates/stairward-settings/src/update.rs
+++ b/crates/stairward-settings/src/update.rs
@@ -121,21 +121,27 @@
     }
 
     fn absorb_edits(&self, edits: Vec<AppliedEdit>) -> Result<Option<Self>, UpdateError> {
-        let mut newest: Option<Self> = None;
+        let mut reached = self.revision();
+        let mut missing = Vec::new();
         for applied in edits {
-            let held = newest.as_ref().unwrap_or(self);
-            if applied.revision <= held.revision() {
+            if applied.revision <= reached {
                 continue;
             }
-            if applied.revision.0 != held.revision().0 + 1 {
+            if applied.revision.0 != reached.0 + 1 {
                 return GapSnafu {
-                    held: held.revision(),
+                    held: reached,
                     first: applied.revision,
                 }
                 .fail();
             }
-            newest = Some(held.apply(&applied.edit).context(DoesNotApplySnafu)?);
+            reached = applied.revision;
+            missing.push(applied.edit);
         }
-        Ok(newest)
+        if missing.is_empty() {
+            return Ok(None);
+        }
+        self.apply_all(&missing)
+            .map(Some)
+            .context(DoesNotApplySnafu)
     }
 }
