--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -25,6 +25,8 @@
     crate::load::command::COMMAND,
     crate::report::COMMAND,
     crate::compare::COMMAND,
+    crate::capacity::COMMAND,
+    crate::experiment::idle::COMMAND,
 ];
 
 /// Reads the subcommand's name from the command line and runs it.
--- a/crates/stairward-proxy/src/lib.rs
+++ b/crates/stairward-proxy/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod admin;
 pub mod cluster;
 pub mod control;
+pub mod edge;
 pub mod owner;
 pub mod peer;
