--- /dev/null
+++ b/crates/stairward-proxy/tests/edge_control.rs
@@ -0,0 +1,179 @@
+//! Cancel requests, planned stops and changed settings.
+
+mod edge_support;
+
+use std::time::Duration;
+
+use edge_support::{HANG, Site, guarded, simple_value, token_key};
+use stairward_proxy::edge::EdgeSettings;
+use stairward_standins::group::Fault;
+use stairward_types::{AdminState, BackendId, Revision};
+use tokio_postgres::{Client, NoTls};
+
+/// Makes every statement at every back end take this much longer.
+fn slow_down(site: &Site, added: Duration) {
+    for member in edge_support::backend_names() {
+        site.databases.inject(Fault::Slow { member, added });
+    }
+}
+
+/// Waits until the edge has received one more statement than before.
+async fn one_more_statement(site: &Site, before: u64) {
+    while site.node().edge.statistics().statements <= before {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+async fn cancelled_query(site: &Site, client: &Client, through: usize) {
+    let before = site.node().edge.statistics().statements;
+    let token = client.cancel_token();
+    let query = client.batch_execute("SELECT 1");
+    let cancel = async {
+        one_more_statement(site, before).await;
+        // Again and again, since the statement may not have reached its back end yet.
+        loop {
+            let socket = tokio::net::TcpStream::connect(site.nodes[through].address)
+                .await
+                .unwrap();
+            let _ = token.cancel_query_raw(socket, NoTls).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let result = tokio::select! {
+        result = query => result,
+        () = cancel => unreachable!("it never ends"),
+    };
+    let code = result.unwrap_err().code().unwrap().clone();
+    assert_eq!(code.code(), "57014");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_statement_is_cancelled_and_the_session_goes_on() {
+    guarded(async {
+        let site = Site::start().await;
+        let client = site.with_table().await;
+        let bystander = site.node().connect().await;
+        slow_down(&site, Duration::from_secs(15));
+        let other = bystander.batch_execute("SELECT 2");
+        let cancelled = cancelled_query(&site, &client, 0);
+        let (other, ()) = tokio::join!(
+            async { tokio::time::timeout(Duration::from_millis(200), other).await },
+            cancelled
+        );
+        assert!(
+            !matches!(other, Ok(Err(_))),
+            "another session's statement was hit"
+        );
+        for member in edge_support::backend_names() {
+            site.databases.inject(Fault::Heal { member });
+        }
+        let seen = simple_value(&client, "SELECT 3").await;
+        assert_eq!(seen.as_deref(), Some("3"));
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancel_request_finds_its_session_through_another_proxy() {
+    guarded(async {
+        let site = Site::start_with(2, &EdgeSettings::trusting(token_key())).await;
+        let client = site.with_table().await;
+        slow_down(&site, Duration::from_secs(15));
+        cancelled_query(&site, &client, 1).await;
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancel_request_does_not_hit_the_next_statement() {
+    guarded(async {
+        let site = Site::start().await;
+        let client = site.node().connect().await;
+        assert_eq!(
+            simple_value(&client, "SELECT 1").await.as_deref(),
+            Some("1")
+        );
+        let socket = tokio::net::TcpStream::connect(site.node().address)
+            .await
+            .unwrap();
+        client
+            .cancel_token()
+            .cancel_query_raw(socket, NoTls)
+            .await
+            .unwrap();
+        assert_eq!(
+            simple_value(&client, "SELECT 2").await.as_deref(),
+            Some("2")
+        );
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_nothing_in_flight() {
+    guarded(async {
+        let mut site = Site::start().await;
+        let busy = site.with_table().await;
+        let in_transaction = site.node().connect().await;
+        let (idle, idle_connection) = site.node().config().connect(NoTls).await.unwrap();
+        let idle_end = tokio::spawn(idle_connection);
+        in_transaction.batch_execute("BEGIN").await.unwrap();
+        slow_down(&site, Duration::from_millis(300));
+        let before = site.node().edge.statistics().statements;
+        let running = tokio::spawn(async move {
+            let inserted = busy
+                .batch_execute("INSERT INTO books (id, title) VALUES (1, 'x')")
+                .await;
+            (busy, inserted)
+        });
+        one_more_statement(&site, before).await;
+        let edge = std::sync::Arc::clone(&site.node().edge);
+        let drained = tokio::spawn(async move { edge.drain(HANG).await });
+
+        let end = idle_end.await.unwrap().unwrap_err();
+        assert_eq!(end.code().unwrap().code(), "57P01", "{end:?}");
+        drop(idle);
+        let (_busy, inserted) = running.await.unwrap();
+        inserted.expect("a statement in flight is finished");
+        let Err(refused) = site.node().config().connect(NoTls).await else {
+            panic!("a new session was accepted");
+        };
+        assert_eq!(refused.code().unwrap().code(), "57P01");
+        in_transaction
+            .batch_execute("INSERT INTO books (id, title) VALUES (2, 'y')")
+            .await
+            .expect("a transaction goes on");
+        in_transaction.batch_execute("COMMIT").await.unwrap();
+        assert!(drained.await.unwrap());
+        site.nodes.remove(0).stopped().await;
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_changed_setting_is_in_force_for_the_next_request() {
+    guarded(async {
+        let site = Site::start().await;
+        let client = site.with_table().await;
+        let primary = site.databases.primary().await.unwrap();
+        let mut settings = site.settings.clone();
+        settings.revision = Revision(2);
+        for group in settings.groups.values_mut() {
+            for backend in group.backends.values_mut() {
+                if backend.backend != primary {
+                    backend.admin_state = AdminState::Leaving;
+                }
+            }
+        }
+        assert!(site.node().cluster.apply_settings(settings));
+        let before = site.node().edge.statistics();
+        for _ in 0..20 {
+            simple_value(&client, "SELECT id FROM books").await;
+        }
+        let after = site.node().edge.statistics();
+        assert_eq!(after.reads - before.reads, 20);
+        assert_eq!(after.replica_reads, before.replica_reads);
+        assert!(BackendId::new("a").is_ok_and(|first| first == primary));
+    })
+    .await;
+}
