--- a/crates/stairward-platform/src/client.rs
+++ b/crates/stairward-platform/src/client.rs
@@ -261,8 +261,17 @@
             if !self.retry.allows_another(failed_attempts) {
                 return Err(error);
             }
-            self.pause(failed_attempts).await;
+            self.pause_after_read(failed_attempts, &error).await;
+        }
+    }
+
+    /// Waits as long as the retry policy says, or as long as the store asks readers to stay away,
+    /// but no longer than the policy's longest delay.
+    async fn pause_after_read(&self, failed_attempts: u32, error: &ReadError) {
+        if let ReadError::TooManyReaders { retry_after } = error {
+            tokio::time::sleep((*retry_after).min(self.retry.longest_delay)).await;
         }
+        self.pause(failed_attempts).await;
     }
 
     /// One exchange; answers that say "not now" become errors.
