--- a/crates/stairward-standins/src/group/mod.rs
+++ b/crates/stairward-standins/src/group/mod.rs
@@ -42,6 +42,8 @@
     ClientRequest, Completion, Effect, Event, Fault, Reply, RequestNumber, TransactionStatus,
 };
 
+use crate::sql::Tables;
+
 use agenda::{Agenda, Scheduled};
 use member::{Context, Member};
 use network::Network;
@@ -127,12 +129,11 @@
         Some(self.members[place].log.last())
     }
 
-    /// Whether a record with exactly this term and position is, or was before it was trimmed, in a
-    /// member's log.
+    /// The tables that a member has applied.
     #[must_use]
-    pub fn holds(&self, member: &BackendId, record: Freshness) -> bool {
-        let place = self.place(member);
-        place.is_some_and(|place| self.members[place].log.holds(record))
+    pub fn tables(&self, member: &BackendId) -> Option<&Tables> {
+        let place = self.place(member)?;
+        Some(&self.members[place].store.tables)
     }
 
     fn place(&self, member: &BackendId) -> Option<usize> {
--- a/crates/stairward-standins/tests/support/mod.rs
+++ b/crates/stairward-standins/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod bench;
+
 use stairward_standins::group::{GroupConfig, MemberConfig};
 use stairward_standins::server::{DatabaseGroup, DatabaseGroupConfig};
 use stairward_types::BackendId;
