--- a/crates/stairward-standins/tests/group_properties.rs
+++ b/crates/stairward-standins/tests/group_properties.rs
@@ -120,7 +120,11 @@
     /// which may refuse it or be a primary cut off.
     fn write(&mut self, choice: u8) {
         let any = self.member(choice / 2);
-        let primary = self.bench.group.primary().filter(|_| choice % 2 == 0);
+        let primary = self
+            .bench
+            .group
+            .primary()
+            .filter(|_| choice.is_multiple_of(2));
         let member = primary.cloned().unwrap_or(any);
         let client = self.bench.start_open(&member);
         self.pass(12);
@@ -188,9 +192,11 @@
     /// After the faults all members hold the same log, and every proved commit.
     fn check_agreement(&self) {
         let end = self.bench.group.log_end(&self.members[0]);
+        let rows = self.bench.applied_rows(&self.members[0], "entry");
         for member in &self.members {
             assert_eq!(self.bench.group.log_end(member), end);
             let entries = self.bench.applied_rows(member, "entry");
+            assert_eq!(entries, rows, "{member} differs");
             for entry in &self.proved {
                 assert!(entries.contains(entry), "{member} lost {entry}");
             }
