Lab: simulate the membership of a whole fleet

A network on a virtual clock (latencies by place, loss, partitions, lost and paused nodes) runs the real state machine of each node with exact datagram sizes.

--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -21,7 +21,11 @@
 }
 
 /// Every subcommand, in the order of the list that `--help` prints.
-pub const COMMANDS: &[Command] = &[crate::load::command::COMMAND];
+pub const COMMANDS: &[Command] = &[
+    crate::load::command::COMMAND,
+    crate::membership::command::COMMAND,
+    crate::membership::terms::COMMAND,
+];
 
 /// Reads the subcommand's name from the command line and runs it.
 #[must_use]
--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod command;
 pub mod load;
+pub mod membership;
 pub mod output;
 pub mod provenance;
+pub mod simulated_network;
 pub mod site;
--- a/crates/stairward-membership/src/swim.rs
+++ b/crates/stairward-membership/src/swim.rs
@@ -17,7 +17,7 @@
 use crate::config::SwimConfig;
 use crate::introduction::Introductions;
 use crate::local_health::LocalHealth;
-use crate::member::{Profile, Record, Status};
+use crate::member::{Profile, Record, Status, Version};
 use crate::packet::{Packet, TermNews, Update};
 use crate::probe::{Outstanding, ProbeOrder};
 use crate::suspicion::Suspicions;
@@ -231,6 +231,12 @@
         self.table.get(node).map(|record| record.status)
     }
 
+    /// The newest version heard of a member; none when it is not known.
+    #[must_use]
+    pub fn version(&self, node: NodeId) -> Option<Version> {
+        self.table.get(node).map(|record| record.version)
+    }
+
     /// What this node says of itself.
     #[must_use]
     pub fn profile(&self) -> &Profile {
