--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -25,6 +25,10 @@
     crate::load::command::COMMAND,
     crate::membership::command::COMMAND,
     crate::membership::terms::COMMAND,
+    crate::report::COMMAND,
+    crate::compare::COMMAND,
+    crate::capacity::COMMAND,
+    crate::experiment::idle::COMMAND,
 ];
 
 /// Reads the subcommand's name from the command line and runs it.
--- a/crates/stairward-proxy/src/lib.rs
+++ b/crates/stairward-proxy/src/lib.rs
@@ -5,7 +5,10 @@
 
 #![forbid(unsafe_code)]
 
+pub mod admin;
 pub mod cluster;
 pub mod control;
+pub mod edge;
+pub mod node;
 pub mod owner;
 pub mod peer;
