--- a/crates/stairward/src/main.rs
+++ b/crates/stairward/src/main.rs
@@ -51,6 +51,7 @@
     match name.as_str() {
         "serve" => command::serve::run(arguments),
         "check" => command::check::run(arguments),
+        "demo" => command::demo::run(arguments),
         "settings" => command::settings::run(arguments),
         "backend" => command::backend::run(arguments),
         "status" => command::status::run(arguments),
