--- a/crates/stairward-lab/src/demo/mod.rs
+++ b/crates/stairward-lab/src/demo/mod.rs
@@ -1,5 +1,6 @@
 //! The demo: a whole cluster in one process, a site's load, faults, and a checked history.
 
+pub mod databases;
 pub mod failover;
 pub mod fault;
 pub mod observer;
