--- a/crates/stairward/src/command/demo.rs
+++ b/crates/stairward/src/command/demo.rs
@@ -56,7 +56,10 @@
 }
 
 fn usage(error: impl std::fmt::Display) -> Failure {
-    UsageSnafu { message: error.to_string() }.build()
+    UsageSnafu {
+        message: error.to_string(),
+    }
+    .build()
 }
 
 /// Runs the command.
@@ -84,7 +87,11 @@
     } else {
         print_summary(&report);
     }
-    Ok(ExitCode::from(if report.is_clean() { 0 } else { EXIT_FAULT_FOUND }))
+    Ok(ExitCode::from(if report.is_clean() {
+        0
+    } else {
+        EXIT_FAULT_FOUND
+    }))
 }
 
 /// The options; none when help is asked for.
@@ -144,10 +151,16 @@
         report.latency_ms.p50, report.latency_ms.p99
     );
     println!("failover gaps        {:?} ms", report.failover_gap_ms);
-    println!("{:<24} {:>10} {:>12}", "invariant", "violations", "observations");
+    println!(
+        "{:<24} {:>10} {:>12}",
+        "invariant", "violations", "observations"
+    );
     for (invariant, violations) in &report.violations {
         let checked = report.checked.get(invariant).copied().unwrap_or_default();
-        println!("{:<24} {violations:>10} {checked:>12}", invariant.to_string());
+        println!(
+            "{:<24} {violations:>10} {checked:>12}",
+            invariant.to_string()
+        );
     }
     for example in &report.examples {
         println!("violated: {}", serde_json::json!(example));
@@ -161,8 +174,12 @@
 }
 
 async fn serve(demo: DemoArguments) -> Result<ExitCode, Failure> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(boxed).context(StartSnafu)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(boxed).context(StartSnafu)?;
+    let mut terminate = signal(SignalKind::terminate())
+        .map_err(boxed)
+        .context(StartSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt())
+        .map_err(boxed)
+        .context(StartSnafu)?;
     let options = ClusterOptions {
         site: demo.site,
         seed: demo.seed,
@@ -174,10 +191,19 @@
         .map_err(boxed)
         .context(StartSnafu)?;
     let addresses = cluster.proxies.addresses();
-    let clients: Vec<String> =
-        addresses.iter().map(|address| address.client.to_string()).collect();
-    let admins: Vec<String> = addresses.iter().map(|address| address.admin.to_string()).collect();
-    println!("ready clients={} admin={}", clients.join(","), admins.join(","));
+    let clients: Vec<String> = addresses
+        .iter()
+        .map(|address| address.client.to_string())
+        .collect();
+    let admins: Vec<String> = addresses
+        .iter()
+        .map(|address| address.admin.to_string())
+        .collect();
+    println!(
+        "ready clients={} admin={}",
+        clients.join(","),
+        admins.join(",")
+    );
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
