Make the command line testable, list back ends

Cause: the commands printed straight to standard output and could only be tested by starting a process.

--- a/crates/stairward-proxy/src/admin/mod.rs
+++ b/crates/stairward-proxy/src/admin/mod.rs
@@ -9,12 +9,14 @@
 //! | `GET /settings` | the tree, or with `?path=PLACE` its options and where each value comes from |
 //! | `GET /settings/history` | the latest edits |
 //! | `POST /settings/edits` | makes an edit |
+//! | `GET /backends` | every back end, with its group, place, state and owner |
 //! | `POST /backends/NAME` | marks a back end as joining, active or leaving |
 //!
 //! Bodies are JSON; a refusal is an [`error::ErrorBody`] with a numbered result code. Loopback
 //! addresses need no token, all others need a bearer token.
 
 mod authorization;
+pub mod backends;
 mod connection;
 mod context;
 mod edits;
--- a/crates/stairward-proxy/src/admin/routes.rs
+++ b/crates/stairward-proxy/src/admin/routes.rs
@@ -11,6 +11,7 @@
 use gotham::state::State;
 
 use super::authorization::RequireToken;
+use super::backends::get_backends;
 use super::context::AdminContext;
 use super::edits::{BackendName, mark_backend, post_edit};
 use super::error::AdminError;
@@ -37,6 +38,7 @@
             .get("/settings/history")
             .to_async_borrowing(get_history);
         route.post("/settings/edits").to_async_borrowing(post_edit);
+        route.get("/backends").to_async_borrowing(get_backends);
         route
             .post("/backends/:name")
             .with_path_extractor::<BackendName>()
--- a/crates/stairward/src/arguments.rs
+++ b/crates/stairward/src/arguments.rs
@@ -1,5 +1,6 @@
 //! Reading the command line with `lexopt`.
 
+use std::ffi::OsString;
 use std::str::FromStr;
 
 use lexopt::{Arg, Parser, ValueExt as _};
@@ -20,10 +21,10 @@
 }
 
 impl Arguments {
-    /// The arguments of this process.
-    pub fn from_environment() -> Self {
+    /// Reads the words of a command line, without the program's name.
+    pub fn new(words: impl IntoIterator<Item = OsString>) -> Self {
         Self {
-            parser: Parser::from_env(),
+            parser: Parser::from_args(words),
         }
     }
 
--- a/crates/stairward/src/command/backend.rs
+++ b/crates/stairward/src/command/backend.rs
@@ -1,13 +1,12 @@
 //! `stairward backend`: list back ends, or mark them as joining or leaving.
 
-use std::process::ExitCode;
-
 use serde_json::{Value, json};
 
-use super::{block_on, print_json};
+use super::block_on;
 use crate::admin_client::{AdminClient, AdminOptions, OPTIONS_HELP};
 use crate::arguments::{Argument, Arguments, unexpected};
-use crate::failure::{Failure, UsageSnafu};
+use crate::failure::{EXIT_SUCCESS, Failure, UsageSnafu};
+use crate::output::Output;
 
 const HELP: &str = "\
 Usage: stairward backend list [OPTIONS]
@@ -24,14 +23,14 @@
 ";
 
 /// Runs the command.
-pub fn run(mut arguments: Arguments) -> Result<ExitCode, Failure> {
+pub fn run(mut arguments: Arguments, output: &mut Output<'_>) -> Result<u8, Failure> {
     let mut admin = AdminOptions::new();
     let mut words = Vec::new();
     while let Some(argument) = arguments.next()? {
         match &argument {
             Argument::Option(name) if name == "help" => {
-                print!("{HELP}{OPTIONS_HELP}");
-                return Ok(ExitCode::SUCCESS);
+                output.text(&format!("{HELP}{OPTIONS_HELP}"));
+                return Ok(EXIT_SUCCESS);
             }
             Argument::Option(name) if admin.take(name, &mut arguments)? => {}
             Argument::Value(word) => words.push(word.clone()),
@@ -41,10 +40,10 @@
     let client = admin.client()?;
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match words.as_slice() {
-        ["list"] => block_on(list(&client, admin.json)),
-        ["join", backend] => block_on(mark(&client, backend, "joining", admin.json)),
-        ["activate", backend] => block_on(mark(&client, backend, "active", admin.json)),
-        ["leave", backend] => block_on(mark(&client, backend, "leaving", admin.json)),
+        ["list"] => list(&client, admin.json, output),
+        ["join", backend] => mark(&client, (backend, "joining"), admin.json, output),
+        ["activate", backend] => mark(&client, (backend, "active"), admin.json, output),
+        ["leave", backend] => mark(&client, (backend, "leaving"), admin.json, output),
         _ => UsageSnafu {
             message: "say list, or join, activate or leave with a name",
         }
@@ -52,44 +51,42 @@
     }
 }
 
-async fn mark(
+fn mark(
     client: &AdminClient,
-    backend: &str,
-    admin_state: &str,
-    json: bool,
-) -> Result<ExitCode, Failure> {
+    (backend, admin_state): (&str, &str),
+    as_json: bool,
+    output: &mut Output<'_>,
+) -> Result<u8, Failure> {
     let document = json!({ "admin_state": admin_state });
-    let accepted = client
-        .post(&format!("/backends/{backend}"), &document)
-        .await?;
-    if json {
-        print_json(&accepted);
+    let accepted = block_on(client.post(&format!("/backends/{backend}"), &document))?;
+    if as_json {
+        output.json(&accepted);
     } else {
-        println!(
-            "{backend} is {admin_state} from revision {}",
-            accepted["revision"]
-        );
+        let revision = &accepted["revision"];
+        output.line(&format!(
+            "{backend} is {admin_state} from revision {revision}"
+        ));
     }
-    Ok(ExitCode::SUCCESS)
+    Ok(EXIT_SUCCESS)
 }
 
-async fn list(client: &AdminClient, json: bool) -> Result<ExitCode, Failure> {
-    let backends = client.get("/backends").await?;
-    if json {
-        print_json(&backends);
-        return Ok(ExitCode::SUCCESS);
+fn list(client: &AdminClient, as_json: bool, output: &mut Output<'_>) -> Result<u8, Failure> {
+    let backends = block_on(client.get("/backends"))?;
+    if as_json {
+        output.json(&backends);
+        return Ok(EXIT_SUCCESS);
     }
     for backend in backends.as_array().into_iter().flatten() {
-        println!(
+        output.line(&format!(
             "{:<28} {:<20} {:<12} {:<10} {}",
             text(&backend["backend"]),
             text(&backend["group"]),
             text(&backend["zone"]),
             text(&backend["admin_state"]),
             text(&backend["address"]),
-        );
+        ));
     }
-    Ok(ExitCode::SUCCESS)
+    Ok(EXIT_SUCCESS)
 }
 
 fn text(value: &Value) -> &str {
--- a/crates/stairward/src/command/check.rs
+++ b/crates/stairward/src/command/check.rs
@@ -1,14 +1,13 @@
 //! `stairward check`: validate a process file or a settings tree.
 
 use std::path::PathBuf;
-use std::process::ExitCode;
 
 use serde_json::{Value, json};
 use stairward_settings::{CheckReport, FileKind, ProcessSettings, SettingsProblem, check_file};
 
-use super::print_json;
 use crate::arguments::{Argument, Arguments, unexpected};
-use crate::failure::{EXIT_FAULT_FOUND, Failure, UsageSnafu};
+use crate::failure::{EXIT_FAULT_FOUND, EXIT_SUCCESS, Failure, UsageSnafu};
+use crate::output::Output;
 
 const HELP: &str = "\
 Usage: stairward check FILE... [OPTIONS]
@@ -22,7 +21,7 @@
 ";
 
 /// Runs the command.
-pub fn run(mut arguments: Arguments) -> Result<ExitCode, Failure> {
+pub fn run(mut arguments: Arguments, output: &mut Output<'_>) -> Result<u8, Failure> {
     let mut files = Vec::new();
     let mut as_json = false;
     let mut with_named_files = false;
@@ -30,8 +29,8 @@
         match &argument {
             Argument::Option(name) => match name.as_str() {
                 "help" => {
-                    print!("{HELP}");
-                    return Ok(ExitCode::SUCCESS);
+                    output.text(HELP);
+                    return Ok(EXIT_SUCCESS);
                 }
                 "json" => as_json = true,
                 "files" => with_named_files = true,
@@ -51,12 +50,14 @@
         .map(|file| check(file.clone(), with_named_files))
         .collect();
     if as_json {
-        print_json(&Value::Array(reports.iter().map(report_as_json).collect()));
+        output.json(&Value::Array(reports.iter().map(report_as_json).collect()));
     } else {
-        reports.iter().for_each(|report| print!("{report}"));
+        reports
+            .iter()
+            .for_each(|report| output.text(&report.to_string()));
     }
     let all_valid = reports.iter().all(CheckReport::is_valid);
-    Ok(ExitCode::from(if all_valid { 0 } else { EXIT_FAULT_FOUND }))
+    Ok(if all_valid { 0 } else { EXIT_FAULT_FOUND })
 }
 
 fn check(file: PathBuf, with_named_files: bool) -> CheckReport {
--- a/crates/stairward/src/command/demo.rs
+++ b/crates/stairward/src/command/demo.rs
@@ -2,7 +2,6 @@
 
 use std::io::IsTerminal as _;
 use std::net::SocketAddr;
-use std::process::ExitCode;
 use std::time::Duration;
 
 use snafu::ResultExt as _;
@@ -15,10 +14,11 @@
 use stairward_proxy::cluster::Clock;
 use tokio::signal::unix::{SignalKind, signal};
 
-use super::{block_on, print_json};
+use super::block_on;
 use crate::arguments::{Argument, Arguments, unexpected};
-use crate::failure::{EXIT_FAULT_FOUND, Failure, StartSnafu, UsageSnafu};
+use crate::failure::{EXIT_FAULT_FOUND, EXIT_SUCCESS, Failure, StartSnafu, UsageSnafu};
 use crate::logging::{self, LogFormat};
+use crate::output::Output;
 
 const HELP: &str = "\
 Usage: stairward demo [OPTIONS]
@@ -63,14 +63,14 @@
 }
 
 /// Runs the command.
-pub fn run(arguments: Arguments) -> Result<ExitCode, Failure> {
+pub fn run(arguments: Arguments, output: &mut Output<'_>) -> Result<u8, Failure> {
     let Some(demo) = read(arguments)? else {
-        print!("{HELP}");
-        return Ok(ExitCode::SUCCESS);
+        output.text(HELP);
+        return Ok(EXIT_SUCCESS);
     };
     logging::start(&demo.log, LogFormat::Text);
     if demo.serve {
-        return block_on(serve(demo));
+        return block_on(serve(demo, output));
     }
     let report = run_demo(&DemoOptions {
         site: demo.site,
@@ -83,15 +83,15 @@
     .map_err(|error| Box::new(error) as Box<dyn std::error::Error + Send + Sync>)
     .context(StartSnafu)?;
     if demo.json {
-        print_json(&serde_json::json!(report));
+        output.json(&serde_json::json!(report));
     } else {
-        print_summary(&report);
+        print_summary(&report, output);
     }
-    Ok(ExitCode::from(if report.is_clean() {
+    Ok(if report.is_clean() {
         0
     } else {
         EXIT_FAULT_FOUND
-    }))
+    })
 }
 
 /// The options; none when help is asked for.
@@ -135,35 +135,38 @@
     Ok(Some(demo))
 }
 
-fn print_summary(report: &DemoReport) {
-    println!("site                 {}", report.site);
-    println!("statements           {}", report.statements);
-    println!(
+fn print_summary(report: &DemoReport, output: &mut Output<'_>) {
+    output.line(&format!("site                 {}", report.site));
+    output.line(&format!("statements           {}", report.statements));
+    output.line(&format!(
         "reads                {}, {:.1}% by replicas",
         report.reads,
         report.replica_read_share * 100.0
-    );
-    println!("writes               {}", report.writes);
-    println!("refused, not run     {}", report.refused_not_run);
-    println!("outcome unknown      {}", report.outcome_unknown);
-    println!(
+    ));
+    output.line(&format!("writes               {}", report.writes));
+    output.line(&format!("refused, not run     {}", report.refused_not_run));
+    output.line(&format!("outcome unknown      {}", report.outcome_unknown));
+    output.line(&format!(
         "latency              p50 {:.2} ms, p99 {:.2} ms",
         report.latency_ms.p50, report.latency_ms.p99
-    );
-    println!("failover gaps        {:?} ms", report.failover_gap_ms);
-    println!(
+    ));
+    output.line(&format!(
+        "failover gaps        {:?} ms",
+        report.failover_gap_ms
+    ));
+    output.line(&format!(
         "{:<24} {:>10} {:>12}",
         "invariant", "violations", "observations"
-    );
+    ));
     for (invariant, violations) in &report.violations {
         let checked = report.checked.get(invariant).copied().unwrap_or_default();
-        println!(
+        output.line(&format!(
             "{:<24} {violations:>10} {checked:>12}",
             invariant.to_string()
-        );
+        ));
     }
     for example in &report.examples {
-        println!("violated: {}", serde_json::json!(example));
+        output.line(&format!("violated: {}", serde_json::json!(example)));
     }
 }
 
@@ -173,7 +176,7 @@
     Box::new(error)
 }
 
-async fn serve(demo: DemoArguments) -> Result<ExitCode, Failure> {
+async fn serve(demo: DemoArguments, output: &mut Output<'_>) -> Result<u8, Failure> {
     let mut terminate = signal(SignalKind::terminate())
         .map_err(boxed)
         .context(StartSnafu)?;
@@ -199,15 +202,12 @@
         .iter()
         .map(|address| address.admin.to_string())
         .collect();
-    println!(
-        "ready clients={} admin={}",
-        clients.join(","),
-        admins.join(",")
-    );
+    let (clients, admins) = (clients.join(","), admins.join(","));
+    output.line(&format!("ready clients={clients} admin={admins}"));
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
     cluster.end().await;
-    Ok(ExitCode::SUCCESS)
+    Ok(EXIT_SUCCESS)
 }
--- a/crates/stairward/src/command/mod.rs
+++ b/crates/stairward/src/command/mod.rs
@@ -22,12 +22,3 @@
         .context(StartSnafu)?;
     runtime.block_on(work)
 }
-
-/// Prints a JSON document on standard output.
-fn print_json(document: &serde_json::Value) {
-    // A value always has a text form.
-    println!(
-        "{}",
-        serde_json::to_string_pretty(document).unwrap_or_default()
-    );
-}
--- a/crates/stairward/src/command/serve.rs
+++ b/crates/stairward/src/command/serve.rs
@@ -1,7 +1,6 @@
 //! `stairward serve`: run a node.
 
 use std::path::PathBuf;
-use std::process::ExitCode;
 
 use snafu::ResultExt as _;
 use stairward_proxy::node::{Node, NodeError, NodeListeners};
@@ -11,8 +10,9 @@
 
 use super::block_on;
 use crate::arguments::{Argument, Arguments, unexpected};
-use crate::failure::{Failure, InvalidProcessFileSnafu, StartSnafu, UsageSnafu};
+use crate::failure::{EXIT_SUCCESS, Failure, InvalidProcessFileSnafu, StartSnafu, UsageSnafu};
 use crate::logging::{self, LogFormat};
+use crate::output::Output;
 
 const HELP: &str = "\
 Usage: stairward serve --config FILE
@@ -26,13 +26,13 @@
 ";
 
 /// Runs the command.
-pub fn run(mut arguments: Arguments) -> Result<ExitCode, Failure> {
+pub fn run(mut arguments: Arguments, output: &mut Output<'_>) -> Result<u8, Failure> {
     let mut file = None;
     while let Some(argument) = arguments.next()? {
         match &argument {
             Argument::Option(name) if name == "help" => {
-                print!("{HELP}");
-                return Ok(ExitCode::SUCCESS);
+                output.text(HELP);
+                return Ok(EXIT_SUCCESS);
             }
             Argument::Option(name) if name == "config" => {
                 file = Some(PathBuf::from(arguments.value()?));
@@ -53,7 +53,7 @@
     };
     logging::start(settings.log.level, format);
     block_on(serve(settings, file))?;
-    Ok(ExitCode::SUCCESS)
+    Ok(EXIT_SUCCESS)
 }
 
 fn load(file: &PathBuf) -> Result<ProcessSettings, Failure> {
--- a/crates/stairward/src/command/settings.rs
+++ b/crates/stairward/src/command/settings.rs
@@ -1,15 +1,14 @@
 //! `stairward settings`: read and edit the settings tree through a node's admin interface.
 
-use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use serde_json::{Value, json};
 
-use super::status::print_indented;
-use super::{block_on, print_json};
+use super::block_on;
 use crate::admin_client::{AdminClient, AdminOptions, OPTIONS_HELP};
 use crate::arguments::{Argument, Arguments, unexpected};
-use crate::failure::{Failure, UsageSnafu};
+use crate::failure::{EXIT_SUCCESS, Failure, UsageSnafu};
+use crate::output::Output;
 
 const HELP: &str = "\
 Usage: stairward settings get PATH [OPTION] [OPTIONS]
@@ -36,15 +35,15 @@
 }
 
 /// Runs the command.
-pub fn run(mut arguments: Arguments) -> Result<ExitCode, Failure> {
+pub fn run(mut arguments: Arguments, output: &mut Output<'_>) -> Result<u8, Failure> {
     let mut admin = AdminOptions::new();
     let mut edit = EditOptions::default();
     let mut words = Vec::new();
     while let Some(argument) = arguments.next()? {
         match &argument {
             Argument::Option(name) if name == "help" => {
-                print!("{HELP}{OPTIONS_HELP}");
-                return Ok(ExitCode::SUCCESS);
+                output.text(&format!("{HELP}{OPTIONS_HELP}"));
+                return Ok(EXIT_SUCCESS);
             }
             Argument::Option(name) if name == "based-on" => {
                 edit.based_on = Some(arguments.parsed()?);
@@ -65,11 +64,11 @@
         ["get", path] => block_on(client.get(&format!("/settings?path={path}")))?,
         ["get", path, option] => block_on(get_option(&client, path, option))?,
         ["set", path, option, value] => {
-            let change = json!({ "path": path, "option": option, "value": parse_value(value) });
+            let change = json!({ "action": "set", "path": path, "option": option, "value": parse_value(value) });
             block_on(send_edit(&client, &edit, change))?
         }
         ["unset", path, option] => {
-            let change = json!({ "path": path, "option": option, "value": null });
+            let change = json!({ "action": "unset", "path": path, "option": option });
             block_on(send_edit(&client, &edit, change))?
         }
         _ => {
@@ -77,12 +76,8 @@
             return UsageSnafu { message }.fail();
         }
     };
-    if admin.json {
-        print_json(&answer);
-    } else {
-        print_indented(&answer, 0);
-    }
-    Ok(ExitCode::SUCCESS)
+    output.document(&answer, admin.json);
+    Ok(EXIT_SUCCESS)
 }
 
 /// Numbers and truth values are sent as such, everything else as text.
--- a/crates/stairward/src/failure.rs
+++ b/crates/stairward/src/failure.rs
@@ -1,11 +1,12 @@
 //! Why a command could not do its work, and the exit code that says so.
 
 use std::path::PathBuf;
-use std::process::ExitCode;
 
 use snafu::Snafu;
 use stairward_types::ResultCode;
 
+/// The command did its work.
+pub const EXIT_SUCCESS: u8 = 0;
 /// The command ran and found a fault.
 pub const EXIT_FAULT_FOUND: u8 = 1;
 /// The command line is wrong.
@@ -77,11 +78,11 @@
 
 impl Failure {
     /// The exit code for this failure.
-    pub fn exit_code(&self) -> ExitCode {
-        ExitCode::from(match self {
+    pub fn exit_code(&self) -> u8 {
+        match self {
             Self::Option { .. } | Self::UnknownCommand { .. } | Self::Usage { .. } => EXIT_USAGE,
             Self::InvalidProcessFile { .. } | Self::Refused { .. } => EXIT_FAULT_FOUND,
             Self::File { .. } | Self::Start { .. } | Self::Admin { .. } => EXIT_UNREACHABLE,
-        })
+        }
     }
 }
