Let one edit bring a whole tree, also into an empty store

Cause: an operator with an empty store could not make the first settings: the client refused every edit there, and a single option is never valid alone.

The majority check counts all members of a group, as the acknowledgement fence does, where it left out joining ones: with one of three active and two joining it accepted a tree in which no write could be confirmed.

--- a/crates/stairward-settings/src/document.rs
+++ b/crates/stairward-settings/src/document.rs
@@ -59,7 +59,17 @@
 }
 
 impl SettingsDocument {
-    /// The first document, at revision 1.
+    /// What holds before the first edit: an empty tree at revision 0.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self {
+            revision: Revision(0),
+            tree: SettingsTree::new(),
+            recent: VecDeque::new(),
+        }
+    }
+
+    /// A document with this tree at revision 1, without a history.
     ///
     /// # Errors
     /// Every problem of the tree.
--- a/crates/stairward-settings/src/edit.rs
+++ b/crates/stairward-settings/src/edit.rs
@@ -1,5 +1,7 @@
 //! Edits of the settings tree, and why one is refused.
 
+use std::ops::Not;
+
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use stairward_types::{ChangeId, ResultCode, Revision};
@@ -16,7 +18,7 @@
 /// One step of an edit.
 ///
 /// In JSON, `{"path", "option", "value"}` sets, the same without a value (or with null) takes back,
-/// and `{"path", "remove": true}` removes.
+/// `{"path", "add": true}` adds and `{"path", "remove": true}` removes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "ChangeForm", into = "ChangeForm")]
 pub enum Change {
@@ -36,6 +38,11 @@
         /// Which option.
         option: SettingsOption,
     },
+    /// Adds a place with nothing set; one that is there stays as it is.
+    Add {
+        /// Which place.
+        path: SettingsPath,
+    },
     /// Removes a place and all below it.
     Remove {
         /// Which place.
@@ -44,7 +51,7 @@
 }
 
 /// The JSON form of a [`Change`].
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ChangeForm {
     path: SettingsPath,
@@ -52,57 +59,85 @@
     option: Option<SettingsOption>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     value: Option<Value>,
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    #[serde(default, skip_serializing_if = "Not::not")]
+    add: bool,
+    #[serde(default, skip_serializing_if = "Not::not")]
     remove: bool,
 }
 
-/// A change that names neither an option nor `"remove": true`, or both.
+/// A change that does not name exactly one of an option, `"add": true` and `"remove": true`.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
-#[snafu(display("a change at {path} names either an option or \"remove\": true"))]
+#[snafu(display("a change at {path} names one of an option, \"add\": true and \"remove\": true"))]
 pub struct AmbiguousChange {
     /// Where.
     pub path: SettingsPath,
 }
 
-impl TryFrom<ChangeForm> for Change {
-    type Error = AmbiguousChange;
-
-    fn try_from(form: ChangeForm) -> Result<Self, Self::Error> {
-        let ChangeForm {
-            path,
-            option,
-            value,
-            remove,
-        } = form;
-        match (option, value, remove) {
-            (Some(option), Some(value), false) => Ok(Self::Set {
+impl Change {
+    /// Builds a change from the fields of its JSON form.
+    ///
+    /// # Errors
+    /// [`AmbiguousChange`] when the fields do not name exactly one change.
+    pub fn from_parts(
+        path: SettingsPath,
+        option: Option<SettingsOption>,
+        value: Option<Value>,
+        add: bool,
+        remove: bool,
+    ) -> Result<Self, AmbiguousChange> {
+        match (option, value, add, remove) {
+            (Some(option), Some(value), false, false) => Ok(Self::Set {
                 path,
                 option,
                 value,
             }),
-            (Some(option), None, false) => Ok(Self::Unset { path, option }),
-            (None, None, true) => Ok(Self::Remove { path }),
+            (Some(option), None, false, false) => Ok(Self::Unset { path, option }),
+            (None, None, true, false) => Ok(Self::Add { path }),
+            (None, None, false, true) => Ok(Self::Remove { path }),
             _ => AmbiguousChangeSnafu { path }.fail(),
         }
     }
 }
 
+impl TryFrom<ChangeForm> for Change {
+    type Error = AmbiguousChange;
+
+    fn try_from(form: ChangeForm) -> Result<Self, Self::Error> {
+        Self::from_parts(form.path, form.option, form.value, form.add, form.remove)
+    }
+}
+
 impl From<Change> for ChangeForm {
     fn from(change: Change) -> Self {
-        let (path, option, value, remove) = match change {
+        let at = |path| Self {
+            path,
+            option: None,
+            value: None,
+            add: false,
+            remove: false,
+        };
+        match change {
             Change::Set {
                 path,
                 option,
                 value,
-            } => (path, Some(option), Some(value), false),
-            Change::Unset { path, option } => (path, Some(option), None, false),
-            Change::Remove { path } => (path, None, None, true),
-        };
-        Self {
-            path,
-            option,
-            value,
-            remove,
+            } => Self {
+                option: Some(option),
+                value: Some(value),
+                ..at(path)
+            },
+            Change::Unset { path, option } => Self {
+                option: Some(option),
+                ..at(path)
+            },
+            Change::Add { path } => Self {
+                add: true,
+                ..at(path)
+            },
+            Change::Remove { path } => Self {
+                remove: true,
+                ..at(path)
+            },
         }
     }
 }
@@ -223,6 +258,10 @@
             Some(_) => Ok(()),
             None => Err(problem(path, Some(*option), ProblemKind::NotSet)),
         },
+        Change::Add { path } => {
+            tree.add_place(path);
+            Ok(())
+        }
         Change::Remove { path } => {
             if tree.remove(path) {
                 Ok(())
--- a/crates/stairward-settings/src/problem.rs
+++ b/crates/stairward-settings/src/problem.rs
@@ -160,16 +160,16 @@
     /// A group has no back end.
     #[snafu(display("the group has no back end"))]
     NoBackends,
-    /// With the active back ends alone no majority can be reached.
+    /// The active back ends are too few to confirm writes.
     #[snafu(display(
-        "{active} of {established} established back ends are active; a majority of {needed} is needed"
+        "{active} of {members} back ends are active; a majority of {needed} is needed"
     ))]
     MajorityImpossible {
         /// Back ends in the state active.
         active: usize,
-        /// Back ends in the states active and leaving.
-        established: usize,
-        /// How many of the established ones must be active.
+        /// Back ends of the group.
+        members: usize,
+        /// How many must be active.
         needed: usize,
     },
     /// The value contradicts another option's.
--- a/crates/stairward-settings/src/tree/validate.rs
+++ b/crates/stairward-settings/src/tree/validate.rs
@@ -103,9 +103,9 @@
     counts
 }
 
-/// A group needs members, and a majority of the established ones must be in use: once those that
-/// leave are gone, no write could be confirmed by a majority. Members without an address or zone are
-/// problems of their own.
+/// A group needs members, and a majority of them must be in use: members that join or leave cannot be
+/// counted on to confirm writes. A group whose members all join is being set up. Members without an
+/// address or zone are problems of their own.
 fn check_members(
     path: &SettingsPath,
     members: usize,
@@ -116,10 +116,6 @@
         problems.push(problem(path, None, ProblemKind::NoBackends));
         return;
     }
-    let are_all_usable = group.backends.len() == members;
-    if !are_all_usable {
-        return;
-    }
     let in_state = |state: AdminState| {
         group
             .backends
@@ -127,13 +123,17 @@
             .filter(|backend| backend.admin_state == state)
             .count()
     };
+    let are_all_usable = group.backends.len() == members;
+    let is_being_set_up = in_state(AdminState::Joining) == members;
+    if !are_all_usable || is_being_set_up {
+        return;
+    }
     let active = in_state(AdminState::Active);
-    let established = active + in_state(AdminState::Leaving);
-    let needed = established / 2 + 1;
+    let needed = members / 2 + 1;
     if active < needed {
         let kind = ProblemKind::MajorityImpossible {
             active,
-            established,
+            members,
             needed,
         };
         problems.push(problem(path, Some(SettingsOption::AdminState), kind));
--- a/crates/stairward-settings/tests/edits.rs
+++ b/crates/stairward-settings/tests/edits.rs
@@ -195,6 +195,7 @@
         r#"{"path":"root","option":"slots","value":3}"#,
         r#"{"path":"root","option":"slots","value":null}"#,
         r#"{"path":"region/south","remove":true}"#,
+        r#"{"path":"region/west","add":true}"#,
     ];
     let expected = [
         set(&SettingsPath::Root, SettingsOption::Slots, 3),
@@ -205,6 +206,9 @@
         Change::Remove {
             path: path("region/south"),
         },
+        Change::Add {
+            path: path("region/west"),
+        },
     ];
     for (form, expected) in forms.iter().zip(expected) {
         let change: Change = serde_json::from_str(form).expect("a change");
@@ -216,6 +220,8 @@
     let ambiguous = [
         r#"{"path":"root"}"#,
         r#"{"path":"root","option":"slots","remove":true}"#,
+        r#"{"path":"root","add":true,"remove":true}"#,
+        r#"{"path":"root","option":"slots","value":3,"vaule":4}"#,
         r#"{"path":"root","option":"slot","value":3}"#,
         r#"{"path":"roots","option":"slots","value":3}"#,
     ];
