Take the changes of an edit in one form at the admin interface

The admin interface wanted an action field that neither the settings crate's JSON nor the command line writes. It now takes path, option and value, add or remove, and still tells every wrong name at once.

--- a/crates/stairward-proxy/src/admin/edits.rs
+++ b/crates/stairward-proxy/src/admin/edits.rs
@@ -28,22 +28,18 @@
     changes: Vec<ChangeBody>,
 }
 
-/// One change of an edit, with names that may be wrong.
+/// One change of an edit, with names that may be wrong: sets an option, takes it back (no value or
+/// null), adds a place or removes it.
 #[derive(Debug, Deserialize)]
-#[serde(tag = "action", rename_all = "snake_case", deny_unknown_fields)]
-enum ChangeBody {
-    Set {
-        path: String,
-        option: String,
-        value: Value,
-    },
-    Unset {
-        path: String,
-        option: String,
-    },
-    Remove {
-        path: String,
-    },
+#[serde(deny_unknown_fields)]
+struct ChangeBody {
+    path: String,
+    option: Option<String>,
+    value: Option<Value>,
+    #[serde(default)]
+    add: bool,
+    #[serde(default)]
+    remove: bool,
 }
 
 /// Body of `POST /backends/NAME`.
@@ -153,24 +149,14 @@
 
 impl ChangeBody {
     fn into_change(self) -> Result<Change, ProblemBody> {
-        match self {
-            Self::Set {
-                path,
-                option,
-                value,
-            } => Ok(Change::Set {
-                option: parse_option(&path, &option)?,
-                path: parse_path(&path)?,
-                value,
-            }),
-            Self::Unset { path, option } => Ok(Change::Unset {
-                option: parse_option(&path, &option)?,
-                path: parse_path(&path)?,
-            }),
-            Self::Remove { path } => Ok(Change::Remove {
-                path: parse_path(&path)?,
-            }),
-        }
+        let path = parse_path(&self.path)?;
+        let option = self
+            .option
+            .as_deref()
+            .map(|option| parse_option(&self.path, option))
+            .transpose()?;
+        Change::from_parts(path, option, self.value, self.add, self.remove)
+            .map_err(|error| name_problem(&self.path, None, &error))
     }
 }
 
