--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -23,6 +23,8 @@
 /// Every subcommand, in the order of the list that `--help` prints.
 pub const COMMANDS: &[Command] = &[
     crate::load::command::COMMAND,
+    crate::membership::command::COMMAND,
+    crate::membership::terms::COMMAND,
     crate::report::COMMAND,
     crate::compare::COMMAND,
     crate::capacity::COMMAND,
