Test outcome classes at every cut, and the extended protocol message by message

A COMMIT cut on its stream was told as a lost transaction: whether a batch may commit was taken from the batch's own class, which for COMMIT is a read.

--- a/crates/stairward-proxy/src/edge/pinned.rs
+++ b/crates/stairward-proxy/src/edge/pinned.rs
@@ -35,8 +35,12 @@
         let kind = request.batch.kind;
         let deadline = request.deadline;
         let in_transaction = self.transaction != Transaction::Idle;
-        let may_commit =
-            request.access == AccessClass::Write && request.batch.class.may_commit(in_transaction);
+        // What counts is the stream: a COMMIT by itself neither reads nor writes.
+        let may_write = self
+            .active
+            .as_ref()
+            .is_some_and(|active| active.access == AccessClass::Write);
+        let may_commit = may_write && request.batch.class.may_commit(in_transaction);
         if self.send_on_active(request, may_commit) {
             if kind == BatchKind::Partial {
                 return Ok(());
--- a/crates/stairward-proxy/tests/edge_startup.rs
+++ b/crates/stairward-proxy/tests/edge_startup.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use edge_support::raw::{message, startup_packet, with_length};
 use edge_support::{Site, guarded, result_code, simple_value, token_key};
 use stairward_proxy::edge::EdgeSettings;
 use stairward_types::ResultCode;
@@ -14,25 +15,6 @@
 const TLS_REQUEST: [u8; 8] = [0, 0, 0, 8, 4, 210, 22, 47];
 const GSS_REQUEST: [u8; 8] = [0, 0, 0, 8, 4, 210, 22, 48];
 
-/// A start-up packet for protocol 3.0 with these parameters.
-fn startup_packet(parameters: &[(&str, &str)]) -> Vec<u8> {
-    let mut body = vec![0, 3, 0, 0];
-    for (name, value) in parameters {
-        body.extend(name.bytes().chain([0]).chain(value.bytes()).chain([0]));
-    }
-    body.push(0);
-    with_length(&body)
-}
-
-fn with_length(body: &[u8]) -> Vec<u8> {
-    let length = u32::try_from(body.len() + 4).unwrap();
-    [&length.to_be_bytes(), body].concat()
-}
-
-fn message(tag: u8, body: &[u8]) -> Vec<u8> {
-    [&[tag][..], &with_length(body)].concat()
-}
-
 async fn raw(site: &Site) -> TcpStream {
     TcpStream::connect(site.node().address).await.unwrap()
 }
--- a/crates/stairward-proxy/tests/edge_support/mod.rs
+++ b/crates/stairward-proxy/tests/edge_support/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod raw;
+pub mod scripted;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
