--- a/crates/stairward-proxy/src/edge/mod.rs
+++ b/crates/stairward-proxy/src/edge/mod.rs
@@ -27,6 +27,8 @@
 mod settings;
 mod startup;
 mod statistics;
+#[cfg(test)]
+mod tests;
 mod waiting;
 
 pub use service::EdgeService;
--- a/crates/stairward-proxy/tests/edge_support/scripted.rs
+++ b/crates/stairward-proxy/tests/edge_support/scripted.rs
@@ -7,7 +7,8 @@
 use stairward_protocol::ClusterKey;
 use stairward_protocol::call::{CallReply, CallRequest};
 use stairward_protocol::stream::{
-    BackendHint, Batch, EdgeMessage, Open, OwnerMessage, WireAccess, WireTransactionStatus,
+    BackendHint, Batch, EdgeMessage, INITIAL_WINDOW_BYTES, Open, OwnerMessage, WireAccess,
+    WireTransactionStatus,
 };
 use stairward_proxy::cluster::{Cluster, KnownPrimary, MembershipView, Owners};
 use stairward_proxy::edge::{EdgeService, EdgeSettings};
@@ -18,6 +19,9 @@
 
 use super::{DATABASE, backend_names, identity, resolved_settings, token_key};
 
+/// Without a grant for so long, the caller counts as stalled.
+const STALL_TIME: std::time::Duration = std::time::Duration::from_millis(200);
+
 /// How the scripted owner ends a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
@@ -37,6 +41,8 @@
     LoseTransaction,
     /// Answers the first batch, and loses the connection when it gets the second.
     LoseAtSecondBatch,
+    /// Answers with so many bytes of rows, as fast as the edge grants them.
+    Flood(usize),
     /// Answers the first batch, and doesn't know the outcome of the second.
     UnknownAtSecondBatch,
 }
@@ -58,6 +64,10 @@
     /// Frontend message types received, over all streams.
     pub received: Mutex<String>,
     pub position: Mutex<u64>,
+    /// Notified once a flood waits for a grant.
+    pub stalled: tokio::sync::Notify,
+    /// Most bytes of a flood sent and not yet granted again.
+    pub outstanding: Mutex<usize>,
 }
 
 impl Script {
@@ -134,6 +144,7 @@
     stream.send(OwnerMessage::Admitted(hint));
     match ending {
         Ending::LoseAfterAdmitting => return,
+        Ending::Flood(bytes) => flood(&script, &mut stream, bytes).await,
         Ending::LoseAfterAnswer(bytes) => {
             let mut sent = 0;
             while sent < bytes {
@@ -159,6 +170,31 @@
     answer_batches(&script, &mut stream, open, ending).await;
 }
 
+/// Sends rows within the window.
+async fn flood(script: &Script, stream: &mut OwnerStream, bytes: usize) {
+    let row = data_row(&[b'x'; 8_000]);
+    let mut sent = 0;
+    let mut outstanding = 0;
+    while sent < bytes {
+        while outstanding >= INITIAL_WINDOW_BYTES as usize {
+            let waited = tokio::time::timeout(STALL_TIME, stream.receive()).await;
+            match waited {
+                Ok(Some(EdgeMessage::Credit { bytes })) => outstanding -= bytes as usize,
+                Ok(Some(_)) => {}
+                Ok(None) => return,
+                Err(_) => script.stalled.notify_one(),
+            }
+        }
+        stream.send(OwnerMessage::Answer {
+            messages: row.clone().into(),
+        });
+        sent += row.len();
+        outstanding += row.len();
+        let mut most = script.outstanding.lock().unwrap();
+        *most = (*most).max(outstanding);
+    }
+}
+
 fn opened(open: &Open) -> Opened {
     let setup = open.session_setup.bytes.get(5..).unwrap_or_default();
     Opened {
