--- a/crates/stairward-pool/src/pool/connections.rs
+++ b/crates/stairward-pool/src/pool/connections.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use stairward_types::Time;
+use stairward_types::{Duration, Time};
 
 use super::message::{ConnectionId, RequestId};
 
@@ -109,9 +109,9 @@
         self.busy.insert(connection, BusyState::Closing);
     }
 
-    /// Takes an idle connection out that was last used at or before `moment`.
-    pub(super) fn take_unused_since(&mut self, moment: Time) -> Option<ConnectionId> {
-        let oldest = self.idle.front().filter(|idle| idle.since <= moment)?;
+    /// Takes an idle connection out that was not used for so long.
+    pub(super) fn take_unused(&mut self, now: Time, pause: Duration) -> Option<ConnectionId> {
+        let oldest = self.idle.front().filter(|idle| idle.since + pause <= now)?;
         let connection = oldest.connection;
         self.idle.pop_front();
         Some(connection)
--- a/crates/stairward-pool/src/pool/mod.rs
+++ b/crates/stairward-pool/src/pool/mod.rs
@@ -109,7 +109,7 @@
             .map(|(patience_ends, _)| *patience_ends);
         let end_streams = self.end_streams_at.filter(|_| self.has_running_streams());
         let refresh = self.connections.oldest_idle().map(|s| s + REFRESH_AFTER);
-        let opening = Some(self.no_opening_before).filter(|_| self.wanted_openings() > 0);
+        let opening = Some(self.no_opening_before).filter(|_| self.waits_to_open());
         patience
             .chain(self.queue.next_deadline())
             .chain(end_streams)
@@ -136,6 +136,12 @@
         self.lent.len()
     }
 
+    /// The limits in force.
+    #[must_use]
+    pub fn settings(&self) -> &PoolSettings {
+        &self.settings
+    }
+
     /// What the back end last said; none while it cannot be reached.
     #[must_use]
     pub fn state(&self) -> Option<BackendState> {
@@ -271,6 +277,11 @@
         wanted.saturating_sub(ready).min(room)
     }
 
+    /// Whether only the pause after a failure keeps connections from being opened.
+    fn waits_to_open(&self) -> bool {
+        self.connections.opening() == 0 && self.wanted_openings() > 0
+    }
+
     fn open_ahead(&mut self, now: Time) {
         if now < self.no_opening_before {
             return;
@@ -300,7 +311,7 @@
         if !self.keeps_connections() {
             self.close_surplus();
         }
-        while let Some(connection) = self.connections.take_unused_since(now - REFRESH_AFTER) {
+        while let Some(connection) = self.connections.take_unused(now, REFRESH_AFTER) {
             self.connections.start_reset(connection);
             self.effects.push(PoolEffect::ResetConnection(connection));
         }
--- a/crates/stairward-proxy/src/owner/backend.rs
+++ b/crates/stairward-proxy/src/owner/backend.rs
@@ -1,161 +1,525 @@
-//! One back end that this node serves: its connections and its last known state.
+//! One back end that this node serves in one role: carries out what the pool and the lease decide.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use stairward_pool::lease::{LeaseEffect, LeaseEvent, LeaseSettings};
+use stairward_pool::pool::{
+    BackendState, ConnectionId, ConnectionRequest, PoolEffect, PoolEvent, PoolSettings, RequestId,
+    ReturnedState,
+};
+use stairward_pool::{BackendPool, Lease, OwnerRole};
 use stairward_protocol::stream::BackendHint;
-use stairward_types::{BackendId, GroupId, ResultCode};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use stairward_types::{AdminState, BackendId, BackendRole, GroupId, ResultCode, Term, Time};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::connection::BackendConnection;
+use super::control::{AskReply, ControlCommand};
 use super::error::BackendError;
+use super::fence::FenceDriver;
 use super::login::Login;
-use super::status::{BackendStatus, ask_status};
-use crate::cluster::{Cluster, KnownPrimary};
+use super::service::OwnerContext;
+use super::status::BackendStatus;
 
-/// How often a back end is asked for its state while nothing else asks.
-const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a reset of an idle connection may take before it is closed instead.
+const RESET_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How long one answer to a probe may take.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a connection in doubt is listened to for the end of what runs on it.
+const DISPOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A back end served by this node.
-pub(super) struct Backend {
+/// Pause between looks at whether commits still wait for their proof when the back end is given up.
+const FENCE_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Who a back end is and how it is reached.
+pub(super) struct BackendIdentity {
     /// Its name.
     pub name: BackendId,
     /// Its group.
     pub group: GroupId,
-    cluster: Cluster,
-    login: Login,
-    connections: usize,
-    permits: Arc<Semaphore>,
-    idle: Mutex<Vec<BackendConnection>>,
-    status: Mutex<Option<BackendStatus>>,
-    control: tokio::sync::Mutex<Option<BackendConnection>>,
-    /// Fires when this node gives the back end up.
-    pub stopped: CancellationToken,
+    /// In which role this node serves it.
+    pub role: OwnerRole,
+    /// How its working connections log in.
+    pub login: Login,
+}
+
+/// A back end served by this node.
+pub(super) struct Backend {
+    /// Who it is.
+    pub identity: BackendIdentity,
+    /// What the node's owner side shares.
+    pub context: Arc<OwnerContext>,
+    /// Proves its commits.
+    pub fence: FenceDriver,
+    state: Mutex<State>,
+    control: mpsc::UnboundedSender<ControlCommand>,
+    timer: Notify,
+    drained: watch::Sender<bool>,
+    next_request: std::sync::atomic::AtomicU64,
+    /// Fires when the back end is served no longer.
+    pub ended: CancellationToken,
 }
 
-/// A connection lent to one stream, with its share of the limit.
-pub(super) struct LentConnection {
+/// A connection lent to one stream.
+pub(super) struct Grant {
+    /// The request it was lent for.
+    pub request: RequestId,
     /// The connection.
     pub connection: BackendConnection,
-    permit: OwnedSemaphorePermit,
+    /// The back end's term when it was last asked before the grant.
+    pub term: Term,
+    /// Fires when the stream's time is over.
+    pub ending: CancellationToken,
 }
 
-impl Backend {
-    pub(super) fn new(
-        name: BackendId,
-        group: GroupId,
-        cluster: Cluster,
-        login: Login,
-        connections: usize,
-    ) -> Self {
+/// Why a request was not admitted.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Refusal {
+    /// A code of the class *not run*.
+    pub code: ResultCode,
+    /// When it may be worth asking again.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal without advice on when to ask again.
+    pub(super) const fn new(code: ResultCode) -> Self {
         Self {
-            name,
-            group,
-            cluster,
-            login,
-            connections,
-            permits: Arc::new(Semaphore::new(connections)),
-            idle: Mutex::default(),
-            status: Mutex::default(),
-            control: tokio::sync::Mutex::default(),
-            stopped: CancellationToken::new(),
+            code,
+            retry_after: None,
         }
     }
+}
+
+/// What is held and what waits at one back end.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct BackendLoad {
+    /// Connections for work, in any state.
+    pub connections: usize,
+    /// Connections lent to streams.
+    pub lent: usize,
+    /// Requests that wait.
+    pub waiting: usize,
+}
+
+struct Waiter {
+    request: ConnectionRequest,
+    reply: oneshot::Sender<Result<Grant, Refusal>>,
+}
+
+struct State {
+    pool: BackendPool,
+    lease: Lease,
+    /// Idle connections, held for the pool.
+    idle: BTreeMap<ConnectionId, BackendConnection>,
+    waiters: BTreeMap<RequestId, Waiter>,
+    slot_waiters: BTreeMap<RequestId, oneshot::Sender<()>>,
+    endings: BTreeMap<RequestId, CancellationToken>,
+    lent: BTreeMap<RequestId, ConnectionId>,
+    timer_due: Option<Time>,
+}
+
+impl Backend {
+    /// Starts to serve a back end. The lease is wanted at once.
+    pub(super) fn start(
+        identity: BackendIdentity,
+        context: Arc<OwnerContext>,
+        settings: PoolSettings,
+    ) -> Arc<Self> {
+        let (control, commands) = mpsc::unbounded_channel();
+        let state = State {
+            pool: BackendPool::new(settings),
+            lease: Lease::new(LeaseSettings::default()),
+            idle: BTreeMap::new(),
+            waiters: BTreeMap::new(),
+            slot_waiters: BTreeMap::new(),
+            endings: BTreeMap::new(),
+            lent: BTreeMap::new(),
+            timer_due: None,
+        };
+        let fence = FenceDriver::new(&identity.name, &identity.group, &context);
+        let backend = Arc::new(Self {
+            identity,
+            context,
+            fence,
+            state: Mutex::new(state),
+            control,
+            timer: Notify::new(),
+            drained: watch::Sender::new(false),
+            next_request: std::sync::atomic::AtomicU64::new(1),
+            ended: CancellationToken::new(),
+        });
+        tokio::spawn(Arc::clone(&backend).run_timer());
+        tokio::spawn(super::control::run_control(Arc::clone(&backend), commands));
+        backend.lease_event(LeaseEvent::Wanted(true));
+        backend
+    }
+
+    /// Sends a command to the task that holds the control connection.
+    pub(super) fn command(&self, command: ControlCommand) {
+        let _ = self.control.send(command);
+    }
 
-    /// The state when last asked.
-    pub(super) fn status(&self) -> Option<BackendStatus> {
-        *self.status.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Asks the back end now, on the control connection. Questions that arrive while one is under
+    /// way are answered together by the next.
+    pub(super) async fn ask(&self) -> Result<BackendStatus, BackendError> {
+        let (reply, answer) = oneshot::channel::<AskReply>();
+        self.command(ControlCommand::Ask(reply));
+        match answer.await {
+            Ok(Some(status)) => Ok(status),
+            Ok(None) | Err(_) => Err(BackendError::Closed),
+        }
+    }
+
+    /// Whether the lease is held at this moment. Asked again just before the first byte is sent.
+    pub(super) fn lease_is_held(&self) -> bool {
+        self.lock().lease.is_held(self.now())
+    }
+
+    /// Whether operators marked the back end as leaving.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.lock().pool.settings().admin_state == AdminState::Leaving
+    }
+
+    /// What the back end last said.
+    pub(super) fn state(&self) -> Option<BackendState> {
+        self.lock().pool.state()
+    }
+
+    /// Whether the back end believed to be the primary when last asked.
+    pub(super) fn is_primary(&self) -> bool {
+        self.state()
+            .is_some_and(|state| state.role == BackendRole::Primary)
+    }
+
+    /// What is held and what waits.
+    pub(super) fn load(&self) -> BackendLoad {
+        let state = self.lock();
+        BackendLoad {
+            connections: state.pool.connections(),
+            lent: state.pool.lent(),
+            waiting: state.pool.waiting(),
+        }
     }
 
     /// The state when last asked, for the edge.
     pub(super) fn hint(&self) -> BackendHint {
-        let Some(status) = self.status() else {
-            return BackendHint::default();
-        };
+        let state = self.lock();
+        let waiting = u16::try_from(state.pool.waiting()).unwrap_or(u16::MAX);
+        let last = state.pool.state();
         BackendHint {
-            freshness: status.freshness.into(),
-            is_primary: u8::from(status.is_primary()),
-            waiting: 0,
+            freshness: last.map(|last| last.freshness).unwrap_or_default().into(),
+            is_primary: u8::from(last.is_some_and(|last| last.role == BackendRole::Primary)),
+            waiting,
         }
     }
 
-    /// Whether a connection is lent.
-    pub(super) fn is_busy(&self) -> bool {
-        self.permits.available_permits() < self.connections
+    /// A number for a new request.
+    pub(super) fn next_request(&self) -> RequestId {
+        let number = &self.next_request;
+        RequestId(number.fetch_add(1, std::sync::atomic::Ordering::Relaxed))
     }
 
-    /// Lends a connection.
-    pub(super) async fn lend(&self) -> Result<LentConnection, ResultCode> {
-        let permits = Arc::clone(&self.permits);
-        let permit = permits.acquire_owned().await;
-        let permit = permit.map_err(|_| ResultCode::BackendLeaving)?;
-        while let Some(mut connection) = self.take_idle() {
-            if !connection.is_stale() {
-                return Ok(LentConnection { connection, permit });
+    /// Asks for a connection and a slot. Dropping the receiver does not withdraw the request; see
+    /// [`Backend::withdraw`].
+    pub(super) fn request(
+        self: &Arc<Self>,
+        request: ConnectionRequest,
+    ) -> oneshot::Receiver<Result<Grant, Refusal>> {
+        let (reply, answer) = oneshot::channel();
+        let mut state = self.lock();
+        let waiter = Waiter {
+            request: request.clone(),
+            reply,
+        };
+        state.waiters.insert(request.request, waiter);
+        self.pool_event(&mut state, PoolEvent::Requested(request));
+        answer
+    }
+
+    /// Gives a waiting request up. A grant that crossed the withdrawal is taken back.
+    pub(super) fn withdraw(
+        self: &Arc<Self>,
+        request: RequestId,
+        answer: &mut oneshot::Receiver<Result<Grant, Refusal>>,
+    ) {
+        let mut state = self.lock();
+        state.waiters.remove(&request);
+        self.pool_event(&mut state, PoolEvent::Withdrawn(request));
+        drop(state);
+        if let Ok(Ok(grant)) = answer.try_recv() {
+            self.give_back(grant, ReturnedState::Idle);
+        }
+    }
+
+    /// Asks for a slot for a further batch of a stream that holds a connection.
+    pub(super) fn want_slot(self: &Arc<Self>, request: RequestId) -> oneshot::Receiver<()> {
+        let (reply, answer) = oneshot::channel();
+        let mut state = self.lock();
+        state.slot_waiters.insert(request, reply);
+        self.pool_event(&mut state, PoolEvent::SlotWanted(request));
+        answer
+    }
+
+    /// Gives the slot back while the stream's transaction goes on.
+    pub(super) fn release_slot(self: &Arc<Self>, request: RequestId) {
+        self.handle(PoolEvent::SlotReleased(request));
+    }
+
+    /// Takes a lent connection back.
+    pub(super) fn give_back(self: &Arc<Self>, grant: Grant, returned: ReturnedState) {
+        let mut state = self.lock();
+        state.endings.remove(&grant.request);
+        state.slot_waiters.remove(&grant.request);
+        let Some(connection) = state.lent.remove(&grant.request) else {
+            return;
+        };
+        if returned == ReturnedState::InDoubt {
+            tokio::spawn(Arc::clone(self).dispose(connection, grant.connection));
+        } else {
+            state.idle.insert(connection, grant.connection);
+        }
+        let event = PoolEvent::Returned {
+            request: grant.request,
+            state: returned,
+        };
+        self.pool_event(&mut state, event);
+    }
+
+    /// Gives the back end up: takes no new work, lets what runs go on until the limit, then frees the
+    /// lock and tells the successor. Returns once nothing is held any more.
+    pub(super) async fn stop(self: &Arc<Self>, limit: Duration) {
+        let mut drained = self.drained.subscribe();
+        self.handle(PoolEvent::DrainUntil(self.now() + limit));
+        let _ = drained.wait_for(|drained| *drained).await;
+        while self.fence.is_busy() {
+            tokio::time::sleep(FENCE_POLL_INTERVAL).await;
+        }
+        self.lease_event(LeaseEvent::Wanted(false));
+        self.lease_event(LeaseEvent::GivenUp);
+        let (reply, ended) = oneshot::channel();
+        self.command(ControlCommand::End(reply));
+        let _ = ended.await;
+        self.ended.cancel();
+    }
+
+    /// Tells the pool something.
+    pub(super) fn handle(self: &Arc<Self>, event: PoolEvent) {
+        let mut state = self.lock();
+        self.pool_event(&mut state, event);
+    }
+
+    /// Tells the lease something.
+    pub(super) fn lease_event(self: &Arc<Self>, event: LeaseEvent) {
+        let mut state = self.lock();
+        self.lease_event_locked(&mut state, event);
+        self.arm_timer(&mut state);
+    }
+
+    /// This node's clock.
+    pub(super) fn now(&self) -> Time {
+        self.context.cluster.clock.now()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lease_event_locked(self: &Arc<Self>, state: &mut State, event: LeaseEvent) {
+        for effect in state.lease.handle(self.now(), event) {
+            match effect {
+                LeaseEffect::StartUse => self.apply(state, PoolEvent::LeaseHeld(true)),
+                LeaseEffect::StopUse => self.apply(state, PoolEvent::LeaseHeld(false)),
+                LeaseEffect::Attempt
+                | LeaseEffect::EndLeftovers
+                | LeaseEffect::GiveUp
+                | LeaseEffect::Release => self.command(ControlCommand::Lease(effect)),
             }
         }
-        let connection = self.login.open().await;
-        let connection = connection.map_err(|_| ResultCode::BackendUnavailable)?;
-        Ok(LentConnection { connection, permit })
     }
 
-    fn take_idle(&self) -> Option<BackendConnection> {
-        self.idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .pop()
+    fn pool_event(self: &Arc<Self>, state: &mut State, event: PoolEvent) {
+        // This node may have been paused: let the lease lapse before anything is decided on it.
+        self.lease_event_locked(state, LeaseEvent::Tick);
+        self.apply(state, event);
+        self.arm_timer(state);
+    }
+
+    fn apply(self: &Arc<Self>, state: &mut State, event: PoolEvent) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            for effect in state.pool.handle(self.now(), event) {
+                self.carry_out(state, effect, &mut events);
+            }
+        }
+    }
+
+    fn carry_out(
+        self: &Arc<Self>,
+        state: &mut State,
+        effect: PoolEffect,
+        events: &mut VecDeque<PoolEvent>,
+    ) {
+        match effect {
+            PoolEffect::Admit {
+                request,
+                connection,
+            } => self.admit(state, request, connection, events),
+            PoolEffect::GrantSlot(request) => {
+                if let Some(waiter) = state.slot_waiters.remove(&request) {
+                    let _ = waiter.send(());
+                }
+            }
+            PoolEffect::Refuse {
+                request,
+                code,
+                retry_after,
+            } => {
+                state.slot_waiters.remove(&request);
+                if let Some(waiter) = state.waiters.remove(&request) {
+                    let _ = waiter.reply.send(Err(Refusal { code, retry_after }));
+                }
+            }
+            PoolEffect::OpenConnection(connection) => {
+                tokio::spawn(Arc::clone(self).open(connection));
+            }
+            PoolEffect::ResetConnection(connection) => {
+                if let Some(idle) = state.idle.remove(&connection) {
+                    tokio::spawn(Arc::clone(self).reset(connection, idle));
+                }
+            }
+            PoolEffect::CloseConnection(connection) => {
+                state.idle.remove(&connection);
+                events.push_back(PoolEvent::ConnectionClosed(connection));
+            }
+            PoolEffect::EndStream(request) => {
+                if let Some(ending) = state.endings.get(&request) {
+                    ending.cancel();
+                }
+            }
+            PoolEffect::Drained => {
+                self.drained.send_replace(true);
+            }
+        }
     }
 
-    /// Takes back a connection whose back end reported that it is idle.
-    pub(super) async fn take_back(&self, lent: LentConnection, altered: bool) {
-        let mut connection = lent.connection;
-        if altered && connection.query("DISCARD ALL").await.is_err() {
+    fn admit(
+        &self,
+        state: &mut State,
+        request: RequestId,
+        connection: ConnectionId,
+        events: &mut VecDeque<PoolEvent>,
+    ) {
+        let return_as = |state| PoolEvent::Returned { request, state };
+        let Some(waiter) = state.waiters.remove(&request) else {
+            events.push_back(return_as(ReturnedState::Idle));
+            return;
+        };
+        let Some(mut lent) = state.idle.remove(&connection) else {
+            events.push_back(return_as(ReturnedState::InDoubt));
+            events.push_back(PoolEvent::ConnectionClosed(connection));
+            return;
+        };
+        if lent.is_stale() {
+            // The back end closed it while it was idle; nothing was sent, so the request waits on.
+            events.push_back(return_as(ReturnedState::InDoubt));
+            events.push_back(PoolEvent::ConnectionClosed(connection));
+            events.push_back(PoolEvent::Requested(waiter.request.clone()));
+            state.waiters.insert(request, waiter);
             return;
         }
-        self.idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(connection);
-        drop(lent.permit);
+        let ending = CancellationToken::new();
+        let term = state.pool.state().map(|state| state.freshness.term);
+        let grant = Grant {
+            request,
+            connection: lent,
+            term: term.unwrap_or_default(),
+            ending: ending.clone(),
+        };
+        state.endings.insert(request, ending);
+        state.lent.insert(request, connection);
+        if let Err(Ok(grant)) = waiter.reply.send(Ok(grant)) {
+            state.endings.remove(&request);
+            state.lent.remove(&request);
+            state.idle.insert(connection, grant.connection);
+            events.push_back(return_as(ReturnedState::Idle));
+        }
     }
 
-    /// Asks the back end now.
-    pub(super) async fn ask(&self) -> Result<BackendStatus, BackendError> {
-        let mut control = self.control.lock().await;
-        let mut connection = match control.take() {
-            Some(connection) => connection,
-            None => self.login.open().await?,
+    async fn open(self: Arc<Self>, connection: ConnectionId) {
+        // The answer proves that the lock is still held, so that the limit is kept even when this
+        // node was paused since it decided to open the connection.
+        let opened = match self.ask().await {
+            Ok(_) if self.lease_is_held() => self.identity.login.open().await,
+            Ok(_) => Err(BackendError::Closed),
+            Err(error) => Err(error),
         };
-        let answer = tokio::time::timeout(PROBE_TIMEOUT, ask_status(&mut connection)).await;
-        let status = answer.map_err(|_| BackendError::Timeout)??;
-        *control = Some(connection);
-        drop(control);
-        self.learn(status);
-        Ok(status)
-    }
-
-    fn learn(&self, status: BackendStatus) {
-        *self.status.lock().unwrap_or_else(PoisonError::into_inner) = Some(status);
-        if status.is_primary() {
-            let primary = KnownPrimary {
-                term: status.freshness.term,
-                backend: self.name.clone(),
-            };
-            self.cluster.learn_primary(&self.group, primary);
-        }
-    }
-
-    /// Asks the back end again and again until it is given up.
-    pub(super) async fn probe(self: Arc<Self>) {
-        while !self.stopped.is_cancelled() {
-            if self.ask().await.is_err() {
-                *self.status.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        match opened {
+            Ok(opened) => {
+                let mut state = self.lock();
+                state.idle.insert(connection, opened);
+                self.pool_event(&mut state, PoolEvent::ConnectionOpened(connection));
+            }
+            Err(error) => {
+                tracing::debug!(
+                    backend = %self.identity.name, %error, "a connection could not be opened"
+                );
+                self.handle(PoolEvent::OpeningFailed(connection));
             }
-            tokio::time::sleep(PROBE_INTERVAL).await;
         }
     }
+
+    async fn reset(self: Arc<Self>, connection: ConnectionId, mut idle: BackendConnection) {
+        let reset = tokio::time::timeout(RESET_TIMEOUT, idle.query("DISCARD ALL")).await;
+        if matches!(reset, Ok(Ok(_))) {
+            let mut state = self.lock();
+            state.idle.insert(connection, idle);
+            self.pool_event(&mut state, PoolEvent::ConnectionReset(connection));
+        } else {
+            drop(idle);
+            self.handle(PoolEvent::ConnectionClosed(connection));
+        }
+    }
+
+    /// Stops what runs on a connection in doubt and closes it.
+    async fn dispose(self: Arc<Self>, connection: ConnectionId, mut doubtful: BackendConnection) {
+        let _ = tokio::time::timeout(DISPOSE_TIMEOUT, doubtful.stop()).await;
+        drop(doubtful);
+        self.handle(PoolEvent::ConnectionClosed(connection));
+    }
+
+    fn arm_timer(&self, state: &mut State) {
+        let due = [state.pool.next_wake(), state.lease.next_wake()];
+        let due = due.into_iter().flatten().min();
+        let is_earlier = due.is_some_and(|due| state.timer_due.is_none_or(|armed| due < armed));
+        if is_earlier {
+            state.timer_due = due;
+            self.timer.notify_one();
+        }
+    }
+
+    async fn run_timer(self: Arc<Self>) {
+        while !self.ended.is_cancelled() {
+            let due = self.lock().timer_due;
+            let pause = due.map_or(Duration::MAX, |due| due.since(self.now()));
+            tokio::select! {
+                () = sleep_for(pause) => {
+                    let mut state = self.lock();
+                    state.timer_due = None;
+                    self.pool_event(&mut state, PoolEvent::Tick);
+                }
+                () = self.timer.notified() => {}
+                () = self.ended.cancelled() => return,
+            }
+        }
+    }
+}
+
+async fn sleep_for(pause: Duration) {
+    if pause == Duration::MAX {
+        std::future::pending().await
+    } else {
+        tokio::time::sleep(pause).await;
+    }
 }
--- a/crates/stairward-proxy/src/owner/connection.rs
+++ b/crates/stairward-proxy/src/owner/connection.rs
@@ -11,6 +11,7 @@
 };
 use pgwire::messages::simplequery::Query;
 use pgwire::messages::startup::SecretKey;
+use pgwire::messages::terminate::Terminate;
 use pgwire::messages::{DecodeContext, Message, ProtocolVersion};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::net::TcpStream;
@@ -21,9 +22,9 @@
 const READ_BUFFER_BYTES: usize = 32 * 1024;
 
 /// The socket of a connection: plain TCP or TLS over it.
-pub(super) trait Transport: AsyncRead + AsyncWrite + Send + Unpin {}
+pub(super) trait Transport: AsyncRead + AsyncWrite + Send + Sync + Unpin {}
 
-impl<T: AsyncRead + AsyncWrite + Send + Unpin> Transport for T {}
+impl<T: AsyncRead + AsyncWrite + Send + Sync + Unpin> Transport for T {}
 
 /// What a `CancelRequest` must show to reach the right session.
 #[derive(Debug, Clone)]
@@ -44,7 +45,9 @@
         CancelRequest::new(self.process, self.secret.clone()).encode(&mut buffer)?;
         let mut socket = TcpStream::connect(self.address).await?;
         socket.write_all(&buffer).await?;
-        socket.shutdown().await?;
+        // The back end closes once it has passed the request on.
+        let mut nothing = [0_u8; 1];
+        let _ = socket.read(&mut nothing).await;
         Ok(())
     }
 }
@@ -107,6 +110,22 @@
         }
     }
 
+    /// Both halves, to be used at the same time.
+    pub(super) fn halves(&mut self) -> (&mut MessageReader, &mut WriteHalf<Box<dyn Transport>>) {
+        (&mut self.reader, &mut self.writer)
+    }
+
+    /// Cancels what runs and waits until the back end has ended it or closes the connection.
+    pub(super) async fn stop(&mut self) -> Result<(), BackendError> {
+        if let Some(key) = self.cancel_key.clone() {
+            key.cancel().await?;
+        }
+        while self.next().await?.ready_status().is_none() {}
+        let mut terminate = BytesMut::new();
+        Terminate::new().encode(&mut terminate)?;
+        self.send(&terminate).await
+    }
+
     /// Writes whole messages.
     pub(super) async fn send(&mut self, messages: &[u8]) -> Result<(), BackendError> {
         self.writer.write_all(messages).await?;
--- /dev/null
+++ b/crates/stairward-proxy/src/owner/lease_lock.rs
@@ -0,0 +1,102 @@
+//! The lease's lock at the back end, in SQL: taking it, and ending what earlier holders left.
+
+use std::time::Duration;
+
+use stairward_pool::OwnerRole;
+use stairward_pool::lease::LeaseSettings;
+
+use super::connection::{BackendConnection, TextRow};
+use super::error::{BackendError, TimeoutSnafu};
+use super::login::Login;
+
+/// First key of stairward's advisory locks: "stair" on a telephone keypad.
+const LOCK_CLASS: i32 = 78_247;
+
+/// Prefix of every session's `application_name`.
+const APPLICATION_PREFIX: &str = "stairward/";
+
+/// How long leftover sessions are waited for to end.
+const LEFTOVERS_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause between looks at whether leftover sessions have ended.
+const LEFTOVERS_INTERVAL: Duration = Duration::from_millis(5);
+
+/// The `application_name` of a node's sessions in one role.
+pub(super) fn application_name(node: u64, incarnation: u64, role: OwnerRole) -> String {
+    format!("{APPLICATION_PREFIX}{node}/{incarnation}/{}", role.name())
+}
+
+/// The log-in of a control connection: the back end ends it after the lease's duration of silence.
+pub(super) fn control_login(working: &Login) -> Login {
+    let mut login = working.clone();
+    login.idle_session_timeout = LeaseSettings::default().duration;
+    login
+}
+
+/// Tries to take the lock of a role; it is held until the session ends.
+pub(super) async fn try_lock(
+    connection: &mut BackendConnection,
+    role: OwnerRole,
+) -> Result<bool, BackendError> {
+    let sql = format!(
+        "SELECT pg_try_advisory_lock({LOCK_CLASS}, {})",
+        lock_key(role)
+    );
+    let rows = connection.query(&sql).await?;
+    Ok(rows.first().and_then(first_column) == Some("t"))
+}
+
+/// Ends every session that another holder of the role left, and waits until none is left.
+pub(super) async fn end_leftovers(
+    connection: &mut BackendConnection,
+    role: OwnerRole,
+    own_name: &str,
+) -> Result<(), BackendError> {
+    let ended = tokio::time::timeout(LEFTOVERS_TIMEOUT, async {
+        loop {
+            let leftovers = find_leftovers(connection, role, own_name).await?;
+            if leftovers.is_empty() {
+                return Ok(());
+            }
+            for process in leftovers {
+                let sql = format!("SELECT pg_terminate_backend({process})");
+                connection.query(&sql).await?;
+            }
+            tokio::time::sleep(LEFTOVERS_INTERVAL).await;
+        }
+    });
+    ended.await.unwrap_or_else(|_| TimeoutSnafu.fail())
+}
+
+async fn find_leftovers(
+    connection: &mut BackendConnection,
+    role: OwnerRole,
+    own_name: &str,
+) -> Result<Vec<i64>, BackendError> {
+    let sql = "SELECT pid, application_name FROM pg_stat_activity";
+    let sessions = connection.query(sql).await?;
+    let leftovers = sessions.iter().filter(|session| {
+        let name = session.get(1).and_then(Option::as_deref);
+        name.is_some_and(|name| name != own_name && is_of_role(name, role))
+    });
+    Ok(leftovers
+        .filter_map(|session| first_column(session)?.parse().ok())
+        .collect())
+}
+
+fn is_of_role(application_name: &str, role: OwnerRole) -> bool {
+    let parts = application_name.strip_prefix(APPLICATION_PREFIX);
+    let role_name = parts.and_then(|parts| parts.rsplit('/').next());
+    role_name == Some(role.name())
+}
+
+const fn lock_key(role: OwnerRole) -> i32 {
+    match role {
+        OwnerRole::Owner => 1,
+        OwnerRole::Standby => 2,
+    }
+}
+
+fn first_column(row: &TextRow) -> Option<&str> {
+    row.first().and_then(Option::as_deref)
+}
--- a/crates/stairward-proxy/src/owner/login.rs
+++ b/crates/stairward-proxy/src/owner/login.rs
@@ -38,6 +38,8 @@
     pub database: String,
     /// What the back end's own views show of the session.
     pub application_name: String,
+    /// After how long without a statement the back end ends the session.
+    pub idle_session_timeout: Duration,
     /// The password, when one is set.
     pub password: Option<String>,
     /// TLS, when back ends must be reached by it.
@@ -85,11 +87,13 @@
 
     fn startup_message(&self) -> Result<BytesMut, BackendError> {
         let mut startup = Startup::new();
+        let idle_session_timeout = self.idle_session_timeout.as_millis().to_string();
         let parameters = [
             ("user", self.user.as_str()),
             ("database", self.database.as_str()),
             ("application_name", self.application_name.as_str()),
             ("client_encoding", "UTF8"),
+            ("idle_session_timeout", idle_session_timeout.as_str()),
         ];
         for (name, value) in parameters {
             startup.parameters.insert(name.to_owned(), value.to_owned());
--- a/crates/stairward-proxy/src/owner/mod.rs
+++ b/crates/stairward-proxy/src/owner/mod.rs
@@ -1,13 +1,26 @@
 //! The owner side of a node: holds all connections of the back ends it owns and runs on them what
 //! edges ask for.
+//!
+//! [`OwnerService`] follows the cluster and keeps one `Backend` for each back end and role it serves.
+//! A `Backend` drives the pure [`stairward_pool::BackendPool`], [`stairward_pool::Lease`] and
+//! [`stairward_pool::AcknowledgementFence`] with sockets and the clock. Each stream is a task that
+//! borrows a connection from its `Backend`.
 
+mod admission;
 mod backend;
+mod batch;
 mod connection;
+mod control;
 mod error;
+mod fence;
+mod lease_lock;
+mod ledger;
 mod login;
+mod relay;
 mod service;
 mod status;
 mod stream;
+mod term_search;
 mod wire;
 
 pub use error::BackendError;
--- a/crates/stairward-proxy/src/owner/service.rs
+++ b/crates/stairward-proxy/src/owner/service.rs
@@ -2,20 +2,36 @@
 //! and hands streams to them.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError, Weak};
-use std::time::{Duration, Instant};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use stairward_protocol::call::{CallReply, CallRequest};
-use stairward_types::{BackendId, Freshness, GroupId, LogEvent, ResultCode};
+use stairward_pool::lease::LeaseEvent;
+use stairward_pool::pool::{PoolEvent, PoolSettings};
+use stairward_pool::{ConnectionShares, OwnerRole};
+use stairward_protocol::call::CallReply;
+use stairward_settings::{BackendSettings, GroupSettings, ResolvedSettings};
+use stairward_types::{
+    AdminState, BackendId, Freshness, GroupId, LogEvent, ResultCode,
+};
+use tokio::sync::Notify;
 
-use super::backend::Backend;
+use super::backend::{Backend, BackendIdentity};
+use super::lease_lock::application_name;
 use super::login::Login;
 use super::stream::serve_stream;
 use crate::cluster::Cluster;
 use crate::peer::{OwnerStream, PeerNetwork};
 
-/// How long the successor may take to answer that it heard of a hand-over.
-const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(500);
+/// The back end ends a working connection after this long without a statement. Far longer than the
+/// pool lets one rest; it only clears up after a node that vanished with no successor.
+const IDLE_SESSION_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Without contact to any source of configuration for longer than this, no new work is taken: the
+/// back ends may have been marked as leaving meanwhile.
+const CONFIGURATION_AGE_LIMIT: Duration = Duration::from_secs(3);
+
+/// How long work in flight may go on when a back end moves to another node.
+const MOVE_LIMIT: Duration = Duration::from_secs(30);
 
 /// How this node logs in at back ends.
 #[derive(Clone, Default)]
@@ -31,59 +47,121 @@
 pub struct BackendReport {
     /// Its group.
     pub group: GroupId,
+    /// In which role this node serves it: `owner` or `standby`.
+    pub role: &'static str,
+    /// Whether this node holds the lease, so that it may take work.
+    pub lease_held: bool,
     /// Its freshness when last asked; none while it cannot be reached.
     pub freshness: Option<Freshness>,
     /// Whether it was the primary of that term.
     pub is_primary: bool,
+    /// Connections that exist for work, in any state.
+    pub connections: usize,
+    /// Connections lent to streams.
+    pub lent: usize,
+    /// Requests that wait.
+    pub waiting: usize,
 }
 
 /// What the owner side does at a moment.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OwnerStatus {
-    /// The back ends served, by name.
+    /// The back ends served, by name. A back end served in both roles shows the owner's.
     pub backends: BTreeMap<BackendId, BackendReport>,
 }
 
+/// What the parts of the owner side share.
+pub(super) struct OwnerContext {
+    /// What is known of the cluster.
+    pub cluster: Cluster,
+    /// The way to other nodes.
+    pub network: PeerNetwork,
+    /// How to log in at back ends.
+    pub settings: OwnerSettings,
+}
+
+impl OwnerContext {
+    /// The other members of a back end's group.
+    pub(super) fn other_members(&self, backend: &BackendIdentity) -> Vec<BackendId> {
+        let settings = self.cluster.settings();
+        let group = settings.groups.get(&backend.group);
+        let members = group.into_iter().flat_map(|group| group.backends.keys());
+        members
+            .filter(|member| **member != backend.name)
+            .cloned()
+            .collect()
+    }
+
+    /// How long ledger rows of request keys are kept in a back end's group.
+    pub(super) fn request_key_retention(&self, backend: &BackendIdentity) -> Duration {
+        let settings = self.cluster.settings();
+        let group = settings.groups.get(&backend.group);
+        group.map_or(Duration::MAX, |group| group.request_key_retention)
+    }
+}
+
+type Served = BTreeMap<(BackendId, OwnerRole), Arc<Backend>>;
+
 /// The owner side of a node.
 pub struct OwnerService {
-    cluster: Cluster,
-    network: PeerNetwork,
-    settings: OwnerSettings,
-    backends: Mutex<BTreeMap<BackendId, Arc<Backend>>>,
-    own: Weak<Self>,
+    context: Arc<OwnerContext>,
+    state: Mutex<ServiceState>,
+    /// Wakes [`OwnerService::run`] when a back end has been given up.
+    given_up: Notify,
+}
+
+#[derive(Default)]
+struct ServiceState {
+    served: Served,
+    /// Being given up; each stays until it holds nothing at the back end any more.
+    leaving: Served,
+    configuration_too_old: bool,
+    is_draining: bool,
 }
 
 impl OwnerService {
     /// A service that owns nothing yet; [`OwnerService::run`] makes it follow the cluster.
     #[must_use]
     pub fn new(cluster: Cluster, network: PeerNetwork, settings: OwnerSettings) -> Arc<Self> {
-        Arc::new_cyclic(|own| Self {
+        let context = OwnerContext {
             cluster,
             network,
             settings,
-            backends: Mutex::default(),
-            own: Weak::clone(own),
+        };
+        Arc::new(Self {
+            context: Arc::new(context),
+            state: Mutex::default(),
+            given_up: Notify::new(),
         })
     }
 
-    /// Takes and gives up back ends as settings and membership change. Runs until dropped.
+    /// Takes and gives up back ends as settings and membership change. Runs until the cluster is
+    /// dropped.
     pub async fn run(self: Arc<Self>) {
-        let mut settings = self.cluster.watch_settings();
-        let mut members = self.cluster.watch_members();
+        let mut settings = self.context.cluster.watch_settings();
+        let mut members = self.context.cluster.watch_members();
+        let mut primaries = self.context.cluster.watch_primaries();
         loop {
             self.follow_cluster();
-            tokio::select! {
-                changed = settings.changed() => if changed.is_err() { return },
-                changed = members.changed() => if changed.is_err() { return },
+            let changed = tokio::select! {
+                changed = settings.changed() => changed,
+                changed = members.changed() => changed,
+                changed = primaries.changed() => changed,
+                () = self.given_up.notified() => Ok(()),
+            };
+            if changed.is_err() {
+                return;
             }
         }
     }
 
     /// Serves a stream opened by an edge. Its first message must be `Open`.
     pub fn accept_stream(&self, stream: OwnerStream) {
-        if let Some(service) = self.own.upgrade() {
-            tokio::spawn(serve_stream(service, stream));
-        }
+        let found = {
+            let state = self.lock();
+            state.served.clone()
+        };
+        tokio::spawn(serve_stream(stream, move |name| find(&found, name)));
     }
 
     /// Asks a back end, now, for its term, position and role.
@@ -91,120 +169,241 @@
         let refused = |code: ResultCode| CallReply::Refused {
             code: code.number(),
         };
-        let Some(backend) = self.backend(backend) else {
+        let candidates = self.all_of(backend);
+        if candidates.is_empty() {
             return refused(ResultCode::NotOwner);
-        };
-        match backend.ask().await {
-            Ok(status) => CallReply::Backend {
-                freshness: status.freshness.into(),
-                is_primary: u8::from(status.is_primary()),
-            },
-            Err(_) => refused(ResultCode::BackendUnavailable),
         }
+        for backend in candidates {
+            if let Ok(status) = backend.ask().await {
+                return CallReply::Backend {
+                    freshness: status.freshness.into(),
+                    is_primary: u8::from(status.is_primary()),
+                };
+            }
+        }
+        refused(ResultCode::BackendUnavailable)
     }
 
-    /// Gives every back end up: takes no new work, lets what is in flight end until `deadline`, and
-    /// hands the back ends over.
-    pub async fn drain(&self, deadline: Duration) {
-        let until = Instant::now() + deadline;
-        let backends = std::mem::take(&mut *self.lock_backends());
-        for backend in backends.values() {
-            backend.stopped.cancel();
-        }
-        while Instant::now() < until && backends.values().any(|backend| backend.is_busy()) {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-        for name in backends.keys() {
-            self.hand_over(name).await;
+    /// Hears that another node has given a back end up, so that it may be taken at once.
+    pub fn handed_over(&self, backend: &BackendId) {
+        for backend in self.all_of(backend) {
+            backend.lease_event(LeaseEvent::HandedOver);
         }
     }
 
-    /// Tells the back end's present owner that it may take the back end now.
-    async fn hand_over(&self, backend: &BackendId) {
-        let Some(owners) = self.cluster.owners(backend) else {
-            return;
-        };
-        if owners.owner == self.cluster.identity.node {
+    /// Hears how long ago this node last heard from any source of configuration. While it is too
+    /// long, no new work is taken.
+    pub fn set_configuration_age(&self, age: Duration) {
+        let too_old = age > CONFIGURATION_AGE_LIMIT;
+        let mut state = self.lock();
+        if state.configuration_too_old == too_old {
             return;
         }
-        let request = CallRequest::HandOver {
-            backend: backend.as_str().into(),
+        state.configuration_too_old = too_old;
+        for backend in state.served.values() {
+            backend.handle(PoolEvent::ConfigurationTooOld(too_old));
+        }
+    }
+
+    /// Gives every back end up: takes no new work, lets what is in flight end until `deadline`, and
+    /// hands the back ends over.
+    pub async fn drain(&self, deadline: Duration) {
+        let backends = {
+            let mut state = self.lock();
+            state.is_draining = true;
+            let served = std::mem::take(&mut state.served);
+            // Other nodes still ask for their state.
+            state.leaving.extend(served.clone());
+            served.into_values()
         };
-        // Only a hint: the successor finds out by itself, later, when this is lost.
-        let _ = self
-            .network
-            .call(owners.owner, request, HAND_OVER_TIMEOUT)
-            .await;
+        let stops = backends.map(|backend| async move { backend.stop(deadline).await });
+        futures::future::join_all(stops).await;
     }
 
     /// What is served at the moment.
     #[must_use]
     pub fn status(&self) -> OwnerStatus {
-        let backends = self.lock_backends();
-        let reports = backends.values().map(|backend| {
-            let status = backend.status();
-            let report = BackendReport {
-                group: backend.group.clone(),
-                freshness: status.map(|status| status.freshness),
-                is_primary: status.is_some_and(|status| status.is_primary()),
-            };
-            (backend.name.clone(), report)
-        });
-        OwnerStatus {
-            backends: reports.collect(),
+        let mut backends = BTreeMap::new();
+        for ((name, _), backend) in &self.lock().served {
+            backends
+                .entry(name.clone())
+                .or_insert_with(|| report(backend));
         }
+        OwnerStatus { backends }
     }
 
-    pub(super) fn backend(&self, name: &BackendId) -> Option<Arc<Backend>> {
-        self.lock_backends().get(name).cloned()
+    fn lock(&self) -> MutexGuard<'_, ServiceState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn lock_backends(&self) -> std::sync::MutexGuard<'_, BTreeMap<BackendId, Arc<Backend>>> {
-        self.backends.lock().unwrap_or_else(PoisonError::into_inner)
+    fn all_of(&self, name: &BackendId) -> Vec<Arc<Backend>> {
+        let state = self.lock();
+        let served = state.served.iter().chain(state.leaving.iter());
+        served
+            .filter(|((served, _), _)| served == name)
+            .map(|(_, backend)| Arc::clone(backend))
+            .collect()
     }
 
-    fn follow_cluster(&self) {
-        let settings = self.cluster.settings();
-        let node = self.cluster.identity.node;
-        let mut backends = self.lock_backends();
+    fn follow_cluster(self: &Arc<Self>) {
+        let settings = self.context.cluster.settings();
+        let mut state = self.lock();
+        if state.is_draining {
+            return;
+        }
+        let wanted = self.wanted(&settings);
+        let unwanted: Vec<_> = state
+            .served
+            .keys()
+            .filter(|key| !wanted.contains_key(*key))
+            .cloned()
+            .collect();
+        for key in unwanted {
+            if let Some(backend) = state.served.remove(&key) {
+                state.leaving.insert(key, Arc::clone(&backend));
+                tokio::spawn(Arc::clone(self).give_up(backend));
+            }
+        }
+        for ((name, role), (group, backend)) in wanted {
+            self.serve(&mut state, name, role, group, backend);
+        }
+    }
+
+    /// The back ends this node should serve, by its own view.
+    fn wanted<'a>(
+        &self,
+        settings: &'a ResolvedSettings,
+    ) -> BTreeMap<(BackendId, OwnerRole), (&'a GroupSettings, &'a BackendSettings)> {
+        let node = self.context.cluster.identity.node;
         let mut wanted = BTreeMap::new();
         for group in settings.groups.values() {
             for backend in group.backends.values() {
-                let owners = self.cluster.owners(&backend.backend);
-                if owners.is_some_and(|owners| owners.owner == node) {
-                    wanted.insert(backend.backend.clone(), (group, backend));
-                }
+                let Some(owners) = self.context.cluster.owners(&backend.backend) else {
+                    continue;
+                };
+                let shares = ConnectionShares::divide(backend.connection_limit);
+                let role = if owners.owner == node {
+                    OwnerRole::Owner
+                } else if owners.standby == Some(node) && shares.standby > 0 {
+                    OwnerRole::Standby
+                } else {
+                    continue;
+                };
+                wanted.insert((backend.backend.clone(), role), (group, backend));
             }
         }
-        backends.retain(|name, backend| {
-            let keeps = wanted.contains_key(name);
-            if !keeps {
-                backend.stopped.cancel();
+        wanted
+    }
+
+    fn serve(
+        &self,
+        state: &mut ServiceState,
+        name: BackendId,
+        role: OwnerRole,
+        group: &GroupSettings,
+        settings: &BackendSettings,
+    ) {
+        let key = (name, role);
+        if state.leaving.contains_key(&key) {
+            return;
+        }
+        let pool_settings = pool_settings(group, settings, role);
+        let newest_term = self.newest_term(&group.group);
+        if let Some(backend) = state.served.get(&key) {
+            let was_leaving = backend.is_leaving();
+            backend.handle(PoolEvent::SettingsChanged(pool_settings));
+            backend.handle(PoolEvent::NewestTerm(newest_term));
+            if settings.admin_state == AdminState::Leaving && !was_leaving {
+                tracing::info!(
+                    event = LogEvent::BackendLeaving.number(),
+                    backend = %settings.backend,
+                    "the back end takes no new work"
+                );
             }
-            keeps
-        });
-        for (name, (group, settings)) in wanted {
-            backends.entry(name.clone()).or_insert_with(|| {
-                let login = Login {
-                    address: settings.address,
-                    user: group.backend_user.clone(),
-                    database: group.group.to_string(),
-                    application_name: format!("stairward/{node}"),
-                    password: self.settings.backend_password.clone(),
-                    tls: self.settings.backend_tls.clone(),
-                };
-                let limit = settings.connection_limit.saturating_sub(1).max(1) as usize;
-                let backend = Arc::new(Backend::new(
-                    name.clone(),
-                    group.group.clone(),
-                    self.cluster.clone(),
-                    login,
-                    limit,
-                ));
-                tokio::spawn(Arc::clone(&backend).probe());
-                tracing::info!(event = LogEvent::OwnershipTaken.number(), backend = %name, "took a back end");
-                backend
-            });
+            return;
         }
+        let identity = BackendIdentity {
+            name: settings.backend.clone(),
+            group: group.group.clone(),
+            role,
+            login: self.login(group, settings, role),
+        };
+        let backend = Backend::start(identity, Arc::clone(&self.context), pool_settings);
+        backend.handle(PoolEvent::NewestTerm(newest_term));
+        backend.handle(PoolEvent::ConfigurationTooOld(state.configuration_too_old));
+        state.served.insert(key, backend);
+    }
+
+    fn newest_term(&self, group: &GroupId) -> stairward_types::Term {
+        let primaries = self.context.cluster.primaries();
+        let known = primaries.get(group);
+        known.map(|primary| primary.term).unwrap_or_default()
+    }
+
+    fn login(&self, group: &GroupSettings, settings: &BackendSettings, role: OwnerRole) -> Login {
+        let identity = &self.context.cluster.identity;
+        Login {
+            address: settings.address,
+            user: group.backend_user.clone(),
+            database: group.group.to_string(),
+            application_name: application_name(identity.node.0, identity.incarnation.0, role),
+            idle_session_timeout: IDLE_SESSION_TIMEOUT,
+            password: self.context.settings.backend_password.clone(),
+            tls: self.context.settings.backend_tls.clone(),
+        }
+    }
+
+    async fn give_up(self: Arc<Self>, backend: Arc<Backend>) {
+        backend.stop(MOVE_LIMIT).await;
+        let key = (backend.identity.name.clone(), backend.identity.role);
+        self.lock().leaving.remove(&key);
+        self.given_up.notify_one();
+    }
+}
+
+/// The back end that serves a stream: the owner's when its lease is held, else the standby's.
+fn find(served: &Served, name: &BackendId) -> Option<Arc<Backend>> {
+    let roles = OwnerRole::ALL.iter();
+    let candidates: Vec<_> = roles
+        .filter_map(|role| served.get(&(name.clone(), *role)))
+        .collect();
+    let holder = candidates.iter().find(|backend| backend.lease_is_held());
+    holder
+        .or_else(|| candidates.first())
+        .map(|backend| Arc::clone(backend))
+}
+
+fn pool_settings(
+    group: &GroupSettings,
+    settings: &BackendSettings,
+    role: OwnerRole,
+) -> PoolSettings {
+    let connections = ConnectionShares::divide(settings.connection_limit).working(role);
+    let slots = match role {
+        OwnerRole::Owner => settings.slots,
+        OwnerRole::Standby => settings.slots.min(connections),
+    };
+    PoolSettings {
+        admin_state: settings.admin_state,
+        connections,
+        slots,
+        opening_limit: settings.opening_limit,
+        queue_limit: group.admission_queue_requests,
+        leave_timeout: group.leave_timeout,
+    }
+}
+
+fn report(backend: &Backend) -> BackendReport {
+    let load = backend.load();
+    let state = backend.state();
+    BackendReport {
+        group: backend.identity.group.clone(),
+        role: backend.identity.role.name(),
+        lease_held: backend.lease_is_held(),
+        freshness: state.map(|state| state.freshness),
+        is_primary: backend.is_primary(),
+        connections: load.connections,
+        lent: load.lent,
+        waiting: load.waiting,
     }
 }
