--- a/crates/stairward-settings/src/tree/mod.rs
+++ b/crates/stairward-settings/src/tree/mod.rs
@@ -1,5 +1,6 @@
 //! The settings tree: values set at places, each place inheriting from the one above.
 
+mod difference;
 mod explain;
 mod load;
 mod resolve;
@@ -12,6 +13,7 @@
 use stairward_types::ResultCode;
 
 pub use explain::{ExplainedValue, Origin};
+pub(crate) use load::{REGION_TABLE, ROOT_TABLE};
 
 use crate::path::SettingsPath;
 use crate::problem::{ProblemKind, SettingsProblem};
@@ -60,10 +62,13 @@
         Self::default()
     }
 
-    /// Adds a place, and those above it, with nothing set.
+    /// Adds a place, and those above it, with nothing set. A place that is there keeps its options.
     pub fn add_place(&mut self, path: &SettingsPath) {
         for place in path.self_and_ancestors() {
-            self.places.entry(place).or_default();
+            if self.places.contains_key(&place) {
+                return;
+            }
+            self.places.insert(place, PlaceOptions::new());
         }
     }
 
--- a/crates/stairward-standins/src/lib.rs
+++ b/crates/stairward-standins/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod ground_truth;
 pub mod group;
+pub mod platform;
+pub mod server;
 pub mod sql;
 
 pub use ground_truth::{
--- a/crates/stairward/src/main.rs
+++ b/crates/stairward/src/main.rs
@@ -1,5 +1,9 @@
-//! The stairward command line.
+//! Runs the command line of this process.
 
 #![forbid(unsafe_code)]
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    stairward::run(std::env::args_os().skip(1), &mut std::io::stdout())
+}
