--- a/crates/stairward-proxy/src/node/service.rs
+++ b/crates/stairward-proxy/src/node/service.rs
@@ -37,6 +37,12 @@
                     }
                 })
             }
+            CallRequest::HandOver { backend } => {
+                if let Ok(backend) = BackendId::new(backend.as_str()) {
+                    self.owner.handed_over(&backend);
+                }
+                Box::pin(std::future::ready(CallReply::Done))
+            }
             CallRequest::ExchangeSettings(exchange) => {
                 let configuration = self.configuration.clone();
                 Box::pin(async move { configuration.answer(from, exchange).await })
--- a/crates/stairward-proxy/src/owner/fence.rs
+++ b/crates/stairward-proxy/src/owner/fence.rs
@@ -19,8 +19,8 @@
 /// Pause before a member is asked again whose answer was not enough. About a replica's usual lag.
 const RETRY_INTERVAL: Duration = Duration::from_millis(2);
 
-/// How long one member may take to answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a proof may take when the group is no longer in the settings.
+const DEFAULT_FENCE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Commits of one back end that may wait for their proof at once.
 const WAITING_LIMIT: usize = 4_096;
@@ -138,7 +138,7 @@
     let status = if member == backend.identity.name {
         backend.ask().await.ok()
     } else {
-        ask_member(&backend.context, &member, ANSWER_TIMEOUT).await
+        ask_member(&backend.context, &member, fence_timeout(&backend)).await
     };
     let event = match status {
         Some(status) => FenceEvent::Answered {
@@ -179,5 +179,5 @@
 fn fence_timeout(backend: &Backend) -> Duration {
     let settings = backend.context.cluster.settings();
     let group = settings.groups.get(&backend.identity.group);
-    group.map_or(ANSWER_TIMEOUT, |group| group.fence_timeout)
+    group.map_or(DEFAULT_FENCE_TIMEOUT, |group| group.fence_timeout)
 }
--- a/crates/stairward-proxy/src/owner/status.rs
+++ b/crates/stairward-proxy/src/owner/status.rs
@@ -10,10 +10,9 @@
 ///
 /// The position is what reads can see: the replayed position on a replica, the written one on a
 /// primary. The timeline is PostgreSQL's term.
-const STATUS_QUERY: &str = "SELECT pg_is_in_recovery(); \
-    SELECT timeline_id FROM pg_control_checkpoint(); \
-    SELECT CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() \
-    ELSE pg_current_wal_lsn() END";
+const STATUS_QUERY: &str = "SELECT pg_is_in_recovery(), timeline_id, \
+    CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_lsn() END \
+    FROM pg_control_checkpoint()";
 
 /// What a back end says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,13 +40,13 @@
 }
 
 fn parse_status(rows: &[TextRow]) -> Result<BackendStatus, BackendError> {
-    let [recovery, timeline, position] = rows else {
+    let [row] = rows else {
         return StatusSnafu {
-            reason: "three rows were expected",
+            reason: "one row was expected",
         }
         .fail();
     };
-    let role = match column(recovery)? {
+    let role = match column(row, 0)? {
         "t" => BackendRole::Replica,
         "f" => BackendRole::Primary,
         _ => {
@@ -57,18 +56,20 @@
             .fail();
         }
     };
-    let term = column(timeline)?.parse().ok().context(StatusSnafu {
+    let term = column(row, 1)?.parse().ok().context(StatusSnafu {
         reason: "the timeline is not a number",
     })?;
-    let position = column(position)?.parse().ok().context(StatusSnafu {
+    let position = column(row, 2)?.parse().ok().context(StatusSnafu {
         reason: "the position is not a pg_lsn",
     })?;
     let freshness = Freshness::new(Term(term), position);
     Ok(BackendStatus { freshness, role })
 }
 
-fn column(row: &TextRow) -> Result<&str, BackendError> {
-    row.first().and_then(Option::as_deref).context(StatusSnafu {
-        reason: "a value is missing",
-    })
+fn column(row: &TextRow, place: usize) -> Result<&str, BackendError> {
+    row.get(place)
+        .and_then(Option::as_deref)
+        .context(StatusSnafu {
+            reason: "a value is missing",
+        })
 }
