--- a/crates/stairward-settings/src/problem.rs
+++ b/crates/stairward-settings/src/problem.rs
@@ -182,12 +182,12 @@
         /// That option's value.
         other_value: u64,
     },
-    /// The value is smaller than another option's requires.
+    /// The value is less than another option's, which must not exceed it.
     #[snafu(display("{value} is less than {other_option} = {other_value}"))]
     Below {
         /// This option's value.
         value: u64,
-        /// The option it must not stay below.
+        /// The option that must not exceed it.
         other_option: &'static str,
         /// That option's value.
         other_value: u64,
--- a/crates/stairward-settings/src/toml_text.rs
+++ b/crates/stairward-settings/src/toml_text.rs
@@ -1,6 +1,5 @@
 //! What both kinds of TOML file share: lines of spans, and the parser's errors as problems.
 
-use std::cmp::Reverse;
 use std::ops::Range;
 
 use stairward_types::ResultCode;
@@ -75,21 +74,17 @@
     })
 }
 
-/// The known name most like a misspelt one: the one with the longest common beginning, of at least
-/// three letters; of several, the shortest.
+/// Least likeness, by Jaro and Winkler's measure, of a name that is suggested for a misspelt one.
+const LEAST_LIKENESS: f64 = 0.8;
+
+/// The known name most like a misspelt one, if any is much like it.
 pub(crate) fn nearest_name<'name>(
     wrong: &str,
     known: impl Iterator<Item = &'name str>,
 ) -> Option<String> {
-    const LEAST_COMMON: usize = 3;
-    let common = |name: &str| {
-        name.bytes()
-            .zip(wrong.bytes())
-            .take_while(|(left, right)| left == right)
-            .count()
-    };
     known
-        .max_by_key(|name| (common(name), Reverse(name.len())))
-        .filter(|name| common(name) >= LEAST_COMMON)
-        .map(str::to_owned)
+        .map(|name| (strsim::jaro_winkler(wrong, name), name))
+        .filter(|(likeness, _)| *likeness >= LEAST_LIKENESS)
+        .max_by(|(left, _), (right, _)| left.total_cmp(right))
+        .map(|(_, name)| name.to_owned())
 }
--- a/crates/stairward-settings/src/tree/load.rs
+++ b/crates/stairward-settings/src/tree/load.rs
@@ -34,6 +34,7 @@
         if let Err(problems) = loader.tree.resolve() {
             let with_lines: Vec<_> = problems
                 .into_iter()
+                .filter(|problem| !loader.is_consequence(problem))
                 .map(|problem| loader.with_line(problem))
                 .collect();
             loader.problems.extend(with_lines);
@@ -181,6 +182,13 @@
         self.problems.push(problem);
     }
 
+    /// Whether a value is missing only because the one in the file was refused.
+    fn is_consequence(&self, problem: &SettingsProblem) -> bool {
+        let is_refused =
+            |told: &SettingsProblem| told.path == problem.path && told.option == problem.option;
+        *problem.kind == ProblemKind::Missing && self.problems.iter().any(is_refused)
+    }
+
     /// Adds the line of the option in force, or else of the place.
     fn with_line(&self, problem: SettingsProblem) -> SettingsProblem {
         let Ok(path) = problem.path.parse::<SettingsPath>() else {
--- a/crates/stairward-settings/src/tree/mod.rs
+++ b/crates/stairward-settings/src/tree/mod.rs
@@ -1,5 +1,6 @@
 //! The settings tree: values set at places, each place inheriting from the one above.
 
+mod bounds;
 mod difference;
 mod explain;
 mod load;
--- a/crates/stairward-settings/src/tree/validate.rs
+++ b/crates/stairward-settings/src/tree/validate.rs
@@ -1,15 +1,15 @@
 //! Checks of the tree as a whole: what no single option can tell.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use stairward_types::AdminState;
 
+use super::bounds::{backend_bounds, contradictions, group_bounds};
 use super::{MAXIMUM_PLACES, SettingsTree, problem};
 use crate::path::{Level, SettingsPath};
 use crate::problem::{ProblemKind, SettingsProblem};
-use crate::resolved::{BackendSettings, GroupSettings, ResolvedSettings};
+use crate::resolved::{GroupSettings, ResolvedSettings};
 use crate::schema::SettingsOption;
 
 /// Checks that services, groups and back ends have names unique in the fleet, and that the tree is
@@ -65,8 +65,7 @@
                 if let Some(settings) = resolved.groups.get(group) {
                     let members = member_counts.get(path).copied().unwrap_or_default();
                     check_members(path, members, settings, &mut problems);
-                    check_times(path, settings, &mut problems);
-                    check_hold_queue(path, settings, &mut problems);
+                    problems.extend(contradictions(tree, path, &group_bounds(settings)));
                 }
             }
             SettingsPath::Backend(_, _, group, backend) => {
@@ -75,7 +74,7 @@
                     .get(group)
                     .and_then(|group| group.backends.get(backend));
                 let Some(settings) = settings else { continue };
-                check_limits(path, settings, &mut problems);
+                problems.extend(contradictions(tree, path, &backend_bounds(settings)));
                 if let Some(other) = addresses.insert(settings.address, path) {
                     let kind = ProblemKind::DuplicateAddress {
                         address: settings.address,
@@ -86,7 +85,7 @@
             }
         }
     }
-    problems
+    without_repetitions(problems)
 }
 
 /// How many back ends the tree has below each group.
@@ -140,63 +139,18 @@
     }
 }
 
-/// No wait within a request may outlast the request.
-fn check_times(path: &SettingsPath, group: &GroupSettings, problems: &mut Vec<SettingsProblem>) {
-    let waits = [
-        (SettingsOption::FreshnessWait, group.freshness_wait),
-        (SettingsOption::FenceTimeout, group.fence_timeout),
-        (SettingsOption::HoldQueueTime, group.hold_queue_time),
-    ];
-    for (option, wait) in waits {
-        if wait > group.request_timeout {
-            let kind = ProblemKind::Exceeds {
-                value: milliseconds(wait),
-                other_option: SettingsOption::RequestTimeout.name(),
-                other_value: milliseconds(group.request_timeout),
-            };
-            problems.push(problem(path, Some(option), kind));
-        }
-    }
-}
-
-fn milliseconds(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// A queue that holds requests must have room for the largest one.
-fn check_hold_queue(
-    path: &SettingsPath,
-    group: &GroupSettings,
-    problems: &mut Vec<SettingsProblem>,
-) {
-    if group.hold_queue_requests > 0 && group.hold_queue_bytes < group.maximum_message_bytes {
-        let kind = ProblemKind::Below {
-            value: group.hold_queue_bytes as u64,
-            other_option: SettingsOption::MaximumMessageBytes.name(),
-            other_value: group.maximum_message_bytes as u64,
-        };
-        problems.push(problem(path, Some(SettingsOption::HoldQueueBytes), kind));
-    }
-}
-
-/// Statements and openings each need a connection of the back end's limit.
-fn check_limits(
-    path: &SettingsPath,
-    backend: &BackendSettings,
-    problems: &mut Vec<SettingsProblem>,
-) {
-    let limits = [
-        (SettingsOption::Slots, backend.slots),
-        (SettingsOption::OpeningLimit, backend.opening_limit),
-    ];
-    for (option, limit) in limits {
-        if limit > backend.connection_limit {
-            let kind = ProblemKind::Exceeds {
-                value: u64::from(limit),
-                other_option: SettingsOption::ConnectionLimit.name(),
-                other_value: u64::from(backend.connection_limit),
-            };
-            problems.push(problem(path, Some(option), kind));
-        }
-    }
+/// Drops repetitions of a problem that many places inherit.
+fn without_repetitions(problems: Vec<SettingsProblem>) -> Vec<SettingsProblem> {
+    let mut seen = BTreeSet::new();
+    problems
+        .into_iter()
+        .filter(|problem| {
+            let told = (
+                problem.path.clone(),
+                problem.option.clone(),
+                problem.kind.to_string(),
+            );
+            seen.insert(told)
+        })
+        .collect()
 }
