Send edits in the form the admin interface takes, and import whole files

Cause: the command line and the admin interface had swapped forms of a change, so settings set and unset were refused; and nothing could bring the first settings into an empty store. Change: changes are sent without an action field; settings import FILE makes the tree equal to a file's by one edit.

--- a/crates/stairward/src/command/settings.rs
+++ b/crates/stairward/src/command/settings.rs
@@ -1,25 +1,34 @@
 //! `stairward settings`: read and edit the settings tree through a node's admin interface.
 
+use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use serde::Deserialize;
 use serde_json::{Value, json};
+use snafu::ResultExt as _;
+use stairward_settings::{SettingsTree, check_text};
+use stairward_types::Revision;
 
 use super::block_on;
 use crate::admin_client::{AdminClient, AdminOptions, OPTIONS_HELP};
 use crate::arguments::{Argument, Arguments, unexpected};
-use crate::failure::{EXIT_SUCCESS, Failure, UsageSnafu};
+use crate::failure::{EXIT_SUCCESS, Failure, FileSnafu, RefusedSnafu, UsageSnafu};
 use crate::output::Output;
 
 const HELP: &str = "\
 Usage: stairward settings get PATH [OPTION] [OPTIONS]
        stairward settings set PATH OPTION VALUE [OPTIONS]
        stairward settings unset PATH OPTION [OPTIONS]
+       stairward settings import FILE [OPTIONS]
        stairward settings tree [OPTIONS]
        stairward settings history [OPTIONS]
 
 A PATH names a level: root, region/R, region/R/service/S, region/R/service/S/group/G, or a back end
 below a group. Each value is shown with the level it is inherited from.
 
+import makes the whole tree equal to a file's, by one edit. Say --based-on 0 when the store holds no
+settings yet.
+
 An edit is refused when the settings changed since the revision it is based on. After a lost reply,
 repeat it with the same --change-id to learn whether it took effect.
 
@@ -64,15 +73,17 @@
         ["get", path] => block_on(client.get(&format!("/settings?path={path}")))?,
         ["get", path, option] => block_on(get_option(&client, path, option))?,
         ["set", path, option, value] => {
-            let change = json!({ "action": "set", "path": path, "option": option, "value": parse_value(value) });
-            block_on(send_edit(&client, &edit, change))?
+            let change = json!({ "path": path, "option": option, "value": parse_value(value) });
+            block_on(send_change(&client, &edit, change))?
         }
         ["unset", path, option] => {
-            let change = json!({ "action": "unset", "path": path, "option": option });
-            block_on(send_edit(&client, &edit, change))?
+            let change = json!({ "path": path, "option": option });
+            block_on(send_change(&client, &edit, change))?
         }
+        ["import", file] => block_on(import(&client, &edit, Path::new(file)))?,
         _ => {
-            let message = "say get, set, unset, tree or history; see stairward settings --help";
+            let message =
+                "say get, set, unset, import, tree or history; see stairward settings --help";
             return UsageSnafu { message }.fail();
         }
     };
@@ -94,7 +105,7 @@
         .await
 }
 
-async fn send_edit(
+async fn send_change(
     client: &AdminClient,
     options: &EditOptions,
     change: Value,
@@ -103,11 +114,70 @@
         Some(revision) => json!(revision),
         None => client.get("/status").await?["settings"]["revision"].clone(),
     };
+    send_edit(client, options, &based_on, &json!([change])).await
+}
+
+async fn send_edit(
+    client: &AdminClient,
+    options: &EditOptions,
+    based_on: &Value,
+    changes: &Value,
+) -> Result<Value, Failure> {
     let change_id = options.change_id.unwrap_or_else(change_id_from_clock);
-    let edit = json!({ "change_id": change_id, "based_on": based_on, "changes": [change] });
+    let edit = json!({ "change_id": change_id, "based_on": based_on, "changes": changes });
     client.post("/settings/edits", &edit).await
 }
 
+/// What `GET /settings` tells.
+#[derive(Deserialize)]
+struct HeldSettings {
+    revision: Revision,
+    tree: SettingsTree,
+}
+
+/// Makes the tree equal to a file's. Sends nothing when it is already.
+async fn import(
+    client: &AdminClient,
+    options: &EditOptions,
+    file: &Path,
+) -> Result<Value, Failure> {
+    let text = std::fs::read_to_string(file).context(FileSnafu { path: file })?;
+    let wanted = SettingsTree::from_toml(&text).map_err(|_| refused_file(file, &text))?;
+    let held = held_settings(client, options).await?;
+    let changes = held.tree.changes_to(&wanted);
+    if changes.is_empty() {
+        return Ok(json!({ "revision": held.revision, "changes": 0 }));
+    }
+    let based_on = options.based_on.map_or(held.revision, Revision);
+    send_edit(client, options, &json!(based_on), &json!(changes)).await
+}
+
+/// The settings in force; empty ones when the operator says that there are none.
+async fn held_settings(
+    client: &AdminClient,
+    options: &EditOptions,
+) -> Result<HeldSettings, Failure> {
+    if options.based_on == Some(0) {
+        return Ok(HeldSettings {
+            revision: Revision(0),
+            tree: SettingsTree::new(),
+        });
+    }
+    let answer = client.get("/settings").await?;
+    serde_json::from_value(answer).map_err(|error| {
+        let message = format!("the node's settings cannot be read: {error}");
+        RefusedSnafu { message }.build()
+    })
+}
+
+fn refused_file(file: &Path, text: &str) -> Failure {
+    let report = check_text(file, text).to_string();
+    RefusedSnafu {
+        message: report.trim_end(),
+    }
+    .build()
+}
+
 /// Microseconds since 1970: unique enough among operators, and the store refuses a clash.
 fn change_id_from_clock() -> u64 {
     let since_epoch = SystemTime::now()
