--- a/crates/stairward-proxy/src/admin/settings.rs
+++ b/crates/stairward-proxy/src/admin/settings.rs
@@ -22,6 +22,8 @@
 pub(super) struct SettingsQuery {
     /// The place to explain; the whole tree as it is set without.
     path: Option<String>,
+    /// The one option to explain; all without.
+    option: Option<String>,
 }
 
 impl StateData for SettingsQuery {}
@@ -64,7 +66,7 @@
     let document = document(state);
     answer(document.and_then(|document| match query.path {
         None => Ok(whole_tree(&document)),
-        Some(path) => explain(&document, &path),
+        Some(path) => explain(&document, &path, query.option.as_deref()),
     }))
 }
 
@@ -98,16 +100,25 @@
         .collect()
 }
 
-fn explain(document: &SettingsDocument, path: &str) -> Result<SettingsBody, AdminError> {
+fn explain(
+    document: &SettingsDocument,
+    path: &str,
+    option: Option<&str>,
+) -> Result<SettingsBody, AdminError> {
     let path: SettingsPath = path
         .parse()
         .map_err(|error: stairward_settings::InvalidPath| {
             AdminError::bad_request(error.to_string())
         })?;
+    let option = option
+        .map(SettingsOption::from_name)
+        .transpose()
+        .map_err(|error| AdminError::bad_request(error.to_string()))?;
     let tree = document.tree();
-    let options = tree
+    let mut options = tree
         .explain(&path)
         .ok_or_else(|| AdminError::not_found(format!("there is no place {path}")))?;
+    options.retain(|value| option.is_none_or(|wanted| value.option == wanted));
     Ok(SettingsBody::Place {
         revision: document.revision(),
         children: tree.children(&path).cloned().collect(),
