--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -25,6 +25,7 @@
     crate::load::command::COMMAND,
     crate::report::COMMAND,
     crate::compare::COMMAND,
+    crate::configuration::command::COMMAND,
 ];
 
 /// Reads the subcommand's name from the command line and runs it.
--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -4,9 +4,11 @@
 
 pub mod command;
 pub mod compare;
+pub mod configuration;
 pub mod demo;
 pub mod load;
 pub mod output;
 pub mod provenance;
 pub mod report;
+pub mod simulated_network;
 pub mod site;
--- a/crates/stairward-membership/src/configuration/exchange.rs
+++ b/crates/stairward-membership/src/configuration/exchange.rs
@@ -39,6 +39,11 @@
         self.open.remove(&exchange)
     }
 
+    /// Whether an exchange is under way.
+    pub(super) fn is_open(&self, exchange: ExchangeId) -> bool {
+        self.open.contains_key(&exchange)
+    }
+
     /// Whether an exchange with the peer is under way.
     pub(super) fn includes(&self, peer: NodeId) -> bool {
         self.open.values().any(|exchange| exchange.to == peer)
--- a/crates/stairward-membership/src/configuration/gossip.rs
+++ b/crates/stairward-membership/src/configuration/gossip.rs
@@ -187,7 +187,10 @@
         let Some(exchange) = self.exchanges.start(to, now, maximum) else {
             return;
         };
-        let digest = self.digest(now);
+        let digest = SettingsDigest {
+            wanted: self.wanted_from_one_peer(now, exchange),
+            ..self.digest(now)
+        };
         if let Some(known) = self.neighbours.get_mut(&to) {
             known.learn(now, &digest);
         }
@@ -199,6 +202,24 @@
         });
     }
 
+    /// What to want in an exchange that begins now. The whole tree is large, so while one peer is
+    /// asked for it the others are not.
+    fn wanted_from_one_peer(&mut self, now: Time, exchange: ExchangeId) -> WantedContent {
+        let wanted = self.wanted_content(now);
+        let needs_whole = self.revision == Revision(0) || wanted == WantedContent::WholeTree;
+        if !needs_whole || wanted == WantedContent::Nothing {
+            return wanted;
+        }
+        let is_asked = self
+            .whole_tree_asked
+            .is_some_and(|asked| self.exchanges.is_open(asked));
+        if is_asked {
+            return WantedContent::Nothing;
+        }
+        self.whole_tree_asked = Some(exchange);
+        wanted
+    }
+
     /// The edits since what a neighbour is thought to hold. When that is not known, the last edit,
     /// which is what most neighbours lack; the others will ask for more.
     fn pushed_update(&self, held: Revision) -> OutgoingUpdate {
--- a/crates/stairward-membership/src/configuration/message.rs
+++ b/crates/stairward-membership/src/configuration/message.rs
@@ -83,7 +83,7 @@
     /// Some time has passed. Expected at least every [`super::SpreaderParameters::tick`].
     Tick,
     /// The membership view, this node included.
-    MembersChanged(Vec<PeerPlace>),
+    MembersChanged(Arc<[PeerPlace]>),
     /// A membership datagram told which revision a peer holds.
     Heard {
         /// The peer.
--- a/crates/stairward-membership/src/configuration/mod.rs
+++ b/crates/stairward-membership/src/configuration/mod.rs
@@ -16,9 +16,7 @@
 mod spreader;
 mod watcher;
 mod watcher_quorum;
-
-#[cfg(test)]
-mod tests;
+mod wire;
 
 pub use digest::{SettingsDigest, SourceAge, WantedContent};
 pub use message::{
@@ -31,3 +29,4 @@
 pub use source::SourceStatus;
 pub use spreader::ConfigurationSpreader;
 pub use watcher::ranked_watchers;
+pub use wire::{from_wire, to_wire};
--- a/crates/stairward-membership/src/configuration/spreader.rs
+++ b/crates/stairward-membership/src/configuration/spreader.rs
@@ -1,13 +1,14 @@
 //! One node's part in spreading the settings.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use rand::Rng;
 use stairward_types::{Duration, NodeId, RegionName, Revision, Time};
 
 use super::digest::{SettingsDigest, SourceAge, WantedContent};
 use super::exchange::{OpenExchanges, PeerKnowledge};
-use super::message::{Effect, Event, PeerPlace, StoreAnswer};
+use super::message::{Effect, Event, ExchangeId, PeerPlace, StoreAnswer};
 use super::overlay::neighbours;
 use super::parameters::SpreaderParameters;
 use super::readiness::{Readiness, ReadinessFacts, ReadinessGate};
@@ -27,7 +28,7 @@
     pub(super) newest_heard: Revision,
     /// The lowest revision from which the edits up to the one in force are known.
     pub(super) history_from: Revision,
-    pub(super) members: Vec<PeerPlace>,
+    pub(super) members: Arc<[PeerPlace]>,
     /// Neighbours, and what each is thought to hold.
     pub(super) neighbours: BTreeMap<NodeId, PeerKnowledge>,
     pub(super) exchanges: OpenExchanges,
@@ -42,6 +43,8 @@
     pub(super) last_push: Option<Time>,
     pub(super) last_whole_tree: Option<Time>,
     pub(super) last_proof_request: Option<Time>,
+    /// The latest exchange in which the whole tree was asked for.
+    pub(super) whole_tree_asked: Option<ExchangeId>,
     next_quorum_round: Time,
     /// When a peer's settings last could not be put in force; none since the last that could.
     refused_at: Option<Time>,
@@ -63,7 +66,7 @@
             revision: Revision(0),
             newest_heard: Revision(0),
             history_from: Revision(0),
-            members: Vec::new(),
+            members: Arc::new([]),
             neighbours: BTreeMap::new(),
             exchanges: OpenExchanges::default(),
             source: SourceEvidence::default(),
@@ -76,6 +79,7 @@
             last_push: None,
             last_whole_tree: None,
             last_proof_request: None,
+            whole_tree_asked: None,
             next_quorum_round: now,
             refused_at: None,
         }
@@ -226,7 +230,7 @@
         }
     }
 
-    fn members_changed(&mut self, now: Time, members: Vec<PeerPlace>) {
+    fn members_changed(&mut self, now: Time, members: Arc<[PeerPlace]>) {
         let known: BTreeSet<NodeId> = self.members.iter().map(|member| member.node).collect();
         let joined = members
             .iter()
--- a/crates/stairward-proxy/src/control/configuration/wire.rs
+++ b/crates/stairward-membership/src/configuration/wire.rs
@@ -1,6 +1,5 @@
 //! Between the spreader's messages and those on the wire.
 
-use stairward_membership::configuration::{SettingsDigest, Update, WantedContent};
 use stairward_protocol::ByteString;
 use stairward_protocol::settings::{
     OptionalSettingsUpdate, SettingsExchange, WireSettingsDigest, WireSettingsUpdate,
@@ -8,8 +7,12 @@
 };
 use stairward_types::Revision;
 
+use super::digest::{SettingsDigest, WantedContent};
+use super::message::Update;
+
 /// Encodes one side of an exchange.
-pub(super) fn to_wire(digest: &SettingsDigest, update: Option<&Update>) -> SettingsExchange {
+#[must_use]
+pub fn to_wire(digest: &SettingsDigest, update: Option<&Update>) -> SettingsExchange {
     let update = update.map_or(OptionalSettingsUpdate::Absent, |update| {
         OptionalSettingsUpdate::Present(update_to_wire(update))
     });
@@ -20,7 +23,8 @@
 }
 
 /// Decodes one side of an exchange.
-pub(super) fn from_wire(exchange: SettingsExchange) -> (SettingsDigest, Option<Update>) {
+#[must_use]
+pub fn from_wire(exchange: SettingsExchange) -> (SettingsDigest, Option<Update>) {
     let update = match exchange.update {
         OptionalSettingsUpdate::Absent => None,
         OptionalSettingsUpdate::Present(update) => Some(update_from_wire(update)),
--- a/crates/stairward-proxy/src/control/configuration/driver.rs
+++ b/crates/stairward-proxy/src/control/configuration/driver.rs
@@ -6,7 +6,8 @@
 use rand::rngs::StdRng;
 use stairward_membership::configuration::{
     ConfigurationSpreader, Effect, Event, ExchangeAnswer, ExchangeId, ExchangeRequest,
-    OutgoingUpdate, PeerPlace, Readiness, SettingsDigest, SpreaderParameters, Update,
+    OutgoingUpdate, PeerPlace, Readiness, SettingsDigest, SpreaderParameters, Update, from_wire,
+    to_wire,
 };
 use stairward_platform::{Machine, PlatformClient};
 use stairward_protocol::call::{CallReply, CallRequest};
@@ -20,7 +21,6 @@
 use super::held::HeldSettings;
 use super::machines::follow_machines;
 use super::store::{StoreRead, StoreView, read_store};
-use super::wire::{from_wire, to_wire};
 use crate::cluster::{Cluster, MembershipView};
 use crate::peer::PeerNetwork;
 
@@ -364,7 +364,7 @@
         });
     }
 
-    fn places(&self, view: &MembershipView) -> Vec<PeerPlace> {
+    fn places(&self, view: &MembershipView) -> Arc<[PeerPlace]> {
         let identity = &self.cluster.identity;
         let mut places: Vec<PeerPlace> = view
             .members
@@ -382,6 +382,6 @@
                 leaving: false,
             });
         }
-        places
+        places.into()
     }
 }
--- a/crates/stairward-proxy/src/control/configuration/mod.rs
+++ b/crates/stairward-proxy/src/control/configuration/mod.rs
@@ -10,7 +10,6 @@
 mod held;
 mod machines;
 mod store;
-mod wire;
 
 use std::sync::Arc;
 
