--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -23,9 +23,13 @@
 /// Every subcommand, in the order of the list that `--help` prints.
 pub const COMMANDS: &[Command] = &[
     crate::load::command::COMMAND,
+    crate::membership::command::COMMAND,
+    crate::membership::terms::COMMAND,
     crate::report::COMMAND,
     crate::compare::COMMAND,
     crate::configuration::command::COMMAND,
+    crate::capacity::COMMAND,
+    crate::experiment::idle::COMMAND,
 ];
 
 /// Reads the subcommand's name from the command line and runs it.
--- a/crates/stairward-settings/src/edit.rs
+++ b/crates/stairward-settings/src/edit.rs
@@ -1,5 +1,7 @@
 //! Edits of the settings tree, and why one is refused.
 
+use std::ops::Not;
+
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use stairward_types::{ChangeId, ResultCode, Revision};
@@ -14,8 +16,11 @@
 pub const MAXIMUM_CHANGES: usize = 10_000;
 
 /// One step of an edit.
+///
+/// In JSON, `{"path", "option", "value"}` sets, the same without a value (or with null) takes back,
+/// `{"path", "add": true}` adds and `{"path", "remove": true}` removes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "action", rename_all = "snake_case")]
+#[serde(try_from = "ChangeForm", into = "ChangeForm")]
 pub enum Change {
     /// Sets an option, adding the place when it is new.
     Set {
@@ -33,6 +38,11 @@
         /// Which option.
         option: SettingsOption,
     },
+    /// Adds a place with nothing set; one that is there stays as it is.
+    Add {
+        /// Which place.
+        path: SettingsPath,
+    },
     /// Removes a place and all below it.
     Remove {
         /// Which place.
@@ -40,6 +50,98 @@
     },
 }
 
+/// The JSON form of a [`Change`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChangeForm {
+    path: SettingsPath,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    option: Option<SettingsOption>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    value: Option<Value>,
+    #[serde(default, skip_serializing_if = "Not::not")]
+    add: bool,
+    #[serde(default, skip_serializing_if = "Not::not")]
+    remove: bool,
+}
+
+/// A change that does not name exactly one of an option, `"add": true` and `"remove": true`.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("a change at {path} names one of an option, \"add\": true and \"remove\": true"))]
+pub struct AmbiguousChange {
+    /// Where.
+    pub path: SettingsPath,
+}
+
+impl Change {
+    /// Builds a change from the fields of its JSON form.
+    ///
+    /// # Errors
+    /// [`AmbiguousChange`] when the fields do not name exactly one change.
+    pub fn from_parts(
+        path: SettingsPath,
+        option: Option<SettingsOption>,
+        value: Option<Value>,
+        add: bool,
+        remove: bool,
+    ) -> Result<Self, AmbiguousChange> {
+        match (option, value, add, remove) {
+            (Some(option), Some(value), false, false) => Ok(Self::Set {
+                path,
+                option,
+                value,
+            }),
+            (Some(option), None, false, false) => Ok(Self::Unset { path, option }),
+            (None, None, true, false) => Ok(Self::Add { path }),
+            (None, None, false, true) => Ok(Self::Remove { path }),
+            _ => AmbiguousChangeSnafu { path }.fail(),
+        }
+    }
+}
+
+impl TryFrom<ChangeForm> for Change {
+    type Error = AmbiguousChange;
+
+    fn try_from(form: ChangeForm) -> Result<Self, Self::Error> {
+        Self::from_parts(form.path, form.option, form.value, form.add, form.remove)
+    }
+}
+
+impl From<Change> for ChangeForm {
+    fn from(change: Change) -> Self {
+        let at = |path| Self {
+            path,
+            option: None,
+            value: None,
+            add: false,
+            remove: false,
+        };
+        match change {
+            Change::Set {
+                path,
+                option,
+                value,
+            } => Self {
+                option: Some(option),
+                value: Some(value),
+                ..at(path)
+            },
+            Change::Unset { path, option } => Self {
+                option: Some(option),
+                ..at(path)
+            },
+            Change::Add { path } => Self {
+                add: true,
+                ..at(path)
+            },
+            Change::Remove { path } => Self {
+                remove: true,
+                ..at(path)
+            },
+        }
+    }
+}
+
 /// What an operator wants changed, all of it or nothing.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Edit {
@@ -116,22 +218,22 @@
     lines.join("; ")
 }
 
-/// Makes the changes of an edit in a copy of the tree and checks the result as a whole.
-pub(crate) fn change_tree(
-    tree: &SettingsTree,
+/// Makes the changes of an edit, without checking the tree as a whole. After an error the tree is to
+/// be dropped: some changes may have been made.
+pub(crate) fn make_changes(
+    tree: &mut SettingsTree,
     changes: &[Change],
-) -> Result<SettingsTree, Vec<SettingsProblem>> {
+) -> Result<(), Vec<SettingsProblem>> {
     check_size(changes)?;
-    let mut changed = tree.clone();
     let problems: Vec<_> = changes
         .iter()
-        .filter_map(|change| make_change(&mut changed, change).err())
+        .filter_map(|change| make_change(tree, change).err())
         .collect();
-    if !problems.is_empty() {
-        return Err(problems);
+    if problems.is_empty() {
+        Ok(())
+    } else {
+        Err(problems)
     }
-    changed.resolve()?;
-    Ok(changed)
 }
 
 fn check_size(changes: &[Change]) -> Result<(), Vec<SettingsProblem>> {
@@ -156,6 +258,10 @@
             Some(_) => Ok(()),
             None => Err(problem(path, Some(*option), ProblemKind::NotSet)),
         },
+        Change::Add { path } => {
+            tree.add_place(path);
+            Ok(())
+        }
         Change::Remove { path } => {
             if tree.remove(path) {
                 Ok(())
