--- a/crates/stairward-membership/src/configuration/gossip.rs
+++ b/crates/stairward-membership/src/configuration/gossip.rs
@@ -71,7 +71,8 @@
         let theirs = answer.digest;
         self.newest_heard = self.newest_heard.max(theirs.revision);
         self.source.learn(asked_at, &theirs, self.revision);
-        self.readiness.heard(to, &theirs);
+        let quiet = self.parameters.source_limit;
+        self.readiness.heard(to, &theirs, quiet);
         self.quorum.heard(to, asked_at, &theirs);
         if let Some(known) = self.neighbours.get_mut(&to) {
             known.learn(now, &theirs);
--- a/crates/stairward-membership/src/configuration/readiness.rs
+++ b/crates/stairward-membership/src/configuration/readiness.rs
@@ -73,9 +73,14 @@
     }
 
     /// Notes a peer's answer to a question asked after this node started.
-    pub(super) fn heard(&mut self, peer: NodeId, digest: &SettingsDigest) {
+    ///
+    /// Only peers confirm that have had no proof from the store for `quiet` themselves: no edit can
+    /// be accepted then, so what they hold had time to spread. Other peers pass their proof on.
+    pub(super) fn heard(&mut self, peer: NodeId, digest: &SettingsDigest, quiet: Duration) {
+        let is_quiet = digest.store_read.is_none_or(|age| age >= quiet);
         let has_room = self.confirmations.len() < MAXIMUM_CONFIRMATIONS;
-        if digest.ready && (has_room || self.confirmations.contains_key(&peer)) {
+        let is_counted = has_room || self.confirmations.contains_key(&peer);
+        if digest.ready && is_quiet && is_counted {
             self.confirmations.insert(peer, digest.revision);
         }
     }
