--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod capacity;
 pub mod command;
 pub mod compare;
+pub mod configuration;
 pub mod demo;
 pub mod experiment;
 pub mod fit;
