--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -5,12 +5,15 @@
 pub mod capacity;
 pub mod command;
 pub mod compare;
+pub mod configuration;
 pub mod demo;
 pub mod experiment;
 pub mod fit;
 pub mod load;
+pub mod membership;
 pub mod output;
 pub mod process;
 pub mod provenance;
 pub mod report;
+pub mod simulated_network;
 pub mod site;
--- a/crates/stairward-settings/src/tree/validate.rs
+++ b/crates/stairward-settings/src/tree/validate.rs
@@ -1,15 +1,15 @@
 //! Checks of the tree as a whole: what no single option can tell.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use stairward_types::AdminState;
 
+use super::bounds::{backend_bounds, contradictions, group_bounds};
 use super::{MAXIMUM_PLACES, SettingsTree, problem};
 use crate::path::{Level, SettingsPath};
 use crate::problem::{ProblemKind, SettingsProblem};
-use crate::resolved::{BackendSettings, GroupSettings, ResolvedSettings};
+use crate::resolved::{GroupSettings, ResolvedSettings};
 use crate::schema::SettingsOption;
 
 /// Checks that services, groups and back ends have names unique in the fleet, and that the tree is
@@ -65,8 +65,7 @@
                 if let Some(settings) = resolved.groups.get(group) {
                     let members = member_counts.get(path).copied().unwrap_or_default();
                     check_members(path, members, settings, &mut problems);
-                    check_times(path, settings, &mut problems);
-                    check_hold_queue(path, settings, &mut problems);
+                    problems.extend(contradictions(tree, path, &group_bounds(settings)));
                 }
             }
             SettingsPath::Backend(_, _, group, backend) => {
@@ -75,7 +74,7 @@
                     .get(group)
                     .and_then(|group| group.backends.get(backend));
                 let Some(settings) = settings else { continue };
-                check_limits(path, settings, &mut problems);
+                problems.extend(contradictions(tree, path, &backend_bounds(settings)));
                 if let Some(other) = addresses.insert(settings.address, path) {
                     let kind = ProblemKind::DuplicateAddress {
                         address: settings.address,
@@ -86,7 +85,7 @@
             }
         }
     }
-    problems
+    without_repetitions(problems)
 }
 
 /// How many back ends the tree has below each group.
@@ -103,9 +102,9 @@
     counts
 }
 
-/// A group needs members, and a majority of the established ones must be in use: once those that
-/// leave are gone, no write could be confirmed by a majority. Members without an address or zone are
-/// problems of their own.
+/// A group needs members, and a majority of them must be in use: members that join or leave cannot be
+/// counted on to confirm writes. A group whose members all join is being set up. Members without an
+/// address or zone are problems of their own.
 fn check_members(
     path: &SettingsPath,
     members: usize,
@@ -116,10 +115,6 @@
         problems.push(problem(path, None, ProblemKind::NoBackends));
         return;
     }
-    let are_all_usable = group.backends.len() == members;
-    if !are_all_usable {
-        return;
-    }
     let in_state = |state: AdminState| {
         group
             .backends
@@ -127,76 +122,35 @@
             .filter(|backend| backend.admin_state == state)
             .count()
     };
+    let are_all_usable = group.backends.len() == members;
+    let is_being_set_up = in_state(AdminState::Joining) == members;
+    if !are_all_usable || is_being_set_up {
+        return;
+    }
     let active = in_state(AdminState::Active);
-    let established = active + in_state(AdminState::Leaving);
-    let needed = established / 2 + 1;
+    let needed = members / 2 + 1;
     if active < needed {
         let kind = ProblemKind::MajorityImpossible {
             active,
-            established,
+            members,
             needed,
         };
         problems.push(problem(path, Some(SettingsOption::AdminState), kind));
     }
 }
 
-/// No wait within a request may outlast the request.
-fn check_times(path: &SettingsPath, group: &GroupSettings, problems: &mut Vec<SettingsProblem>) {
-    let waits = [
-        (SettingsOption::FreshnessWait, group.freshness_wait),
-        (SettingsOption::FenceTimeout, group.fence_timeout),
-        (SettingsOption::HoldQueueTime, group.hold_queue_time),
-    ];
-    for (option, wait) in waits {
-        if wait > group.request_timeout {
-            let kind = ProblemKind::Exceeds {
-                value: milliseconds(wait),
-                other_option: SettingsOption::RequestTimeout.name(),
-                other_value: milliseconds(group.request_timeout),
-            };
-            problems.push(problem(path, Some(option), kind));
-        }
-    }
-}
-
-fn milliseconds(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// A queue that holds requests must have room for the largest one.
-fn check_hold_queue(
-    path: &SettingsPath,
-    group: &GroupSettings,
-    problems: &mut Vec<SettingsProblem>,
-) {
-    if group.hold_queue_requests > 0 && group.hold_queue_bytes < group.maximum_message_bytes {
-        let kind = ProblemKind::Below {
-            value: group.hold_queue_bytes as u64,
-            other_option: SettingsOption::MaximumMessageBytes.name(),
-            other_value: group.maximum_message_bytes as u64,
-        };
-        problems.push(problem(path, Some(SettingsOption::HoldQueueBytes), kind));
-    }
-}
-
-/// Statements and openings each need a connection of the back end's limit.
-fn check_limits(
-    path: &SettingsPath,
-    backend: &BackendSettings,
-    problems: &mut Vec<SettingsProblem>,
-) {
-    let limits = [
-        (SettingsOption::Slots, backend.slots),
-        (SettingsOption::OpeningLimit, backend.opening_limit),
-    ];
-    for (option, limit) in limits {
-        if limit > backend.connection_limit {
-            let kind = ProblemKind::Exceeds {
-                value: u64::from(limit),
-                other_option: SettingsOption::ConnectionLimit.name(),
-                other_value: u64::from(backend.connection_limit),
-            };
-            problems.push(problem(path, Some(option), kind));
-        }
-    }
+/// Drops repetitions of a problem that many places inherit.
+fn without_repetitions(problems: Vec<SettingsProblem>) -> Vec<SettingsProblem> {
+    let mut seen = BTreeSet::new();
+    problems
+        .into_iter()
+        .filter(|problem| {
+            let told = (
+                problem.path.clone(),
+                problem.option.clone(),
+                problem.kind.to_string(),
+            );
+            seen.insert(told)
+        })
+        .collect()
 }
