Find a back end's group by an index

Cause: finding a back end searched every group, for each statement. Change: resolved settings are built by ResolvedSettings::new, which indexes the back ends.

--- a/crates/stairward-settings/src/document.rs
+++ b/crates/stairward-settings/src/document.rs
@@ -17,8 +17,9 @@
 /// Most edits kept in the history.
 pub const MAXIMUM_HISTORY_EDITS: usize = 256;
 
-/// Most changes kept in the history, of all its edits together; the newest edit is always kept.
-pub const MAXIMUM_HISTORY_CHANGES: usize = 10_000;
+/// Most changes kept in the history, of all its edits together. The newest edit is always kept, so that
+/// its change id can be found; a large one gives way to the next.
+pub const MAXIMUM_HISTORY_CHANGES: usize = 2_000;
 
 /// The settings tree at one revision, with the edits that led to it.
 ///
@@ -104,11 +105,9 @@
     /// # Errors
     /// None in practice: the tree was checked when the document was made.
     pub fn resolve(&self) -> Result<ResolvedSettings, Vec<SettingsProblem>> {
-        let resolved = self.tree.resolve()?;
-        Ok(ResolvedSettings {
-            revision: self.revision,
-            ..resolved
-        })
+        let mut resolved = self.tree.resolve()?;
+        resolved.revision = self.revision;
+        Ok(resolved)
     }
 
     /// The kept edit with this change id.
--- a/crates/stairward-settings/src/resolved.rs
+++ b/crates/stairward-settings/src/resolved.rs
@@ -17,18 +17,39 @@
     pub groups: BTreeMap<GroupId, GroupSettings>,
     /// Every service, by name.
     pub services: BTreeMap<ServiceName, ServiceSettings>,
+    /// The group of every back end, built from `groups`.
+    group_of: BTreeMap<BackendId, GroupId>,
 }
 
 impl ResolvedSettings {
+    /// Puts settings together.
+    #[must_use]
+    pub fn new(
+        revision: Revision,
+        groups: BTreeMap<GroupId, GroupSettings>,
+        services: BTreeMap<ServiceName, ServiceSettings>,
+    ) -> Self {
+        let group_of = groups
+            .iter()
+            .flat_map(|(group, settings)| {
+                let backends = settings.backends.keys();
+                backends.map(move |backend| (backend.clone(), group.clone()))
+            })
+            .collect();
+        Self {
+            revision,
+            groups,
+            services,
+            group_of,
+        }
+    }
+
     /// The group a back end is a member of, and its own settings.
     #[must_use]
     pub fn backend(&self, backend: &BackendId) -> Option<(&GroupSettings, &BackendSettings)> {
-        self.groups.values().find_map(|group| {
-            group
-                .backends
-                .get(backend)
-                .map(|settings| (group, settings))
-        })
+        let group = self.groups.get(self.group_of.get(backend)?)?;
+        let settings = group.backends.get(backend)?;
+        Some((group, settings))
     }
 }
 
--- a/crates/stairward-settings/src/tree/resolve.rs
+++ b/crates/stairward-settings/src/tree/resolve.rs
@@ -3,7 +3,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use stairward_types::{AdminState, BackendId, FenceStrength, GroupId, ServiceName};
+use stairward_types::{AdminState, BackendId, FenceStrength, GroupId, Revision, ServiceName};
 
 use super::explain::Inheritance;
 use super::{SettingsTree, problem, validate};
@@ -42,7 +42,10 @@
         }
         problems.extend(validate::check_whole(self, &resolved));
         if problems.is_empty() {
-            Ok(resolved)
+            let ResolvedSettings {
+                groups, services, ..
+            } = resolved;
+            Ok(ResolvedSettings::new(Revision(0), groups, services))
         } else {
             Err(problems)
         }
--- a/crates/stairward-settings/tests/settings_tree.rs
+++ b/crates/stairward-settings/tests/settings_tree.rs
@@ -6,7 +6,9 @@
     Edit, Level, Origin, ProblemKind, SettingsDocument, SettingsOption, SettingsPath,
     SettingsProblem, SettingsTree, Value,
 };
-use stairward_types::{AdminState, ChangeId, FenceStrength, GroupId, ResultCode, ServiceName};
+use stairward_types::{
+    AdminState, BackendId, ChangeId, FenceStrength, GroupId, ResultCode, ServiceName,
+};
 
 const SERVICE: &str = "region/south/service/reader";
 const GROUP: &str = "region/south/service/reader/group/reader-1";
@@ -103,6 +105,12 @@
         .map(|backend| backend.region.as_str())
         .collect();
     assert_eq!(regions, ["south", "south", "north"]);
+    for (name, backend) in &group.backends {
+        let found = resolved.backend(name);
+        assert_eq!(found, Some((group, backend)));
+    }
+    let unknown = BackendId::new("d").expect("a name");
+    assert_eq!(resolved.backend(&unknown), None);
     let states: Vec<_> = group
         .backends
         .values()
