--- a/crates/stairward-settings/src/edit.rs
+++ b/crates/stairward-settings/src/edit.rs
@@ -12,8 +12,8 @@
 use crate::tree::{SettingsTree, problem};
 use crate::value::Value;
 
-/// Most changes in one edit.
-pub const MAXIMUM_CHANGES: usize = 10_000;
+/// Most changes in one edit: enough to bring a site of 3,300 back ends in as a whole.
+pub const MAXIMUM_CHANGES: usize = 20_000;
 
 /// One step of an edit.
 ///
--- a/crates/stairward-settings/src/tree/difference.rs
+++ b/crates/stairward-settings/src/tree/difference.rs
@@ -16,10 +16,8 @@
         for (path, wanted) in target.places() {
             match self.options_at(path) {
                 Some(present) => changes.extend(option_changes(path, present, wanted)),
-                None => {
-                    changes.push(Change::Add { path: path.clone() });
-                    changes.extend(option_changes(path, &PlaceOptions::new(), wanted));
-                }
+                None if wanted.is_empty() => changes.push(Change::Add { path: path.clone() }),
+                None => changes.extend(option_changes(path, &PlaceOptions::new(), wanted)),
             }
         }
         changes
