Lose replies of commits, report elections' length, describe the stand-ins

A connection that terminated itself counted its slot as free twice, which underflowed: statements now give their slot back before they take effect, and a test terminates its own connection.

--- a/crates/stairward-standins/src/group/connection.rs
+++ b/crates/stairward-standins/src/group/connection.rs
@@ -21,6 +21,8 @@
     pub transaction: Option<Transaction>,
     /// The statement it runs.
     pub current: Option<Current>,
+    /// Whether it breaks instead of answering the statement that has just committed.
+    pub loses_reply: bool,
     /// Counts its statements, for idle timeouts.
     pub uses: u64,
 }
@@ -47,6 +49,8 @@
     Queued,
     /// It occupies a slot.
     Running,
+    /// It has given its slot back and takes effect.
+    Executing,
     /// It waits, without a slot, for a lock that another connection holds.
     WaitingForLock,
 }
--- a/crates/stairward-standins/src/group/event.rs
+++ b/crates/stairward-standins/src/group/event.rs
@@ -156,6 +156,12 @@
         /// Time between receiving and applying a record.
         lag: Duration,
     },
+    /// Breaks the connection of the next transaction that commits changes, after the commit and
+    /// instead of the answer.
+    LoseNextReply {
+        /// The member.
+        member: BackendId,
+    },
     /// Ends all faults of the member; starts it when it is stopped.
     Heal {
         /// The member.
@@ -172,6 +178,7 @@
             | Self::Stop { member }
             | Self::Pause { member }
             | Self::Resume { member }
+            | Self::LoseNextReply { member }
             | Self::Slow { member, .. }
             | Self::Lag { member, .. }
             | Self::Heal { member } => member,
--- a/crates/stairward-standins/src/group/lifecycle.rs
+++ b/crates/stairward-standins/src/group/lifecycle.rs
@@ -44,6 +44,7 @@
             Fault::Resume { .. } => self.resume(context),
             Fault::Slow { added, .. } => self.slowness = *added,
             Fault::Lag { lag, .. } => self.lag = *lag,
+            Fault::LoseNextReply { .. } => self.lose_next_reply = true,
             Fault::Heal { .. } => self.heal(context),
         }
     }
@@ -75,6 +76,7 @@
 
     fn heal(&mut self, context: &mut Context<'_>) {
         self.slowness = Duration::ZERO;
+        self.lose_next_reply = false;
         self.lag = self.config.replication_lag;
         if !self.up {
             self.start(context);
--- a/crates/stairward-standins/src/group/member.rs
+++ b/crates/stairward-standins/src/group/member.rs
@@ -71,6 +71,8 @@
     pub held: VecDeque<Held>,
     /// Time that a fault adds to each statement.
     pub slowness: Duration,
+    /// Whether the next commit with changes is not answered.
+    pub lose_next_reply: bool,
     /// How late it applies log records as a replica.
     pub lag: Duration,
 
@@ -114,6 +116,7 @@
             paused: false,
             held: VecDeque::new(),
             slowness: Duration::ZERO,
+            lose_next_reply: false,
             lag: config.replication_lag,
             connections: BTreeMap::new(),
             locks: Locks::default(),
--- a/crates/stairward-standins/src/group/sessions.rs
+++ b/crates/stairward-standins/src/group/sessions.rs
@@ -66,6 +66,7 @@
             settings: Settings::new(settings),
             open: false,
             closing: false,
+            loses_reply: false,
             transaction: None,
             current: None,
             uses: 0,
@@ -133,6 +134,10 @@
         } else {
             Ok(())
         };
+        let loses_reply = self.connections.get(&number);
+        if loses_reply.is_some_and(|connection| connection.loses_reply) {
+            return self.break_connection(number, context);
+        }
         let status = self.status(number);
         let reply = Reply::Synced {
             request,
@@ -271,11 +276,16 @@
     pub fn reset_all_connections(&mut self, context: &mut Context<'_>) {
         let numbers: Vec<ConnectionNumber> = self.connections.keys().copied().collect();
         for number in numbers {
-            self.remove_connection(number, context);
-            self.reply(number, Reply::Reset, context);
+            self.break_connection(number, context);
         }
     }
 
+    /// Loses one connection without a message.
+    pub fn break_connection(&mut self, number: ConnectionNumber, context: &mut Context<'_>) {
+        self.remove_connection(number, context);
+        self.reply(number, Reply::Reset, context);
+    }
+
     /// Forgets a connection: rolls its transaction back and frees its locks and its slot.
     pub fn remove_connection(&mut self, number: ConnectionNumber, context: &mut Context<'_>) {
         self.roll_back(number, context);
--- a/crates/stairward-standins/src/group/statements.rs
+++ b/crates/stairward-standins/src/group/statements.rs
@@ -45,12 +45,13 @@
         request: RequestNumber,
         context: &mut Context<'_>,
     ) {
-        let running = self
-            .current_mut(number)
-            .is_some_and(|current| current.request == request && current.phase == Phase::Running);
-        if !running {
+        let Some(current) = self.current_mut(number) else {
+            return;
+        };
+        if current.request != request || current.phase != Phase::Running {
             return;
         }
+        current.phase = Phase::Executing;
         self.busy_slots -= 1;
         self.execute_current(number, context);
         self.fill_slots(context);
@@ -100,6 +101,9 @@
         if connection.closing {
             return self.remove_connection(number, context);
         }
+        if connection.loses_reply {
+            return self.break_connection(number, context);
+        }
         let reply = Reply::Ran {
             request: current.request,
             result,
--- a/crates/stairward-standins/src/group/transactions.rs
+++ b/crates/stairward-standins/src/group/transactions.rs
@@ -115,10 +115,19 @@
             freshness,
         };
         self.observe(observation, context);
+        if wrote && std::mem::take(&mut self.lose_next_reply) {
+            self.mark_reply_lost(number);
+        }
         self.release_locks(number, context);
         Ok(())
     }
 
+    fn mark_reply_lost(&mut self, number: ConnectionNumber) {
+        if let Some(connection) = self.connections.get_mut(&number) {
+            connection.loses_reply = true;
+        }
+    }
+
     /// Rolls a connection's transaction back, if it has one.
     pub fn roll_back(&mut self, number: ConnectionNumber, context: &mut Context<'_>) {
         let Some(connection) = self.connections.get_mut(&number) else {
--- a/crates/stairward-standins/src/server/wire.rs
+++ b/crates/stairward-standins/src/server/wire.rs
@@ -24,8 +24,11 @@
 /// Answers are written out when this much has gathered.
 const WRITE_BYTES: usize = 32 * 1024;
 
+/// Bytes of a message's length field, which counts itself.
+const LENGTH_BYTES: usize = 4;
+
 /// Bytes before a message's content: its type and its length.
-const HEADER_BYTES: usize = 5;
+const HEADER_BYTES: usize = 1 + LENGTH_BYTES;
 
 /// Why a connection cannot go on.
 #[derive(Debug, Snafu)]
@@ -42,6 +45,9 @@
         /// What the codec says.
         source: PgWireError,
     },
+    /// A message claims to be shorter than its own length field.
+    #[snafu(display("a message's length is impossible"))]
+    TooShort,
     /// A message is longer than allowed.
     #[snafu(display("a message is too long"))]
     TooLong,
@@ -107,6 +113,9 @@
             if length > MAXIMUM_MESSAGE_BYTES {
                 return Err(WireError::TooLong);
             }
+            if length < LENGTH_BYTES {
+                return Err(WireError::TooShort);
+            }
         }
         Ok(())
     }
--- a/crates/stairward-standins/src/sql/mod.rs
+++ b/crates/stairward-standins/src/sql/mod.rs
@@ -10,6 +10,7 @@
 mod environment;
 mod error;
 mod expression;
+mod expression_type;
 mod insert;
 mod modify;
 mod names;
--- a/crates/stairward-standins/src/sql/select.rs
+++ b/crates/stairward-standins/src/sql/select.rs
@@ -8,9 +8,9 @@
 };
 
 use super::aggregate::{fold_aggregates, has_aggregate};
-use super::describe::expression_type;
 use super::environment::Environment;
 use super::expression::{Scope, evaluate};
+use super::expression_type::expression_type;
 use super::names::identifier;
 use super::operators::integer;
 use super::source::{Source, read_source};
--- a/crates/stairward-standins/tests/group_replication.rs
+++ b/crates/stairward-standins/tests/group_replication.rs
@@ -107,6 +107,30 @@
     }
 }
 
+#[test]
+fn elections_take_little_longer_than_their_timeout() {
+    let mut gaps = Vec::new();
+    for seed in 1..=1_000 {
+        let (mut bench, members) = bench(seed);
+        // Stops the primary at different moments between two heartbeats.
+        bench.advance(Duration::from_micros(seed * 75));
+        let stopped_at = bench.now;
+        bench.fault(Fault::Stop {
+            member: members[0].clone(),
+        });
+        bench.await_new_primary(&members[0]);
+        gaps.push(bench.now.since(stopped_at));
+    }
+    gaps.sort();
+    println!(
+        "p50 {:?}, p99 {:?}, longest {:?}",
+        gaps[500], gaps[990], gaps[999]
+    );
+    // The timeout is 300 ms and up to 150 ms more, from the last heartbeat.
+    assert!(gaps[500] < Duration::from_millis(400));
+    assert!(gaps[990] < Duration::from_millis(1_000));
+}
+
 #[test]
 fn commits_of_a_cut_off_primary_are_lost_when_it_rejoins() {
     for seed in 1..=20 {
--- a/crates/stairward-standins/tests/group_transactions.rs
+++ b/crates/stairward-standins/tests/group_transactions.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use stairward_standins::Observation;
-use stairward_standins::group::ClientRequest;
+use stairward_standins::group::{ClientRequest, Fault};
 use stairward_standins::sql::SqlError;
 use support::bench::{Bench, Client};
 use support::{group_config, member_names};
@@ -245,6 +245,36 @@
     assert_eq!(bench.ended_with(&first), Some(SqlError::Terminated));
 }
 
+#[test]
+fn a_connection_may_terminate_itself() {
+    let (mut bench, first, second) = bench();
+    let own = bench.rows(&first, "SELECT pg_backend_pid()");
+    bench.start(&first, &format!("SELECT pg_terminate_backend({})", own[0]));
+    bench.advance_millis(5);
+    assert_eq!(bench.ended_with(&first), Some(SqlError::Terminated));
+    assert_eq!(
+        bench.rows(&second, "SELECT COUNT(*) FROM pg_stat_activity"),
+        ["1"]
+    );
+}
+
+#[test]
+fn a_lost_reply_comes_after_the_commit() {
+    let (mut bench, first, second) = bench();
+    bench.fault(Fault::LoseNextReply {
+        member: first.member.clone(),
+    });
+    bench.done(&second, "SELECT COUNT(*) FROM account");
+    let write = bench.start(&first, "UPDATE account SET coins = 0 WHERE id = 1");
+    bench.advance_millis(5);
+    assert!(bench.result(write).is_none());
+    assert!(bench.was_reset(&first));
+    assert_eq!(
+        bench.rows(&second, "SELECT coins FROM account WHERE id = 1"),
+        ["0"]
+    );
+}
+
 #[test]
 fn connections_and_slots_are_limited() {
     let members = member_names(1);
--- a/crates/stairward-standins/tests/support/bench.rs
+++ b/crates/stairward-standins/tests/support/bench.rs
@@ -140,6 +140,12 @@
         })
     }
 
+    /// Whether the connection broke without a message.
+    pub fn was_reset(&self, client: &Client) -> bool {
+        let mut replies = self.replies.iter();
+        replies.any(|(number, reply)| *number == client.number && matches!(reply, Reply::Reset))
+    }
+
     /// Starts a statement.
     pub fn start(&mut self, client: &Client, sql: &str) -> RequestNumber {
         self.last_request += 1;
