--- a/crates/stairward-lab/src/demo/callers.rs
+++ b/crates/stairward-lab/src/demo/callers.rs
@@ -96,7 +96,10 @@
         // Nobody may be waiting any more.
         let _ = begun.send(());
         let outcome = match started {
-            Ok(_) => self.finish_slowly(&connection, request.number, &comment).await,
+            Ok(_) => {
+                self.finish_slowly(&connection, request.number, &comment)
+                    .await
+            }
             Err(error) => Outcome::from_error(&error),
         };
         self.record_ended(request, &outcome);
--- a/crates/stairward-lab/src/demo/proxies.rs
+++ b/crates/stairward-lab/src/demo/proxies.rs
@@ -127,7 +127,10 @@
     /// Edits settings through any proxy that runs; none when none does.
     #[must_use]
     pub fn configuration(&self) -> Option<ConfigurationHandle> {
-        let mut running = self.proxies.iter().filter_map(|proxy| proxy.running.as_ref());
+        let mut running = self
+            .proxies
+            .iter()
+            .filter_map(|proxy| proxy.running.as_ref());
         Some(running.next()?.node().configuration().clone())
     }
 
--- a/crates/stairward-lab/src/demo/run.rs
+++ b/crates/stairward-lab/src/demo/run.rs
@@ -155,10 +155,7 @@
 }
 
 fn elected_after(loss: &PrimaryLoss, history: &History) -> Option<Time> {
-    let mut later = history
-        .records
-        .iter()
-        .filter(|record| record.at > loss.at);
+    let mut later = history.records.iter().filter(|record| record.at > loss.at);
     later.find_map(|record| match &record.event {
         HistoryEvent::Elected { group, .. } if *group == loss.group => Some(record.at),
         _ => None,
