Pass view, parameters and environment of a statement as one context

Three arguments went together through every function of the SQL subset. SHOW transaction_read_only and in_hot_standby now tell the truth on replicas.

--- a/crates/stairward-standins/src/group/data.rs
+++ b/crates/stairward-standins/src/group/data.rs
@@ -6,8 +6,8 @@
 
 use crate::ConnectionNumber;
 use crate::sql::{
-    Answer, LockKey, Modification, Modified, Selection, SqlError, Tables, View, create_table,
-    delete, insert, object_name, select, update,
+    Answer, LockKey, Modification, Modified, Selection, SqlError, StatementContext, Tables, View,
+    create_table, delete, insert, object_name, select, update,
 };
 
 use super::connection::{Current, Isolation};
@@ -49,27 +49,24 @@
             base: &base,
             overlay: &overlay,
         };
-        let parameters = &current.parameters;
         let mut environment = self.environment(number, context.now);
+        let mut statement = StatementContext {
+            view,
+            parameters: &current.parameters,
+            environment: &mut environment,
+        };
         let outcome = match tree {
             Tree::Query(query) => {
-                let Selection { answer, locks } =
-                    select(query, view, parameters, &mut environment)?;
+                let Selection { answer, locks } = select(query, &mut statement)?;
                 let modification = Modification {
                     locks,
                     ..Modification::default()
                 };
                 Outcome::Modified(Modified::new(modification, answer))
             }
-            Tree::Insert(statement) => {
-                Outcome::Modified(insert(statement, view, parameters, &mut environment)?)
-            }
-            Tree::Update(statement) => {
-                Outcome::Modified(update(statement, view, parameters, &mut environment)?)
-            }
-            Tree::Delete(statement) => {
-                Outcome::Modified(delete(statement, view, parameters, &mut environment)?)
-            }
+            Tree::Insert(change) => Outcome::Modified(insert(change, &mut statement)?),
+            Tree::Update(change) => Outcome::Modified(update(change, &mut statement)?),
+            Tree::Delete(change) => Outcome::Modified(delete(change, &mut statement)?),
             _ => Outcome::command(""),
         };
         let side_effects = environment.into_side_effects();
--- a/crates/stairward-standins/src/group/session_statements.rs
+++ b/crates/stairward-standins/src/group/session_statements.rs
@@ -156,15 +156,31 @@
             "time.zone" => "timezone".to_owned(),
             other => other.to_owned(),
         };
-        let connection = self.connections.get(&number);
-        let connection = connection.ok_or(SqlError::Terminated)?;
-        let value = Value::text(connection.settings.get(&name)?);
+        let value = Value::text(self.shown_value(number, &name)?);
         let columns = vec![Column::new(name, ValueType::Text)];
         let mut answer = Answer::rows(columns, vec![Arc::from([value])]);
         answer.tag = "SHOW".to_owned();
         Ok(Outcome::Answered(answer))
     }
 
+    /// The value that `SHOW` gives: a setting, or a property of the transaction.
+    fn shown_value(&self, number: ConnectionNumber, name: &str) -> Result<String, SqlError> {
+        let open = self.transaction(number);
+        let on_or_off = |truth: bool| if truth { "on" } else { "off" }.to_owned();
+        match name {
+            "in_hot_standby" => Ok(on_or_off(!self.leads())),
+            "transaction_read_only" => {
+                let read_only = open.is_some_and(|open| open.read_only);
+                Ok(on_or_off(!self.leads() || read_only))
+            }
+            _ => {
+                let connection = self.connections.get(&number);
+                let connection = connection.ok_or(SqlError::Terminated)?;
+                Ok(connection.settings.get(name)?.to_owned())
+            }
+        }
+    }
+
     /// `DISCARD`.
     pub fn discard(
         &mut self,
--- a/crates/stairward-standins/src/sql/aggregate.rs
+++ b/crates/stairward-standins/src/sql/aggregate.rs
@@ -2,7 +2,7 @@
 
 use sqlparser::ast::{self, Expr, FunctionArg, FunctionArgExpr, FunctionArguments};
 
-use super::environment::Environment;
+use super::environment::StatementContext;
 use super::expression::{Scope, arguments, evaluate};
 use super::names::object_name;
 use super::operators::integer;
@@ -37,19 +37,18 @@
 pub fn fold_aggregates(
     expression: &mut Expr,
     source: &Source,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<(), SqlError> {
     match expression {
         Expr::Nested(inner) | Expr::Cast { expr: inner, .. } => {
-            fold_aggregates(inner, source, parameters, environment)
+            fold_aggregates(inner, source, context)
         }
         Expr::BinaryOp { left, right, .. } => {
-            fold_aggregates(left, source, parameters, environment)?;
-            fold_aggregates(right, source, parameters, environment)
+            fold_aggregates(left, source, context)?;
+            fold_aggregates(right, source, context)
         }
         Expr::Function(function) if is_aggregate(&object_name(&function.name)) => {
-            let value = aggregate(function, source, parameters, environment)?;
+            let value = aggregate(function, source, context)?;
             *expression = Expr::Value(literal(&value).into());
             Ok(())
         }
@@ -59,7 +58,7 @@
             };
             for argument in &mut list.args {
                 if let FunctionArg::Unnamed(FunctionArgExpr::Expr(inner)) = argument {
-                    fold_aggregates(inner, source, parameters, environment)?;
+                    fold_aggregates(inner, source, context)?;
                 }
             }
             Ok(())
@@ -88,8 +87,7 @@
 fn aggregate(
     function: &ast::Function,
     source: &Source,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<Value, SqlError> {
     let name = object_name(&function.name);
     if name == "count" && counts_rows(function) {
@@ -104,9 +102,9 @@
         let scope = Scope {
             columns: &source.columns,
             row,
-            parameters,
+            parameters: context.parameters,
         };
-        let value = evaluate(argument, scope, environment)?;
+        let value = evaluate(argument, scope, context.environment)?;
         if !value.is_null() {
             values.push(value);
         }
--- a/crates/stairward-standins/src/sql/describe.rs
+++ b/crates/stairward-standins/src/sql/describe.rs
@@ -2,7 +2,7 @@
 
 use sqlparser::ast::{self, Expr, FromTable, SelectItem, SetExpr, Statement as Tree, TableObject};
 
-use super::environment::Environment;
+use super::environment::{Environment, StatementContext};
 use super::expression::{arguments, parameter_place};
 use super::expression_type::expression_type;
 use super::insert::column_places;
@@ -344,7 +344,12 @@
     }
     // Parameters of a series only bound its rows.
     let parameters = vec![super::Value::Integer(0); MAXIMUM_SERIES_PARAMETERS];
-    read_source(from, None, view, &parameters, environment)
+    let mut context = StatementContext {
+        view,
+        parameters: &parameters,
+        environment,
+    };
+    read_source(from, None, &mut context)
 }
 
 /// Parameters that a series in a `FROM` clause may refer to.
--- a/crates/stairward-standins/src/sql/environment.rs
+++ b/crates/stairward-standins/src/sql/environment.rs
@@ -1,6 +1,9 @@
 //! What statements ask of the server that runs them.
 
-use super::{Column, Row, SqlError, Value, ValueType};
+use sqlparser::ast::Expr;
+
+use super::expression::{Scope, evaluate};
+use super::{Column, Row, SqlError, Value, ValueType, View};
 
 /// A relation that the server makes up, such as a system view.
 #[derive(Debug, Clone, Default)]
@@ -25,3 +28,27 @@
     /// A system relation by name; `None` when there is none.
     fn relation(&self, name: &str) -> Option<Relation>;
 }
+
+/// What one statement runs with.
+pub struct StatementContext<'a> {
+    /// The tables it sees.
+    pub view: View<'a>,
+    /// Values of `$1`, `$2` and so on.
+    pub parameters: &'a [Value],
+    /// The server.
+    pub environment: &'a mut dyn Environment,
+}
+
+impl StatementContext<'_> {
+    /// Evaluates an expression that refers to no row.
+    ///
+    /// # Errors
+    /// The error of whatever part fails.
+    pub fn constant(&mut self, expression: &Expr) -> Result<Value, SqlError> {
+        evaluate(
+            expression,
+            Scope::constant(self.parameters),
+            self.environment,
+        )
+    }
+}
--- a/crates/stairward-standins/src/sql/insert.rs
+++ b/crates/stairward-standins/src/sql/insert.rs
@@ -5,8 +5,7 @@
 
 use sqlparser::ast::{self, Expr, OnConflictAction, OnInsert, SetExpr, TableObject};
 
-use super::environment::Environment;
-use super::expression::{Scope, evaluate};
+use super::environment::StatementContext;
 use super::modify::{Modified, returning};
 use super::names::object_name;
 use super::select::select;
@@ -20,19 +19,17 @@
 /// errors of its expressions.
 pub fn insert(
     statement: &ast::Insert,
-    view: View<'_>,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<Modified, SqlError> {
     let TableObject::TableName(name) = &statement.table else {
         return Err(SqlError::Unsupported {
             feature: format!("INSERT INTO {}", statement.table),
         });
     };
-    let (name, table) = view.table(&object_name(name))?;
+    let (name, table) = context.view.table(&object_name(name))?;
     let skip_conflicts = skips_conflicts(statement)?;
     let places = column_places(statement, table)?;
-    let rows = source_rows(statement, view, parameters, environment)?;
+    let rows = source_rows(statement, context)?;
     let mut modification = Modification::default();
     let mut inserted: Vec<Row> = Vec::new();
     let mut keys: BTreeSet<Key> = BTreeSet::new();
@@ -40,9 +37,9 @@
         let row = build_row(table, &places, values)?;
         let key = match table.key_of(&row) {
             Some(key) => key,
-            None => next_row_number(&name, view, &keys)?,
+            None => next_row_number(&name, context.view, &keys)?,
         };
-        let exists = keys.contains(&key) || view.get(&name, &key).is_some();
+        let exists = keys.contains(&key) || context.view.get(&name, &key).is_some();
         modification
             .locks
             .push(LockKey::Row(Arc::clone(&name), key.clone()));
@@ -62,7 +59,7 @@
     let columns = columns_of(table);
     let mut answer = match &statement.returning {
         None => Answer::default(),
-        Some(items) => returning(items, &columns, &inserted, parameters, environment)?,
+        Some(items) => returning(items, &columns, &inserted, context)?,
     };
     answer.tag = format!("INSERT 0 {count}");
     answer.affected = count as u64;
@@ -97,15 +94,13 @@
 
 fn source_rows(
     statement: &ast::Insert,
-    view: View<'_>,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<Vec<Vec<Option<Value>>>, SqlError> {
     let Some(query) = &statement.source else {
         return Ok(vec![Vec::new()]);
     };
     let SetExpr::Values(values) = query.body.as_ref() else {
-        let selected = select(query, view, parameters, environment)?;
+        let selected = select(query, context)?;
         let rows = selected.answer.rows.iter();
         return Ok(rows
             .map(|row| row.iter().cloned().map(Some).collect())
@@ -115,7 +110,7 @@
     for expressions in &values.rows {
         let mut row = Vec::new();
         for expression in &expressions.content {
-            row.push(insert_value(expression, parameters, environment)?);
+            row.push(insert_value(expression, context)?);
         }
         rows.push(row);
     }
@@ -125,13 +120,12 @@
 /// The value to insert; `None` stands for `DEFAULT`.
 fn insert_value(
     expression: &Expr,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<Option<Value>, SqlError> {
     if matches!(expression, Expr::Identifier(name) if name.value.eq_ignore_ascii_case("default")) {
         return Ok(None);
     }
-    evaluate(expression, Scope::constant(parameters), environment).map(Some)
+    context.constant(expression).map(Some)
 }
 
 fn build_row(table: &Table, places: &[usize], values: Vec<Option<Value>>) -> Result<Row, SqlError> {
--- a/crates/stairward-standins/src/sql/mod.rs
+++ b/crates/stairward-standins/src/sql/mod.rs
@@ -25,7 +25,7 @@
 
 pub use answer::{Answer, Column, Description};
 pub use describe::describe;
-pub use environment::{Environment, Relation};
+pub use environment::{Environment, Relation, StatementContext};
 pub use error::SqlError;
 pub use expression::{Scope, evaluate};
 pub use insert::insert;
--- a/crates/stairward-standins/src/sql/modify.rs
+++ b/crates/stairward-standins/src/sql/modify.rs
@@ -4,13 +4,13 @@
 
 use sqlparser::ast::{self, Assignment, AssignmentTarget, Expr, FromTable, SelectItem};
 
-use super::environment::Environment;
+use super::environment::StatementContext;
 use super::expression::{Scope, evaluate};
 use super::insert::check_not_null;
 use super::names::object_name;
 use super::select::{filter_rows, project, projected_columns};
 use super::source::{Source, read_source};
-use super::{Answer, Column, LockKey, Modification, Row, SqlError, Table, Value, View};
+use super::{Answer, Column, LockKey, Modification, Row, SqlError, Table};
 
 /// A statement's changes and its answer, or the error it ends with once its locks are held.
 #[derive(Debug, Clone)]
@@ -55,17 +55,16 @@
     items: &[SelectItem],
     columns: &[Column],
     rows: &[Row],
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<Answer, SqlError> {
     let source = Source {
         columns: columns.to_vec(),
         ..Source::default()
     };
-    let result_columns = projected_columns(items, &source, environment)?;
+    let result_columns = projected_columns(items, &source, context.environment)?;
     let mut result = Vec::new();
     for row in rows {
-        result.push(project(items, columns, row, parameters, environment)?);
+        result.push(project(items, columns, row, context)?);
     }
     Ok(Answer::rows(result_columns, result))
 }
@@ -80,18 +79,16 @@
 fn target<'a>(
     from: &[ast::TableWithJoins],
     filter: Option<&Expr>,
-    view: View<'a>,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'a>,
 ) -> Result<Target<'a>, SqlError> {
-    let mut source = read_source(from, filter, view, parameters, environment)?;
+    let mut source = read_source(from, filter, context)?;
     let Some(name) = source.table.clone() else {
         return Err(SqlError::Unsupported {
             feature: "changing a system relation".to_owned(),
         });
     };
-    let (name, table) = view.table(&name)?;
-    filter_rows(&mut source, filter, parameters, environment)?;
+    let (name, table) = context.view.table(&name)?;
+    filter_rows(&mut source, filter, context)?;
     Ok(Target {
         name,
         table,
@@ -105,13 +102,11 @@
 /// [`SqlError::Unsupported`] for a change of the primary key, and the errors of its expressions.
 pub fn update(
     statement: &ast::Update,
-    view: View<'_>,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<Modified, SqlError> {
     let from = std::slice::from_ref(&statement.table);
     let filter = statement.selection.as_ref();
-    let target = target(from, filter, view, parameters, environment)?;
+    let target = target(from, filter, context)?;
     let assignments = assignments(&statement.assignments, target.table)?;
     let mut modification = Modification::default();
     let mut updated = Vec::new();
@@ -119,11 +114,11 @@
         let scope = Scope {
             columns: &target.source.columns,
             row,
-            parameters,
+            parameters: context.parameters,
         };
         let mut values = row.to_vec();
         for (place, expression) in &assignments {
-            let value = evaluate(expression, scope, environment)?;
+            let value = evaluate(expression, scope, context.environment)?;
             values[*place] = value.convert(target.table.columns[*place].value_type)?;
         }
         check_not_null(target.table, &values)?;
@@ -145,7 +140,7 @@
     }
     let columns = &target.source.columns;
     let items = statement.returning.as_deref();
-    let answer = changed("UPDATE", items, columns, &updated, parameters, environment)?;
+    let answer = changed("UPDATE", items, columns, &updated, context)?;
     Ok(Modified::new(modification, answer))
 }
 
@@ -172,13 +167,11 @@
 /// The errors of its condition.
 pub fn delete(
     statement: &ast::Delete,
-    view: View<'_>,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<Modified, SqlError> {
     let (FromTable::WithFromKeyword(from) | FromTable::WithoutKeyword(from)) = &statement.from;
     let filter = statement.selection.as_ref();
-    let target = target(from, filter, view, parameters, environment)?;
+    let target = target(from, filter, context)?;
     let mut modification = Modification::default();
     let mut deleted = Vec::new();
     for (key, row) in &target.source.rows {
@@ -192,7 +185,7 @@
     }
     let columns = &target.source.columns;
     let items = statement.returning.as_deref();
-    let answer = changed("DELETE", items, columns, &deleted, parameters, environment)?;
+    let answer = changed("DELETE", items, columns, &deleted, context)?;
     Ok(Modified::new(modification, answer))
 }
 
@@ -201,13 +194,12 @@
     items: Option<&[SelectItem]>,
     columns: &[Column],
     rows: &[Row],
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<Answer, SqlError> {
     let count = rows.len();
     let mut answer = match items {
         None => Answer::default(),
-        Some(items) => returning(items, columns, rows, parameters, environment)?,
+        Some(items) => returning(items, columns, rows, context)?,
     };
     answer.tag = format!("{command} {count}");
     answer.affected = count as u64;
--- a/crates/stairward-standins/src/sql/select.rs
+++ b/crates/stairward-standins/src/sql/select.rs
@@ -8,15 +8,13 @@
 };
 
 use super::aggregate::{fold_aggregates, has_aggregate};
-use super::environment::Environment;
+use super::environment::{Environment, StatementContext};
 use super::expression::{Scope, evaluate};
 use super::expression_type::expression_type;
 use super::names::identifier;
 use super::operators::integer;
 use super::source::{Source, read_source};
-use super::{
-    Answer, Column, Key, LockKey, MAXIMUM_RESULT_ROWS, Row, SqlError, Value, ValueType, View,
-};
+use super::{Answer, Column, Key, LockKey, MAXIMUM_RESULT_ROWS, Row, SqlError, Value, ValueType};
 
 /// A query's answer, and the rows it locks (`FOR UPDATE`).
 #[derive(Debug, Clone, Default)]
@@ -31,15 +29,10 @@
 ///
 /// # Errors
 /// [`SqlError::Unsupported`] for anything beyond the subset, and the errors of its expressions.
-pub fn select(
-    query: &Query,
-    view: View<'_>,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
-) -> Result<Selection, SqlError> {
+pub fn select(query: &Query, context: &mut StatementContext<'_>) -> Result<Selection, SqlError> {
     let body = match query.body.as_ref() {
         SetExpr::Select(body) => body,
-        SetExpr::Query(inner) => return select(inner, view, parameters, environment),
+        SetExpr::Query(inner) => return select(inner, context),
         other => {
             return Err(SqlError::Unsupported {
                 feature: format!("query {other}"),
@@ -48,34 +41,22 @@
     };
     refuse_unsupported(query, body)?;
     let filter = body.selection.as_ref();
-    let mut source = read_source(&body.from, filter, view, parameters, environment)?;
-    filter_rows(&mut source, filter, parameters, environment)?;
-    let columns = projected_columns(&body.projection, &source, environment)?;
+    let mut source = read_source(&body.from, filter, context)?;
+    filter_rows(&mut source, filter, context)?;
+    let columns = projected_columns(&body.projection, &source, context.environment)?;
     if body.projection.iter().any(item_has_aggregate) {
-        let row = aggregate_row(&body.projection, &source, parameters, environment)?;
+        let row = aggregate_row(&body.projection, &source, context)?;
         return Ok(Selection {
             answer: Answer::rows(columns, vec![row]),
             locks: Vec::new(),
         });
     }
-    order_rows(
-        &mut source,
-        query,
-        &body.projection,
-        parameters,
-        environment,
-    )?;
-    limit_rows(&mut source, query, parameters, environment)?;
+    order_rows(&mut source, query, &body.projection, context)?;
+    limit_rows(&mut source, query, context)?;
     let locks = locked_rows(query, &source);
     let mut rows = Vec::with_capacity(source.rows.len());
     for (_, row) in &source.rows {
-        rows.push(project(
-            &body.projection,
-            &source.columns,
-            row,
-            parameters,
-            environment,
-        )?);
+        rows.push(project(&body.projection, &source.columns, row, context)?);
     }
     if body.distinct.is_some() {
         rows.sort();
@@ -112,8 +93,7 @@
 pub fn filter_rows(
     source: &mut Source,
     filter: Option<&Expr>,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<(), SqlError> {
     let Some(filter) = filter else {
         return Ok(());
@@ -123,9 +103,9 @@
         let scope = Scope {
             columns: &source.columns,
             row: &row,
-            parameters,
+            parameters: context.parameters,
         };
-        if evaluate(filter, scope, environment)?.is_true() {
+        if evaluate(filter, scope, context.environment)?.is_true() {
             kept.push((key, row));
         }
     }
@@ -137,8 +117,7 @@
     source: &mut Source,
     query: &Query,
     projection: &[SelectItem],
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<(), SqlError> {
     let Some(order) = &query.order_by else {
         return Ok(());
@@ -153,12 +132,12 @@
         let scope = Scope {
             columns: &source.columns,
             row: &row,
-            parameters,
+            parameters: context.parameters,
         };
         let mut sort_key = Vec::new();
         for order in expressions {
             let expression = ordering_expression(&order.expr, projection);
-            sort_key.push(evaluate(expression, scope, environment)?);
+            sort_key.push(evaluate(expression, scope, context.environment)?);
         }
         keyed.push((sort_key, (key, row)));
     }
@@ -213,8 +192,7 @@
 fn limit_rows(
     source: &mut Source,
     query: &Query,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<(), SqlError> {
     let (limit, offset) = match &query.limit_clause {
         None => (None, None),
@@ -227,7 +205,7 @@
         let Some(expression) = expression else {
             return Ok(None);
         };
-        let value = evaluate(expression, Scope::constant(parameters), environment)?;
+        let value = context.constant(expression)?;
         if value.is_null() {
             return Ok(None);
         }
@@ -306,13 +284,12 @@
     projection: &[SelectItem],
     columns: &[Column],
     row: &Row,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<Row, SqlError> {
     let scope = Scope {
         columns,
         row,
-        parameters,
+        parameters: context.parameters,
     };
     let mut values = Vec::new();
     for item in projection {
@@ -320,7 +297,7 @@
             SelectItem::UnnamedExpr(expression)
             | SelectItem::ExprWithAlias {
                 expr: expression, ..
-            } => values.push(evaluate(expression, scope, environment)?),
+            } => values.push(evaluate(expression, scope, context.environment)?),
             _ => values.extend(row.iter().cloned()),
         }
     }
@@ -340,8 +317,7 @@
 fn aggregate_row(
     projection: &[SelectItem],
     source: &Source,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<Row, SqlError> {
     let mut values = Vec::new();
     for item in projection {
@@ -355,8 +331,8 @@
             });
         };
         let mut folded = expression.clone();
-        fold_aggregates(&mut folded, source, parameters, environment)?;
-        values.push(evaluate(&folded, Scope::constant(parameters), environment)?);
+        fold_aggregates(&mut folded, source, context)?;
+        values.push(context.constant(&folded)?);
     }
     Ok(values.into())
 }
--- a/crates/stairward-standins/src/sql/source.rs
+++ b/crates/stairward-standins/src/sql/source.rs
@@ -8,11 +8,10 @@
     TableWithJoins,
 };
 
-use super::environment::Environment;
-use super::expression::{Scope, evaluate};
+use super::environment::StatementContext;
 use super::names::{identifier, object_name, relation_name};
 use super::operators::integer;
-use super::{Column, Key, MAXIMUM_RESULT_ROWS, Row, SqlError, Table, Value, ValueType, View};
+use super::{Column, Key, MAXIMUM_RESULT_ROWS, Row, SqlError, Table, Value, ValueType};
 
 /// Rows to select from.
 #[derive(Debug, Clone, Default)]
@@ -43,9 +42,7 @@
 pub fn read_source(
     from: &[TableWithJoins],
     filter: Option<&Expr>,
-    view: View<'_>,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<Source, SqlError> {
     let [first, rest @ ..] = from else {
         return Ok(single_row());
@@ -64,19 +61,11 @@
             args: Some(arguments),
             alias,
             ..
-        } => table_function(
-            name,
-            &arguments.args,
-            alias.as_ref(),
-            parameters,
-            environment,
-        ),
+        } => table_function(name, &arguments.args, alias.as_ref(), context),
         TableFactor::Function {
             name, args, alias, ..
-        } => table_function(name, args, alias.as_ref(), parameters, environment),
-        TableFactor::Table { name, .. } => {
-            named_relation(name, filter, view, parameters, environment)
-        }
+        } => table_function(name, args, alias.as_ref(), context),
+        TableFactor::Table { name, .. } => named_relation(name, filter, context),
         other => Err(SqlError::Unsupported {
             feature: format!("relation {other}"),
         }),
@@ -97,17 +86,15 @@
 fn named_relation(
     name: &ObjectName,
     filter: Option<&Expr>,
-    view: View<'_>,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<Source, SqlError> {
     let (relation, catalogue) = relation_name(name);
-    if let Some(found) = environment.relation(&relation) {
+    if let Some(found) = context.environment.relation(&relation) {
         return Ok(made_up(found.columns, found.rows));
     }
-    match view.table(&relation) {
+    match context.view.table(&relation) {
         Ok((name, table)) => Ok(Source {
-            rows: table_rows(&name, table, filter, view, parameters, environment),
+            rows: table_rows(&name, table, filter, context),
             columns: columns_of(table),
             table: Some(name),
         }),
@@ -128,27 +115,20 @@
     name: &Arc<str>,
     table: &Table,
     filter: Option<&Expr>,
-    view: View<'_>,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Vec<(Key, Row)> {
-    let key = filter.and_then(|filter| fixed_key(table, filter, parameters, environment));
+    let key = filter.and_then(|filter| fixed_key(table, filter, context));
     match key {
         Some(key) => {
-            let row = view.get(name, &key);
+            let row = context.view.get(name, &key);
             row.map(|row| (key, row)).into_iter().collect()
         }
-        None => view.scan(name),
+        None => context.view.scan(name),
     }
 }
 
 /// The primary key that a condition fixes by equality, if it fixes all of it.
-fn fixed_key(
-    table: &Table,
-    filter: &Expr,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
-) -> Option<Key> {
+fn fixed_key(table: &Table, filter: &Expr, context: &mut StatementContext<'_>) -> Option<Key> {
     if table.primary_key.is_empty() {
         return None;
     }
@@ -158,7 +138,7 @@
     for place in &table.primary_key {
         let column = &table.columns[*place];
         let expression = equalities.get(column.name.as_str())?;
-        let value = evaluate(expression, Scope::constant(parameters), environment).ok()?;
+        let value = context.constant(expression).ok()?;
         key.push(value.convert(column.value_type).ok()?);
     }
     Some(key)
@@ -194,12 +174,11 @@
     name: &ObjectName,
     arguments: &[FunctionArg],
     alias: Option<&TableAlias>,
-    parameters: &[Value],
-    environment: &mut dyn Environment,
+    context: &mut StatementContext<'_>,
 ) -> Result<Source, SqlError> {
     let name = object_name(name);
     if name != "generate_series" {
-        let found = environment.relation(&name);
+        let found = context.environment.relation(&name);
         let relation = found.ok_or(SqlError::UndefinedFunction { name })?;
         return Ok(made_up(relation.columns, relation.rows));
     }
@@ -208,7 +187,7 @@
         let FunctionArg::Unnamed(FunctionArgExpr::Expr(expression)) = argument else {
             return Err(SqlError::UndefinedFunction { name });
         };
-        let value = evaluate(expression, Scope::constant(parameters), environment)?;
+        let value = context.constant(expression)?;
         bounds.push(integer(&value)?);
     }
     let column = alias.map_or(name, |alias| {
--- a/crates/stairward-standins/tests/group_replication.rs
+++ b/crates/stairward-standins/tests/group_replication.rs
@@ -66,6 +66,7 @@
     let refused = bench.run(&replica, "INSERT INTO booking VALUES (1, 'x')");
     assert_eq!(refused.unwrap_err().sqlstate(), "25006");
     assert_eq!(bench.rows(&replica, "SELECT pg_is_in_recovery()"), ["t"]);
+    assert_eq!(bench.rows(&replica, "SHOW transaction_read_only"), ["on"]);
 }
 
 #[test]
