Leave a failed address of the store once; check users' names

Two exchanges that failed at the same time turned the client past a good address and back to the failed one; now only the first of them turns it. A users file with an empty or overlong user name is refused with its line.

--- a/crates/stairward-platform/src/client.rs
+++ b/crates/stairward-platform/src/client.rs
@@ -216,7 +216,6 @@
         let answer = match exchange.await {
             Ok(answer) => answer,
             Err(failure) => {
-                self.transport.use_next_address();
                 let reason = failure.reason;
                 return if failure.never_sent {
                     NotAppliedSnafu { reason }.fail()
@@ -243,10 +242,7 @@
                 .fail()
             }
             status if status.is_client_error() => NotAppliedSnafu { reason }.fail(),
-            _ => {
-                self.transport.use_next_address();
-                UnknownSnafu { reason }.fail()
-            }
+            _ => UnknownSnafu { reason }.fail(),
         }
     }
 
@@ -277,11 +273,8 @@
     /// One exchange; answers that say "not now" become errors.
     async fn read_once(&self, path: &str, timeout: Duration) -> Result<Answer, ReadError> {
         let exchange = self.transport.exchange(Method::GET, path, None, timeout);
-        let answer = exchange.await.map_err(|failure| {
-            self.transport.use_next_address();
-            ReadError::Unavailable {
-                reason: failure.reason,
-            }
+        let answer = exchange.await.map_err(|failure| ReadError::Unavailable {
+            reason: failure.reason,
         })?;
         if answer.status == StatusCode::TOO_MANY_REQUESTS {
             return Err(ReadError::TooManyReaders {
@@ -289,7 +282,6 @@
             });
         }
         if answer.status.is_server_error() {
-            self.transport.use_next_address();
             return Err(ReadError::Unavailable {
                 reason: format!("it answered {}", answer.status),
             });
--- a/crates/stairward-platform/src/transport.rs
+++ b/crates/stairward-platform/src/transport.rs
@@ -44,11 +44,8 @@
         }
     }
 
-    /// Turns to the next address.
-    pub(crate) fn use_next_address(&self) {
-        self.current.fetch_add(1, Ordering::Relaxed);
-    }
-
+    /// Makes one exchange. When it fails, or the store answers that it is down, later exchanges use
+    /// the next address.
     pub(crate) async fn exchange(
         &self,
         method: Method,
@@ -64,15 +61,36 @@
             });
         };
         let url = format!("http://{address}{path_and_query}");
-        let mut request = self.http.request(method, url).timeout(timeout);
-        if let Some(body) = body {
-            request = request
-                .header(reqwest::header::CONTENT_TYPE, "application/json")
-                .body(body);
+        let request = self.http.request(method, url).timeout(timeout);
+        let result = send(request, body).await;
+        let is_down = |answer: &Answer| answer.status.is_server_error();
+        if result.as_ref().map_or(true, is_down) {
+            self.leave_address(index);
         }
-        let response = request.send().await.map_err(failure)?;
-        read_answer(response).await
+        result
+    }
+
+    /// Turns to the next address, unless another exchange has done so already.
+    fn leave_address(&self, index: usize) {
+        let next = index.wrapping_add(1);
+        // Fails only when another exchange was quicker, which is as good.
+        let _ = self
+            .current
+            .compare_exchange(index, next, Ordering::Relaxed, Ordering::Relaxed);
+    }
+}
+
+async fn send(
+    mut request: reqwest::RequestBuilder,
+    body: Option<Vec<u8>>,
+) -> Result<Answer, ExchangeFailure> {
+    if let Some(body) = body {
+        request = request
+            .header(reqwest::header::CONTENT_TYPE, "application/json")
+            .body(body);
     }
+    let response = request.send().await.map_err(failure)?;
+    read_answer(response).await
 }
 
 fn failure(error: reqwest::Error) -> ExchangeFailure {
--- a/crates/stairward-settings/src/process/secret.rs
+++ b/crates/stairward-settings/src/process/secret.rs
@@ -6,9 +6,12 @@
 use std::path::{Path, PathBuf};
 
 use stairward_types::ResultCode;
+use toml::de::DeValue;
 
 use crate::problem::{ProblemKind, SettingsProblem};
 use crate::toml_text::{self, LineIndex};
+use crate::value::Value;
+use crate::value_kind::ValueKind;
 
 /// Largest secret file accepted, in bytes.
 const MAXIMUM_SECRET_BYTES: usize = 64 << 10;
@@ -166,27 +169,37 @@
     let mut users = Users::new();
     let mut problems = Vec::new();
     for (user, password) in &table {
-        match password.get_ref().as_str() {
-            Some(password) if !password.is_empty() => {
-                users.insert(user.get_ref().to_string(), Secret::new(password));
+        let name = user.get_ref();
+        let checked = check_user(name).and_then(|()| read_password(password.get_ref()));
+        match checked {
+            Ok(password) => {
+                users.insert(name.to_string(), password);
             }
-            _ => problems.push(SettingsProblem {
-                option: Some(user.get_ref().to_string()),
+            Err(kind) => problems.push(SettingsProblem {
+                option: Some(name.to_string()),
                 line: Some(lines.line(&user.span())),
-                ..file_problem(path, bad_password(password.get_ref().type_str()))
+                ..file_problem(path, kind)
             }),
         }
     }
     if problems.is_empty() {
-        Ok(users)
-    } else {
-        Err(problems)
+        return Ok(users);
     }
+    problems.sort_by_key(|problem| problem.line);
+    Err(problems)
 }
 
-fn bad_password(found: &'static str) -> ProblemKind {
-    ProblemKind::WrongType {
-        expected: "a password that is not empty",
-        found,
-    }
+fn check_user(name: &str) -> Result<(), ProblemKind> {
+    ValueKind::Text.check(&Value::from(name))
+}
+
+fn read_password(value: &DeValue<'_>) -> Result<Secret, ProblemKind> {
+    value
+        .as_str()
+        .filter(|password| !password.is_empty())
+        .map(Secret::new)
+        .ok_or(ProblemKind::WrongType {
+            expected: "a password that is not empty",
+            found: value.type_str(),
+        })
 }
--- a/crates/stairward-settings/tests/process_file.rs
+++ b/crates/stairward-settings/tests/process_file.rs
@@ -277,10 +277,13 @@
     let users = UsersSource::File(write("users", "ann = \"one\"\n\"b.c\" = \"two\"\n"));
     let users = users.load().expect("users");
     assert_eq!(users["b.c"], Secret::new("two"));
-    let bad = UsersSource::File(write("bad-users", "ann = \"one\"\nbob = 3\neve = \"\"\n"));
+    let bad = UsersSource::File(write(
+        "bad-users",
+        "ann = \"one\"\nbob = 3\neve = \"\"\n\"\" = \"x\"\n",
+    ));
     let problems = bad.load().expect_err("bad users");
     let lines: Vec<_> = problems.iter().map(|problem| problem.line).collect();
-    assert_eq!(lines, [Some(2), Some(3)]);
+    assert_eq!(lines, [Some(2), Some(3), Some(4)]);
 }
 
 #[test]
