--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -27,6 +27,7 @@
     crate::membership::terms::COMMAND,
     crate::report::COMMAND,
     crate::compare::COMMAND,
+    crate::configuration::command::COMMAND,
     crate::capacity::COMMAND,
     crate::experiment::idle::COMMAND,
 ];
