--- /dev/null
+++ b/crates/stairward-proxy/tests/owner_support/mod.rs
@@ -0,0 +1,426 @@
+//! Nodes with nothing but an owner side, before a group of stand-in databases.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use stairward_protocol::ClusterKey;
+use stairward_protocol::call::{CallReply, CallRequest};
+use stairward_protocol::stream::{
+    Batch, EdgeMessage, Open, OwnerMessage, WireAccess, WireTransactionStatus,
+};
+use stairward_proxy::cluster::{Cluster, Identity, Member, MembershipView, Owners};
+use stairward_proxy::owner::{OwnerService, OwnerSettings};
+use stairward_proxy::peer::{CallFuture, EdgeStream, OwnerStream, PeerNetwork, PeerService};
+use stairward_settings::{BackendSettings, GroupSettings, ResolvedSettings, ServiceSettings};
+use stairward_standins::group::{GroupConfig, MemberConfig};
+use stairward_standins::server::{DatabaseGroup, DatabaseGroupConfig};
+use stairward_standins::{GroundTruth, Observation};
+use stairward_types::{
+    AdminState, BackendId, FenceStrength, Freshness, GroupId, Incarnation, NodeId, RegionName,
+    ResultCode, Revision, ServiceName, Time, ZoneName,
+};
+use tokio::net::TcpListener;
+
+/// Nothing in these tests takes this long unless it hangs.
+pub const HANG: Duration = Duration::from_secs(30);
+
+pub const DATABASE: &str = "books";
+pub const PRIMARY: &str = "books-1";
+pub const REPLICA: &str = "books-2";
+pub const OTHER_REPLICA: &str = "books-3";
+pub const CONNECTION_LIMIT: u32 = 20;
+
+pub fn backend(name: &str) -> BackendId {
+    BackendId::new(name).unwrap()
+}
+
+/// Runs a test body, with a guard against hanging.
+pub async fn guarded(body: impl Future<Output = ()>) {
+    tokio::time::timeout(HANG, body).await.expect("no hang");
+}
+
+struct NodeService {
+    owner: Arc<OwnerService>,
+}
+
+impl PeerService for NodeService {
+    fn accept_stream(&self, stream: OwnerStream) {
+        self.owner.accept_stream(stream);
+    }
+
+    fn answer_call(&self, _from: NodeId, request: CallRequest) -> CallFuture {
+        let owner = Arc::clone(&self.owner);
+        Box::pin(async move {
+            match request {
+                CallRequest::AskBackend { backend } => {
+                    let backend = BackendId::new(backend.as_str()).unwrap();
+                    owner.ask_backend(&backend).await
+                }
+                CallRequest::HandOver { backend } => {
+                    owner.handed_over(&BackendId::new(backend.as_str()).unwrap());
+                    CallReply::Done
+                }
+                _ => CallReply::Done,
+            }
+        })
+    }
+}
+
+/// One process with an owner side.
+pub struct Node {
+    pub cluster: Cluster,
+    pub owner: Arc<OwnerService>,
+    pub network: PeerNetwork,
+}
+
+/// Connections that each back end has had at once.
+#[derive(Default)]
+pub struct ConnectionCount {
+    open: Mutex<BTreeMap<BackendId, u32>>,
+    pub most: AtomicU64,
+}
+
+impl ConnectionCount {
+    fn observe(&self, truth: &GroundTruth) {
+        let mut open = self.open.lock().unwrap();
+        let count = open.entry(truth.backend.clone()).or_default();
+        match truth.observation {
+            Observation::ConnectionOpened { .. } => *count += 1,
+            Observation::ConnectionClosed { .. } => *count -= 1,
+            _ => {}
+        }
+        self.most.fetch_max(u64::from(*count), Ordering::SeqCst);
+    }
+}
+
+pub struct Site {
+    pub databases: DatabaseGroup,
+    pub nodes: Vec<Node>,
+    pub settings: ResolvedSettings,
+    pub count: Arc<ConnectionCount>,
+    view: MembershipView,
+}
+
+impl Site {
+    /// One node that owns every back end.
+    pub async fn start() -> Self {
+        Self::start_with(1, |_, _| owned_by(1)).await
+    }
+
+    /// Several nodes; the rule says who owns, by the view of the node that asks.
+    pub async fn start_with(
+        nodes: u64,
+        rule: impl Fn(&Identity, &MembershipView) -> Owners + Clone + Send + Sync + 'static,
+    ) -> Self {
+        let count = Arc::new(ConnectionCount::default());
+        let databases = start_databases(Arc::clone(&count)).await;
+        let settings = resolved_settings(&databases);
+        let (listeners, view) = peer_listeners(nodes).await;
+        let mut started = Vec::new();
+        for (number, listener) in (1..).zip(listeners) {
+            let identity = identity(number);
+            let rule = rule.clone();
+            let own = identity.clone();
+            let rule = Arc::new(
+                move |view: &MembershipView, _: &BackendId, _: &BackendSettings| {
+                    Some(rule(&own, view))
+                },
+            );
+            let cluster = Cluster::new(identity, rule);
+            cluster.set_members(view.clone());
+            cluster.apply_settings(settings.clone());
+            let key = ClusterKey::new(*b"a cluster key for tests").unwrap();
+            let network = PeerNetwork::new(cluster.clone(), key);
+            let owner =
+                OwnerService::new(cluster.clone(), network.clone(), OwnerSettings::default());
+            let service: Arc<dyn PeerService> = Arc::new(NodeService {
+                owner: Arc::clone(&owner),
+            });
+            network.set_service(Arc::clone(&service));
+            let serving = network.clone();
+            tokio::spawn(async move { serving.serve(listener, service).await });
+            tokio::spawn(Arc::clone(&owner).run());
+            started.push(Node {
+                cluster,
+                owner,
+                network,
+            });
+        }
+        Self {
+            databases,
+            nodes: started,
+            settings,
+            count,
+            view,
+        }
+    }
+
+    /// One node, ready, with a table `books (id, title)`.
+    pub async fn with_table() -> Self {
+        let site = Self::start().await;
+        site.nodes[0].await_ready().await;
+        let created = site.nodes[0]
+            .write("CREATE TABLE books (id int PRIMARY KEY, title text)")
+            .await;
+        assert!(matches!(created, Outcome::Done { .. }), "{created:?}");
+        site
+    }
+
+    /// Puts changed settings in force at every node.
+    pub fn change_settings(&mut self, change: impl Fn(&mut GroupSettings)) {
+        self.settings.revision = Revision(self.settings.revision.0 + 1);
+        self.settings.groups.values_mut().for_each(change);
+        for node in &self.nodes {
+            node.cluster.apply_settings(self.settings.clone());
+        }
+    }
+
+    /// Tells every node that another one has announced a planned stop.
+    pub fn announce_leaving(&mut self, node: u64) {
+        for member in &mut self.view.members {
+            member.leaving |= member.node == NodeId(node);
+        }
+        for node in &self.nodes {
+            node.cluster.set_members(self.view.clone());
+        }
+    }
+}
+
+pub fn owned_by(node: u64) -> Owners {
+    Owners {
+        owner: NodeId(node),
+        standby: None,
+    }
+}
+
+async fn start_databases(count: Arc<ConnectionCount>) -> DatabaseGroup {
+    let members = [PRIMARY, REPLICA, OTHER_REPLICA].map(|name| {
+        let mut member = MemberConfig::new(backend(name));
+        member.connection_limit = 100;
+        member
+    });
+    let mut config = DatabaseGroupConfig::new(GroupConfig::new(DATABASE, members.to_vec()));
+    config.observer = Some(Arc::new(move |truth| count.observe(&truth)));
+    DatabaseGroup::start(config).await.unwrap()
+}
+
+fn identity(number: u64) -> Identity {
+    Identity {
+        node: NodeId(number),
+        incarnation: Incarnation(1),
+        region: RegionName::new("kul").unwrap(),
+        zone: ZoneName::new("kul-a").unwrap(),
+    }
+}
+
+async fn peer_listeners(count: u64) -> (Vec<TcpListener>, MembershipView) {
+    let mut listeners = Vec::new();
+    let mut members = Vec::new();
+    for number in 1..=count {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let identity = identity(number);
+        members.push(Member {
+            node: identity.node,
+            incarnation: identity.incarnation,
+            peer_address: listener.local_addr().unwrap(),
+            region: identity.region,
+            zone: identity.zone,
+            leaving: false,
+        });
+        listeners.push(listener);
+    }
+    (listeners, MembershipView { members })
+}
+
+fn resolved_settings(databases: &DatabaseGroup) -> ResolvedSettings {
+    let group = GroupId::new(DATABASE).unwrap();
+    let service = ServiceName::new("reader-core").unwrap();
+    let backends = databases.addresses().iter().map(|(name, address)| {
+        let settings = BackendSettings {
+            backend: name.clone(),
+            address: *address,
+            region: RegionName::new("kul").unwrap(),
+            zone: ZoneName::new("kul-a").unwrap(),
+            admin_state: AdminState::Active,
+            connection_limit: CONNECTION_LIMIT,
+            slots: 5,
+            opening_limit: 4,
+        };
+        (name.clone(), settings)
+    });
+    let group_settings = GroupSettings {
+        group: group.clone(),
+        service: service.clone(),
+        backends: backends.collect(),
+        backend_user: "stairward".to_owned(),
+        request_timeout: Duration::from_secs(20),
+        freshness_wait: Duration::from_millis(50),
+        maximum_staleness: Duration::ZERO,
+        fence: FenceStrength::Position,
+        fence_timeout: Duration::from_millis(500),
+        hold_queue_requests: 100,
+        hold_queue_bytes: 1_000_000,
+        hold_queue_time: Duration::from_secs(15),
+        admission_queue_requests: 100,
+        retry_budget_permille: 200,
+        leave_timeout: Duration::from_millis(200),
+        maximum_message_bytes: 256 * 1024,
+        request_key_retention: Duration::from_secs(3_600),
+    };
+    ResolvedSettings {
+        revision: Revision(1),
+        groups: [(group, group_settings)].into(),
+        services: [(service, ServiceSettings { weight: 1 })].into(),
+    }
+}
+
+/// A simple query as a frontend message.
+pub fn query(sql: &str) -> Vec<u8> {
+    let mut message = vec![b'Q'];
+    message.extend(u32::try_from(sql.len() + 5).unwrap().to_be_bytes());
+    message.extend(sql.as_bytes());
+    message.push(0);
+    message
+}
+
+pub fn batch(sequence: u32, sql: &str) -> Batch {
+    Batch {
+        sequence,
+        complete: 1,
+        alters_session: 0,
+        messages: query(sql).into(),
+    }
+}
+
+/// A request for one statement, to be changed as a test needs.
+pub fn open(name: &str, access: WireAccess, sql: &str) -> Open {
+    Open {
+        backend: name.into(),
+        service: "reader-core".into(),
+        access,
+        floor: None.into(),
+        expected_term: 0,
+        deadline_milliseconds: 10_000,
+        freshness_wait_milliseconds: 0,
+        request_key: "".into(),
+        session_setup: Vec::new().into(),
+        batch: batch(1, sql),
+    }
+}
+
+/// How a batch ended, with the answers that came before.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    Done {
+        answer: String,
+        status: WireTransactionStatus,
+        code: ResultCode,
+        freshness: Freshness,
+    },
+    Refused(ResultCode),
+    Unknown {
+        answer: String,
+        code: ResultCode,
+    },
+    TransactionLost,
+    StreamLost,
+}
+
+impl Outcome {
+    /// The readable parts of the answer of a batch that was done.
+    pub fn answer(&self) -> &str {
+        match self {
+            Self::Done { answer, .. } => answer,
+            other => panic!("not done: {other:?}"),
+        }
+    }
+
+    pub fn code(&self) -> ResultCode {
+        match self {
+            Self::Done { code, .. } | Self::Refused(code) | Self::Unknown { code, .. } => *code,
+            other => panic!("no code: {other:?}"),
+        }
+    }
+}
+
+/// Hears the owner until the batch has ended.
+pub async fn outcome(stream: &mut EdgeStream) -> Outcome {
+    let mut answer = String::new();
+    while let Some(message) = stream.receive().await {
+        match message {
+            OwnerMessage::Admitted(_) => {}
+            OwnerMessage::Answer { messages } => {
+                let bytes = u32::try_from(messages.bytes.len()).unwrap();
+                answer.push_str(&String::from_utf8_lossy(&messages.bytes));
+                stream.send(EdgeMessage::Credit { bytes });
+            }
+            OwnerMessage::BatchDone {
+                status, code, hint, ..
+            } => {
+                return Outcome::Done {
+                    answer,
+                    status,
+                    code: ResultCode::from_number(code).unwrap(),
+                    freshness: hint.freshness.into(),
+                };
+            }
+            OwnerMessage::Refused { code, .. } => {
+                return Outcome::Refused(ResultCode::from_number(code).unwrap());
+            }
+            OwnerMessage::OutcomeUnknown { code, .. } => {
+                let code = ResultCode::from_number(code).unwrap();
+                return Outcome::Unknown { answer, code };
+            }
+            OwnerMessage::TransactionLost { .. } => return Outcome::TransactionLost,
+        }
+    }
+    Outcome::StreamLost
+}
+
+impl Node {
+    pub async fn stream(&self, open: Open) -> EdgeStream {
+        let own = self.cluster.identity.node;
+        self.network.open_stream(own, open).await.unwrap()
+    }
+
+    pub async fn run(&self, open: Open) -> Outcome {
+        outcome(&mut self.stream(open).await).await
+    }
+
+    pub async fn read(&self, name: &str, sql: &str) -> Outcome {
+        self.run(open(name, WireAccess::Read, sql)).await
+    }
+
+    pub async fn write(&self, sql: &str) -> Outcome {
+        self.run(open(PRIMARY, WireAccess::Write, sql)).await
+    }
+
+    /// Waits until every back end takes work.
+    pub async fn await_ready(&self) {
+        for name in [PRIMARY, REPLICA, OTHER_REPLICA] {
+            self.await_served(name).await;
+        }
+    }
+
+    pub async fn await_served(&self, name: &str) {
+        while !matches!(self.read(name, "SELECT 1").await, Outcome::Done { .. }) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// The number of rows in `books`, by the primary.
+    pub async fn rows(&self) -> usize {
+        let read = self.read(PRIMARY, "SELECT id FROM books").await;
+        let answer = read.answer().to_owned();
+        let tag = answer.split("SELECT ").last().unwrap_or_default();
+        tag.trim_end_matches('\0').parse().unwrap()
+    }
+
+    pub fn now(&self) -> Time {
+        self.cluster.clock.now()
+    }
+}
