--- a/crates/stairward-proxy/src/owner/backend.rs
+++ b/crates/stairward-proxy/src/owner/backend/mod.rs
@@ -1,12 +1,15 @@
 //! One back end that this node serves in one role: carries out what the pool and the lease decide.
 
-use std::collections::{BTreeMap, VecDeque};
+mod effects;
+mod timer;
+
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use stairward_pool::lease::{LeaseEffect, LeaseEvent, LeaseSettings};
+use stairward_pool::lease::{LeaseEvent, LeaseSettings};
 use stairward_pool::pool::{
-    BackendState, ConnectionId, ConnectionRequest, PoolEffect, PoolEvent, PoolSettings, RequestId,
+    BackendState, ConnectionId, ConnectionRequest, PoolEvent, PoolSettings, RequestId,
     ReturnedState,
 };
 use stairward_pool::{BackendPool, Lease, OwnerRole};
@@ -15,19 +18,13 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
-use super::connection::BackendConnection;
-use super::control::{AskReply, ControlCommand};
-use super::error::BackendError;
-use super::fence::FenceDriver;
-use super::login::Login;
-use super::service::OwnerContext;
-use super::status::BackendStatus;
-
-/// How long a reset of an idle connection may take before it is closed instead.
-const RESET_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// How long a connection in doubt is listened to for the end of what runs on it.
-const DISPOSE_TIMEOUT: Duration = Duration::from_secs(1);
+use crate::owner::connection::BackendConnection;
+use crate::owner::context::OwnerContext;
+use crate::owner::control::{AskReply, ControlCommand, run_control};
+use crate::owner::error::BackendError;
+use crate::owner::fence::FenceDriver;
+use crate::owner::login::Login;
+use crate::owner::status::BackendStatus;
 
 /// Pause between looks at whether commits still wait for their proof when the back end is given up.
 const FENCE_POLL_INTERVAL: Duration = Duration::from_millis(2);
@@ -151,7 +148,7 @@
             ended: CancellationToken::new(),
         });
         tokio::spawn(Arc::clone(&backend).run_timer());
-        tokio::spawn(super::control::run_control(Arc::clone(&backend), commands));
+        tokio::spawn(run_control(Arc::clone(&backend), commands));
         backend.lease_event(LeaseEvent::Wanted(true));
         backend
     }
@@ -325,201 +322,4 @@
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    fn lease_event_locked(self: &Arc<Self>, state: &mut State, event: LeaseEvent) {
-        for effect in state.lease.handle(self.now(), event) {
-            match effect {
-                LeaseEffect::StartUse => self.apply(state, PoolEvent::LeaseHeld(true)),
-                LeaseEffect::StopUse => self.apply(state, PoolEvent::LeaseHeld(false)),
-                LeaseEffect::Attempt
-                | LeaseEffect::EndLeftovers
-                | LeaseEffect::GiveUp
-                | LeaseEffect::Release => self.command(ControlCommand::Lease(effect)),
-            }
-        }
-    }
-
-    fn pool_event(self: &Arc<Self>, state: &mut State, event: PoolEvent) {
-        // This node may have been paused: let the lease lapse before anything is decided on it.
-        self.lease_event_locked(state, LeaseEvent::Tick);
-        self.apply(state, event);
-        self.arm_timer(state);
-    }
-
-    fn apply(self: &Arc<Self>, state: &mut State, event: PoolEvent) {
-        let mut events = VecDeque::from([event]);
-        while let Some(event) = events.pop_front() {
-            for effect in state.pool.handle(self.now(), event) {
-                self.carry_out(state, effect, &mut events);
-            }
-        }
-    }
-
-    fn carry_out(
-        self: &Arc<Self>,
-        state: &mut State,
-        effect: PoolEffect,
-        events: &mut VecDeque<PoolEvent>,
-    ) {
-        match effect {
-            PoolEffect::Admit {
-                request,
-                connection,
-            } => self.admit(state, request, connection, events),
-            PoolEffect::GrantSlot(request) => {
-                if let Some(waiter) = state.slot_waiters.remove(&request) {
-                    let _ = waiter.send(());
-                }
-            }
-            PoolEffect::Refuse {
-                request,
-                code,
-                retry_after,
-            } => {
-                state.slot_waiters.remove(&request);
-                if let Some(waiter) = state.waiters.remove(&request) {
-                    let _ = waiter.reply.send(Err(Refusal { code, retry_after }));
-                }
-            }
-            PoolEffect::OpenConnection(connection) => {
-                tokio::spawn(Arc::clone(self).open(connection));
-            }
-            PoolEffect::ResetConnection(connection) => {
-                if let Some(idle) = state.idle.remove(&connection) {
-                    tokio::spawn(Arc::clone(self).reset(connection, idle));
-                }
-            }
-            PoolEffect::CloseConnection(connection) => {
-                state.idle.remove(&connection);
-                events.push_back(PoolEvent::ConnectionClosed(connection));
-            }
-            PoolEffect::EndStream(request) => {
-                if let Some(ending) = state.endings.get(&request) {
-                    ending.cancel();
-                }
-            }
-            PoolEffect::Drained => {
-                self.drained.send_replace(true);
-            }
-        }
-    }
-
-    fn admit(
-        &self,
-        state: &mut State,
-        request: RequestId,
-        connection: ConnectionId,
-        events: &mut VecDeque<PoolEvent>,
-    ) {
-        let return_as = |state| PoolEvent::Returned { request, state };
-        let Some(waiter) = state.waiters.remove(&request) else {
-            events.push_back(return_as(ReturnedState::Idle));
-            return;
-        };
-        let Some(mut lent) = state.idle.remove(&connection) else {
-            events.push_back(return_as(ReturnedState::InDoubt));
-            events.push_back(PoolEvent::ConnectionClosed(connection));
-            return;
-        };
-        if lent.is_stale() {
-            // The back end closed it while it was idle; nothing was sent, so the request waits on.
-            events.push_back(return_as(ReturnedState::InDoubt));
-            events.push_back(PoolEvent::ConnectionClosed(connection));
-            events.push_back(PoolEvent::Requested(waiter.request.clone()));
-            state.waiters.insert(request, waiter);
-            return;
-        }
-        let ending = CancellationToken::new();
-        let term = state.pool.state().map(|state| state.freshness.term);
-        let grant = Grant {
-            request,
-            connection: lent,
-            term: term.unwrap_or_default(),
-            ending: ending.clone(),
-        };
-        state.endings.insert(request, ending);
-        state.lent.insert(request, connection);
-        if let Err(Ok(grant)) = waiter.reply.send(Ok(grant)) {
-            state.endings.remove(&request);
-            state.lent.remove(&request);
-            state.idle.insert(connection, grant.connection);
-            events.push_back(return_as(ReturnedState::Idle));
-        }
-    }
-
-    async fn open(self: Arc<Self>, connection: ConnectionId) {
-        // The answer proves that the lock is still held, so that the limit is kept even when this
-        // node was paused since it decided to open the connection.
-        let opened = match self.ask().await {
-            Ok(_) if self.lease_is_held() => self.identity.login.open().await,
-            Ok(_) => Err(BackendError::Closed),
-            Err(error) => Err(error),
-        };
-        match opened {
-            Ok(opened) => {
-                let mut state = self.lock();
-                state.idle.insert(connection, opened);
-                self.pool_event(&mut state, PoolEvent::ConnectionOpened(connection));
-            }
-            Err(error) => {
-                tracing::debug!(
-                    backend = %self.identity.name, %error, "a connection could not be opened"
-                );
-                self.handle(PoolEvent::OpeningFailed(connection));
-            }
-        }
-    }
-
-    async fn reset(self: Arc<Self>, connection: ConnectionId, mut idle: BackendConnection) {
-        let reset = tokio::time::timeout(RESET_TIMEOUT, idle.query("DISCARD ALL")).await;
-        if matches!(reset, Ok(Ok(_))) {
-            let mut state = self.lock();
-            state.idle.insert(connection, idle);
-            self.pool_event(&mut state, PoolEvent::ConnectionReset(connection));
-        } else {
-            drop(idle);
-            self.handle(PoolEvent::ConnectionClosed(connection));
-        }
-    }
-
-    /// Stops what runs on a connection in doubt and closes it.
-    async fn dispose(self: Arc<Self>, connection: ConnectionId, mut doubtful: BackendConnection) {
-        let _ = tokio::time::timeout(DISPOSE_TIMEOUT, doubtful.stop()).await;
-        drop(doubtful);
-        self.handle(PoolEvent::ConnectionClosed(connection));
-    }
-
-    fn arm_timer(&self, state: &mut State) {
-        let due = [state.pool.next_wake(), state.lease.next_wake()];
-        let due = due.into_iter().flatten().min();
-        let is_earlier = due.is_some_and(|due| state.timer_due.is_none_or(|armed| due < armed));
-        if is_earlier {
-            state.timer_due = due;
-            self.timer.notify_one();
-        }
-    }
-
-    async fn run_timer(self: Arc<Self>) {
-        while !self.ended.is_cancelled() {
-            let due = self.lock().timer_due;
-            let pause = due.map_or(Duration::MAX, |due| due.since(self.now()));
-            tokio::select! {
-                () = sleep_for(pause) => {
-                    let mut state = self.lock();
-                    state.timer_due = None;
-                    self.pool_event(&mut state, PoolEvent::Tick);
-                }
-                () = self.timer.notified() => {}
-                () = self.ended.cancelled() => return,
-            }
-        }
-    }
-}
-
-async fn sleep_for(pause: Duration) {
-    if pause == Duration::MAX {
-        std::future::pending().await
-    } else {
-        tokio::time::sleep(pause).await;
-    }
 }
--- a/crates/stairward-proxy/src/owner/fence.rs
+++ b/crates/stairward-proxy/src/owner/fence.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 
 use super::backend::Backend;
-use super::service::OwnerContext;
+use super::context::OwnerContext;
 use super::term_search::ask_member;
 
 /// Pause before a member is asked again whose answer was not enough. About a replica's usual lag.
--- a/crates/stairward-proxy/src/owner/relay.rs
+++ b/crates/stairward-proxy/src/owner/relay.rs
@@ -22,6 +22,7 @@
 use super::backend::Grant;
 use super::batch::{AnswerEvidence, BatchShape};
 use super::error::BackendError;
+use super::held::HeldAnswers;
 use super::ledger::command_complete;
 use super::wire::RawMessage;
 use crate::peer::OwnerStream;
@@ -53,15 +54,6 @@
     TooMuchHeld,
 }
 
-/// Answers not yet passed on.
-#[derive(Default)]
-struct HeldAnswers {
-    messages: Vec<RawMessage>,
-    bytes: usize,
-    /// Holds a message that must not go before the end of the batch.
-    is_sealed: bool,
-}
-
 /// One stream's relay.
 pub(super) struct Relay {
     /// The edge.
@@ -194,25 +186,13 @@
 
     /// Passes everything held on, as fast as the edge's window allows. False when the edge is gone.
     pub(super) async fn release_held(&mut self) -> bool {
-        let held = std::mem::take(&mut self.held);
-        let mut piece = Vec::new();
-        for message in held.messages {
-            piece.extend_from_slice(&message.bytes);
-            if piece.len() >= WRITE_RELEASE_BYTES {
-                if !self.wait_for_credit().await {
-                    return false;
-                }
-                self.send_answer(std::mem::take(&mut piece));
+        for piece in self.held.take_pieces(WRITE_RELEASE_BYTES) {
+            if !self.wait_for_credit().await {
+                return false;
             }
-        }
-        if piece.is_empty() {
-            return true;
-        }
-        let has_credit = self.wait_for_credit().await;
-        if has_credit {
             self.send_answer(piece);
         }
-        has_credit
+        true
     }
 
     /// Waits for a cancel request under way, so that it cannot hit whoever uses the connection next.
@@ -332,9 +312,8 @@
 
     fn hold(&mut self, message: RawMessage) -> Result<(), RelayEnd> {
         self.evidence.note(&message);
-        self.held.is_sealed |= self.must_wait_for_end(&message);
-        self.held.bytes += message.bytes.len();
-        self.held.messages.push(message);
+        let seals = self.must_wait_for_end(&message);
+        self.held.push(message, seals);
         if self.held.is_sealed && self.held.bytes > HELD_LIMIT_BYTES {
             return Err(RelayEnd::TooMuchHeld);
         }
@@ -367,12 +346,9 @@
         if !is_due && !is_flushed {
             return;
         }
-        let held = std::mem::take(&mut self.held);
-        let mut bytes = Vec::with_capacity(held.bytes);
-        for message in held.messages {
-            bytes.extend_from_slice(&message.bytes);
+        for piece in self.held.take_pieces(usize::MAX) {
+            self.send_answer(piece);
         }
-        self.send_answer(bytes);
     }
 
     fn send_answer(&mut self, messages: Vec<u8>) {
@@ -397,8 +373,7 @@
     /// Holds the `CommandComplete` of an outcome recorded earlier as the batch's only answer.
     pub(super) fn hold_command_tag(&mut self, tag: &str) {
         if let Ok(bytes) = command_complete(tag) {
-            let bytes = bytes.freeze();
-            self.held.messages = vec![RawMessage { bytes }];
+            self.held.replace(bytes.freeze());
         }
     }
 
--- a/crates/stairward-proxy/src/owner/service.rs
+++ b/crates/stairward-proxy/src/owner/service.rs
@@ -10,12 +10,14 @@
 use stairward_pool::{ConnectionShares, OwnerRole};
 use stairward_protocol::call::CallReply;
 use stairward_settings::{BackendSettings, GroupSettings, ResolvedSettings};
-use stairward_types::{AdminState, BackendId, Freshness, GroupId, LogEvent, ResultCode};
+use stairward_types::{AdminState, BackendId, GroupId, LogEvent, ResultCode};
 use tokio::sync::Notify;
 
 use super::backend::{Backend, BackendIdentity};
+use super::context::{OwnerContext, OwnerSettings};
 use super::lease_lock::application_name;
 use super::login::Login;
+use super::report::{OwnerStatus, report};
 use super::stream::serve_stream;
 use crate::cluster::Cluster;
 use crate::peer::{OwnerStream, PeerNetwork};
@@ -31,73 +33,6 @@
 /// How long work in flight may go on when a back end moves to another node.
 const MOVE_LIMIT: Duration = Duration::from_secs(30);
 
-/// How this node logs in at back ends.
-#[derive(Clone, Default)]
-pub struct OwnerSettings {
-    /// The password of every group's back-end user; none where back ends trust their network.
-    pub backend_password: Option<String>,
-    /// TLS towards back ends; none for plain TCP.
-    pub backend_tls: Option<Arc<rustls::ClientConfig>>,
-}
-
-/// One served back end in [`OwnerStatus`].
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct BackendReport {
-    /// Its group.
-    pub group: GroupId,
-    /// In which role this node serves it: `owner` or `standby`.
-    pub role: &'static str,
-    /// Whether this node holds the lease, so that it may take work.
-    pub lease_held: bool,
-    /// Its freshness when last asked; none while it cannot be reached.
-    pub freshness: Option<Freshness>,
-    /// Whether it was the primary of that term.
-    pub is_primary: bool,
-    /// Connections that exist for work, in any state.
-    pub connections: usize,
-    /// Connections lent to streams.
-    pub lent: usize,
-    /// Requests that wait.
-    pub waiting: usize,
-}
-
-/// What the owner side does at a moment.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct OwnerStatus {
-    /// The back ends served, by name. A back end served in both roles shows the owner's.
-    pub backends: BTreeMap<BackendId, BackendReport>,
-}
-
-/// What the parts of the owner side share.
-pub(super) struct OwnerContext {
-    /// What is known of the cluster.
-    pub cluster: Cluster,
-    /// The way to other nodes.
-    pub network: PeerNetwork,
-    /// How to log in at back ends.
-    pub settings: OwnerSettings,
-}
-
-impl OwnerContext {
-    /// The other members of a back end's group.
-    pub(super) fn other_members(&self, backend: &BackendIdentity) -> Vec<BackendId> {
-        let settings = self.cluster.settings();
-        let group = settings.groups.get(&backend.group);
-        let members = group.into_iter().flat_map(|group| group.backends.keys());
-        members
-            .filter(|member| **member != backend.name)
-            .cloned()
-            .collect()
-    }
-
-    /// How long ledger rows of request keys are kept in a back end's group.
-    pub(super) fn request_key_retention(&self, backend: &BackendIdentity) -> Duration {
-        let settings = self.cluster.settings();
-        let group = settings.groups.get(&backend.group);
-        group.map_or(Duration::MAX, |group| group.request_key_retention)
-    }
-}
-
 type Served = BTreeMap<(BackendId, OwnerRole), Arc<Backend>>;
 
 /// The owner side of a node.
@@ -390,18 +325,3 @@
         leave_timeout: group.leave_timeout,
     }
 }
-
-fn report(backend: &Backend) -> BackendReport {
-    let load = backend.load();
-    let state = backend.state();
-    BackendReport {
-        group: backend.identity.group.clone(),
-        role: backend.identity.role.name(),
-        lease_held: backend.lease_is_held(),
-        freshness: state.map(|state| state.freshness),
-        is_primary: backend.is_primary(),
-        connections: load.connections,
-        lent: load.lent,
-        waiting: load.waiting,
-    }
-}
--- a/crates/stairward-proxy/src/owner/term_search.rs
+++ b/crates/stairward-proxy/src/owner/term_search.rs
@@ -9,7 +9,7 @@
 use stairward_types::{BackendId, BackendRole, Freshness, Term};
 
 use super::backend::Backend;
-use super::service::OwnerContext;
+use super::context::OwnerContext;
 use super::status::BackendStatus;
 use crate::cluster::KnownPrimary;
 
--- a/crates/stairward-proxy/tests/owner_support/mod.rs
+++ b/crates/stairward-proxy/tests/owner_support/mod.rs
@@ -172,8 +172,11 @@
 
     /// Puts changed settings in force at every node.
     pub fn change_settings(&mut self, change: impl Fn(&mut GroupSettings)) {
-        self.settings.revision = Revision(self.settings.revision.0 + 1);
-        self.settings.groups.values_mut().for_each(change);
+        let revision = Revision(self.settings.revision.0 + 1);
+        let mut groups = self.settings.groups.clone();
+        groups.values_mut().for_each(change);
+        let services = self.settings.services.clone();
+        self.settings = ResolvedSettings::new(revision, groups, services);
         for node in &self.nodes {
             node.cluster.apply_settings(self.settings.clone());
         }
@@ -271,11 +274,11 @@
         maximum_message_bytes: 256 * 1024,
         request_key_retention: Duration::from_secs(3_600),
     };
-    ResolvedSettings {
-        revision: Revision(1),
-        groups: [(group, group_settings)].into(),
-        services: [(service, ServiceSettings { weight: 1 })].into(),
-    }
+    ResolvedSettings::new(
+        Revision(1),
+        [(group, group_settings)].into(),
+        [(service, ServiceSettings { weight: 1 })].into(),
+    )
 }
 
 /// A simple query as a frontend message.
