Keep one deadline timer per connection of a stand-in database

Each statement left a timer behind until its timeout, so that an hour's timeout kept an hour of statements in the agenda. A connection now has one timer that follows its deadline.

--- a/crates/stairward-standins/src/group/agenda.rs
+++ b/crates/stairward-standins/src/group/agenda.rs
@@ -44,10 +44,8 @@
     Opened(ConnectionNumber),
     /// A statement has occupied its slot for its time.
     StatementEnds(ConnectionNumber, RequestNumber),
-    /// The statement timeout has passed.
-    StatementTimeout(ConnectionNumber, RequestNumber),
-    /// An idle timeout has passed; the number tells whether the connection was used since.
-    Idle(ConnectionNumber, u64),
+    /// A connection's deadline may have passed.
+    Deadline(ConnectionNumber),
     /// The switchover under way may be able to go on.
     Switchover(Term),
 }
--- a/crates/stairward-standins/src/group/connection.rs
+++ b/crates/stairward-standins/src/group/connection.rs
@@ -1,5 +1,7 @@
 //! A client's connection and its transaction.
 
+use stairward_types::Time;
+
 use crate::TransactionNumber;
 use crate::sql::{Overlay, Statement, Tables, Value};
 
@@ -23,8 +25,10 @@
     pub current: Option<Current>,
     /// Whether it breaks instead of answering the statement that has just committed.
     pub loses_reply: bool,
-    /// Counts its statements, for idle timeouts.
-    pub uses: u64,
+    /// When its statement or, without one, its idle time is over.
+    pub deadline: Option<Time>,
+    /// When its timer fires, which may be before the deadline, as that moves with each statement.
+    pub timer_at: Option<Time>,
 }
 
 /// A statement under way.
--- a/crates/stairward-standins/src/group/member.rs
+++ b/crates/stairward-standins/src/group/member.rs
@@ -155,10 +155,7 @@
             Timer::StatementEnds(connection, request) => {
                 self.statement_ends(connection, request, context);
             }
-            Timer::StatementTimeout(connection, request) => {
-                self.statement_timeout(connection, request, context);
-            }
-            Timer::Idle(connection, uses) => self.idle_timeout(connection, uses, context),
+            Timer::Deadline(connection) => self.deadline_timer(connection, context),
             Timer::Switchover(term) => self.continue_switchover(term, context),
         }
     }
--- a/crates/stairward-standins/src/group/mod.rs
+++ b/crates/stairward-standins/src/group/mod.rs
@@ -14,6 +14,7 @@
 mod connection;
 mod consensus;
 mod data;
+mod deadlines;
 mod environment;
 mod event;
 mod execution;
--- a/crates/stairward-standins/src/group/sessions.rs
+++ b/crates/stairward-standins/src/group/sessions.rs
@@ -69,7 +69,8 @@
             loses_reply: false,
             transaction: None,
             current: None,
-            uses: 0,
+            deadline: None,
+            timer_at: None,
         };
         self.connections.insert(connection, opened);
         let ready = context.now + self.config.connection_opening_time;
@@ -193,7 +194,6 @@
             };
             return self.reply(number, reply, context);
         }
-        connection.uses += 1;
         connection.current = Some(super::connection::Current {
             request,
             statement,
@@ -202,10 +202,7 @@
             phase: Phase::Queued,
         });
         let timeout = connection.settings.timeout("statement_timeout");
-        if let Some(timeout) = timeout {
-            let timer = Timer::StatementTimeout(number, request);
-            self.set_timer(context.now + timeout, timer, context);
-        }
+        self.set_deadline(number, timeout, context);
         self.slot_queue.push_back(number);
         self.fill_slots(context);
     }
@@ -219,25 +216,8 @@
             TransactionStatus::Idle => "idle_session_timeout",
             _ => "idle_in_transaction_session_timeout",
         };
-        if let Some(timeout) = connection.settings.timeout(name) {
-            let timer = Timer::Idle(number, connection.uses);
-            self.set_timer(context.now + timeout, timer, context);
-        }
-    }
-
-    /// Ends a connection that has been idle for too long.
-    pub fn idle_timeout(&mut self, number: ConnectionNumber, uses: u64, context: &mut Context<'_>) {
-        let Some(connection) = self.connections.get(&number) else {
-            return;
-        };
-        if connection.uses != uses || connection.current.is_some() {
-            return;
-        }
-        let error = match connection.status() {
-            TransactionStatus::Idle => SqlError::IdleSessionTimeout,
-            _ => SqlError::IdleInTransactionTimeout,
-        };
-        self.terminate(number, error, context);
+        let timeout = connection.settings.timeout(name);
+        self.set_deadline(number, timeout, context);
     }
 
     /// The client has closed the connection. A statement that occupies a slot is finished first.
--- a/crates/stairward-standins/src/group/statements.rs
+++ b/crates/stairward-standins/src/group/statements.rs
@@ -128,19 +128,6 @@
         self.fill_slots(context);
     }
 
-    /// Checks the statement timeout.
-    pub fn statement_timeout(
-        &mut self,
-        number: ConnectionNumber,
-        request: RequestNumber,
-        context: &mut Context<'_>,
-    ) {
-        let current = self.current_mut(number);
-        if current.is_some_and(|current| current.request == request) {
-            self.cancel(number, SqlError::StatementTimeout, context);
-        }
-    }
-
     /// Reports the end of the current statement.
     pub fn observe_statement(
         &self,
--- a/crates/stairward-standins/src/server/session.rs
+++ b/crates/stairward-standins/src/server/session.rs
@@ -114,7 +114,8 @@
     }
 }
 
-/// The key that proves a cancel request: unguessable for no one, since the stand-in serves tests.
+/// The key that a cancel request must show. It follows from the connection number, which is enough for a
+/// server that only tests use.
 const fn secret_key(connection: ConnectionNumber) -> i32 {
     let mixed = connection.0.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33;
     mixed as i32
--- a/crates/stairward-standins/tests/group_transactions.rs
+++ b/crates/stairward-standins/tests/group_transactions.rs
@@ -356,3 +356,21 @@
     });
     assert!(reported);
 }
+
+#[test]
+fn timeouts_count_from_the_last_use() {
+    let (mut bench, first, _) = bench();
+    bench.done(&first, "SET idle_session_timeout = 50");
+    bench.done(&first, "SET statement_timeout = 30");
+    for _ in 0..10 {
+        bench.advance_millis(40);
+        bench.done(&first, "SELECT 1");
+    }
+    assert_eq!(bench.ended_with(&first), None);
+    let cut = bench.run(&first, "SELECT pg_sleep(1)");
+    assert_eq!(cut.unwrap_err(), SqlError::StatementTimeout);
+    bench.advance_millis(49);
+    assert_eq!(bench.ended_with(&first), None);
+    bench.advance_millis(2);
+    assert_eq!(bench.ended_with(&first), Some(SqlError::IdleSessionTimeout));
+}
