Bound the time to reach an owner; let waiters for one peer connection fail together

Cause: a peer that accepts connections and says nothing (its process paused or overloaded) made each request that waited for the connection try for 1 s in turn, past its own deadline. Change: an edge waits 500 ms at most, then asks the standby; connecting goes on in a task of its own, and for 50 ms after a failure nobody tries again.

--- a/crates/stairward-proxy/src/edge/opening.rs
+++ b/crates/stairward-proxy/src/edge/opening.rs
@@ -1,5 +1,7 @@
 //! Running a batch on a new stream, as the routing machine decides.
 
+use std::time::Duration;
+
 use bytes::BytesMut;
 use pgwire::messages::Message as _;
 use pgwire::messages::simplequery::Query;
@@ -15,6 +17,9 @@
 use super::session::{Flow, Session, SessionEnd};
 use super::waiting::Heard;
 
+/// How long a connection to an owner may take to be made before its standby is asked.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// What a step of a request came to.
 enum Progress {
     /// It goes on.
@@ -178,13 +183,16 @@
             session_setup: setup.into(),
             batch,
         };
-        match self.service.network.open_stream(node, open).await {
-            Ok(stream) => {
+        // Giving up on a connection that is still being made sends nothing.
+        let patience = attempt.remaining.min(OPEN_TIMEOUT);
+        let opened = self.service.network.open_stream(node, open);
+        match tokio::time::timeout(patience, opened).await {
+            Ok(Ok(stream)) => {
                 let active = ActiveStream::opened(stream, request.access, prepared.running);
                 self.active = Some(Box::new(active));
                 None
             }
-            Err(_) => lost,
+            Ok(Err(_)) | Err(_) => lost,
         }
     }
 
@@ -279,6 +287,6 @@
     }
 }
 
-fn milliseconds(duration: std::time::Duration) -> u32 {
+fn milliseconds(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/stairward-proxy/src/peer/network.rs
+++ b/crates/stairward-proxy/src/peer/network.rs
@@ -4,9 +4,9 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use snafu::{OptionExt, ResultExt, Snafu};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use stairward_protocol::call::{CallReply, CallRequest};
 use stairward_protocol::stream::{EdgeMessage, Open};
 use stairward_protocol::{ClusterKey, FrameError};
@@ -18,6 +18,10 @@
 use super::stream::{EdgeStream, OwnerStream, local_pair};
 use crate::cluster::Cluster;
 
+/// For so long after a failure nobody tries again to connect to the peer, so that requests that wait
+/// for the same connection fail together and not one after another.
+const CONNECT_PAUSE: Duration = Duration::from_millis(50);
+
 /// How long a connection to a peer may take to be made and proved.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -87,11 +91,26 @@
     inner: Arc<Inner>,
 }
 
+/// The connection to one peer.
+#[derive(Default)]
+struct PeerSlot {
+    connection: Option<Connection>,
+    /// When connecting last failed.
+    failed_at: Option<Instant>,
+}
+
+impl PeerSlot {
+    fn has_just_failed(&self) -> bool {
+        self.failed_at
+            .is_some_and(|failed_at| failed_at.elapsed() < CONNECT_PAUSE)
+    }
+}
+
 struct Inner {
     cluster: Cluster,
     key: ClusterKey,
     service: OnceLock<Arc<dyn PeerService>>,
-    connections: Mutex<HashMap<NodeId, Arc<Mutex<Option<Connection>>>>>,
+    connections: Mutex<HashMap<NodeId, Arc<Mutex<PeerSlot>>>>,
 }
 
 impl PeerNetwork {
@@ -210,13 +229,24 @@
             Arc::clone(connections.entry(node).or_default())
         };
         // Held while connecting, so that a burst of requests makes one connection.
-        let mut slot = slot.lock().await;
-        if let Some(connection) = slot.as_ref().filter(|connection| !connection.is_closed()) {
+        let mut slot = slot.lock_owned().await;
+        let live = slot
+            .connection
+            .as_ref()
+            .filter(|connection| !connection.is_closed());
+        if let Some(connection) = live {
             return Ok(connection.clone());
         }
-        let connection = self.connect(node).await?;
-        *slot = Some(connection.clone());
-        Ok(connection)
+        ensure!(!slot.has_just_failed(), ConnectionLostSnafu);
+        let network = self.clone();
+        // In a task of its own, so that it goes on for the others when this caller gives up.
+        let connecting = tokio::spawn(async move {
+            let connected = network.connect(node).await;
+            slot.failed_at = connected.is_err().then(Instant::now);
+            slot.connection = connected.as_ref().ok().cloned();
+            connected
+        });
+        connecting.await.ok().context(ConnectionLostSnafu)?
     }
 
     async fn connect(&self, node: NodeId) -> Result<Connection, PeerError> {
--- a/crates/stairward-proxy/tests/edge_outcomes.rs
+++ b/crates/stairward-proxy/tests/edge_outcomes.rs
@@ -3,8 +3,10 @@
 mod edge_support;
 
 use edge_support::scripted::{Ending, ScriptedSite};
-use edge_support::{guarded, result_code};
-use stairward_types::{OutcomeClass, ResultCode};
+use edge_support::{guarded, identity, result_code};
+use stairward_proxy::cluster::{Member, MembershipView};
+use stairward_types::{NodeId, OutcomeClass, ResultCode};
+use tokio::net::TcpListener;
 
 const READ: &str = "SELECT id FROM books";
 const WRITE: &str = "INSERT INTO books VALUES (1)";
@@ -287,3 +289,35 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_accepts_connections_and_says_nothing_holds_nobody_up() {
+    guarded(async {
+        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let owner = identity(2);
+        let view = MembershipView {
+            members: vec![Member {
+                node: owner.node,
+                incarnation: owner.incarnation,
+                peer_address: silent.local_addr().unwrap(),
+                region: owner.region,
+                zone: owner.zone,
+                leaving: false,
+            }],
+        };
+        let site = ScriptedSite::start_with_owner(NodeId(2), view).await;
+        let requests = (0..60).map(|_| async {
+            let client = site.connect().await;
+            client
+                .batch_execute("SET stairward.deadline_ms = 300")
+                .await
+                .unwrap();
+            client.batch_execute(WRITE).await.unwrap_err()
+        });
+        for error in futures::future::join_all(requests).await {
+            let code = result_code(&error).and_then(ResultCode::from_number);
+            assert_eq!(code, Some(ResultCode::DeadlineBeforeSend));
+        }
+    })
+    .await;
+}
--- a/crates/stairward-proxy/tests/edge_support/scripted.rs
+++ b/crates/stairward-proxy/tests/edge_support/scripted.rs
@@ -317,19 +317,27 @@
 
 impl ScriptedSite {
     pub async fn start() -> Self {
+        Self::start_with_owner(NodeId(1), MembershipView::default()).await
+    }
+
+    /// A node whose back ends are owned by another one, listed in `view`.
+    pub async fn start_with_owner(owner: NodeId, view: MembershipView) -> Self {
         let anywhere = SocketAddr::from(([127, 0, 0, 1], 1));
         let backends: Vec<_> = backend_names()
             .into_iter()
             .map(|name| (name, anywhere))
             .collect();
         let settings = resolved_settings(&backends, 1);
-        let rule = Arc::new(|_: &MembershipView, _: &BackendId, _: &BackendSettings| {
-            Some(Owners {
-                owner: NodeId(1),
-                standby: None,
-            })
-        });
+        let rule = Arc::new(
+            move |_: &MembershipView, _: &BackendId, _: &BackendSettings| {
+                Some(Owners {
+                    owner,
+                    standby: None,
+                })
+            },
+        );
         let cluster = Cluster::new(identity(1), rule);
+        cluster.set_members(view);
         cluster.apply_settings(settings.clone());
         let primary = KnownPrimary {
             term: Term(1),
