--- a/crates/stairward-standins/src/group/data.rs
+++ b/crates/stairward-standins/src/group/data.rs
@@ -11,7 +11,7 @@
 };
 
 use super::connection::{Current, Isolation};
-use super::execution::Outcome;
+use super::execution::{Applied, Outcome};
 use super::member::{Context, Member};
 
 impl Member {
@@ -85,20 +85,20 @@
         }
     }
 
-    /// Locks the rows of a modification and records its changes. The inner error is the holder of
-    /// a lock to wait for.
+    /// Locks the rows of a modification and records its changes, unless another transaction holds
+    /// one of the locks.
     pub fn modify(
         &mut self,
         number: ConnectionNumber,
         modified: Modified,
-    ) -> Result<Result<Answer, ConnectionNumber>, SqlError> {
+    ) -> Result<Applied, SqlError> {
         let Modification {
             locks,
             created,
             rows,
         } = modified.modification;
         if let Some(holder) = self.locks.conflict(&locks, number) {
-            return Ok(Err(holder));
+            return Ok(Applied::Blocked(holder));
         }
         self.check_serializable(number, &locks)?;
         let answer = modified.answer?;
@@ -111,7 +111,7 @@
                 open.overlay.set(&table, key, row);
             }
         }
-        Ok(Ok(answer))
+        Ok(Applied::Answered(answer))
     }
 
     /// With snapshot isolation, refuses to change a row that another transaction has changed since
--- a/crates/stairward-standins/src/group/execution.rs
+++ b/crates/stairward-standins/src/group/execution.rs
@@ -201,16 +201,18 @@
             let options = self.transaction_options(number, false, &[]);
             self.begin(number, options, context);
         }
-        let result = match self.dispatch(number, current, tree, context) {
-            Ok(Outcome::Answered(answer)) => answer,
-            Ok(Outcome::Modified(modified)) => match self.modify(number, modified) {
-                Ok(Ok(answer)) => answer,
-                Ok(Err(holder)) => return Execution::Blocked(holder),
-                Err(error) => return Execution::failed(error),
-            },
+        let outcome = self.dispatch(number, current, tree, context);
+        let applied = match outcome {
+            Ok(Outcome::Answered(answer)) => Ok(Applied::Answered(answer)),
+            Ok(Outcome::Modified(modified)) => self.modify(number, modified),
+            Err(error) => Err(error),
+        };
+        let answer = match applied {
+            Ok(Applied::Answered(answer)) => answer,
+            Ok(Applied::Blocked(holder)) => return Execution::Blocked(holder),
             Err(error) => return Execution::failed(error),
         };
-        let execution = self.succeed(number, result, context);
+        let execution = self.succeed(number, answer, context);
         let implicit = self.transaction(number).is_some_and(|open| !open.explicit);
         if implicit && current.completion == Completion::Commit {
             match self.commit(number, context) {
@@ -269,6 +271,14 @@
     Modified(Modified),
 }
 
+/// What becomes of changes when their locks are asked for.
+pub enum Applied {
+    /// The locks are held and the changes recorded.
+    Answered(Answer),
+    /// This connection holds a lock that is needed.
+    Blocked(ConnectionNumber),
+}
+
 impl Outcome {
     /// The answer of a statement that returns no rows.
     pub fn command(tag: &str) -> Self {
