--- a/crates/stairward-proxy/src/admin/authorization.rs
+++ b/crates/stairward-proxy/src/admin/authorization.rs
@@ -96,3 +96,6 @@
         async move { Ok((state, response)) }.boxed()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/stairward-proxy/tests/configuration_support/mod.rs
@@ -0,0 +1,211 @@
+//! A small fleet over real sockets: only peers' calls, the configuration driver and a store.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairward_membership::configuration::SpreaderParameters;
+use stairward_platform::{PlatformClient, PlatformClientSettings, RetryPolicy, create_settings};
+use stairward_protocol::ClusterKey;
+use stairward_protocol::call::{CallReply, CallRequest};
+use stairward_proxy::cluster::{Cluster, Identity, Member, MembershipView};
+use stairward_proxy::control::configuration::{self, ConfigurationHandle};
+use stairward_proxy::control::membership::rendezvous_rule;
+use stairward_proxy::peer::{CallFuture, OwnerStream, PeerNetwork, PeerService};
+use stairward_settings::{Change, Edit, SettingsOption, SettingsPath, SettingsTree};
+use stairward_standins::platform::{PlatformStandin, PlatformStandinConfig};
+use stairward_types::{ChangeId, Incarnation, NodeId, RegionName, Revision, ZoneName};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// Only a guard against hanging; nothing is measured here.
+const GUARD: Duration = Duration::from_secs(60);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const TREE: &str = include_str!("../../../../examples/lintas.toml");
+
+/// The part of a node that deals with settings.
+pub struct TestNode {
+    pub cluster: Cluster,
+    pub configuration: ConfigurationHandle,
+    address: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for TestNode {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Nodes and their store.
+pub struct TestFleet {
+    pub store: PlatformStandin,
+    pub nodes: Vec<TestNode>,
+}
+
+struct Service(ConfigurationHandle);
+
+impl PeerService for Service {
+    fn accept_stream(&self, _stream: OwnerStream) {}
+
+    fn answer_call(&self, from: NodeId, request: CallRequest) -> CallFuture {
+        let configuration = self.0.clone();
+        Box::pin(async move {
+            match request {
+                CallRequest::ExchangeSettings(exchange) => {
+                    configuration.answer(from, exchange).await
+                }
+                _ => CallReply::Done,
+            }
+        })
+    }
+}
+
+impl TestFleet {
+    /// Nodes that see each other, and a store with the Lintas settings at revision 1.
+    pub async fn start(nodes: u64) -> Self {
+        let fleet = Self::start_without_settings(nodes).await;
+        let client = client(&fleet.store);
+        create_settings(&client, tree()).await.expect("created");
+        for node in &fleet.nodes {
+            node.ready().await;
+        }
+        fleet
+    }
+
+    /// The same without settings in the store.
+    pub async fn start_without_settings(nodes: u64) -> Self {
+        let store = PlatformStandin::start(PlatformStandinConfig::default())
+            .await
+            .expect("a free port");
+        let mut fleet = Self {
+            store,
+            nodes: Vec::new(),
+        };
+        for node in 1..=nodes {
+            let node = start_node(node, 1, &fleet.store).await;
+            fleet.nodes.push(node);
+        }
+        fleet.introduce();
+        fleet
+    }
+
+    /// Replaces a node's process by a new one on another port.
+    pub async fn restart(&mut self, index: usize) {
+        let identity = Arc::clone(&self.nodes[index].cluster.identity);
+        let incarnation = identity.incarnation.0 + 1;
+        self.nodes[index] = start_node(identity.node.0, incarnation, &self.store).await;
+        self.introduce();
+    }
+
+    /// Waits until all nodes have a revision in force.
+    pub async fn all_at(&self, revision: Revision) {
+        for node in &self.nodes {
+            until(|| node.cluster.settings().revision == revision).await;
+        }
+    }
+
+    fn introduce(&self) {
+        let members = self.nodes.iter().map(TestNode::member).collect();
+        let view = MembershipView { members };
+        for node in &self.nodes {
+            node.cluster.set_members(view.clone());
+        }
+    }
+}
+
+impl TestNode {
+    /// Waits until the node may serve.
+    pub async fn ready(&self) {
+        let ready = tokio::time::timeout(GUARD, self.configuration.ready());
+        ready.await.expect("in time").expect("the driver runs");
+    }
+
+    fn member(&self) -> Member {
+        let identity = &self.cluster.identity;
+        Member {
+            node: identity.node,
+            incarnation: identity.incarnation,
+            peer_address: self.address,
+            region: identity.region.clone(),
+            zone: identity.zone.clone(),
+            leaving: false,
+        }
+    }
+}
+
+async fn start_node(node: u64, incarnation: u64, store: &PlatformStandin) -> TestNode {
+    let identity = Identity {
+        node: NodeId(node),
+        incarnation: Incarnation(incarnation),
+        region: RegionName::new("malaysia").expect("a name"),
+        zone: ZoneName::new("kul-a").expect("a name"),
+    };
+    let cluster = Cluster::new(identity, rendezvous_rule());
+    let key = ClusterKey::new("a shared secret 16").expect("long enough");
+    let network = PeerNetwork::new(cluster.clone(), key);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let (configuration, driver) = configuration::start(
+        cluster.clone(),
+        network.clone(),
+        Arc::new(client(store)),
+        SpreaderParameters::default(),
+    );
+    let service = Arc::new(Service(configuration.clone()));
+    let serving = tokio::spawn(async move {
+        let _ = network.serve(listener, service).await;
+    });
+    let tasks = vec![serving, tokio::spawn(driver.run())];
+    TestNode {
+        cluster,
+        configuration,
+        address,
+        tasks,
+    }
+}
+
+/// A client that gives up soon.
+pub fn client(store: &PlatformStandin) -> PlatformClient {
+    let settings = PlatformClientSettings {
+        request_timeout: Duration::from_secs(1),
+        retry: RetryPolicy {
+            attempts: 3,
+            first_delay: Duration::from_millis(1),
+            longest_delay: Duration::from_millis(4),
+        },
+        ..PlatformClientSettings::new(vec![store.address()])
+    };
+    PlatformClient::new(settings, Box::new(|| 0.0)).expect("a client")
+}
+
+pub fn tree() -> SettingsTree {
+    SettingsTree::from_toml(TREE).expect("a valid tree")
+}
+
+/// An edit that sets the root's weight.
+pub fn weight_edit(change_id: u64, based_on: Revision, weight: u64) -> Edit {
+    Edit {
+        change_id: ChangeId(change_id),
+        based_on,
+        changes: vec![Change::Set {
+            path: SettingsPath::Root,
+            option: SettingsOption::Weight,
+            value: weight.into(),
+        }],
+    }
+}
+
+/// Waits until something is so.
+pub async fn until(is_so: impl Fn() -> bool) {
+    let wait = async {
+        while !is_so() {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    tokio::time::timeout(GUARD, wait).await.expect("in time");
+}
