--- a/crates/stairward-lab/src/configuration/command.rs
+++ b/crates/stairward-lab/src/configuration/command.rs
@@ -9,6 +9,7 @@
 use super::fault::Fault;
 use super::fleet::NodeVariant;
 use super::report::{ConfigurationReport, RunOptions, simulate};
+use super::tree::LARGEST_GROUPS;
 use crate::command::{Command, EXIT_FAILURE, usage_error};
 use crate::output::write_json;
 use crate::provenance::Provenance;
@@ -91,6 +92,7 @@
             edits: 20,
             seed: 1,
             fault: Fault::None,
+            groups_per_service: LARGEST_GROUPS,
             variant: NodeVariant::Correct,
         },
         fault_text: "none".to_owned(),
--- a/crates/stairward-lab/src/configuration/fleet.rs
+++ b/crates/stairward-lab/src/configuration/fleet.rs
@@ -50,6 +50,8 @@
     pub seed: u64,
     /// Half of the replies to edits are lost.
     pub lose_edit_replies: bool,
+    /// Groups of each of the 20 services in the settings tree.
+    pub groups_per_service: usize,
     /// How nodes take settings in.
     pub variant: NodeVariant,
 }
@@ -82,7 +84,7 @@
     #[must_use]
     pub fn new(options: FleetOptions) -> Self {
         let topology = Topology::two_regions(options.nodes, Latencies::lintas());
-        let (tree, trees) = TreeMaker::build();
+        let (tree, trees) = TreeMaker::build(options.groups_per_service);
         let nodes = (0..options.nodes)
             .map(|index| {
                 let region = topology.place(index).region.clone();
@@ -142,13 +144,14 @@
             Action::ReadArrives { read, after } => self.read_arrives(read, after),
             Action::ReadWaitOver { read } => self.read_wait_over(read),
             Action::ReadAnswered { read, answer } => self.read_answered(read, answer),
-            Action::EditBegins => self.edit_begins(),
-            Action::EditArrives { node, edit } => self.edit_arrives(node, edit),
+            Action::EditBegins { more } => self.edit_begins(more),
+            Action::EditArrives { node, edit, more } => self.edit_arrives(node, edit, more),
             Action::EditAccepted {
                 node,
                 life,
                 revision,
-            } => self.edit_accepted(node, life, revision),
+                more,
+            } => self.edit_accepted(node, life, revision, more),
             Action::ViewChanges { node, as_of } => self.view_changes(node, as_of),
             Action::StoreBecomes(condition) => self.store.condition = condition,
             Action::RegionsApart(apart) => self.regions_apart(apart),
@@ -313,7 +316,8 @@
             Message::Answer { answer, .. } => &answer.update,
         };
         if let Some(update) = update {
-            let _ = self.put_in_force(index, update.revision);
+            let applied = self.put_in_force(index, update.revision);
+            self.handle(index, applied);
         }
     }
 
--- a/crates/stairward-lab/src/configuration/report.rs
+++ b/crates/stairward-lab/src/configuration/report.rs
@@ -19,6 +19,10 @@
 const FAULT_LEAD: Duration = Duration::from_millis(20);
 /// Every so many edits, a second operator edits at the same time.
 const RIVAL_EVERY: usize = 5;
+/// Every so many edits, the operator makes more edits without a pause.
+const BURST_EVERY: usize = 3;
+/// How many more.
+const BURST_EDITS: u32 = 3;
 /// Every so many edits, a node is restarted right after the edit.
 const RESTART_EVERY: usize = 4;
 /// A node is restarted so long after an edit was begun.
@@ -29,12 +33,14 @@
 pub struct RunOptions {
     /// Nodes of the fleet.
     pub nodes: usize,
-    /// Edits made, besides those of rivals.
+    /// Edits begun, besides those of rivals and those made right after another.
     pub edits: usize,
     /// Of everything left to chance.
     pub seed: u64,
     /// What goes wrong.
     pub fault: Fault,
+    /// Groups of each of the 20 services in the settings tree.
+    pub groups_per_service: usize,
     /// How nodes take settings in.
     pub variant: NodeVariant,
 }
@@ -101,6 +107,7 @@
         nodes: options.nodes,
         seed: options.seed,
         lose_edit_replies: options.fault == Fault::LostReplies,
+        groups_per_service: options.groups_per_service,
         variant: options.variant,
     });
     let end = plan(&mut fleet, options);
@@ -117,9 +124,11 @@
         if number == options.edits / 2 {
             at = plan_fault(fleet, options.fault, at);
         }
-        fleet.schedule(at, Action::EditBegins);
+        let is_burst = number % BURST_EVERY == BURST_EVERY - 1;
+        let more = if is_burst { BURST_EDITS } else { 0 };
+        fleet.schedule(at, Action::EditBegins { more });
         if number % RIVAL_EVERY == RIVAL_EVERY - 1 {
-            fleet.schedule(at, Action::EditBegins);
+            fleet.schedule(at, Action::EditBegins { more: 0 });
         }
         if number % RESTART_EVERY == RESTART_EVERY - 1 {
             fleet.schedule(at + RESTART_DELAY, Action::NodeRestarts);
@@ -159,7 +168,7 @@
 ) -> Time {
     fleet.schedule(start, Action::StoreBecomes(condition));
     fleet.schedule(start + time, Action::StoreBecomes(StoreCondition::Up));
-    fleet.schedule(start + FAULT_LEAD, Action::EditBegins);
+    fleet.schedule(start + FAULT_LEAD, Action::EditBegins { more: 0 });
     start + time + FAULT_LEAD
 }
 
--- a/crates/stairward-lab/src/configuration/schedule.rs
+++ b/crates/stairward-lab/src/configuration/schedule.rs
@@ -21,15 +21,20 @@
         read: WaitingRead,
         answer: StoreAnswer,
     },
-    /// An operator begins an edit.
-    EditBegins,
+    /// An operator begins an edit, and makes `more` right after it.
+    EditBegins { more: u32 },
     /// An edit reaches the store, sent through a node.
-    EditArrives { node: NodeIndex, edit: Edit },
+    EditArrives {
+        node: NodeIndex,
+        edit: Edit,
+        more: u32,
+    },
     /// The store's reply reaches the node.
     EditAccepted {
         node: NodeIndex,
         life: u32,
         revision: Revision,
+        more: u32,
     },
     /// A node's view takes all changes up to a moment into account.
     ViewChanges { node: NodeIndex, as_of: Time },
--- a/crates/stairward-membership/src/configuration/digest.rs
+++ b/crates/stairward-membership/src/configuration/digest.rs
@@ -26,6 +26,8 @@
     pub store_read: SourceAge,
     /// How long ago a watcher was known to be at work, whether or not the store answered it.
     pub watcher_heard: SourceAge,
+    /// Members in view when the node's settings were last proved current; 0 when they never were.
+    pub fleet_size: u32,
     /// Whether the node serves callers.
     pub ready: bool,
     /// Whether the node watches the store.
--- a/crates/stairward-membership/src/configuration/gossip.rs
+++ b/crates/stairward-membership/src/configuration/gossip.rs
@@ -74,6 +74,9 @@
         let quiet = self.parameters.source_limit;
         self.readiness.heard(to, &theirs, quiet);
         self.quorum.heard(to, asked_at, &theirs);
+        if self.fleet_size == 0 && theirs.ready {
+            self.fleet_size = theirs.fleet_size;
+        }
         if let Some(known) = self.neighbours.get_mut(&to) {
             known.learn(now, &theirs);
         }
--- a/crates/stairward-membership/src/configuration/spreader.rs
+++ b/crates/stairward-membership/src/configuration/spreader.rs
@@ -36,8 +36,9 @@
     watcher: Watcher,
     pub(super) quorum: WatcherQuorum,
     pub(super) readiness: ReadinessGate,
-    /// Members in view when the settings were last proved current.
-    fleet_size: usize,
+    /// Members in view when the settings were last proved current; before that, what a serving peer
+    /// says of itself; 0 when nobody has told.
+    pub(super) fleet_size: u32,
     pub(super) next_random_exchange: Time,
     pub(super) push_due: bool,
     pub(super) last_push: Option<Time>,
@@ -143,8 +144,7 @@
         if self.source.is_current(now, limit) {
             return SourceStatus::Current;
         }
-        let sees_majority = self.members.len() * 2 > self.fleet_size;
-        if sees_majority && self.source.hears_watcher(now, limit) {
+        if self.sees_majority() && self.source.hears_watcher(now, limit) {
             SourceStatus::StoreUnreachable
         } else {
             SourceStatus::CutOff
@@ -178,15 +178,23 @@
             revision: self.revision,
             store_read: self.source.store_age(now),
             watcher_heard: self.source.watcher_age(now),
+            fleet_size: self.fleet_size,
             ready: self.readiness.is_ready(),
             watching: self.watcher.is_watching(),
             wanted: self.wanted_content(now),
         }
     }
 
+    /// Whether more than half of the fleet is in view, as large as it was when the store was last
+    /// heard of. A node that cannot tell how large it was sees no majority.
+    fn sees_majority(&self) -> bool {
+        let fleet_size = usize::try_from(self.fleet_size).unwrap_or(usize::MAX);
+        fleet_size > 0 && self.members.len() > fleet_size / 2
+    }
+
     fn tick(&mut self, now: Time, rng: &mut dyn Rng, effects: &mut Vec<Effect>) {
         if self.source_status(now) == SourceStatus::Current {
-            self.fleet_size = self.members.len();
+            self.fleet_size = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
         }
         self.watch_store(now, effects);
         self.push_if_due(now, effects);
--- a/crates/stairward-membership/src/configuration/wire.rs
+++ b/crates/stairward-membership/src/configuration/wire.rs
@@ -37,6 +37,7 @@
         revision: digest.revision.0,
         store_read: digest.store_read.into(),
         watcher_heard: digest.watcher_heard.into(),
+        fleet_size: digest.fleet_size,
         ready: u8::from(digest.ready),
         watching: u8::from(digest.watching),
         wanted: match digest.wanted {
@@ -52,6 +53,7 @@
         revision: Revision(wire.revision),
         store_read: wire.store_read.into(),
         watcher_heard: wire.watcher_heard.into(),
+        fleet_size: wire.fleet_size,
         ready: wire.ready != 0,
         watching: wire.watching != 0,
         wanted: match wire.wanted {
--- a/crates/stairward-protocol/src/settings.rs
+++ b/crates/stairward-protocol/src/settings.rs
@@ -58,6 +58,8 @@
     pub store_read: WireAge,
     /// How long ago a watcher of the store was known to be at work.
     pub watcher_heard: WireAge,
+    /// Members in view when the speaker's settings were last proved current; 0 when they never were.
+    pub fleet_size: u32,
     /// 1 when the speaker serves callers.
     pub ready: u8,
     /// 1 when the speaker watches the store.
