Stop trusting settings in a minority, and while a newer revision is known of

In the simulated partition of regions nodes on the side without the store trusted old settings for the whole 20 s: a view that shrank while the last proof was still young counted as the whole fleet. Now the fleet's size only shrinks after the store was read in the smaller view, watchers vouch for the store being down only while they see a majority, and nobody does who has heard of a newer revision.

--- a/crates/stairward-membership/src/configuration/spreader.rs
+++ b/crates/stairward-membership/src/configuration/spreader.rs
@@ -36,9 +36,10 @@
     watcher: Watcher,
     pub(super) quorum: WatcherQuorum,
     pub(super) readiness: ReadinessGate,
-    /// Members in view when the settings were last proved current; before that, what a serving peer
+    /// Members in view when the store was last read after the view had changed; before that, what a serving peer
     /// says of itself; 0 when nobody has told.
     pub(super) fleet_size: u32,
+    view_changed_at: Time,
     pub(super) next_random_exchange: Time,
     pub(super) push_due: bool,
     pub(super) last_push: Option<Time>,
@@ -75,6 +76,7 @@
             quorum: WatcherQuorum::default(),
             readiness: ReadinessGate::new(now),
             fleet_size: 0,
+            view_changed_at: now,
             next_random_exchange: now,
             push_due: false,
             last_push: None,
@@ -144,7 +146,7 @@
         if self.source.is_current(now, limit) {
             return SourceStatus::Current;
         }
-        if self.sees_majority() && self.source.hears_watcher(now, limit) {
+        if self.may_be_newest() && self.source.hears_watcher(now, limit) {
             SourceStatus::StoreUnreachable
         } else {
             SourceStatus::CutOff
@@ -185,6 +187,12 @@
         }
     }
 
+    /// Whether the settings in force may be the newest when the store cannot tell: most of the fleet
+    /// is in view, and nobody has told of a newer revision.
+    fn may_be_newest(&self) -> bool {
+        self.sees_majority() && self.newest_heard <= self.revision
+    }
+
     /// Whether more than half of the fleet is in view, as large as it was when the store was last
     /// heard of. A node that cannot tell how large it was sees no majority.
     fn sees_majority(&self) -> bool {
@@ -193,15 +201,21 @@
     }
 
     fn tick(&mut self, now: Time, rng: &mut dyn Rng, effects: &mut Vec<Effect>) {
-        if self.source_status(now) == SourceStatus::Current {
-            self.fleet_size = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
-        }
+        self.note_fleet_size();
         self.watch_store(now, effects);
         self.push_if_due(now, effects);
         self.notify_neighbours(now, effects);
         self.exchange_at_random(now, rng, effects);
     }
 
+    /// Takes the view's size as the fleet's once the store was read after the view changed: then
+    /// the members that are gone have failed, and it is not this node that is cut off.
+    fn note_fleet_size(&mut self) {
+        if self.source.store_read_at() >= Some(self.view_changed_at) {
+            self.fleet_size = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
+        }
+    }
+
     fn watch_store(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let change = self.watcher.tick(now, &self.parameters);
         effects.extend(change.map(duty_effect));
@@ -217,7 +231,9 @@
         if is_current || !self.watcher.is_watching() {
             return;
         }
-        if let Some(heard_at) = self.quorum.majority_heard_at(now) {
+        if self.may_be_newest()
+            && let Some(heard_at) = self.quorum.majority_heard_at(now)
+        {
             self.source.watcher_heard(heard_at);
         }
         if now < self.next_quorum_round {
@@ -244,6 +260,7 @@
             .iter()
             .any(|member| member.region == self.region && !known.contains(&member.node));
         self.members = members;
+        self.view_changed_at = now;
         let count = self.parameters.watchers_per_region;
         let is_ranked = ranked_watchers(&self.region, &self.members, count).contains(&self.node);
         self.watcher.ranked(now, is_ranked, joined);
--- a/crates/stairward-membership/tests/configuration.rs
+++ b/crates/stairward-membership/tests/configuration.rs
@@ -248,3 +248,25 @@
         .filter_map(|node| node.spreader.store_read_at());
     assert!(latest.max() <= Some(start));
 }
+
+#[test]
+fn a_minority_that_loses_the_others_and_the_store_stops_trusting_its_settings() {
+    let mut fleet = settled_fleet(5);
+    // The view shrinks before the last proof from the store has grown old.
+    fleet.show_members(0, &[0, 1]);
+    fleet.show_members(1, &[0, 1]);
+    fleet.store_is_up = false;
+    for _ in 0..100 {
+        fleet.advance(Duration::from_millis(100));
+        (0..2).for_each(|node| fleet.answer_read(node));
+        while let Some(mail) = fleet.mail.pop_front() {
+            if mail.is_between(&[0, 1]) {
+                fleet.deliver(mail);
+            }
+        }
+    }
+    for node in &fleet.nodes[..2] {
+        let status = node.spreader.source_status(fleet.now);
+        assert_eq!(status, SourceStatus::CutOff);
+    }
+}
--- a/crates/stairward-membership/tests/configuration_support/mod.rs
+++ b/crates/stairward-membership/tests/configuration_support/mod.rs
@@ -26,6 +26,7 @@
     },
     /// Answers it, to the life of the process that had asked.
     Answer {
+        from: usize,
         to: usize,
         life: u32,
         exchange: ExchangeId,
@@ -33,6 +34,14 @@
     },
 }
 
+impl Mail {
+    /// Whether both ends are among these nodes.
+    pub fn is_between(&self, nodes: &[usize]) -> bool {
+        let (Self::Ask { from, to, .. } | Self::Answer { from, to, .. }) = self;
+        nodes.contains(from) && nodes.contains(to)
+    }
+}
+
 /// One place of the fleet.
 pub struct Node {
     pub spreader: ConfigurationSpreader,
@@ -183,6 +192,7 @@
                 life,
                 exchange,
                 answer,
+                ..
             } => {
                 let receiver = &mut self.nodes[to];
                 if receiver.life == life && receiver.open.remove(&exchange).is_some() {
@@ -279,6 +289,7 @@
         let position = asked.iter().position(|(known, ..)| *known == call);
         let (_, to, life, exchange) = asked.swap_remove(position.expect("it was asked"));
         self.mail.push_back(Mail::Answer {
+            from: node,
             to,
             life,
             exchange,
