--- a/crates/stairward-proxy/src/node/mod.rs
+++ b/crates/stairward-proxy/src/node/mod.rs
@@ -8,8 +8,8 @@
 mod tls;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rand::RngExt as _;
@@ -40,6 +40,9 @@
 /// Share of the drain time left for handing back ends over, after the clients.
 const HAND_OVER_SHARE: f64 = 0.2;
 
+/// How often the owner hears whether the settings may still be taken for the newest.
+const SETTINGS_TRUST_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A running node.
 pub struct Node {
     cluster: Cluster,
@@ -104,6 +107,10 @@
         tokio::spawn(Arc::clone(&owner).run());
         tokio::spawn(pass_digests_on(membership.clone(), configuration.clone()));
         tokio::spawn(pass_machines_on(membership.clone(), configuration.clone()));
+        tokio::spawn(pass_settings_trust_on(
+            Arc::downgrade(&owner),
+            cluster.clone(),
+        ));
         tokio::spawn(serve_when_ready(
             Arc::clone(&edge),
             listeners.client,
@@ -319,6 +326,23 @@
     }
 }
 
+/// Tells the owner when newer settings may be in force elsewhere, so that it takes no new work.
+async fn pass_settings_trust_on(owner: Weak<OwnerService>, cluster: Cluster) {
+    let mut checks = tokio::time::interval(SETTINGS_TRUST_INTERVAL);
+    loop {
+        checks.tick().await;
+        let Some(owner) = owner.upgrade() else {
+            return;
+        };
+        let is_trusted = cluster.clock.now() <= cluster.settings_trusted_until();
+        owner.set_configuration_age(if is_trusted {
+            Duration::ZERO
+        } else {
+            Duration::MAX
+        });
+    }
+}
+
 async fn pass_machines_on(membership: MembershipHandle, configuration: ConfigurationHandle) {
     let mut machines = configuration.watch_machines();
     while machines.changed().await.is_ok() {
