End streams whose owner let go; close connections of lost nodes; flush at a planned stop

Cause: demos showed requests that hung until the client's 30 s limit around a planned stop. An edge heard nothing when an owner's task ended without a last word, or when a machine went silent without closing its sockets, and the last answers of a stopping node could be lost in its write queue. Change: EndStream tells the edge that the owner let go; connections to nodes that leave the membership view are closed; the planned stop flushes the queues.

--- a/crates/stairward-protocol/src/peer.rs
+++ b/crates/stairward-protocol/src/peer.rs
@@ -70,4 +70,10 @@
         /// The answer.
         reply: CallReply,
     },
+    /// The owner has let go of a stream. What it sent before still counts; nothing follows.
+    #[deku(id = "7")]
+    EndStream {
+        /// The stream.
+        stream: u64,
+    },
 }
--- a/crates/stairward-proxy/src/node/mod.rs
+++ b/crates/stairward-proxy/src/node/mod.rs
@@ -43,10 +43,14 @@
 /// How often the owner hears whether the settings may still be taken for the newest.
 const SETTINGS_TRUST_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long peers may take to accept the last answers of a planned stop.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A running node.
 pub struct Node {
     cluster: Cluster,
     addresses: NodeAddresses,
+    network: PeerNetwork,
     edge: Arc<EdgeService>,
     owner: Arc<OwnerService>,
     membership: MembershipHandle,
@@ -103,7 +107,7 @@
         network.set_service(Arc::clone(&service));
 
         tokio::spawn(driver.run());
-        tokio::spawn(async move { network.serve(listeners.peer, service).await });
+        tokio::spawn(serve_peers(network.clone(), listeners.peer, service));
         tokio::spawn(Arc::clone(&owner).run());
         tokio::spawn(pass_digests_on(membership.clone(), configuration.clone()));
         tokio::spawn(pass_machines_on(membership.clone(), configuration.clone()));
@@ -145,6 +149,7 @@
         Ok(Self {
             cluster,
             addresses,
+            network,
             edge,
             owner,
             membership,
@@ -213,6 +218,16 @@
             .drain(timeout.saturating_sub(hand_over_time))
             .await;
         self.owner.drain(hand_over_time).await;
+        // The last answers to other nodes' edges may still wait to be written.
+        if tokio::time::timeout(FLUSH_TIMEOUT, self.network.flush())
+            .await
+            .is_err()
+        {
+            tracing::warn!(
+                event = LogEvent::PeerLost.number(),
+                "a peer took no more answers"
+            );
+        }
         self.membership.depart().await;
         self.admin.stop();
         tracing::info!(
@@ -299,6 +314,16 @@
     TokenKey::new(secret.expose())
 }
 
+async fn serve_peers(
+    network: PeerNetwork,
+    listener: tokio::net::TcpListener,
+    service: Arc<dyn PeerService>,
+) {
+    if let Err(error) = network.serve(listener, service).await {
+        tracing::error!(event = LogEvent::ListenerFailed.number(), %error, "peers are not served");
+    }
+}
+
 async fn serve_when_ready(
     edge: Arc<EdgeService>,
     listener: tokio::net::TcpListener,
--- a/crates/stairward-proxy/src/peer/connection.rs
+++ b/crates/stairward-proxy/src/peer/connection.rs
@@ -1,6 +1,7 @@
 //! One TCP connection between two nodes: handshake, writer, and dispatch of what arrives.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::BytesMut;
@@ -17,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
 
 use super::network::{
     ConnectionLostSnafu, HandshakeSnafu, PeerError, PeerService, SocketSnafu, UnexpectedNodeSnafu,
@@ -67,8 +69,8 @@
     /// Streams opened by the peer's edge.
     owner_streams: Streams<EdgeMessage>,
     calls: Mutex<HashMap<u64, oneshot::Sender<CallReply>>>,
-    next_number: std::sync::atomic::AtomicU64,
-    closed: std::sync::atomic::AtomicBool,
+    next_number: AtomicU64,
+    closed: CancellationToken,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
@@ -77,26 +79,32 @@
 
 impl OpenWork {
     fn number(&self) -> u64 {
-        self.next_number
-            .fetch_add(1, std::sync::atomic::Ordering::Relaxed)
+        self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
     fn is_closed(&self) -> bool {
-        self.closed.load(std::sync::atomic::Ordering::SeqCst)
+        self.closed.is_cancelled()
     }
 
     fn close(&self) {
-        self.closed.store(true, std::sync::atomic::Ordering::SeqCst);
+        self.closed.cancel();
         lock(&self.edge_streams).clear();
         lock(&self.owner_streams).clear();
         lock(&self.calls).clear();
     }
 }
 
+/// What waits to be written.
+enum Outgoing {
+    Message(PeerMessage),
+    /// Everything before this has been given to the system.
+    Written(oneshot::Sender<()>),
+}
+
 /// A live connection to a peer. Cheap to clone.
 #[derive(Clone)]
 pub(super) struct Connection {
-    outgoing: mpsc::UnboundedSender<PeerMessage>,
+    outgoing: mpsc::UnboundedSender<Outgoing>,
     work: Arc<OpenWork>,
 }
 
@@ -178,7 +186,20 @@
     }
 
     fn send(&self, message: PeerMessage) -> bool {
-        !self.work.is_closed() && self.outgoing.send(message).is_ok()
+        !self.work.is_closed() && self.outgoing.send(Outgoing::Message(message)).is_ok()
+    }
+
+    /// Waits until everything sent so far has been given to the system, or the connection is lost.
+    pub(super) async fn flush(&self) {
+        let (written, done) = oneshot::channel();
+        if self.outgoing.send(Outgoing::Written(written)).is_ok() {
+            let _ = done.await;
+        }
+    }
+
+    /// Gives the connection up: its streams and calls end as lost, its socket is closed.
+    pub(super) fn close(&self) {
+        self.work.close();
     }
 
     async fn read_messages(
@@ -187,7 +208,8 @@
         peer: NodeId,
         service: Arc<dyn PeerService>,
     ) {
-        while let Ok(message) = reader.next().await {
+        let closed = self.work.closed.clone();
+        while let Some(Ok(message)) = closed.run_until_cancelled(reader.next()).await {
             self.dispatch(message, peer, &service);
         }
         self.work.close();
@@ -219,6 +241,10 @@
                     let _ = sender.send(message);
                 }
             }
+            PeerMessage::EndStream { stream } => {
+                // What the owner sent before stays to be read; then the edge sees the end.
+                lock(&self.work.edge_streams).remove(&stream);
+            }
             PeerMessage::Call { call, request } => {
                 let connection = self.clone();
                 let service = Arc::clone(service);
@@ -282,6 +308,10 @@
             }
             Side::Owner => {
                 lock(&self.connection.work.owner_streams).remove(&self.stream);
+                // An owner that let go without a last word must not leave the edge waiting.
+                self.connection.send(PeerMessage::EndStream {
+                    stream: self.stream,
+                });
             }
         }
     }
@@ -350,19 +380,39 @@
 
 async fn write_queue(
     mut writer: OwnedWriteHalf,
-    mut queue: mpsc::UnboundedReceiver<PeerMessage>,
+    mut queue: mpsc::UnboundedReceiver<Outgoing>,
     work: Arc<OpenWork>,
 ) {
     let mut waiting = Vec::with_capacity(WRITE_BATCH_FRAMES);
     let mut buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
-    while queue.recv_many(&mut waiting, WRITE_BATCH_FRAMES).await > 0 {
-        let encoded = waiting
-            .drain(..)
-            .try_for_each(|message| encode_frame(&message, &mut buffer));
-        if encoded.is_err() || writer.write_all(&buffer).await.is_err() {
+    let closed = work.closed.clone();
+    loop {
+        let received = queue.recv_many(&mut waiting, WRITE_BATCH_FRAMES);
+        if closed
+            .run_until_cancelled(received)
+            .await
+            .unwrap_or_default()
+            == 0
+        {
+            break;
+        }
+        let mut written = Vec::new();
+        let encoded = waiting.drain(..).try_for_each(|item| match item {
+            Outgoing::Message(message) => encode_frame(&message, &mut buffer),
+            Outgoing::Written(sender) => {
+                written.push(sender);
+                Ok(())
+            }
+        });
+        let sent = closed.run_until_cancelled(writer.write_all(&buffer)).await;
+        if encoded.is_err() || !matches!(sent, Some(Ok(()))) {
             break;
         }
         buffer.clear();
+        for sender in written {
+            // The one who waits may have given up.
+            let _ = sender.send(());
+        }
     }
     work.close();
 }
--- a/crates/stairward-proxy/src/peer/mod.rs
+++ b/crates/stairward-proxy/src/peer/mod.rs
@@ -6,6 +6,7 @@
 
 mod connection;
 mod network;
+mod open_connections;
 mod stream;
 
 pub use network::{CallFuture, PeerError, PeerNetwork, PeerService};
--- a/crates/stairward-proxy/src/peer/network.rs
+++ b/crates/stairward-proxy/src/peer/network.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Mutex;
 
 use super::connection::Connection;
+use super::open_connections::OpenConnections;
 use super::stream::{EdgeStream, OwnerStream, local_pair};
 use crate::cluster::Cluster;
 
@@ -110,7 +111,10 @@
     cluster: Cluster,
     key: ClusterKey,
     service: OnceLock<Arc<dyn PeerService>>,
+    /// The ways to peers that this node's edge and calls use.
     connections: Mutex<HashMap<NodeId, Arc<Mutex<PeerSlot>>>>,
+    /// Every open connection, those that peers made included.
+    open: OpenConnections,
 }
 
 impl PeerNetwork {
@@ -123,6 +127,7 @@
             key,
             service: OnceLock::new(),
             connections: Mutex::default(),
+            open: OpenConnections::default(),
         };
         Self {
             inner: Arc::new(inner),
@@ -140,6 +145,7 @@
         service: Arc<dyn PeerService>,
     ) -> Result<(), PeerError> {
         self.set_service(service);
+        tokio::spawn(self.clone().follow_members());
         loop {
             let (socket, _) = listener.accept().await.context(SocketSnafu)?;
             let network = self.clone();
@@ -155,6 +161,24 @@
         }
     }
 
+    /// Closes connections to nodes that membership declares lost.
+    async fn follow_members(self) {
+        let mut members = self.inner.cluster.watch_members();
+        let mut before = Arc::clone(&members.borrow_and_update());
+        while members.changed().await.is_ok() {
+            let after = Arc::clone(&members.borrow_and_update());
+            self.inner.open.close_lost(&before, &after);
+            before = after;
+        }
+    }
+
+    /// Waits until everything sent so far has been given to the system, for a planned stop.
+    pub async fn flush(&self) {
+        for connection in self.inner.open.all() {
+            connection.flush().await;
+        }
+    }
+
     /// Sets what answers peers, for when the listener starts later. Only the first call counts.
     pub fn set_service(&self, service: Arc<dyn PeerService>) {
         let _ = self.inner.service.set(service);
@@ -216,10 +240,11 @@
         let service = Arc::clone(self.service()?);
         let identity = &self.inner.cluster.identity;
         let established = Connection::establish(socket, identity, &self.inner.key, None, service);
-        tokio::time::timeout(CONNECT_TIMEOUT, established)
+        let (peer, connection) = tokio::time::timeout(CONNECT_TIMEOUT, established)
             .await
             .ok()
             .context(TimeoutSnafu)??;
+        self.inner.open.add(peer, connection);
         Ok(())
     }
 
@@ -263,6 +288,7 @@
             .await
             .ok()
             .context(TimeoutSnafu)??;
+        self.inner.open.add(node, connection.clone());
         tracing::debug!(
             event = stairward_types::LogEvent::PeerConnected.number(),
             peer = node.0,
--- a/crates/stairward/tests/documents.rs
+++ b/crates/stairward/tests/documents.rs
@@ -59,12 +59,19 @@
 fn the_command_page_holds_the_help_of_every_command() {
     let page = std::fs::read_to_string(repository().join("docs/COMMANDS.md"))
         .expect("the page can be read");
-    for command in ["", "serve", "check", "demo", "settings", "backend", "status"] {
-        let words = [command, "--help"].into_iter().filter(|word| !word.is_empty());
+    for command in [
+        "", "serve", "check", "demo", "settings", "backend", "status",
+    ] {
+        let words = [command, "--help"]
+            .into_iter()
+            .filter(|word| !word.is_empty());
         let mut help = Vec::new();
         stairward::run_to_code(words.map(OsString::from), &mut help);
         let help = String::from_utf8(help).expect("help is UTF-8");
-        assert!(page.contains(&help), "the help of {command:?} is not in docs/COMMANDS.md:\n{help}");
+        assert!(
+            page.contains(&help),
+            "the help of {command:?} is not in docs/COMMANDS.md:\n{help}"
+        );
     }
 }
 
@@ -72,9 +79,15 @@
 fn the_readme_has_two_set_up_commands() {
     let readme =
         std::fs::read_to_string(repository().join("README.md")).expect("the page can be read");
-    let commands: Vec<&str> =
-        readme.lines().filter(|line| line.starts_with("cargo ")).collect();
+    let commands: Vec<&str> = readme
+        .lines()
+        .filter(|line| line.starts_with("cargo "))
+        .collect();
     assert_eq!(commands.len(), 2, "{commands:?}");
     let ci = std::fs::read_to_string(repository().join(".ci/run")).expect("CI can be read");
-    assert!(ci.contains(commands[1]), "CI does not run {:?}", commands[1]);
+    assert!(
+        ci.contains(commands[1]),
+        "CI does not run {:?}",
+        commands[1]
+    );
 }
