Simulate ownership in the lab; keep the standby's share until the owner's is held

It now keeps the share until then; the rule (should_hold) is shared by the service and the simulation.

--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod load;
 pub mod membership;
 pub mod output;
+pub mod ownership;
 pub mod process;
 pub mod provenance;
 pub mod report;
--- a/crates/stairward-pool/src/lib.rs
+++ b/crates/stairward-pool/src/lib.rs
@@ -14,4 +14,4 @@
 pub use fence::AcknowledgementFence;
 pub use lease::Lease;
 pub use pool::BackendPool;
-pub use share::{CONTENDER_RESERVE, ConnectionShares, OwnerRole};
+pub use share::{CONTENDER_RESERVE, ConnectionShares, OwnerRole, should_hold};
--- a/crates/stairward-pool/src/share.rs
+++ b/crates/stairward-pool/src/share.rs
@@ -33,6 +33,27 @@
     }
 }
 
+/// Whether a node should hold a role, or try to.
+///
+/// `ranked` is the role that the membership view gives the node. A standby that has become first in
+/// rank keeps its share until it holds the owner's, so that the back end is served meanwhile.
+#[must_use]
+pub fn should_hold(
+    role: OwnerRole,
+    ranked: Option<OwnerRole>,
+    holds_owner: bool,
+    holds_standby: bool,
+) -> bool {
+    let is_promoted = ranked == Some(OwnerRole::Owner);
+    match role {
+        OwnerRole::Owner => is_promoted,
+        OwnerRole::Standby => {
+            let bridges = is_promoted && holds_standby && !holds_owner;
+            bridges || ranked == Some(OwnerRole::Standby)
+        }
+    }
+}
+
 /// The fixed division of a back end's connection limit. The parts and the reserve add up to the
 /// limit at most, so each holder can keep to its part without knowing what the other does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/stairward-proxy/src/owner/backend/effects.rs
+++ b/crates/stairward-proxy/src/owner/backend/effects.rs
@@ -24,7 +24,10 @@
     pub(super) fn lease_event_locked(self: &Arc<Self>, state: &mut State, event: LeaseEvent) {
         for effect in state.lease.handle(self.now(), event) {
             match effect {
-                LeaseEffect::StartUse => self.apply(state, PoolEvent::LeaseHeld(true)),
+                LeaseEffect::StartUse => {
+                    self.apply(state, PoolEvent::LeaseHeld(true));
+                    self.context.roles_changed.notify_one();
+                }
                 LeaseEffect::StopUse => {
                     if event == LeaseEvent::Tick {
                         self.log_lapse();
--- a/crates/stairward-proxy/src/owner/context.rs
+++ b/crates/stairward-proxy/src/owner/context.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use stairward_types::BackendId;
+use tokio::sync::Notify;
 
 use super::backend::BackendIdentity;
 use crate::cluster::Cluster;
@@ -26,6 +27,8 @@
     pub network: PeerNetwork,
     /// How to log in at back ends.
     pub settings: OwnerSettings,
+    /// Fires when a role has been taken or given up, which may change what else is wanted.
+    pub roles_changed: Notify,
 }
 
 impl OwnerContext {
--- a/crates/stairward-proxy/src/owner/service.rs
+++ b/crates/stairward-proxy/src/owner/service.rs
@@ -7,7 +7,7 @@
 
 use stairward_pool::lease::LeaseEvent;
 use stairward_pool::pool::{PoolEvent, PoolSettings};
-use stairward_pool::{ConnectionShares, OwnerRole};
+use stairward_pool::{ConnectionShares, OwnerRole, should_hold};
 use stairward_protocol::call::CallReply;
 use stairward_settings::{BackendSettings, GroupSettings, ResolvedSettings};
 use stairward_types::{AdminState, BackendId, GroupId, LogEvent, ResultCode};
@@ -39,8 +39,6 @@
 pub struct OwnerService {
     context: Arc<OwnerContext>,
     state: Mutex<ServiceState>,
-    /// Wakes [`OwnerService::run`] when a back end has been given up.
-    given_up: Notify,
 }
 
 #[derive(Default)]
@@ -60,11 +58,11 @@
             cluster,
             network,
             settings,
+            roles_changed: Notify::new(),
         };
         Arc::new(Self {
             context: Arc::new(context),
             state: Mutex::default(),
-            given_up: Notify::new(),
         })
     }
 
@@ -80,7 +78,7 @@
                 changed = settings.changed() => changed,
                 changed = members.changed() => changed,
                 changed = primaries.changed() => changed,
-                () = self.given_up.notified() => Ok(()),
+                () = self.context.roles_changed.notified() => Ok(()),
             };
             if changed.is_err() {
                 return;
@@ -184,7 +182,7 @@
         if state.is_draining {
             return;
         }
-        let wanted = self.wanted(&settings);
+        let wanted = self.wanted(&settings, &state.served);
         let unwanted: Vec<_> = state
             .served
             .keys()
@@ -206,28 +204,43 @@
     fn wanted<'a>(
         &self,
         settings: &'a ResolvedSettings,
+        served: &Served,
     ) -> BTreeMap<(BackendId, OwnerRole), (&'a GroupSettings, &'a BackendSettings)> {
-        let node = self.context.cluster.identity.node;
+        let holds = |name: &BackendId, role| {
+            let backend = served.get(&(name.clone(), role));
+            backend.is_some_and(|backend| backend.lease_is_held())
+        };
         let mut wanted = BTreeMap::new();
         for group in settings.groups.values() {
             for backend in group.backends.values() {
-                let Some(owners) = self.context.cluster.owners(&backend.backend) else {
-                    continue;
-                };
-                let shares = ConnectionShares::divide(backend.connection_limit);
-                let role = if owners.owner == node {
-                    OwnerRole::Owner
-                } else if owners.standby == Some(node) && shares.standby > 0 {
-                    OwnerRole::Standby
-                } else {
-                    continue;
-                };
-                wanted.insert((backend.backend.clone(), role), (group, backend));
+                let name = &backend.backend;
+                let ranked = self.ranked_role(backend);
+                let holds_owner = holds(name, OwnerRole::Owner);
+                let holds_standby = holds(name, OwnerRole::Standby);
+                for role in OwnerRole::ALL {
+                    if should_hold(role, ranked, holds_owner, holds_standby) {
+                        wanted.insert((name.clone(), role), (group, backend));
+                    }
+                }
             }
         }
         wanted
     }
 
+    /// The role that the membership view gives this node at a back end.
+    fn ranked_role(&self, backend: &BackendSettings) -> Option<OwnerRole> {
+        let node = self.context.cluster.identity.node;
+        let owners = self.context.cluster.owners(&backend.backend)?;
+        let shares = ConnectionShares::divide(backend.connection_limit);
+        if owners.owner == node {
+            Some(OwnerRole::Owner)
+        } else if owners.standby == Some(node) && shares.standby > 0 {
+            Some(OwnerRole::Standby)
+        } else {
+            None
+        }
+    }
+
     fn serve(
         &self,
         state: &mut ServiceState,
@@ -290,7 +303,7 @@
         backend.stop(MOVE_LIMIT).await;
         let key = (backend.identity.name.clone(), backend.identity.role);
         self.lock().leaving.remove(&key);
-        self.given_up.notify_one();
+        self.context.roles_changed.notify_one();
     }
 }
 
