--- a/crates/stairward-proxy/src/peer/connection.rs
+++ b/crates/stairward-proxy/src/peer/connection.rs
@@ -95,6 +95,7 @@
 }
 
 /// What waits to be written.
+#[expect(clippy::large_enum_variant, reason = "almost every item is a message")]
 enum Outgoing {
     Message(PeerMessage),
     /// Everything before this has been given to the system.
