Let go of a stream that its owner has ended; finish what was sent before a planned stop

Cause: after a refusal the request waited with its ended stream still at hand. The stream's end was heard again and again, ahead of every timer, so the request never came to its deadline. In the demo with a planned stop a statement got no answer within 30 s. Cause: an idle session was told to go at once when a planned stop began, although its caller had sent a request; and closing the socket with that request unread could lose the last answer (the demo counted one request as cut by the stop). Sessions are now told with their next answer, idle ones after 250 ms, and a closed connection is read on for a second.

--- a/crates/stairward-proxy/src/edge/client.rs
+++ b/crates/stairward-proxy/src/edge/client.rs
@@ -25,6 +25,10 @@
 const READ_AHEAD_BYTES: usize = 64 * 1024;
 /// How long a caller may take no bytes at all before it is cut off.
 const STALLED_READER_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long a closed connection is read on.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Bytes dropped at once while a closed connection is read on.
+const LINGER_READ_BYTES: usize = 1_024;
 /// Longest start-up packet; PostgreSQL's own limit.
 const MAXIMUM_STARTUP_BYTES: usize = 10_000;
 /// Length and code.
@@ -159,10 +163,17 @@
         self.socket.flush().await.context(SocketSnafu)
     }
 
-    /// Writes out what has gathered and ends the connection.
+    /// Writes out what has gathered and ends the connection. What the caller still sends is read and
+    /// dropped for a while: closing a socket with unread bytes would reset the connection, and the
+    /// caller might lose the last answer.
     pub(super) async fn close(mut self) {
-        if self.flush().await.is_ok() {
-            let _ = self.socket.shutdown().await;
+        if self.flush().await.is_err() || self.socket.shutdown().await.is_err() {
+            return;
         }
+        let lingering = async {
+            let mut dropped = [0; LINGER_READ_BYTES];
+            while matches!(self.socket.read(&mut dropped).await, Ok(count) if count > 0) {}
+        };
+        let _ = tokio::time::timeout(LINGER_TIME, lingering).await;
     }
 }
--- a/crates/stairward-proxy/src/edge/opening.rs
+++ b/crates/stairward-proxy/src/edge/opening.rs
@@ -15,7 +15,7 @@
 use super::client::ClientError;
 use super::execute::{ReadFloor, Request};
 use super::session::{Flow, Session, SessionEnd};
-use super::waiting::Heard;
+use super::waiting::{Heard, retry_after};
 
 /// How long a connection to an owner may take to be made before its standby is asked.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
@@ -220,6 +220,7 @@
         let message = match heard {
             Heard::Owner(Some(message)) => message,
             Heard::Owner(None) => {
+                self.active = None;
                 return Ok(Progress::Continue(Some(Event::StreamLost { opened: true })));
             }
             Heard::Flush => {
@@ -235,6 +236,8 @@
         self.hear_owner(message, opening).await
     }
 
+    /// Takes a message of the owner in. Those that end the stream let go of it, since nothing but its
+    /// end would be heard on it from now on.
     async fn hear_owner(&mut self, message: OwnerMessage, opening: &mut Opening) -> Flow<Progress> {
         let event = match message {
             OwnerMessage::Admitted(hint) => {
@@ -247,11 +250,14 @@
                 code,
                 retry_after_milliseconds,
                 hint,
-            } => Event::Refused {
-                code: ResultCode::from_number(code).unwrap_or(ResultCode::BackendUnavailable),
-                retry_after: super::waiting::retry_after(retry_after_milliseconds),
-                observation: observation(hint),
-            },
+            } => {
+                self.active = None;
+                Event::Refused {
+                    code: ResultCode::from_number(code).unwrap_or(ResultCode::BackendUnavailable),
+                    retry_after: retry_after(retry_after_milliseconds),
+                    observation: observation(hint),
+                }
+            }
             OwnerMessage::Answer { messages } => {
                 let begun = self.pass_answer(&messages.bytes).await?;
                 if begun {
@@ -259,11 +265,17 @@
                 }
                 return Ok(Progress::Continue(begun.then_some(Event::AnswerBegun)));
             }
-            OwnerMessage::OutcomeUnknown { code, hint } => Event::OutcomeUnknown {
-                code: ResultCode::from_number(code).unwrap_or(ResultCode::BackendLostAfterSend),
-                observation: observation(hint),
-            },
-            OwnerMessage::TransactionLost { .. } => Event::TransactionLost,
+            OwnerMessage::OutcomeUnknown { code, hint } => {
+                self.active = None;
+                Event::OutcomeUnknown {
+                    code: ResultCode::from_number(code).unwrap_or(ResultCode::BackendLostAfterSend),
+                    observation: observation(hint),
+                }
+            }
+            OwnerMessage::TransactionLost { .. } => {
+                self.active = None;
+                Event::TransactionLost
+            }
             done @ OwnerMessage::BatchDone { .. } => Event::Done(self.batch_done(done)),
         };
         Ok(Progress::Continue(Some(event)))
--- a/crates/stairward-proxy/src/edge/service.rs
+++ b/crates/stairward-proxy/src/edge/service.rs
@@ -311,6 +311,7 @@
             active: None,
             builder: BatchBuilder::default(),
             skipping: false,
+            served_while_draining: false,
         };
         session.ready();
         session.run().await;
--- a/crates/stairward-proxy/src/edge/session.rs
+++ b/crates/stairward-proxy/src/edge/session.rs
@@ -22,6 +22,9 @@
 use super::reply::{self, Severity};
 use super::service::EdgeService;
 
+/// How long an idle session is listened to after a planned stop began, before it is told to go: what
+/// its caller had sent by then has arrived.
+const DRAIN_QUIET: Duration = Duration::from_millis(250);
 /// How long answers are gathered before they are written although more may come.
 pub(super) const GATHER_TIME: Duration = Duration::from_millis(5);
 /// Largest message accepted while the group's settings can't be read, in bytes.
@@ -94,6 +97,9 @@
     pub(super) transaction: Transaction,
     pub(super) active: Option<Box<ActiveStream>>,
     pub(super) builder: BatchBuilder,
+    /// Whether the caller was served since the planned stop began. It is told to go along with the
+    /// answer then, when it is least likely to have sent anything new.
+    pub(super) served_while_draining: bool,
     /// Set after an error in a batch whose `Sync` hasn't come yet.
     pub(super) skipping: bool,
 }
@@ -104,6 +110,8 @@
     /// From the owner: answers to a part of a batch, or the loss of a transaction.
     Owner(Option<OwnerMessage>),
     Drain,
+    /// The planned stop has begun; what the session does next depends on it.
+    DrainBegan,
 }
 
 impl Session {
@@ -122,13 +130,11 @@
             Step::Frame(frame) => self.take_frame(frame).await,
             Step::Owner(message) => self.hear_between_batches(message).await,
             Step::Drain => Err(SessionEnd::Drained),
+            Step::DrainBegan => Ok(()),
         }
     }
 
     async fn next_step(&mut self) -> Flow<Step> {
-        if self.is_at_boundary() && *self.draining.borrow() {
-            return Ok(Step::Drain);
-        }
         let limit = self.message_limit();
         if self.client.output.len() < OUTPUT_BYTES
             && let Some(frame) = self.client.buffered_frame(limit)?
@@ -136,12 +142,24 @@
             return Ok(Step::Frame(frame));
         }
         self.client.flush().await?;
-        let may_drain = self.is_at_boundary();
-        tokio::select! {
-            frame = self.client.frame(limit) => Ok(Step::Frame(frame?)),
-            message = receive(&mut self.active) => Ok(Step::Owner(message)),
-            _ = self.draining.wait_for(|draining| *draining), if may_drain => Ok(Step::Drain),
+        let draining = *self.draining.borrow();
+        let at_boundary = self.is_at_boundary();
+        if draining && at_boundary && self.served_while_draining {
+            return Ok(Step::Drain);
         }
+        let frame = tokio::select! {
+            biased;
+            frame = self.client.frame(limit) => frame?,
+            message = receive(&mut self.active) => return Ok(Step::Owner(message)),
+            _ = self.draining.wait_for(|draining| *draining), if !draining => {
+                return Ok(Step::DrainBegan);
+            }
+            () = tokio::time::sleep(DRAIN_QUIET), if draining && at_boundary => {
+                return Ok(Step::Drain);
+            }
+        };
+        self.served_while_draining = draining;
+        Ok(Step::Frame(frame))
     }
 
     /// Whether nothing of the caller's is under way.
--- a/crates/stairward-proxy/tests/edge_control.rs
+++ b/crates/stairward-proxy/tests/edge_control.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use edge_support::raw::{RawCaller, query};
+use edge_support::scripted::ScriptedSite;
 use edge_support::{HANG, Site, guarded, simple_value, token_key};
 use stairward_proxy::edge::EdgeSettings;
 use stairward_standins::group::Fault;
@@ -164,6 +165,31 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_sent_before_a_planned_stop_is_answered() {
+    guarded(async {
+        let site = ScriptedSite::start().await;
+        let mut callers = Vec::new();
+        for _ in 0..50 {
+            callers.push(RawCaller::connect(site.address).await);
+        }
+        for caller in &mut callers {
+            caller.send(&[query("SELECT 1")]).await;
+        }
+        let edge = std::sync::Arc::clone(&site.edge);
+        let drained = tokio::spawn(async move { edge.drain(HANG).await });
+        for caller in &mut callers {
+            assert_eq!(caller.answers_until(b'Z').await, "CZ");
+            let (tag, body) = caller.next().await;
+            assert_eq!(tag, b'E');
+            assert!(String::from_utf8_lossy(&body).contains("57P01"));
+        }
+        drop(callers);
+        assert!(drained.await.unwrap());
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_changed_setting_is_in_force_for_the_next_request() {
     guarded(async {
--- a/crates/stairward-proxy/tests/edge_outcomes.rs
+++ b/crates/stairward-proxy/tests/edge_outcomes.rs
@@ -214,6 +214,40 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_waits_while_no_node_owns_the_back_end() {
+    guarded(async {
+        for text in [READ, WRITE] {
+            let site = ScriptedSite::start().await;
+            let client = site.connect().await;
+            client.batch_execute("SELECT 1").await.unwrap();
+            let refusal = Ending::Refuse(ResultCode::NotOwner, 0);
+            site.script.set(&[refusal; 9]);
+            client.batch_execute(text).await.unwrap();
+            assert_eq!(site.script.opened().len(), 10, "{text}");
+        }
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_no_node_takes_ends_at_its_deadline() {
+    guarded(async {
+        let site = ScriptedSite::start().await;
+        let client = site.connect().await;
+        client
+            .batch_execute("SET stairward.deadline_ms = 300")
+            .await
+            .unwrap();
+        site.script
+            .set(&[Ending::Refuse(ResultCode::NotOwner, 0); 1_000]);
+        let error = client.batch_execute(WRITE).await.unwrap_err();
+        let code = result_code(&error).and_then(ResultCode::from_number);
+        assert_eq!(code, Some(ResultCode::DeadlineBeforeSend));
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refusal_says_when_to_come_back() {
     guarded(async {
--- a/crates/stairward-proxy/tests/edge_support/scripted.rs
+++ b/crates/stairward-proxy/tests/edge_support/scripted.rs
@@ -332,7 +332,7 @@
             move |_: &MembershipView, _: &BackendId, _: &BackendSettings| {
                 Some(Owners {
                     owner,
-                    standby: None,
+                    standby: Some(owner),
                 })
             },
         );
