--- a/crates/stairward-lab/src/simulate/random.rs
+++ b/crates/stairward-lab/src/simulate/random.rs
@@ -17,6 +17,11 @@
         Self(generator)
     }
 
+    /// The generator, for decision code that takes one.
+    pub(super) const fn generator(&mut self) -> &mut ChaCha12Rng {
+        &mut self.0
+    }
+
     /// Any number.
     pub(super) fn number(&mut self) -> u64 {
         self.0.random()
