--- a/crates/stairward-lab/src/simulate/calls.rs
+++ b/crates/stairward-lab/src/simulate/calls.rs
@@ -12,32 +12,41 @@
 use super::outbox::{Outbox, ProxyTimer};
 
 /// How long a peer may take to answer.
-const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// What an answer is for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum CallPurpose {
     /// An exchange of settings.
     Exchange(ExchangeId),
-    /// A question of an acknowledgement fence.
-    Fence {
-        /// The primary whose fence asks, and the role in which it is held.
-        claim: (BackendId, OwnerRole),
-        /// The question.
-        question: QuestionId,
-        /// The member asked.
-        member: BackendId,
-        /// Whether the member's standby owner was asked.
-        by_standby: bool,
-    },
-    /// The search for a group's primary.
-    Search(GroupId, BackendId),
-    /// The search for a new session's floor.
-    Floor(CallerConnection, BackendId),
+    /// A question about a back end.
+    Backend(BackendQuestion),
     /// A hand-over, whose answer says nothing.
     HandOver,
 }
 
+/// A question about a back end: to its owner first, then to its standby.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct BackendQuestion {
+    /// The back end.
+    pub backend: BackendId,
+    /// Whether the standby is asked.
+    pub by_standby: bool,
+    /// Who wants to know.
+    pub asker: Asker,
+}
+
+/// Who wants to know a back end's state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Asker {
+    /// The fence of a primary held in a role.
+    Fence((BackendId, OwnerRole), QuestionId),
+    /// The search for a group's primary.
+    Search(GroupId),
+    /// The search for a new session's floor.
+    Floor(CallerConnection),
+}
+
 /// A question under way.
 #[derive(Debug)]
 pub(super) struct OpenCall {
--- a/crates/stairward-lab/src/simulate/database.rs
+++ b/crates/stairward-lab/src/simulate/database.rs
@@ -1,7 +1,7 @@
 //! The database groups of a run: stand-in groups on the virtual clock, each with the connections
 //! that proxies hold.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use stairward_checker::Recorder;
 use stairward_standins::group::{
@@ -93,6 +93,8 @@
     running: BTreeMap<(BackendId, ConnectionNumber), RunningBatch>,
     truth: TruthRecorder,
     next_request: u64,
+    /// Members whose process does not run.
+    stopped: BTreeSet<BackendId>,
 }
 
 impl DatabaseGroup {
@@ -104,6 +106,7 @@
             group: Group::new(config, seed, Time::ZERO),
             running: BTreeMap::new(),
             next_request: 0,
+            stopped: BTreeSet::new(),
         }
     }
 
@@ -166,6 +169,14 @@
         self.group.freshness(member)
     }
 
+    /// What a member reports of itself, if it runs and is not the primary.
+    pub(super) fn replica_freshness(&self, member: &BackendId) -> Option<Freshness> {
+        if self.primary() == Some(member) || self.stopped.contains(member) {
+            return None;
+        }
+        self.freshness(member)
+    }
+
     fn client(
         &mut self,
         now: Time,
@@ -222,7 +233,13 @@
                     outputs.push(GroupOutput::Elected { term });
                 }
             }
-            Effect::Availability { .. } => {}
+            Effect::Availability { member, available } => {
+                if available {
+                    self.stopped.remove(&member);
+                } else {
+                    self.stopped.insert(member);
+                }
+            }
         }
     }
 
--- a/crates/stairward-lab/src/simulate/message.rs
+++ b/crates/stairward-lab/src/simulate/message.rs
@@ -230,6 +230,8 @@
     Stopping,
     /// The connection is lost.
     Lost,
+    /// Nobody listens: the connection never came about.
+    Refused,
 }
 
 /// From a proxy to the platform's store.
--- a/crates/stairward-lab/src/simulate/outbox.rs
+++ b/crates/stairward-lab/src/simulate/outbox.rs
@@ -26,8 +26,6 @@
     Call(u64),
     /// A read of the store that may have gone unanswered.
     StoreRead(u64),
-    /// A session's search for its floor.
-    Floor(CallerConnection),
     /// The planned stop.
     Stop,
 }
