--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -27,6 +27,7 @@
     crate::compare::COMMAND,
     crate::capacity::COMMAND,
     crate::experiment::idle::COMMAND,
+    crate::simulate::COMMAND,
 ];
 
 /// Reads the subcommand's name from the command line and runs it.
--- a/crates/stairward-lab/src/demo/observer.rs
+++ b/crates/stairward-lab/src/demo/observer.rs
@@ -41,7 +41,9 @@
         }
     }
 
-    fn event(&self, truth: &GroundTruth) -> Option<HistoryEvent> {
+    /// The event of a history that a report stands for, if any.
+    #[must_use]
+    pub fn event(&self, truth: &GroundTruth) -> Option<HistoryEvent> {
         let backend = truth.backend.clone();
         let group = self.groups.get(&backend)?.clone();
         match &truth.observation {
--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod process;
 pub mod provenance;
 pub mod report;
+pub mod simulate;
 pub mod site;
--- a/crates/stairward-lab/src/simulate/database.rs
+++ b/crates/stairward-lab/src/simulate/database.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use stairward_checker::Recorder;
+use stairward_proxy::cluster::Clock;
 use stairward_standins::group::{
     ClientRequest, Completion, Effect, Event, Fault, Group, GroupConfig, Reply, RequestNumber,
     TransactionStatus,
@@ -12,7 +13,7 @@
 use stairward_standins::{ConnectionNumber, Observation};
 use stairward_types::{BackendId, Freshness, GroupId, Term, Time};
 
-use super::truth::TruthRecorder;
+use crate::demo::observer::Observer;
 
 /// Matches the answer to a batch with the batch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -85,13 +86,13 @@
 }
 
 /// One group.
-#[derive(Debug)]
 pub(super) struct DatabaseGroup {
     /// Its name.
     pub id: GroupId,
     group: Group,
     running: BTreeMap<(BackendId, ConnectionNumber), RunningBatch>,
-    truth: TruthRecorder,
+    observer: Observer,
+    recorder: Recorder,
     next_request: u64,
     /// Members whose process does not run.
     stopped: BTreeSet<BackendId>,
@@ -100,8 +101,11 @@
 impl DatabaseGroup {
     /// Starts a group.
     pub(super) fn new(id: GroupId, config: &GroupConfig, seed: u64, recorder: Recorder) -> Self {
+        let members = config.members.iter();
+        let groups = members.map(|member| (member.backend.clone(), id.clone()));
         Self {
-            truth: TruthRecorder::new(id.clone(), recorder),
+            observer: Observer::new(recorder.clone(), Clock::start(), groups.collect()),
+            recorder,
             id,
             group: Group::new(config, seed, Time::ZERO),
             running: BTreeMap::new(),
@@ -228,7 +232,9 @@
                 reply,
             } => self.take_reply(now, member, connection, reply, outputs),
             Effect::Observed(truth) => {
-                self.truth.record(&truth);
+                if let Some(event) = self.observer.event(&truth) {
+                    self.recorder.record(truth.at, event);
+                }
                 if let Observation::ElectionWon { term, .. } = truth.observation {
                     outputs.push(GroupOutput::Elected { term });
                 }
--- a/crates/stairward-lab/src/simulate/edge/request.rs
+++ b/crates/stairward-lab/src/simulate/edge/request.rs
@@ -186,7 +186,6 @@
         request.stream = Some((stream, owner));
         let spec = request.machine.spec();
         let open = OpenStream {
-            request: request.statement.request,
             backend: attempt.backend.clone(),
             access: spec.access,
             floor: spec.floor,
@@ -251,7 +250,7 @@
 
     fn request_message(&mut self, number: u64, message: OwnerMessage, out: &mut Outbox<'_>) {
         let event = match message {
-            OwnerMessage::Admitted(observation) => Event::Admitted(observation),
+            OwnerMessage::Admitted(observation) => Event::Admitted(Some(observation)),
             OwnerMessage::Refused {
                 code,
                 retry_after,
@@ -269,7 +268,7 @@
                 if let Some(request) = self.edge.requests.get_mut(&number) {
                     request.done = Some((result, observation));
                 }
-                Event::Done(observation)
+                Event::Done(Some(observation))
             }
             OwnerMessage::OutcomeUnknown { code, observation } => {
                 Event::OutcomeUnknown { code, observation }
--- a/crates/stairward-lab/src/simulate/message.rs
+++ b/crates/stairward-lab/src/simulate/message.rs
@@ -28,8 +28,6 @@
 /// Asks an owner to lend a connection and run a first batch.
 #[derive(Debug, Clone)]
 pub(super) struct OpenStream {
-    /// The caller's request, for the history.
-    pub request: RequestId,
     /// The back end.
     pub backend: BackendId,
     /// Whether anything on the stream may write.
--- a/crates/stairward-lab/src/simulate/mod.rs
+++ b/crates/stairward-lab/src/simulate/mod.rs
@@ -30,7 +30,6 @@
 mod run;
 mod store;
 mod traffic;
-pub mod truth;
 mod variant;
 mod world;
 
