--- a/crates/stairward-lab/src/simulate/control.rs
+++ b/crates/stairward-lab/src/simulate/control.rs
@@ -273,7 +273,11 @@
         }
     }
 
-    fn settings_effect(&mut self, effect: SpreadEffect, out: &mut Outbox<'_>) -> Option<SpreadEvent> {
+    fn settings_effect(
+        &mut self,
+        effect: SpreadEffect,
+        out: &mut Outbox<'_>,
+    ) -> Option<SpreadEvent> {
         match effect {
             SpreadEffect::Ask {
                 exchange,
--- a/crates/stairward-lab/src/simulate/edge/mod.rs
+++ b/crates/stairward-lab/src/simulate/edge/mod.rs
@@ -113,7 +113,12 @@
         let ignores_leaving = self.broken == Some(BrokenVariant::Leaving);
         for group in settings.groups.values() {
             let edge_group = self.edge.groups.entry(group.group.clone()).or_default();
-            apply_settings(&mut edge_group.routing, group, &self.identity, ignores_leaving);
+            apply_settings(
+                &mut edge_group.routing,
+                group,
+                &self.identity,
+                ignores_leaving,
+            );
         }
         self.settings_changed_for_claims(out);
     }
@@ -208,17 +213,19 @@
         retry_budget_permille: group.retry_budget_permille,
         freshness_wait: group.freshness_wait,
     });
-    routing.view.set_backends(group.backends.values().map(|backend| {
-        let admin_state = match backend.admin_state {
-            AdminState::Leaving if ignores_leaving => AdminState::Active,
-            state => state,
-        };
-        (
-            backend.backend.clone(),
-            admin_state,
-            distance(backend, identity),
-        )
-    }));
+    routing
+        .view
+        .set_backends(group.backends.values().map(|backend| {
+            let admin_state = match backend.admin_state {
+                AdminState::Leaving if ignores_leaving => AdminState::Active,
+                state => state,
+            };
+            (
+                backend.backend.clone(),
+                admin_state,
+                distance(backend, identity),
+            )
+        }));
 }
 
 fn distance(backend: &BackendSettings, identity: &super::control::ProxyIdentity) -> ZoneDistance {
--- a/crates/stairward-lab/src/simulate/edge/request.rs
+++ b/crates/stairward-lab/src/simulate/edge/request.rs
@@ -89,12 +89,7 @@
         self.edge.sessions.get(&connection)?.known_floor()
     }
 
-    fn reads_from_primary(
-        &self,
-        connection: CallerConnection,
-        is_read: bool,
-        now: Time,
-    ) -> bool {
+    fn reads_from_primary(&self, connection: CallerConnection, is_read: bool, now: Time) -> bool {
         let Some(session) = self.edge.sessions.get(&connection) else {
             return true;
         };
@@ -199,7 +194,9 @@
             },
         };
         let id = request.statement.request;
-        self.edge.streams.insert(stream, (request.connection, owner));
+        self.edge
+            .streams
+            .insert(stream, (request.connection, owner));
         out.record(HistoryEvent::RequestForwarded { request: id, owner });
         out.log(|| format!("request {id} to {} by proxy {owner}", attempt.backend));
         let message = EdgeMessage::Open(Box::new(open));
@@ -237,14 +234,20 @@
         if !is_mixed_up {
             return stream;
         }
-        let oldest = self.edge.streams.iter().find(|(_, (_, owner))| *owner == from);
+        let oldest = self
+            .edge
+            .streams
+            .iter()
+            .find(|(_, (_, owner))| *owner == from);
         oldest.map_or(stream, |(oldest, _)| *oldest)
     }
 
     fn request_on(&self, stream: StreamKey) -> Option<u64> {
-        let found = self.edge.requests.iter().find(|(_, request)| {
-            request.stream.is_some_and(|(used, _)| used == stream)
-        });
+        let found = self
+            .edge
+            .requests
+            .iter()
+            .find(|(_, request)| request.stream.is_some_and(|(used, _)| used == stream));
         found.map(|(number, _)| *number)
     }
 
--- a/crates/stairward-lab/src/simulate/edge/search.rs
+++ b/crates/stairward-lab/src/simulate/edge/search.rs
@@ -36,7 +36,11 @@
 
     /// The newest term in which a member says that it is primary, if nobody knows a later one.
     fn newest_primary(&self) -> Option<(Term, BackendId)> {
-        let newest = self.answers.values().map(|(freshness, _)| freshness.term).max()?;
+        let newest = self
+            .answers
+            .values()
+            .map(|(freshness, _)| freshness.term)
+            .max()?;
         let found = self
             .answers
             .iter()
--- a/crates/stairward-lab/src/simulate/edge/session.rs
+++ b/crates/stairward-lab/src/simulate/edge/session.rs
@@ -164,7 +164,12 @@
             return;
         };
         let Some(transaction) = &mut session.transaction else {
-            return self.fail(connection, statement.request, ResultCode::TransactionLost, out);
+            return self.fail(
+                connection,
+                statement.request,
+                ResultCode::TransactionLost,
+                out,
+            );
         };
         transaction.sequence += 1;
         let commits = statement.kind == StatementKind::Commit;
--- a/crates/stairward-lab/src/simulate/faults.rs
+++ b/crates/stairward-lab/src/simulate/faults.rs
@@ -256,5 +256,4 @@
         self.queue
             .at(returns.max(soonest), WorldEvent::ProxyReturns(proxy));
     }
-
 }
--- a/crates/stairward-lab/src/simulate/layout.rs
+++ b/crates/stairward-lab/src/simulate/layout.rs
@@ -95,7 +95,9 @@
             .filter(|database| database.group == group)
             .collect();
         // Each group starts with its primary in another place.
-        members.sort_by_key(|database| (database.place + self.groups.len() - group) % members_modulus(self));
+        members.sort_by_key(|database| {
+            (database.place + self.groups.len() - group) % members_modulus(self)
+        });
         members
     }
 
@@ -104,7 +106,10 @@
         let mut tree = SettingsTree::new();
         let root = [
             (SettingsOption::RequestTimeout, REQUEST_TIMEOUT_MS),
-            (SettingsOption::ConnectionLimit, u64::from(site.databases.connections)),
+            (
+                SettingsOption::ConnectionLimit,
+                u64::from(site.databases.connections),
+            ),
             (SettingsOption::Slots, u64::from(site.databases.slots)),
         ];
         for (option, value) in root {
--- a/crates/stairward-lab/src/simulate/options.rs
+++ b/crates/stairward-lab/src/simulate/options.rs
@@ -105,7 +105,9 @@
             match argument {
                 Arg::Long("site") => options.site = arguments.value()?.string()?,
                 Arg::Long("seeds") => options.seeds = parse_seeds(&arguments.value()?.string()?)?,
-                Arg::Long("faults") => options.faults = arguments.value()?.parse_with(parse_faults)?,
+                Arg::Long("faults") => {
+                    options.faults = arguments.value()?.parse_with(parse_faults)?
+                }
                 Arg::Long("seconds") => {
                     options.load_time = Duration::from_secs(arguments.value()?.parse()?);
                 }
--- a/crates/stairward-lab/src/simulate/outbox.rs
+++ b/crates/stairward-lab/src/simulate/outbox.rs
@@ -88,7 +88,11 @@
     ) -> ConnectionNumber {
         *self.next_connection += 1;
         let connection = ConnectionNumber(*self.next_connection);
-        self.database(backend, connection, DatabaseRequest::Open { application_name });
+        self.database(
+            backend,
+            connection,
+            DatabaseRequest::Open { application_name },
+        );
         connection
     }
 
--- a/crates/stairward-lab/src/simulate/owner/claim.rs
+++ b/crates/stairward-lab/src/simulate/owner/claim.rs
@@ -27,6 +27,8 @@
 const DRAIN_TIME: Duration = Duration::from_secs(10);
 /// Pause before a member whose answer was not enough for a fence is asked again.
 const FENCE_RETRY: Duration = Duration::from_millis(5);
+/// Least time between two wake-ups.
+const SHORTEST_SLEEP: Duration = Duration::from_micros(200);
 /// Commits that may wait for their proof.
 const FENCE_LIMIT: usize = 1_000;
 
@@ -188,7 +190,7 @@
             probe,
         ]);
         if next < self.woken_for {
-            self.woken_for = next.max(out.now);
+            self.woken_for = next.max(out.now + SHORTEST_SLEEP);
             let timer = ProxyTimer::Claim(self.backend.clone(), self.role);
             out.wake(self.woken_for, timer);
         }
--- a/crates/stairward-lab/src/simulate/owner/control_connection.rs
+++ b/crates/stairward-lab/src/simulate/owner/control_connection.rs
@@ -145,7 +145,11 @@
             }
         };
         let batch = self.begin(job, out);
-        out.database(backend, connection, DatabaseRequest::Run { batch, statements });
+        out.database(
+            backend,
+            connection,
+            DatabaseRequest::Run { batch, statements },
+        );
     }
 
     /// Notes that the connection is open. Returns whether it was waited for.
--- a/crates/stairward-lab/src/simulate/owner/stream.rs
+++ b/crates/stairward-lab/src/simulate/owner/stream.rs
@@ -187,7 +187,10 @@
 
     /// A slot is free for a stream's next batch.
     pub(super) fn run_pending(&mut self, request: RequestId, out: &mut Outbox<'_>) {
-        let term = self.pool.state().map_or(Term::default(), |state| state.freshness.term);
+        let term = self
+            .pool
+            .state()
+            .map_or(Term::default(), |state| state.freshness.term);
         let number = self.number_batch();
         let Some(stream) = self.streams.get_mut(&request) else {
             return;
@@ -433,12 +436,7 @@
         stream.connection
     }
 
-    fn finish_stream(
-        &mut self,
-        request: RequestId,
-        state: ReturnedState,
-        out: &mut Outbox<'_>,
-    ) {
+    fn finish_stream(&mut self, request: RequestId, state: ReturnedState, out: &mut Outbox<'_>) {
         if let Some(number) = self.forget_stream(request) {
             self.give_back(request, number, state, out);
         }
@@ -454,7 +452,8 @@
     fn fence_effect(&mut self, effect: FenceEffect, out: &mut Outbox<'_>) {
         match effect {
             FenceEffect::Ask { question, member } => {
-                self.requests.push(ClaimRequest::AskMember(question, member));
+                self.requests
+                    .push(ClaimRequest::AskMember(question, member));
             }
             FenceEffect::Proved { commit, freshness } => {
                 if let Some(waiting) = self.commits.remove(&commit) {
--- a/crates/stairward-lab/src/simulate/proxy.rs
+++ b/crates/stairward-lab/src/simulate/proxy.rs
@@ -284,11 +284,7 @@
     }
 
     /// Tells a session at a statement boundary to connect elsewhere, if this proxy stops.
-    pub(super) fn close_if_stopping(
-        &mut self,
-        connection: CallerConnection,
-        out: &mut Outbox<'_>,
-    ) {
+    pub(super) fn close_if_stopping(&mut self, connection: CallerConnection, out: &mut Outbox<'_>) {
         if self.is_stopping() && self.edge.end_idle_session(connection) {
             out.caller(connection, None, ProxyMessage::Stopping);
         }
--- a/crates/stairward-lab/src/simulate/queue.rs
+++ b/crates/stairward-lab/src/simulate/queue.rs
@@ -34,7 +34,8 @@
             return;
         }
         self.added += 1;
-        self.events.insert((moment.max(self.now), self.added), event);
+        self.events
+            .insert((moment.max(self.now), self.added), event);
     }
 
     /// Takes the next event and sets the clock to its moment.
--- a/crates/stairward-lab/src/simulate/report.rs
+++ b/crates/stairward-lab/src/simulate/report.rs
@@ -139,7 +139,10 @@
         for (invariant, count) in &self.violations {
             let checked = self.checked_of(*invariant);
             // Writing to a `String` cannot fail.
-            let _ = writeln!(text, "  {invariant:<24} {count:>8} violations of {checked} checked");
+            let _ = writeln!(
+                text,
+                "  {invariant:<24} {count:>8} violations of {checked} checked"
+            );
         }
         let _ = writeln!(
             text,
--- a/crates/stairward-lab/src/simulate/traffic.rs
+++ b/crates/stairward-lab/src/simulate/traffic.rs
@@ -7,9 +7,7 @@
 
 use super::caller::{InFlight, outcome_name, outcome_of};
 use super::database::{BatchNumber, DatabaseRequest};
-use super::message::{
-    BatchResult, CallerConnection, CallerMessage, ProxyMessage, StatementKind,
-};
+use super::message::{BatchResult, CallerConnection, CallerMessage, ProxyMessage, StatementKind};
 use super::network::{End, Network};
 use super::world::World;
 use crate::load::schedule::PlannedRequest;
