--- a/crates/stairward-lab/src/simulate/metrics.rs
+++ b/crates/stairward-lab/src/simulate/metrics.rs
@@ -23,7 +23,8 @@
 impl Durations {
     /// Adds one duration.
     pub(super) fn add(&mut self, duration: Duration) {
-        self.0.saturating_record(duration.as_micros() as u64);
+        // An auto-resizing histogram takes any value.
+        let _ = self.0.record(duration.as_micros() as u64);
     }
 
     /// Adds all durations of another.
--- a/crates/stairward-lab/src/simulate/owner/claim.rs
+++ b/crates/stairward-lab/src/simulate/owner/claim.rs
@@ -196,8 +196,11 @@
         }
     }
 
-    /// Time has passed.
+    /// Time has passed. Does nothing when the wake-up was replaced by a later one.
     pub(super) fn woken(&mut self, out: &mut Outbox<'_>) {
+        if self.woken_for > out.now {
+            return;
+        }
         self.woken_for = Time::NEVER;
         if self.control.job_deadline().is_some_and(|at| at <= out.now) {
             self.control_lost(out);
--- a/crates/stairward-lab/src/simulate/world.rs
+++ b/crates/stairward-lab/src/simulate/world.rs
@@ -129,7 +129,12 @@
         let groups = (0..layout.groups.len()).map(|group| {
             let config = layout.group_config(site, group, options.replication_lag);
             let seed = seed.wrapping_mul(31).wrapping_add(group as u64);
-            DatabaseGroup::new(layout.groups[group].clone(), &config, seed, recorder.clone())
+            DatabaseGroup::new(
+                layout.groups[group].clone(),
+                &config,
+                seed,
+                recorder.clone(),
+            )
         });
         let groups: Vec<_> = groups.collect();
         let mut random = Random::new(seed, 0);
@@ -227,11 +232,7 @@
             WorldEvent::Database(backend, connection, request) => {
                 self.database_hears(&backend, connection, *request);
             }
-            WorldEvent::GroupDue(group) => {
-                self.group_due[group] = Time::NEVER;
-                let outputs = self.groups[group].wake(self.queue.now());
-                self.group_outputs(group, outputs);
-            }
+            WorldEvent::GroupDue(group) => self.group_is_due(group),
             WorldEvent::StoreRead(reader, read) => self.store_hears(reader, &read),
             WorldEvent::StoreDue => self.store_due(),
             WorldEvent::Operator(task) => self.operator_goes_on(*task),
@@ -431,7 +432,8 @@
             return;
         }
         let now = self.queue.now();
-        let is_ordered = !matches!(message, PeerMessage::Membership(_)) && !self.network.is_unsteady;
+        let is_ordered =
+            !matches!(message, PeerMessage::Membership(_)) && !self.network.is_unsteady;
         let life = self.proxies[to].life;
         let node = self.proxies[from].node;
         if source != target && self.network.is_doubled(&mut self.random) {
@@ -493,6 +495,17 @@
         }
     }
 
+    /// A group's moment has come, unless it was due earlier and has run since.
+    fn group_is_due(&mut self, group: usize) {
+        let now = self.queue.now();
+        if self.group_due[group] > now {
+            return;
+        }
+        self.group_due[group] = Time::NEVER;
+        let outputs = self.groups[group].wake(now);
+        self.group_outputs(group, outputs);
+    }
+
     /// Carries out what a group says, and notes when it is due next.
     pub(super) fn group_outputs(&mut self, group: usize, outputs: Vec<GroupOutput>) {
         for output in outputs {
@@ -582,7 +595,9 @@
             return;
         }
         let now = self.queue.now();
-        let arrives = self.network.arrival(now, End::Store, target, &mut self.random);
+        let arrives = self
+            .network
+            .arrival(now, End::Store, target, &mut self.random);
         let input = ProxyInput::Store(reader.read, answer);
         let event = WorldEvent::Proxy(reader.proxy, reader.life, Box::new(input));
         self.queue.at(arrives, event);
@@ -594,7 +609,9 @@
             return;
         }
         let now = self.queue.now();
-        let arrives = self.network.arrival(now, source, End::Store, &mut self.random);
+        let arrives = self
+            .network
+            .arrival(now, source, End::Store, &mut self.random);
         self.queue
             .at(arrives, WorldEvent::StoreRead(reader, request));
     }
@@ -604,5 +621,4 @@
         self.next_connection += 1;
         ConnectionNumber(self.next_connection)
     }
-
 }
