--- a/crates/stairward-lab/src/simulate/world.rs
+++ b/crates/stairward-lab/src/simulate/world.rs
@@ -32,6 +32,8 @@
 pub(super) const LOAD_BEGINS: Duration = Duration::from_millis(1_500);
 /// The run ends at the latest so long after its last request.
 const LONGEST_END: Duration = Duration::from_secs(30);
+/// Events of one run, far above what any run needs: a run beyond them is caught in a loop.
+const MAXIMUM_EVENTS: u64 = 5_000_000;
 /// Lines of the event log that are kept.
 const LOG_LINES: usize = 400;
 /// A proxy's clock starts at up to this moment, so that no two clocks agree.
@@ -196,6 +198,11 @@
         let load_ends = Time::ZERO + LOAD_BEGINS + self.options.load_time;
         while let Some(event) = self.queue.next() {
             self.metrics.events += 1;
+            assert!(
+                self.metrics.events < MAXIMUM_EVENTS,
+                "seed {seed} does not come to an end; at {} us: {event:?}",
+                self.queue.now().0
+            );
             if let WorldEvent::Arrival(plan) = event {
                 self.plan_arrival(&mut schedule);
                 self.arrival(*plan);
