--- a/crates/stairward-proxy/src/edge/opening.rs
+++ b/crates/stairward-proxy/src/edge/opening.rs
@@ -1,5 +1,7 @@
 //! Running a batch on a new stream, as the routing machine decides.
 
+use std::time::Duration;
+
 use bytes::BytesMut;
 use pgwire::messages::Message as _;
 use pgwire::messages::simplequery::Query;
@@ -15,6 +17,9 @@
 use super::session::{Flow, Session, SessionEnd};
 use super::waiting::Heard;
 
+/// How long a connection to an owner may take to be made before its standby is asked.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// What a step of a request came to.
 enum Progress {
     /// It goes on.
@@ -178,13 +183,16 @@
             session_setup: setup.into(),
             batch,
         };
-        match self.service.network.open_stream(node, open).await {
-            Ok(stream) => {
+        // Giving up on a connection that is still being made sends nothing.
+        let patience = attempt.remaining.min(OPEN_TIMEOUT);
+        let opened = self.service.network.open_stream(node, open);
+        match tokio::time::timeout(patience, opened).await {
+            Ok(Ok(stream)) => {
                 let active = ActiveStream::opened(stream, request.access, prepared.running);
                 self.active = Some(Box::new(active));
                 None
             }
-            Err(_) => lost,
+            Ok(Err(_)) | Err(_) => lost,
         }
     }
 
@@ -215,8 +223,9 @@
                 return Ok(Progress::Continue(Some(Event::StreamLost { opened: true })));
             }
             Heard::Flush => {
-                self.flush_answers().await?;
-                return Ok(Progress::Continue(Some(Event::AnswerBegun)));
+                let begun = self.flush_answers().await?;
+                opening.output_before = 0;
+                return Ok(Progress::Continue(begun.then_some(Event::AnswerBegun)));
             }
             Heard::Tick => return Ok(Progress::Continue(Some(Event::Tick))),
             Heard::PrimaryLearnt => return Ok(Progress::Continue(Some(Event::PrimaryLearnt))),
@@ -226,7 +235,7 @@
         self.hear_owner(message, opening).await
     }
 
-    async fn hear_owner(&mut self, message: OwnerMessage, opening: &Opening) -> Flow<Progress> {
+    async fn hear_owner(&mut self, message: OwnerMessage, opening: &mut Opening) -> Flow<Progress> {
         let event = match message {
             OwnerMessage::Admitted(hint) => {
                 if opening.request.batch.kind == BatchKind::Partial {
@@ -244,8 +253,11 @@
                 observation: observation(hint),
             },
             OwnerMessage::Answer { messages } => {
-                let written = self.pass_answer(&messages.bytes).await?;
-                return Ok(Progress::Continue(written.then_some(Event::AnswerBegun)));
+                let begun = self.pass_answer(&messages.bytes).await?;
+                if begun {
+                    opening.output_before = 0;
+                }
+                return Ok(Progress::Continue(begun.then_some(Event::AnswerBegun)));
             }
             OwnerMessage::OutcomeUnknown { code, hint } => Event::OutcomeUnknown {
                 code: ResultCode::from_number(code).unwrap_or(ResultCode::BackendLostAfterSend),
@@ -275,6 +287,6 @@
     }
 }
 
-fn milliseconds(duration: std::time::Duration) -> u32 {
+fn milliseconds(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/stairward-standins/src/group/connection.rs
+++ b/crates/stairward-standins/src/group/connection.rs
@@ -1,5 +1,7 @@
 //! A client's connection and its transaction.
 
+use stairward_types::Time;
+
 use crate::TransactionNumber;
 use crate::sql::{Overlay, Statement, Tables, Value};
 
@@ -21,8 +23,12 @@
     pub transaction: Option<Transaction>,
     /// The statement it runs.
     pub current: Option<Current>,
-    /// Counts its statements, for idle timeouts.
-    pub uses: u64,
+    /// Whether it breaks instead of answering the statement that has just committed.
+    pub loses_reply: bool,
+    /// When its statement or, without one, its idle time is over.
+    pub deadline: Option<Time>,
+    /// When its timer fires, which may be before the deadline, as that moves with each statement.
+    pub timer_at: Option<Time>,
 }
 
 /// A statement under way.
@@ -47,6 +53,8 @@
     Queued,
     /// It occupies a slot.
     Running,
+    /// It has given its slot back and takes effect.
+    Executing,
     /// It waits, without a slot, for a lock that another connection holds.
     WaitingForLock,
 }
--- a/crates/stairward-standins/src/group/member.rs
+++ b/crates/stairward-standins/src/group/member.rs
@@ -71,6 +71,8 @@
     pub held: VecDeque<Held>,
     /// Time that a fault adds to each statement.
     pub slowness: Duration,
+    /// Whether the next commit with changes is not answered.
+    pub lose_next_reply: bool,
     /// How late it applies log records as a replica.
     pub lag: Duration,
 
@@ -114,6 +116,7 @@
             paused: false,
             held: VecDeque::new(),
             slowness: Duration::ZERO,
+            lose_next_reply: false,
             lag: config.replication_lag,
             connections: BTreeMap::new(),
             locks: Locks::default(),
@@ -152,10 +155,7 @@
             Timer::StatementEnds(connection, request) => {
                 self.statement_ends(connection, request, context);
             }
-            Timer::StatementTimeout(connection, request) => {
-                self.statement_timeout(connection, request, context);
-            }
-            Timer::Idle(connection, uses) => self.idle_timeout(connection, uses, context),
+            Timer::Deadline(connection) => self.deadline_timer(connection, context),
             Timer::Switchover(term) => self.continue_switchover(term, context),
         }
     }
--- a/crates/stairward-standins/src/group/sessions.rs
+++ b/crates/stairward-standins/src/group/sessions.rs
@@ -66,9 +66,11 @@
             settings: Settings::new(settings),
             open: false,
             closing: false,
+            loses_reply: false,
             transaction: None,
             current: None,
-            uses: 0,
+            deadline: None,
+            timer_at: None,
         };
         self.connections.insert(connection, opened);
         let ready = context.now + self.config.connection_opening_time;
@@ -133,6 +135,10 @@
         } else {
             Ok(())
         };
+        let loses_reply = self.connections.get(&number);
+        if loses_reply.is_some_and(|connection| connection.loses_reply) {
+            return self.break_connection(number, context);
+        }
         let status = self.status(number);
         let reply = Reply::Synced {
             request,
@@ -188,7 +194,6 @@
             };
             return self.reply(number, reply, context);
         }
-        connection.uses += 1;
         connection.current = Some(super::connection::Current {
             request,
             statement,
@@ -197,10 +202,7 @@
             phase: Phase::Queued,
         });
         let timeout = connection.settings.timeout("statement_timeout");
-        if let Some(timeout) = timeout {
-            let timer = Timer::StatementTimeout(number, request);
-            self.set_timer(context.now + timeout, timer, context);
-        }
+        self.set_deadline(number, timeout, context);
         self.slot_queue.push_back(number);
         self.fill_slots(context);
     }
@@ -214,25 +216,8 @@
             TransactionStatus::Idle => "idle_session_timeout",
             _ => "idle_in_transaction_session_timeout",
         };
-        if let Some(timeout) = connection.settings.timeout(name) {
-            let timer = Timer::Idle(number, connection.uses);
-            self.set_timer(context.now + timeout, timer, context);
-        }
-    }
-
-    /// Ends a connection that has been idle for too long.
-    pub fn idle_timeout(&mut self, number: ConnectionNumber, uses: u64, context: &mut Context<'_>) {
-        let Some(connection) = self.connections.get(&number) else {
-            return;
-        };
-        if connection.uses != uses || connection.current.is_some() {
-            return;
-        }
-        let error = match connection.status() {
-            TransactionStatus::Idle => SqlError::IdleSessionTimeout,
-            _ => SqlError::IdleInTransactionTimeout,
-        };
-        self.terminate(number, error, context);
+        let timeout = connection.settings.timeout(name);
+        self.set_deadline(number, timeout, context);
     }
 
     /// The client has closed the connection. A statement that occupies a slot is finished first.
@@ -271,11 +256,16 @@
     pub fn reset_all_connections(&mut self, context: &mut Context<'_>) {
         let numbers: Vec<ConnectionNumber> = self.connections.keys().copied().collect();
         for number in numbers {
-            self.remove_connection(number, context);
-            self.reply(number, Reply::Reset, context);
+            self.break_connection(number, context);
         }
     }
 
+    /// Loses one connection without a message.
+    pub fn break_connection(&mut self, number: ConnectionNumber, context: &mut Context<'_>) {
+        self.remove_connection(number, context);
+        self.reply(number, Reply::Reset, context);
+    }
+
     /// Forgets a connection: rolls its transaction back and frees its locks and its slot.
     pub fn remove_connection(&mut self, number: ConnectionNumber, context: &mut Context<'_>) {
         self.roll_back(number, context);
