--- a/crates/stairward-lab/src/simulate/control.rs
+++ b/crates/stairward-lab/src/simulate/control.rs
@@ -25,6 +25,8 @@
 
 /// The port in the made-up addresses of proxies.
 const PORT: u16 = 7000;
+/// Least time between two wake-ups for membership.
+const SHORTEST_SLEEP: Duration = Duration::from_millis(1);
 /// How much longer than the store may wait its answer may take.
 const STORE_GRACE: Duration = Duration::from_millis(500);
 
@@ -197,7 +199,10 @@
         for effect in effects {
             self.membership_effect(effect, out);
         }
-        out.wake(self.control.swim.next_deadline(), ProxyTimer::Membership);
+        // A departed member's deadlines lie in the past.
+        let soonest = out.now + SHORTEST_SLEEP;
+        let deadline = self.control.swim.next_deadline().max(soonest);
+        out.wake(deadline, ProxyTimer::Membership);
     }
 
     fn membership_effect(&mut self, effect: Effect, out: &mut Outbox<'_>) {
--- a/crates/stairward-membership/src/swim/comparison.rs
+++ b/crates/stairward-membership/src/swim/comparison.rs
@@ -27,8 +27,10 @@
 /// When to compare next, and how much was answered of late.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Comparison {
-    /// Since when peers' digests have differed without one that agreed.
+    /// Since when peers' digests have differed, with no longer pause than the delay.
     differs_since: Option<Time>,
+    /// When a peer's digest last differed.
+    last_differed: Time,
     next: Time,
     /// Whether this node has once agreed with a peer since it started.
     pub has_joined: bool,
@@ -40,10 +42,15 @@
     /// Takes a peer's digest; says whether to compare with that peer now.
     fn notice(&mut self, agrees: bool, delay: Duration, now: Time) -> bool {
         if agrees {
-            self.differs_since = None;
+            // One peer's agreement does not undo another's difference: some members may share a
+            // partial view that others do not.
+            if now.since(self.last_differed) >= delay {
+                self.differs_since = None;
+            }
             self.has_joined = true;
             return false;
         }
+        self.last_differed = now;
         let since = *self.differs_since.get_or_insert(now);
         let has_waited = !self.has_joined || now.since(since) >= delay;
         has_waited && now >= self.next
--- a/crates/stairward-routing/src/request.rs
+++ b/crates/stairward-routing/src/request.rs
@@ -505,9 +505,8 @@
         if answered || !self.machine.spec.repeatable {
             return self.fail(Failure::new(code));
         }
-        if self.machine.spec.access == AccessClass::Write {
-            self.machine.unknown = Some(code);
-        }
+        // A read that may have run is no longer "not run" either, though running it harms nobody.
+        self.machine.unknown = Some(code);
         self.retry_elsewhere(Failure::new(code));
     }
 
--- a/crates/stairward-routing/tests/request.rs
+++ b/crates/stairward-routing/tests/request.rs
@@ -200,6 +200,28 @@
     assert_eq!(code, ResultCode::BackendLostAfterSend);
 }
 
+#[test]
+fn a_read_that_may_have_run_is_never_called_not_run() {
+    let mut group = group();
+    let mut read = RequestMachine::new(read_spec());
+    read.handle(at(1), Event::Start, &mut group, 7);
+    let lost = Event::StreamLost { opened: true };
+    let effects = read.handle(at(2), lost, &mut group, 7);
+    assert!(sent(&effects).is_some());
+    let mut ended = None;
+    for step in 3..100 {
+        let effects = read.handle(
+            at(step * 20),
+            refused(ResultCode::Overloaded),
+            &mut group,
+            7,
+        );
+        ended = ended.or(failure(&effects));
+    }
+    let code = ended.unwrap().code;
+    assert_eq!(code.class(), OutcomeClass::OutcomeUnknown);
+}
+
 #[test]
 fn the_first_batch_of_a_transaction_runs_again_when_its_stream_is_lost() {
     let mut group = group();
@@ -427,7 +449,7 @@
                     Event::OutcomeUnknown { .. } | Event::StreamLost { opened: true }
                 );
                 effects = request.handle(now, event, &mut group, *random);
-                may_have_run |= was_sent && is_loss && *writes;
+                may_have_run |= was_sent && is_loss;
                 if let Some(failure) = failure(&effects) {
                     let class = failure.code.class();
                     assert!(
