--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod process;
 pub mod provenance;
 pub mod report;
+pub mod simulate;
 pub mod simulated_network;
 pub mod site;
