--- a/crates/stairward-lab/src/simulate/caller.rs
+++ b/crates/stairward-lab/src/simulate/caller.rs
@@ -58,6 +58,11 @@
         self.position == 0
     }
 
+    /// Goes back to the first statement.
+    pub(super) const fn restart(&mut self) {
+        self.position = 0;
+    }
+
     /// Goes on to the next statement. False when there is none.
     pub(super) fn go_on(&mut self) -> bool {
         self.position += 1;
--- a/crates/stairward-lab/src/simulate/owner/claim.rs
+++ b/crates/stairward-lab/src/simulate/owner/claim.rs
@@ -14,7 +14,9 @@
 use stairward_standins::ConnectionNumber;
 use stairward_types::{AdminState, BackendId, GroupId, ServiceName, Term, Time};
 
-use super::control_connection::{ControlConnection, Job, JobEnded, PROBE_INTERVAL, Status};
+use super::control_connection::{
+    ControlConnection, Job, JobEnded, PROBE_INTERVAL, Status, WAITING_PROBE_INTERVAL,
+};
 use super::stream::{OwnerStream, WaitingReply};
 use super::work::WorkConnection;
 use super::{ClaimKey, earliest, observation};
@@ -172,6 +174,11 @@
 
     /// To be called after anything else: begins jobs that are due and asks to be woken.
     pub(super) fn after(&mut self, out: &mut Outbox<'_>) {
+        if self.pool.waiting() > 0 {
+            self.next_probe = self
+                .next_probe
+                .min(self.control.begun_at + WAITING_PROBE_INTERVAL);
+        }
         let is_due = self.lease.is_locked() && out.now >= self.next_probe;
         if self.control.is_ready() && self.control.is_idle() && is_due
             || self.control.is_ready() && self.control.wants_probe()
--- a/crates/stairward-lab/src/simulate/owner/control_connection.rs
+++ b/crates/stairward-lab/src/simulate/owner/control_connection.rs
@@ -14,6 +14,8 @@
 
 /// How often a back end is asked for its state while nothing else asks.
 pub(super) const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// How often it is asked while requests wait, perhaps for it to become fresh enough.
+pub(super) const WAITING_PROBE_INTERVAL: Duration = Duration::from_millis(5);
 /// How long one answer may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// The back end ends a silent control connection after this.
--- a/crates/stairward-lab/src/simulate/owner/mod.rs
+++ b/crates/stairward-lab/src/simulate/owner/mod.rs
@@ -121,12 +121,7 @@
             return;
         }
         let Some(key) = self.owner.streams.get(&stream).cloned() else {
-            if let EdgeMessage::Batch(_) = message {
-                out.peer(
-                    stream.edge,
-                    PeerMessage::ToEdge(stream, OwnerMessage::TransactionLost),
-                );
-            }
+            // A late message of an ended stream matches nothing.
             return;
         };
         self.with_claim(&key, out, |claim, out| match message {
--- a/crates/stairward-lab/src/simulate/traffic.rs
+++ b/crates/stairward-lab/src/simulate/traffic.rs
@@ -3,16 +3,19 @@
 use stairward_checker::{Outcome, RequestId};
 use stairward_standins::ConnectionNumber;
 use stairward_standins::sql::Statement;
-use stairward_types::{AdminState, BackendId, GroupId, ResultCode, Term};
+use stairward_types::{AdminState, BackendId, GroupId, OutcomeClass, ResultCode, Term};
 
 use super::caller::{InFlight, outcome_name, outcome_of};
 use super::database::{BatchNumber, DatabaseRequest};
 use super::message::{BatchResult, CallerConnection, CallerMessage, ProxyMessage, StatementKind};
 use super::network::{End, Network};
+use super::variant::BrokenVariant;
 use super::world::World;
 use crate::load::schedule::PlannedRequest;
 use crate::load::statements::StatementWriter;
 
+/// Share of the statements of a transaction after which its caller vanishes.
+const VANISH_SHARE: f64 = 0.003;
 /// Tries to find another proxy before a caller takes the same one again.
 const CHOICES: usize = 4;
 
@@ -246,6 +249,10 @@
             return;
         };
         if in_flight.go_on() {
+            if self.random.chance(VANISH_SHARE) {
+                self.disconnect(session);
+                return self.end_request(session, Outcome::ConnectionLost, None);
+            }
             return self.send_statement(session);
         }
         let group = self.callers[session].group;
@@ -279,6 +286,14 @@
     }
 
     fn failed(&mut self, session: usize, code: ResultCode) {
+        let is_unknown = code.class() == OutcomeClass::OutcomeUnknown;
+        if is_unknown && self.options.broken == Some(BrokenVariant::Retry) {
+            // The broken variant sends the whole request again, whatever it was.
+            if let Some(in_flight) = &mut self.callers[session].in_flight {
+                in_flight.restart();
+            }
+            return self.send_request(session);
+        }
         self.end_request(session, outcome_of(code), Some(code));
     }
 
