Membership: rules tested one by one, pauses, floods, traffic counters; hollow nodes

After a partition each member was suspected by each other; now only one per answer is probed and told. News in a flood is sent fewer times.

--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -25,6 +25,7 @@
     crate::load::command::COMMAND,
     crate::membership::command::COMMAND,
     crate::membership::terms::COMMAND,
+    crate::hollow::COMMAND,
     crate::report::COMMAND,
     crate::compare::COMMAND,
     crate::capacity::COMMAND,
--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demo;
 pub mod experiment;
 pub mod fit;
+pub mod hollow;
 pub mod load;
 pub mod membership;
 pub mod output;
--- a/crates/stairward-lab/src/membership/report.rs
+++ b/crates/stairward-lab/src/membership/report.rs
@@ -194,11 +194,11 @@
         let mut next_second = self.fleet.now() + TRAFFIC_INTERVAL;
         let mut second_start = self.fleet.traffic();
         while self.fleet.now() <= end {
+            let next = self.fleet.now() + CHECK_INTERVAL;
+            self.step(next);
             if self.fleet.has_converged() {
                 return Some(self.fleet.now().since(since));
             }
-            let next = self.fleet.now() + CHECK_INTERVAL;
-            self.step(next);
             if next >= next_second {
                 self.note_busy_second(second_start);
                 second_start = self.fleet.traffic();
--- a/crates/stairward-membership/src/broadcast.rs
+++ b/crates/stairward-membership/src/broadcast.rs
@@ -5,6 +5,10 @@
 
 /// Pieces of news kept at most; beyond that the one sent most often goes.
 const CAPACITY: usize = 4_096;
+/// With each so many pieces waiting, each is sent fewer times.
+const FLOOD: usize = 128;
+/// Each piece is sent at least so often, however many wait.
+const MINIMUM_LIMIT: u32 = 3;
 
 /// A piece of news.
 pub(crate) trait News: Clone {
@@ -50,22 +54,35 @@
 
     /// Adds news, in place of older news of the same.
     pub fn push(&mut self, news: N) {
+        self.push_as_sent(news, 0);
+    }
+
+    /// Adds news, in place of older news of the same, as if it had been sent so often already.
+    pub fn push_as_sent(&mut self, news: N, sent: u32) {
         self.remove(&news.key());
         if self.waiting.len() >= CAPACITY {
             self.drop_most_sent();
         }
-        self.insert(news, 0);
+        self.insert(news, sent);
     }
 
     /// Takes news for one datagram, as much as fits into `room` bytes, and counts it as sent. What
-    /// was sent `limit` times is dropped.
+    /// was sent `limit` times is dropped; in a flood of news the limit is lower.
     pub fn take(&mut self, room: &mut usize, limit: u32) -> Vec<N> {
+        let limit = self.limit_in_flood(limit);
         let keys = self.choose(room);
         keys.into_iter()
             .filter_map(|key| self.count_as_sent(&key, limit))
             .collect()
     }
 
+    /// What misses a node in a flood reaches it when views are compared.
+    fn limit_in_flood(&self, limit: u32) -> u32 {
+        let floods = u32::try_from(self.waiting.len() / FLOOD).unwrap_or(u32::MAX);
+        let lowered = limit / floods.saturating_add(1);
+        lowered.max(MINIMUM_LIMIT.min(limit))
+    }
+
     fn choose(&self, room: &mut usize) -> Vec<N::Key> {
         let mut keys = Vec::new();
         for (_, _, key) in &self.order {
--- a/crates/stairward-membership/src/config.rs
+++ b/crates/stairward-membership/src/config.rs
@@ -26,6 +26,8 @@
     /// A piece of news is sent by each node this many times the logarithm (base 10) of the number
     /// of members.
     pub retransmit_multiplier: u32,
+    /// News of terms, which is rare and urgent, is sent more often by this factor.
+    pub term_retransmit_factor: u32,
     /// Time between probes of members that have failed, to find out that a partition has healed.
     pub failed_probe_interval: Duration,
     /// How long a failed member is kept and probed.
@@ -60,11 +62,12 @@
             indirect_timeout: Duration::from_millis(200),
             indirect_probes: 3,
             suspicion_minimum: Duration::from_millis(1_000),
-            suspicion_maximum: Duration::from_millis(3_000),
+            suspicion_maximum: Duration::from_millis(2_000),
             confirmations: 2,
             gossip_interval: Duration::from_millis(50),
             gossip_fanout: 3,
             retransmit_multiplier: 3,
+            term_retransmit_factor: 2,
             failed_probe_interval: Duration::from_secs(5),
             failed_retention: Duration::from_secs(24 * 3_600),
             left_retention: Duration::from_secs(3_600),
--- a/crates/stairward-membership/src/swim.rs
+++ b/crates/stairward-membership/src/swim.rs
@@ -27,6 +27,8 @@
 
 /// Time between two searches for members to forget.
 const FORGET_INTERVAL: Duration = Duration::from_secs(60);
+/// How long after a pause of its own a node may still read packets from before.
+const CATCH_UP_TIME: Duration = Duration::from_secs(1);
 
 /// What happens to a node.
 #[derive(Debug, Clone)]
@@ -131,6 +133,8 @@
     last_gossip: Time,
     next_failed_probe: Time,
     next_forgetting: Time,
+    /// After a pause, until when news of failures is taken with care.
+    catching_up_until: Time,
     view_changed: bool,
 }
 
@@ -169,6 +173,7 @@
             last_gossip: Time::ZERO,
             next_failed_probe: now + failed_offset,
             next_forgetting: now + FORGET_INTERVAL,
+            catching_up_until: Time::ZERO,
             view_changed: false,
             config,
         }
@@ -292,9 +297,17 @@
             self.outstanding.clear();
             self.suspicions.postpone(lateness);
             self.health.worsen();
+            // News was missed meanwhile, such as refutations, and what waits to be read is old.
+            self.catching_up_until = now + CATCH_UP_TIME;
+            self.member_comparison.has_joined = false;
+            self.term_comparison.has_joined = false;
         }
     }
 
+    fn is_catching_up(&self, now: Time) -> bool {
+        now < self.catching_up_until
+    }
+
     fn next_sequence(&mut self) -> u64 {
         self.next_sequence = self.next_sequence.wrapping_add(1);
         self.next_sequence
--- a/crates/stairward-membership/src/swim/comparison.rs
+++ b/crates/stairward-membership/src/swim/comparison.rs
@@ -41,7 +41,6 @@
     fn notice(&mut self, agrees: bool, delay: Duration, now: Time) -> bool {
         if agrees {
             self.differs_since = None;
-            self.has_joined = true;
             return false;
         }
         let since = *self.differs_since.get_or_insert(now);
@@ -71,7 +70,9 @@
             return;
         }
         let delay = self.config.sync_delay;
+        let is_catching_up = self.is_catching_up(step.now);
         let agrees = digest.members == self.table.digest();
+        self.member_comparison.has_joined |= agrees && !is_catching_up;
         if self.member_comparison.notice(agrees, delay, step.now) {
             self.member_comparison.next = step.now + self.comparison_interval(step.rng);
             let digests = Box::new(*self.table.buckets());
@@ -79,6 +80,7 @@
             self.send(from, message, Vec::new(), step);
         }
         let agrees = digest.terms == self.terms.digest();
+        self.term_comparison.has_joined |= agrees && !is_catching_up;
         if self.term_comparison.notice(agrees, delay, step.now) {
             self.term_comparison.next = step.now + self.comparison_interval(step.rng);
             let digests = Box::new(*self.terms.buckets());
--- a/crates/stairward-membership/src/swim/dissemination.rs
+++ b/crates/stairward-membership/src/swim/dissemination.rs
@@ -48,7 +48,9 @@
         let mut room = MAXIMUM_DATAGRAM_BYTES.saturating_sub(encoded_length(&packet));
         let limit = self.config.retransmit_limit(self.table.live_count());
         packet.updates.extend(self.news.take(&mut room, limit));
-        packet.terms.extend(self.terms.queue.take(&mut room, limit));
+        let term_limit = limit * self.config.term_retransmit_factor;
+        let terms = self.terms.queue.take(&mut room, term_limit);
+        packet.terms.extend(terms);
         step.effects.push(Effect::Send { to, packet });
     }
 
--- a/crates/stairward-membership/src/swim/probing.rs
+++ b/crates/stairward-membership/src/swim/probing.rs
@@ -15,7 +15,7 @@
         if self.next_probe <= step.now {
             self.next_probe = step.now + self.health.stretch(self.config.probe_interval);
             if let Some(target) = self.order.next(step.rng) {
-                self.start_probe(target, step);
+                self.start_probe(target, Vec::new(), step);
             }
         }
         if self.next_failed_probe <= step.now {
@@ -29,11 +29,42 @@
     pub(super) fn probe_lost_peer(&mut self, node: NodeId, step: &mut Step<'_>) {
         let is_known = self.table.live(node).is_some();
         if is_known && node != self.me.node && !self.outstanding.is_probing(node) {
-            self.start_probe(node, step);
+            self.start_probe(node, Vec::new(), step);
         }
     }
 
-    fn start_probe(&mut self, target: NodeId, step: &mut Step<'_>) {
+    /// A peer's view holds members failed that this node's view holds alive: since a partition that
+    /// has healed, or because this node missed the news. One of them is probed and told what is said
+    /// of it. Many nodes compare their views, so that each such member is told soon.
+    pub(super) fn question_failures(&mut self, updates: &[Update], step: &mut Step<'_>) {
+        let questionable: Vec<&Update> = updates
+            .iter()
+            .filter(|update| self.is_questionable(update))
+            .collect();
+        if questionable.is_empty() {
+            return;
+        }
+        let chosen = questionable[step.rng.random_range(0..questionable.len())].clone();
+        if let Update::Failed { node, .. } = chosen
+            && !self.outstanding.is_probing(node)
+        {
+            self.start_probe(node, vec![chosen], step);
+        }
+    }
+
+    fn is_questionable(&self, update: &Update) -> bool {
+        let Update::Failed { node, version } = update else {
+            return false;
+        };
+        *node != self.me.node
+            && self
+                .table
+                .live(*node)
+                .is_some_and(|record| record.version <= *version)
+    }
+
+    /// Probes a member and tells it these updates, besides what is believed of it.
+    fn start_probe(&mut self, target: NodeId, updates: Vec<Update>, step: &mut Step<'_>) {
         let sequence = self.next_sequence();
         let deadline = step.now + self.health.stretch(self.config.direct_timeout);
         let probe = Probe {
@@ -42,21 +73,27 @@
             deadline,
         };
         self.outstanding.probes.insert(sequence, probe);
-        self.ping(target, sequence, step);
+        self.ping(target, sequence, updates, step);
     }
 
     /// Pings without waiting for the answer: what counts is that the member hears what is believed
     /// of it.
     pub(super) fn ping_untracked(&mut self, target: NodeId, step: &mut Step<'_>) {
         let sequence = self.next_sequence();
-        self.ping(target, sequence, step);
+        self.ping(target, sequence, Vec::new(), step);
     }
 
-    fn ping(&mut self, target: NodeId, sequence: u64, step: &mut Step<'_>) {
+    fn ping(
+        &mut self,
+        target: NodeId,
+        sequence: u64,
+        mut updates: Vec<Update>,
+        step: &mut Step<'_>,
+    ) {
         if let Some(address) = self.address(target) {
-            let accusation = self.accusation(target, Version::default());
+            updates.extend(self.accusation(target, Version::default()));
             let message = Message::Ping { sequence, target };
-            self.send(address, message, accusation, step);
+            self.send(address, message, updates, step);
         }
     }
 
--- a/crates/stairward-membership/src/swim/receiving.rs
+++ b/crates/stairward-membership/src/swim/receiving.rs
@@ -22,11 +22,14 @@
             Message::Members { .. } | Message::Terms { .. }
         );
         let source = if is_comparison {
-            Source::Comparison(sender)
+            Source::Comparison
         } else {
             Source::Gossip
         };
         let brought_members = self.apply_all(&packet.updates, source, step);
+        if is_comparison {
+            self.question_failures(&packet.updates, step);
+        }
         let brought_terms = packet.terms.iter().fold(false, |any, news| {
             self.apply_term(news, !is_comparison, step) | any
         });
--- a/crates/stairward-membership/src/swim/updates.rs
+++ b/crates/stairward-membership/src/swim/updates.rs
@@ -13,9 +13,9 @@
 pub(super) enum Source {
     /// As fresh news, to be passed on.
     Gossip,
-    /// By comparing views with this node. It may be old; it is not passed on, since every node
+    /// By comparing views with another node. It may be old; it is not passed on, since every node
     /// compares its view.
-    Comparison(NodeId),
+    Comparison,
 }
 
 impl SwimMember {
@@ -147,6 +147,7 @@
         source: Source,
         step: &mut Step<'_>,
     ) -> bool {
+        let is_first = self.suspicions.accusers(node).is_empty();
         let grew = self
             .suspicions
             .accuse(node, accusers, step.now, &self.config);
@@ -157,11 +158,18 @@
                 version,
                 accusers,
             };
-            self.pass_on(update, source, step);
+            let sent = if is_first { 0 } else { self.half_limit() };
+            self.pass_on_as_sent(update, sent, source, step);
         }
         grew
     }
 
+    /// Counted as sent already for news that most nodes do without: a further accuser, or the end
+    /// of a suspicion, which ends at each node by itself.
+    fn half_limit(&self) -> u32 {
+        self.config.retransmit_limit(self.table.live_count()) / 2
+    }
+
     fn apply_failed(
         &mut self,
         node: NodeId,
@@ -173,27 +181,15 @@
             self.refute_if_current(version, step);
             return false;
         }
-        if let Source::Comparison(sender) = source {
-            return self.question_old_failure(node, version, sender, step);
+        if source == Source::Comparison && self.table.live(node).is_some() {
+            // Perhaps the failure stems from a partition that has healed.
+            return false;
         }
-        self.fail(node, version, source, step)
-    }
-
-    /// A failure learnt from another's view may stem from a partition that has healed: the member
-    /// gets the chance to refute it.
-    fn question_old_failure(
-        &mut self,
-        node: NodeId,
-        version: Version,
-        sender: NodeId,
-        step: &mut Step<'_>,
-    ) -> bool {
-        let source = Source::Comparison(sender);
-        let is_new = self.apply_suspect(node, version, &[sender], source, step);
-        if is_new {
-            self.ping_untracked(node, step);
+        if self.is_catching_up(step.now) && self.table.live(node).is_some() {
+            // Perhaps the news is old and the member has refuted it since.
+            return self.apply_suspect(node, version, &[self.me.node], source, step);
         }
-        is_new
+        self.fail(node, version, source, step)
     }
 
     /// Takes a member as failed.
@@ -239,6 +235,7 @@
             return false;
         }
         let was_live = record.status.is_live();
+        let was_suspected = record.status == Status::Suspect;
         let ended = Record {
             version,
             status,
@@ -254,7 +251,8 @@
             };
             report(node, change, step);
         }
-        self.pass_on(update, source, step);
+        let sent = if was_suspected { self.half_limit() } else { 0 };
+        self.pass_on_as_sent(update, sent, source, step);
         true
     }
 
@@ -278,8 +276,12 @@
     }
 
     fn pass_on(&mut self, update: Update, source: Source, step: &mut Step<'_>) {
+        self.pass_on_as_sent(update, 0, source, step);
+    }
+
+    fn pass_on_as_sent(&mut self, update: Update, sent: u32, source: Source, step: &mut Step<'_>) {
         if source == Source::Gossip {
-            self.news.push(update);
+            self.news.push_as_sent(update, sent);
             self.schedule_gossip(step);
         }
     }
--- a/crates/stairward-proxy/src/control/membership/driver.rs
+++ b/crates/stairward-proxy/src/control/membership/driver.rs
@@ -9,7 +9,7 @@
     Effect, Event, MemberChange, Packet, Profile, SwimMember, TermNews, Version, decode, encode,
 };
 use stairward_protocol::ClusterKey;
-use stairward_protocol::datagram::MAXIMUM_DATAGRAM_BYTES;
+use stairward_protocol::datagram::{DatagramError, MAXIMUM_DATAGRAM_BYTES};
 use stairward_settings::ResolvedSettings;
 use stairward_types::{LogEvent, NodeId, Time};
 use tokio::net::UdpSocket;
@@ -17,10 +17,15 @@
 
 use super::MembershipOptions;
 use super::handle::{PeerDigest, Request};
+use super::traffic::TrafficCounters;
 use crate::cluster::{Cluster, KnownPrimaries, KnownPrimary, Member, MembershipView};
 
 /// How long the news of the departure is still passed on before the driver stops.
 const FAREWELL: Duration = Duration::from_millis(200);
+/// Shortest time between two publications of the view, so that many changes at once cost little.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(20);
+/// Shortest time between two log lines about refused packets.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// One byte more than allowed, so that longer datagrams are recognised.
 const RECEIVE_BUFFER_BYTES: usize = MAXIMUM_DATAGRAM_BYTES + 1;
 
@@ -37,6 +42,11 @@
     primaries: watch::Receiver<Arc<KnownPrimaries>>,
     spread: Arc<KnownPrimaries>,
     farewell: Option<Farewell>,
+    traffic: Arc<TrafficCounters>,
+    /// When the view was last published, and when it must be published again.
+    published: Time,
+    publish_due: Time,
+    next_refusal_log: Time,
 }
 
 /// A departure that has been announced.
@@ -62,6 +72,7 @@
         options: &MembershipOptions,
         requests: mpsc::Receiver<Request>,
         digests: broadcast::Sender<PeerDigest>,
+        traffic: Arc<TrafficCounters>,
     ) -> std::io::Result<Self> {
         let address = match options.advertised {
             Some(address) => address,
@@ -93,6 +104,10 @@
             primaries,
             spread: Arc::default(),
             farewell: None,
+            traffic,
+            published: now,
+            publish_due: Time::NEVER,
+            next_refusal_log: now,
         };
         driver.publish_view();
         Ok(driver)
@@ -109,6 +124,7 @@
                 Wake::Settings => self.tell_settings().await,
                 Wake::Primaries => self.tell_primaries().await,
             }
+            self.publish_if_due();
             if self.has_departed() {
                 return;
             }
@@ -131,7 +147,7 @@
     fn next_deadline(&self) -> Time {
         let farewell = self.farewell.as_ref();
         let ends = farewell.map_or(Time::NEVER, |farewell| farewell.ends);
-        self.swim.next_deadline().min(ends)
+        self.swim.next_deadline().min(ends).min(self.publish_due)
     }
 
     async fn receive(&mut self, buffer: &[u8], received: std::io::Result<(usize, SocketAddr)>) {
@@ -139,15 +155,25 @@
         let Ok((length, from)) = received else {
             return;
         };
+        self.traffic.count_received(length);
         match decode(&buffer[..length], &self.key) {
             Ok(packet) => self.feed(Event::Received { from, packet }).await,
-            Err(error) => tracing::warn!(
-                event = LogEvent::PacketRefused.number(),
-                %from,
-                %error,
-                "a membership packet was refused"
-            ),
+            Err(error) => self.log_refusal(from, &error),
+        }
+    }
+
+    fn log_refusal(&mut self, from: SocketAddr, error: &DatagramError) {
+        let now = self.cluster.clock.now();
+        if now < self.next_refusal_log {
+            return;
         }
+        self.next_refusal_log = now + REFUSAL_LOG_INTERVAL;
+        tracing::warn!(
+            event = LogEvent::PacketRefused.number(),
+            %from,
+            %error,
+            "a membership packet was refused"
+        );
     }
 
     async fn answer(&mut self, request: Request) {
@@ -205,7 +231,7 @@
     async fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Send { to, packet } => self.send(to, &packet).await,
-            Effect::ViewChanged => self.publish_view(),
+            Effect::ViewChanged => self.schedule_publication(),
             Effect::MemberChanged { node, change } => log_change(node, change),
             Effect::PeerDigest {
                 node,
@@ -223,8 +249,11 @@
 
     async fn send(&self, to: SocketAddr, packet: &Packet) {
         match encode(packet, &self.key) {
-            // A datagram that cannot be sent counts as lost on the way.
-            Ok(bytes) => drop(self.socket.send_to(&bytes, to).await),
+            Ok(bytes) => {
+                self.traffic.count_sent(bytes.len());
+                // A datagram that cannot be sent counts as lost on the way.
+                let _ = self.socket.send_to(&bytes, to).await;
+            }
             Err(error) => tracing::warn!(
                 event = LogEvent::PacketRefused.number(),
                 %to,
@@ -242,6 +271,21 @@
         self.cluster.learn_primary(&news.group, primary);
     }
 
+    fn schedule_publication(&mut self) {
+        if self.publish_due == Time::NEVER {
+            self.publish_due = self.published + PUBLISH_INTERVAL;
+        }
+    }
+
+    fn publish_if_due(&mut self) {
+        let now = self.cluster.clock.now();
+        if self.publish_due <= now {
+            self.published = now;
+            self.publish_due = Time::NEVER;
+            self.publish_view();
+        }
+    }
+
     fn publish_view(&self) {
         let members = self.swim.view().map(member).collect();
         self.cluster.set_members(MembershipView { members });
--- a/crates/stairward-proxy/src/control/membership/handle.rs
+++ b/crates/stairward-proxy/src/control/membership/handle.rs
@@ -1,10 +1,13 @@
 //! What the other parts of a node ask of its membership.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use stairward_types::{NodeId, Revision};
 use tokio::sync::{broadcast, mpsc, oneshot};
 
+use super::traffic::{MembershipTraffic, TrafficCounters};
+
 /// A peer holds other settings than this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PeerDigest {
@@ -32,14 +35,26 @@
 pub struct MembershipHandle {
     requests: mpsc::Sender<Request>,
     digests: broadcast::Sender<PeerDigest>,
+    traffic: Arc<TrafficCounters>,
 }
 
 impl MembershipHandle {
     pub(super) fn new(
         requests: mpsc::Sender<Request>,
         digests: broadcast::Sender<PeerDigest>,
+        traffic: Arc<TrafficCounters>,
     ) -> Self {
-        Self { requests, digests }
+        Self {
+            requests,
+            digests,
+            traffic,
+        }
+    }
+
+    /// What this node's membership has sent and received so far.
+    #[must_use]
+    pub fn traffic(&self) -> MembershipTraffic {
+        self.traffic.read()
     }
 
     /// Follows which peers hold newer or older settings. Each packet from such a peer is reported
--- a/crates/stairward-proxy/src/control/membership/mod.rs
+++ b/crates/stairward-proxy/src/control/membership/mod.rs
@@ -3,8 +3,10 @@
 mod driver;
 mod handle;
 mod ownership;
+mod traffic;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use stairward_membership::SwimConfig;
 use stairward_protocol::ClusterKey;
@@ -13,9 +15,11 @@
 
 pub use handle::{MembershipHandle, PeerDigest};
 pub use ownership::rendezvous_rule;
+pub use traffic::MembershipTraffic;
 
 use crate::cluster::Cluster;
 use driver::Driver;
+use traffic::TrafficCounters;
 
 /// Requests to the driver that may wait.
 const REQUEST_QUEUE: usize = 1_024;
@@ -71,7 +75,17 @@
 ) -> std::io::Result<MembershipHandle> {
     let (requests, inbox) = mpsc::channel(REQUEST_QUEUE);
     let (digests, _) = broadcast::channel(PEER_DIGEST_QUEUE);
-    let driver = Driver::new(cluster, socket, key, options, inbox, digests.clone())?;
+    let traffic = Arc::new(TrafficCounters::default());
+    let counters = Arc::clone(&traffic);
+    let driver = Driver::new(
+        cluster,
+        socket,
+        key,
+        options,
+        inbox,
+        digests.clone(),
+        counters,
+    )?;
     tokio::spawn(driver.run());
-    Ok(MembershipHandle::new(requests, digests))
+    Ok(MembershipHandle::new(requests, digests, traffic))
 }
