--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -28,6 +28,7 @@
     crate::hollow::COMMAND,
     crate::report::COMMAND,
     crate::compare::COMMAND,
+    crate::configuration::command::COMMAND,
     crate::capacity::COMMAND,
     crate::experiment::idle::COMMAND,
 ];
--- a/crates/stairward-settings/src/document.rs
+++ b/crates/stairward-settings/src/document.rs
@@ -17,8 +17,9 @@
 /// Most edits kept in the history.
 pub const MAXIMUM_HISTORY_EDITS: usize = 256;
 
-/// Most changes kept in the history, of all its edits together; the newest edit is always kept.
-pub const MAXIMUM_HISTORY_CHANGES: usize = 10_000;
+/// Most changes kept in the history, of all its edits together. The newest edit is always kept, so that
+/// its change id can be found; a large one gives way to the next.
+pub const MAXIMUM_HISTORY_CHANGES: usize = 2_000;
 
 /// The settings tree at one revision, with the edits that led to it.
 ///
@@ -59,7 +60,17 @@
 }
 
 impl SettingsDocument {
-    /// The first document, at revision 1.
+    /// What holds before the first edit: an empty tree at revision 0.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self {
+            revision: Revision(0),
+            tree: SettingsTree::new(),
+            recent: VecDeque::new(),
+        }
+    }
+
+    /// A document with this tree at revision 1, without a history.
     ///
     /// # Errors
     /// Every problem of the tree.
@@ -94,11 +105,9 @@
     /// # Errors
     /// None in practice: the tree was checked when the document was made.
     pub fn resolve(&self) -> Result<ResolvedSettings, Vec<SettingsProblem>> {
-        let resolved = self.tree.resolve()?;
-        Ok(ResolvedSettings {
-            revision: self.revision,
-            ..resolved
-        })
+        let mut resolved = self.tree.resolve()?;
+        resolved.revision = self.revision;
+        Ok(resolved)
     }
 
     /// The kept edit with this change id.
--- a/crates/stairward-settings/tests/settings_tree.rs
+++ b/crates/stairward-settings/tests/settings_tree.rs
@@ -3,10 +3,14 @@
 use std::time::Duration;
 
 use stairward_settings::{
-    Level, Origin, ProblemKind, SettingsOption, SettingsPath, SettingsProblem, SettingsTree, Value,
+    Edit, Level, Origin, ProblemKind, SettingsDocument, SettingsOption, SettingsPath,
+    SettingsProblem, SettingsTree, Value,
+};
+use stairward_types::{
+    AdminState, BackendId, ChangeId, FenceStrength, GroupId, ResultCode, ServiceName,
 };
-use stairward_types::{AdminState, FenceStrength, GroupId, ResultCode, ServiceName};
 
+const SERVICE: &str = "region/south/service/reader";
 const GROUP: &str = "region/south/service/reader/group/reader-1";
 
 const TREE: &str = r#"[root]
@@ -74,7 +78,7 @@
     );
     assert_eq!(place, expected);
     assert_eq!(found[0].code, ResultCode::InvalidSettings);
-    assert!(found[0].kind.to_string().contains(kind), "{}", found[0]);
+    assert!(found[0].to_string().contains(kind), "{}", found[0]);
 }
 
 #[test]
@@ -101,6 +105,12 @@
         .map(|backend| backend.region.as_str())
         .collect();
     assert_eq!(regions, ["south", "south", "north"]);
+    for (name, backend) in &group.backends {
+        let found = resolved.backend(name);
+        assert_eq!(found, Some((group, backend)));
+    }
+    let unknown = BackendId::new("d").expect("a name");
+    assert_eq!(resolved.backend(&unknown), None);
     let states: Vec<_> = group
         .backends
         .values()
@@ -184,6 +194,8 @@
     let added = TREE.lines().count() + 1;
     let cases = [
         ("slot = 3", "slot", "did you mean slots?"),
+        ("solts = 3", "solts", "did you mean slots?"),
+        ("quux = 3", "quux", "unknown name (SW4002)"),
         ("slots = 0", "slots", "not within 1 to 10000"),
         ("slots = -1", "slots", "must be an integer from 0"),
         ("slots = \"5\"", "slots", "must be an integer, is text"),
@@ -238,6 +250,13 @@
     let backend = format!("{GROUP}/backend/a");
     let line = line_of(&text, "backend.a]");
     assert_only_problem(&text, (&backend, Some("zone"), Some(line)), "must be set");
+    let refused = TREE.replace("\"south-a\"", "\"South\"");
+    let line = line_of(&refused, "\"South\"");
+    assert_only_problem(
+        &refused,
+        (&backend, Some("zone"), Some(line)),
+        "is not a name",
+    );
 }
 
 #[test]
@@ -265,24 +284,67 @@
 }
 
 #[test]
-fn a_majority_of_the_established_members_must_be_active() {
-    let leaving = with_last_line("admin_state = \"leaving\"");
-    let found = problems(&leaving);
-    assert_eq!(found.len(), 1);
-    let expected = ProblemKind::MajorityImpossible {
-        active: 1,
-        established: 3,
-        needed: 2,
+fn a_majority_of_the_members_must_be_active() {
+    let states = |first: &str, second: &str, third: &str| {
+        let leaving = "admin_state = \"leaving\"";
+        let text = TREE.replace(leaving, &format!("admin_state = \"{second}\""));
+        let first_zone = "zone = \"south-a\"\n";
+        let first = format!("{first_zone}admin_state = \"{first}\"\n");
+        let text = text.replace(first_zone, &first);
+        SettingsTree::from_toml(&format!("{text}admin_state = \"{third}\"\n"))
     };
-    assert_eq!(*found[0].kind, expected);
+    assert!(states("active", "joining", "active").is_ok());
+    assert!(states("active", "leaving", "active").is_ok());
+    assert!(states("joining", "joining", "joining").is_ok());
+    let refused = [
+        ("active", "leaving", "leaving"),
+        ("active", "leaving", "joining"),
+        ("joining", "joining", "active"),
+        ("leaving", "joining", "joining"),
+    ];
+    for (first, second, third) in refused {
+        let problems = states(first, second, third).expect_err("no majority");
+        assert_eq!(problems.len(), 1);
+        let ProblemKind::MajorityImpossible {
+            members: 3,
+            needed: 2,
+            ..
+        } = *problems[0].kind
+        else {
+            panic!("{problems:?}");
+        };
+    }
+}
 
-    let joining = TREE.replace("admin_state = \"leaving\"", "admin_state = \"joining\"");
-    assert!(SettingsTree::from_toml(&joining).is_ok());
-    let none_left = joining.replace(
-        "zone = \"north-a\"",
-        "zone = \"n\"\nadmin_state = \"leaving\"",
-    );
-    assert_eq!(problems(&none_left).len(), 1);
+#[test]
+fn the_changes_between_two_trees_lead_from_one_to_the_other() {
+    let one = SettingsTree::from_toml(TREE).expect("a valid tree");
+    let other = TREE
+        .replace(
+            "region.south.service.reader]",
+            "region.south.service.writer]",
+        )
+        .replace("slots = 4", "connection_limit = 50")
+        .replace("service.reader.group", "service.writer.group");
+    let other = SettingsTree::from_toml(&other).expect("a valid tree");
+    let empty = SettingsTree::new();
+    for (from, to) in [
+        (&one, &other),
+        (&other, &one),
+        (&empty, &one),
+        (&one, &empty),
+    ] {
+        let changes = from.changes_to(to);
+        let document = SettingsDocument::first(from.clone()).expect("a valid tree");
+        let edit = Edit {
+            change_id: ChangeId(1),
+            based_on: document.revision(),
+            changes,
+        };
+        let changed = document.apply(&edit).expect("a valid edit");
+        assert_eq!(changed.tree(), to);
+    }
+    assert_eq!(one.changes_to(&one), []);
 }
 
 #[test]
@@ -296,29 +358,40 @@
         let text = TREE.replace("hold_queue_time_ms = 4000", &format!("{option} = 8001"));
         let line = line_of(&text, option);
         let message = "8001 exceeds request_timeout_ms = 8000";
-        assert_only_problem(&text, (GROUP, Some(option), Some(line)), message);
+        assert_only_problem(&text, (SERVICE, Some(option), Some(line)), message);
     }
 }
 
+#[test]
+fn a_contradiction_is_told_once_of_the_option_that_causes_it() {
+    let text = TREE.replace("hold_queue_time_ms = 4000", "slots = 41");
+    let text = text.replace("slots = 6\n", "").replace("slots = 7\n", "");
+    let line = line_of(&text, "slots = 41");
+    let message = "41 exceeds connection_limit = 40";
+    assert_only_problem(&text, (SERVICE, Some("slots"), Some(line)), message);
+
+    let text = TREE.replace("hold_queue_time_ms = 4000", "request_timeout_ms = 4000");
+    let line = line_of(&text, "request_timeout_ms = 4000");
+    let expected = (SERVICE, Some("request_timeout_ms"), Some(line));
+    assert_only_problem(
+        &text,
+        expected,
+        "4000 is less than hold_queue_time_ms = 5000",
+    );
+}
+
 #[test]
 fn limits_do_not_contradict_each_other() {
     let added = Some(TREE.lines().count() + 1);
     let backend = format!("{GROUP}/backend/c");
-    let cases = [
-        ("slots = 41", "slots", "41 exceeds connection_limit = 40"),
-        (
-            "opening_limit = 41",
-            "opening_limit",
-            "41 exceeds connection_limit = 40",
-        ),
-    ];
-    for (line, option, message) in cases {
+    for option in ["slots", "opening_limit"] {
+        let text = with_last_line(&format!("{option} = 41"));
         let expected = (backend.as_str(), Some(option), added);
-        assert_only_problem(&with_last_line(line), expected, message);
+        assert_only_problem(&text, expected, "41 exceeds connection_limit = 40");
     }
     let text = TREE.replace("hold_queue_time_ms = 4000", "hold_queue_bytes = 4096");
     let line = line_of(&text, "hold_queue_bytes");
-    let expected = (GROUP, Some("hold_queue_bytes"), Some(line));
+    let expected = (SERVICE, Some("hold_queue_bytes"), Some(line));
     assert_only_problem(&text, expected, "less than maximum_message_bytes");
     let holds_nothing = text.replace(
         "hold_queue_bytes",
