--- a/crates/stairward-lab/src/simulated_network.rs
+++ b/crates/stairward-lab/src/simulated_network.rs
@@ -53,7 +53,8 @@
 struct Entry<M> {
     at: Time,
     order: u64,
-    occurrence: Occurrence<M>,
+    /// Boxed, since the queue moves its entries often.
+    occurrence: Box<Occurrence<M>>,
 }
 
 impl<M> PartialEq for Entry<M> {
@@ -181,7 +182,7 @@
     pub fn next_occurrence(&mut self) -> Option<Occurrence<M>> {
         while let Some(entry) = self.queue.pop() {
             self.now = entry.at;
-            if let Some(occurrence) = self.admit(entry.occurrence) {
+            if let Some(occurrence) = self.admit(*entry.occurrence) {
                 return Some(occurrence);
             }
         }
@@ -278,7 +279,7 @@
         self.queue.push(Entry {
             at,
             order,
-            occurrence,
+            occurrence: Box::new(occurrence),
         });
     }
 }
--- a/crates/stairward-membership/src/broadcast.rs
+++ b/crates/stairward-membership/src/broadcast.rs
@@ -6,7 +6,7 @@
 /// Pieces of news kept at most; beyond that the one sent most often goes.
 const CAPACITY: usize = 4_096;
 /// With each so many pieces waiting, each is sent fewer times.
-const FLOOD: usize = 128;
+const FLOOD: usize = 512;
 /// Each piece is sent at least so often, however many wait.
 const MINIMUM_LIMIT: u32 = 3;
 
--- a/crates/stairward-membership/src/swim/comparison.rs
+++ b/crates/stairward-membership/src/swim/comparison.rs
@@ -27,8 +27,9 @@
 /// When to compare next, and how much was answered of late.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Comparison {
-    /// Since when peers' digests have differed without one that agreed.
-    differs_since: Option<Time>,
+    /// Since when peers' digests have differed again and again.
+    differs_since: Time,
+    last_differed: Option<Time>,
     next: Time,
     /// Whether this node has once agreed with a peer since it started.
     pub has_joined: bool,
@@ -37,14 +38,21 @@
 }
 
 impl Comparison {
-    /// Takes a peer's digest; says whether to compare with that peer now.
+    /// Takes a peer's digest; says whether to compare with that peer now. News on its way makes
+    /// digests differ for a moment. Only when they go on differing is something lost; peers that
+    /// agree do not matter, since they may lack the same.
     fn notice(&mut self, agrees: bool, delay: Duration, now: Time) -> bool {
         if agrees {
-            self.differs_since = None;
             return false;
         }
-        let since = *self.differs_since.get_or_insert(now);
-        let has_waited = !self.has_joined || now.since(since) >= delay;
+        let is_continued = self
+            .last_differed
+            .is_some_and(|last| now.since(last) <= delay);
+        if !is_continued {
+            self.differs_since = now;
+        }
+        self.last_differed = Some(now);
+        let has_waited = !self.has_joined || now.since(self.differs_since) >= delay;
         has_waited && now >= self.next
     }
 
--- a/crates/stairward-membership/src/swim/updates.rs
+++ b/crates/stairward-membership/src/swim/updates.rs
@@ -40,17 +40,14 @@
             }
             return false;
         }
+        let old = self.table.get(profile.node);
+        if old.is_some_and(|old| profile.version <= old.version) {
+            return self.complete_profile(profile);
+        }
         if self.is_stale_claim(profile) {
             return false;
         }
-        let old = self.table.get(profile.node).cloned();
-        match &old {
-            Some(old) if profile.version < old.version => return false,
-            Some(old) if profile.version == old.version => {
-                return self.complete_profile(profile, old);
-            }
-            _ => {}
-        }
+        let old = old.cloned();
         self.displace_from_address(profile, step);
         self.suspicions.clear(profile.node);
         self.believe(alive_record(profile, step.now), step);
@@ -60,15 +57,19 @@
     }
 
     /// A version heard of through others only lacks what the member says of itself.
-    fn complete_profile(&mut self, profile: &Arc<Profile>, old: &Record) -> bool {
-        if old.profile.version >= profile.version {
+    fn complete_profile(&mut self, profile: &Arc<Profile>) -> bool {
+        let Some(old) = self.table.get(profile.node) else {
+            return false;
+        };
+        if profile.version != old.version || old.profile.version == old.version {
             return false;
         }
-        self.view_changed = true;
-        self.table.put(Record {
+        let completed = Record {
             profile: Arc::clone(profile),
             ..old.clone()
-        });
+        };
+        self.view_changed = true;
+        self.table.put(completed);
         true
     }
 
@@ -147,7 +148,6 @@
         source: Source,
         step: &mut Step<'_>,
     ) -> bool {
-        let is_first = self.suspicions.accusers(node).is_empty();
         let grew = self
             .suspicions
             .accuse(node, accusers, step.now, &self.config);
@@ -158,14 +158,12 @@
                 version,
                 accusers,
             };
-            let sent = if is_first { 0 } else { self.half_limit() };
-            self.pass_on_as_sent(update, sent, source, step);
+            self.pass_on(update, source, step);
         }
         grew
     }
 
-    /// Counted as sent already for news that most nodes do without: a further accuser, or the end
-    /// of a suspicion, which ends at each node by itself.
+    /// Counted as sent already for the end of a suspicion, which ends at most nodes by itself.
     fn half_limit(&self) -> u32 {
         self.config.retransmit_limit(self.table.live_count()) / 2
     }
--- a/crates/stairward-membership/tests/common/mod.rs
+++ b/crates/stairward-membership/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod network;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
