--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -26,11 +26,13 @@
     crate::membership::command::COMMAND,
     crate::membership::terms::COMMAND,
     crate::hollow::COMMAND,
+    crate::ownership::command::COMMAND,
     crate::report::COMMAND,
     crate::compare::COMMAND,
     crate::configuration::command::COMMAND,
     crate::capacity::COMMAND,
     crate::experiment::idle::COMMAND,
+    crate::simulate::COMMAND,
 ];
 
 /// Reads the subcommand's name from the command line and runs it.
