--- a/crates/stairward-lab/src/configuration/command.rs
+++ b/crates/stairward-lab/src/configuration/command.rs
@@ -24,8 +24,8 @@
   --nodes N      nodes in the fleet [default: 1400]
   --edits N      edits made [default: 20]
   --seed N       seed of the run [default: 1]
-  --fault NAME   none, store-down[=SECONDS], store-slow[=SECONDS], region-partition[=SECONDS],
-                 lost-replies or node-failures[=N] [default: none]
+  --fault NAME   none, store-down[=SECONDS], region-partition[=SECONDS], lost-replies or
+                 node-failures[=N] [default: none]
   --json         print JSON, which is the only format
   -h, --help     this text
 
