Show in the status what the owner really does

The status showed zeros for connections, queue and lease of each back end, since its fields did not match what the owner reports. They now do; the field for held requests, which nothing counts, is gone.

--- a/crates/stairward-proxy/src/admin/status.rs
+++ b/crates/stairward-proxy/src/admin/status.rs
@@ -30,8 +30,6 @@
     pub draining: bool,
     /// Client sessions.
     pub sessions: usize,
-    /// Requests that wait for a new primary.
-    pub held_requests: usize,
     /// The back ends served by this node.
     pub backends: Vec<BackendActivity>,
 }
@@ -41,13 +39,17 @@
 pub struct BackendActivity {
     /// The back end.
     pub backend: BackendId,
-    /// Time left of the lease, in milliseconds; none without a lease.
-    pub lease_remaining_ms: Option<u64>,
-    /// Connections open.
+    /// `owner` or `standby`.
+    pub role: &'static str,
+    /// Whether this node holds the lease, so that it may take work.
+    pub lease_held: bool,
+    /// Whether it could be reached when it was last asked.
+    pub reachable: bool,
+    /// Whether it was the primary then.
+    pub primary: bool,
+    /// Connections open for work.
     pub connections: usize,
-    /// Connections this node may open.
-    pub connection_share: usize,
-    /// Statements running.
+    /// Connections lent to requests and transactions.
     pub running: usize,
     /// Requests waiting.
     pub queued: usize,
--- a/crates/stairward-proxy/src/node/status.rs
+++ b/crates/stairward-proxy/src/node/status.rs
@@ -25,20 +25,21 @@
         NodeActivity {
             draining: self.draining.load(Ordering::SeqCst),
             sessions: statistics.sessions as usize,
-            held_requests: 0,
             backends: status.backends.into_iter().map(backend_activity).collect(),
         }
     }
 }
 
-fn backend_activity((backend, _report): (BackendId, BackendReport)) -> BackendActivity {
+fn backend_activity((backend, report): (BackendId, BackendReport)) -> BackendActivity {
     BackendActivity {
         backend,
-        lease_remaining_ms: None,
-        connections: 0,
-        connection_share: 0,
-        running: 0,
-        queued: 0,
+        role: report.role,
+        lease_held: report.lease_held,
+        reachable: report.freshness.is_some(),
+        primary: report.is_primary,
+        connections: report.connections,
+        running: report.lent,
+        queued: report.waiting,
     }
 }
 
--- a/crates/stairward-proxy/tests/admin_interface.rs
+++ b/crates/stairward-proxy/tests/admin_interface.rs
@@ -29,12 +29,13 @@
         NodeActivity {
             draining: self.draining,
             sessions: 3,
-            held_requests: 1,
             backends: vec![BackendActivity {
                 backend: BackendId::new(BACKEND).expect("a name"),
-                lease_remaining_ms: Some(900),
+                role: "owner",
+                lease_held: true,
+                reachable: true,
+                primary: true,
                 connections: 2,
-                connection_share: 8,
                 running: 1,
                 queued: 4,
             }],
