--- a/crates/stairward-proxy/src/edge/service.rs
+++ b/crates/stairward-proxy/src/edge/service.rs
@@ -201,10 +201,12 @@
         let permit = Arc::clone(&self.clients).try_acquire_owned().ok();
         let mut client = Some(Client::new(Either::Left(socket)));
         let timeout = self.settings.startup_timeout;
-        let started = tokio::time::timeout(timeout, self.start(&mut client, permit.is_some()));
+        // Boxed, so that a session doesn't keep the room that its start took.
+        let starting = Box::pin(self.start(&mut client, permit.is_some()));
+        let started = tokio::time::timeout(timeout, starting);
         let error = match started.await {
             Ok(Ok(Some(session))) => {
-                return Arc::clone(&self).run(client, session, permit).await;
+                return Box::pin(Arc::clone(&self).run(client, session, permit)).await;
             }
             Ok(Ok(None)) | Err(_) => return,
             Ok(Err(StartupError::Refused { error })) => error,
@@ -225,7 +227,7 @@
         self.counters.refused.add(1);
         if let Some(mut client) = client {
             reply::error(&mut client.output, Severity::Fatal, &error);
-            let _ = tokio::time::timeout(timeout, client.close()).await;
+            let _ = tokio::time::timeout(timeout, Box::pin(client.close())).await;
         }
     }
 
@@ -295,7 +297,7 @@
             key.secret.cast_signed(),
         );
         let _count = SessionCount::new(&self);
-        let mut session = Session {
+        let mut session = Box::new(Session {
             draining: self.draining.subscribe(),
             service: Arc::clone(&self),
             group: started.group,
@@ -312,7 +314,7 @@
             builder: BatchBuilder::default(),
             skipping: false,
             served_while_draining: false,
-        };
+        });
         session.ready();
         session.run().await;
         drop(permit);
--- a/crates/stairward-proxy/src/edge/session.rs
+++ b/crates/stairward-proxy/src/edge/session.rs
@@ -116,19 +116,20 @@
 
 impl Session {
     /// Serves the caller to the end of its session.
-    pub(super) async fn run(mut self) {
+    pub(super) async fn run(mut self: Box<Self>) {
         let end = loop {
             if let Err(end) = self.step().await {
                 break end;
             }
         };
-        self.finish(end).await;
+        Box::pin(self.finish(end)).await;
     }
 
     async fn step(&mut self) -> Flow<()> {
         match self.next_step().await? {
-            Step::Frame(frame) => self.take_frame(frame).await,
-            Step::Owner(message) => self.hear_between_batches(message).await,
+            // Boxed, so that a session that waits doesn't hold room for a batch under way.
+            Step::Frame(frame) => Box::pin(self.take_frame(frame)).await,
+            Step::Owner(message) => Box::pin(self.hear_between_batches(message)).await,
             Step::Drain => Err(SessionEnd::Drained),
             Step::DrainBegan => Ok(()),
         }
@@ -324,7 +325,7 @@
         self.service.cluster.clock.now()
     }
 
-    async fn finish(mut self, end: SessionEnd) {
+    async fn finish(mut self: Box<Self>, end: SessionEnd) {
         // Lets the owner roll back before the caller hears that the session has ended.
         self.active = None;
         let error = match end {
