--- a/crates/stairward-proxy/src/control/configuration/driver.rs
+++ b/crates/stairward-proxy/src/control/configuration/driver.rs
@@ -20,6 +20,7 @@
 use super::handle::PublishedStatus;
 use super::held::HeldSettings;
 use super::machines::follow_machines;
+use super::metrics;
 use super::store::{StoreRead, StoreView, read_store};
 use crate::cluster::{Cluster, MembershipView};
 use crate::peer::PeerNetwork;
@@ -355,6 +356,7 @@
     /// Tells the rest of the node what has become of the settings' state.
     fn publish(&self) {
         let now = self.cluster.clock.now();
+        metrics::record(&self.spreader, now);
         self.cluster
             .trust_settings_until(self.spreader.trusted_until(now));
         self.outputs.status.send_replace(PublishedStatus {
--- a/crates/stairward-proxy/src/control/configuration/mod.rs
+++ b/crates/stairward-proxy/src/control/configuration/mod.rs
@@ -9,6 +9,7 @@
 mod handle;
 mod held;
 mod machines;
+mod metrics;
 mod store;
 
 use std::sync::Arc;
