--- a/crates/stairward-lab/src/lib.rs
+++ b/crates/stairward-lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demo;
 pub mod experiment;
 pub mod fit;
+pub mod hollow;
 pub mod load;
 pub mod membership;
 pub mod output;
--- a/crates/stairward-membership/src/swim/comparison.rs
+++ b/crates/stairward-membership/src/swim/comparison.rs
@@ -27,10 +27,9 @@
 /// When to compare next, and how much was answered of late.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Comparison {
-    /// Since when peers' digests have differed, with no longer pause than the delay.
-    differs_since: Option<Time>,
-    /// When a peer's digest last differed.
-    last_differed: Time,
+    /// Since when peers' digests have differed again and again.
+    differs_since: Time,
+    last_differed: Option<Time>,
     next: Time,
     /// Whether this node has once agreed with a peer since it started.
     pub has_joined: bool,
@@ -39,20 +38,21 @@
 }
 
 impl Comparison {
-    /// Takes a peer's digest; says whether to compare with that peer now.
+    /// Takes a peer's digest; says whether to compare with that peer now. News on its way makes
+    /// digests differ for a moment. Only when they go on differing is something lost; peers that
+    /// agree do not matter, since they may lack the same.
     fn notice(&mut self, agrees: bool, delay: Duration, now: Time) -> bool {
         if agrees {
-            // One peer's agreement does not undo another's difference: some members may share a
-            // partial view that others do not.
-            if now.since(self.last_differed) >= delay {
-                self.differs_since = None;
-            }
-            self.has_joined = true;
             return false;
         }
-        self.last_differed = now;
-        let since = *self.differs_since.get_or_insert(now);
-        let has_waited = !self.has_joined || now.since(since) >= delay;
+        let is_continued = self
+            .last_differed
+            .is_some_and(|last| now.since(last) <= delay);
+        if !is_continued {
+            self.differs_since = now;
+        }
+        self.last_differed = Some(now);
+        let has_waited = !self.has_joined || now.since(self.differs_since) >= delay;
         has_waited && now >= self.next
     }
 
@@ -78,7 +78,9 @@
             return;
         }
         let delay = self.config.sync_delay;
+        let is_catching_up = self.is_catching_up(step.now);
         let agrees = digest.members == self.table.digest();
+        self.member_comparison.has_joined |= agrees && !is_catching_up;
         if self.member_comparison.notice(agrees, delay, step.now) {
             self.member_comparison.next = step.now + self.comparison_interval(step.rng);
             let digests = Box::new(*self.table.buckets());
@@ -86,6 +88,7 @@
             self.send(from, message, Vec::new(), step);
         }
         let agrees = digest.terms == self.terms.digest();
+        self.term_comparison.has_joined |= agrees && !is_catching_up;
         if self.term_comparison.notice(agrees, delay, step.now) {
             self.term_comparison.next = step.now + self.comparison_interval(step.rng);
             let digests = Box::new(*self.terms.buckets());
