--- a/crates/stairward-proxy/tests/edge_sessions.rs
+++ b/crates/stairward-proxy/tests/edge_sessions.rs
@@ -197,3 +197,19 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keyed_write_sent_through_two_proxies_runs_once() {
+    guarded(async {
+        let site = two_nodes().await;
+        let first = site.with_table().await;
+        let second = site.nodes[1].connect().await;
+        let text = "INSERT INTO books (id, title) VALUES (1, 'x') /*stairward.request_key='k'*/";
+        first.batch_execute(text).await.unwrap();
+        // Run again it would break the primary key.
+        second.batch_execute(text).await.unwrap();
+        let seen = simple_value(&second, "SELECT count(*) FROM books").await;
+        assert_eq!(seen.as_deref(), Some("1"));
+    })
+    .await;
+}
--- a/crates/stairward-routing/src/lib.rs
+++ b/crates/stairward-routing/src/lib.rs
@@ -9,15 +9,18 @@
 
 mod budget;
 mod choice;
+mod event;
 mod hold;
 mod outcome;
 mod request;
+mod step;
 mod view;
 
 pub use budget::RetryBudget;
+pub use event::{Attempt, Effect, Event, RequestSpec};
 pub use hold::{HoldLimits, HoldQueue, HoldTicket};
 pub use outcome::{Failure, Outcome};
-pub use request::{Attempt, Effect, Event, RequestMachine, RequestSpec};
+pub use request::RequestMachine;
 pub use view::{BackendView, GroupView, Observation, PrimaryView, ZoneDistance};
 
 use std::time::Duration;
--- a/crates/stairward-session/src/classify.rs
+++ b/crates/stairward-session/src/classify.rs
@@ -1,10 +1,8 @@
 //! Classes of SQL text, by the `sqlparser` syntax tree. What can't be classified is a write.
 
-use std::ops::ControlFlow;
-
 use sqlparser::ast::{
-    ContextModifier, DiscardObject, Expr, ObjectName, Query, Reset, Select, Set, SetExpr,
-    Statement, TableFactor, TransactionAccessMode, TransactionMode, UtilityOption, Visit, Visitor,
+    ContextModifier, DiscardObject, ObjectName, Reset, Set, Statement, TransactionAccessMode,
+    TransactionMode, UtilityOption,
 };
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::keywords::Keyword;
@@ -15,7 +13,8 @@
 use crate::class::{
     RefusedFeature, SessionChange, StatementClass, TransactionEnd, TransactionStart,
 };
-use crate::pure_functions::{is_pure_function, is_session_lock_function};
+use crate::keywords::{by_first_word, by_keywords};
+use crate::write_search::by_syntax_tree;
 
 /// Longest text parsed, in bytes. Longer text is classified by its first words.
 const MAXIMUM_PARSED_BYTES: usize = 256 * 1024;
@@ -54,7 +53,7 @@
     class
 }
 
-fn read() -> StatementClass {
+pub(crate) fn read() -> StatementClass {
     StatementClass {
         statements: 1,
         ..StatementClass::empty()
@@ -68,7 +67,7 @@
     }
 }
 
-fn refused(feature: RefusedFeature) -> StatementClass {
+pub(crate) fn refused(feature: RefusedFeature) -> StatementClass {
     StatementClass {
         refused: Some(feature),
         ..write()
@@ -84,7 +83,7 @@
     }
 }
 
-fn begins(start: TransactionStart) -> StatementClass {
+pub(crate) fn begins(start: TransactionStart) -> StatementClass {
     let access = match start {
         TransactionStart::ReadOnly => AccessClass::Read,
         TransactionStart::ReadWrite => AccessClass::Write,
@@ -96,7 +95,7 @@
     }
 }
 
-fn ends(end: TransactionEnd) -> StatementClass {
+pub(crate) fn ends(end: TransactionEnd) -> StatementClass {
     StatementClass {
         has_commit: end == TransactionEnd::Commit,
         ends: Some(end),
@@ -272,7 +271,7 @@
 }
 
 /// A name without quotes, in lower case.
-fn plain_name(name: &ObjectName) -> String {
+pub(crate) fn plain_name(name: &ObjectName) -> String {
     let parts: Vec<String> = name
         .0
         .iter()
@@ -290,90 +289,6 @@
     class
 }
 
-fn by_syntax_tree(statement: &Statement) -> StatementClass {
-    let mut search = WriteSearch { class: read() };
-    let _: ControlFlow<()> = statement.visit(&mut search);
-    search.class
-}
-
-/// Looks through a syntax tree for anything that writes or locks.
-struct WriteSearch {
-    class: StatementClass,
-}
-
-impl WriteSearch {
-    fn found_function(&mut self, name: &ObjectName) {
-        let name = plain_name(name);
-        let name = name.strip_prefix("pg_catalog.").unwrap_or(&name);
-        if is_session_lock_function(name) {
-            self.class.refused = Some(RefusedFeature::AdvisoryLock);
-        }
-        if !is_pure_function(name) {
-            self.found_write();
-            // It may call set_config or do anything else to the session.
-            self.class.alters_session = true;
-        }
-    }
-
-    fn found_write(&mut self) {
-        self.class.access = AccessClass::Write;
-    }
-}
-
-impl Visitor for WriteSearch {
-    type Break = ();
-
-    fn pre_visit_statement(&mut self, statement: &Statement) -> ControlFlow<()> {
-        let is_read = matches!(statement, Statement::Query(_) | Statement::Declare { .. });
-        if !is_read {
-            self.found_write();
-        }
-        ControlFlow::Continue(())
-    }
-
-    fn pre_visit_query(&mut self, query: &Query) -> ControlFlow<()> {
-        let writes = matches!(
-            *query.body,
-            SetExpr::Insert(_) | SetExpr::Update(_) | SetExpr::Delete(_) | SetExpr::Merge(_)
-        );
-        if writes || !query.locks.is_empty() {
-            self.found_write();
-        }
-        ControlFlow::Continue(())
-    }
-
-    fn pre_visit_select(&mut self, select: &Select) -> ControlFlow<()> {
-        if select.into.is_some() {
-            self.found_write();
-        }
-        ControlFlow::Continue(())
-    }
-
-    fn pre_visit_table_factor(&mut self, factor: &TableFactor) -> ControlFlow<()> {
-        match factor {
-            TableFactor::Table {
-                name,
-                args: Some(_),
-                ..
-            }
-            | TableFactor::Function { name, .. } => self.found_function(name),
-            TableFactor::Table { .. }
-            | TableFactor::Derived { .. }
-            | TableFactor::NestedJoin { .. }
-            | TableFactor::UNNEST { .. } => {}
-            _ => self.found_write(),
-        }
-        ControlFlow::Continue(())
-    }
-
-    fn pre_visit_expr(&mut self, expression: &Expr) -> ControlFlow<()> {
-        if let Expr::Function(function) = expression {
-            self.found_function(&function.name);
-        }
-        ControlFlow::Continue(())
-    }
-}
-
 /// Whether a token may deepen the syntax tree. Nesting by brackets is bounded by the parser.
 fn is_operator(token: &Token) -> bool {
     match token {
@@ -404,38 +319,3 @@
         _ => true,
     }
 }
-
-/// Classifies text that doesn't parse, by the first word of each statement.
-fn by_keywords(tokens: &[Token]) -> StatementClass {
-    let mut class = StatementClass::empty();
-    for statement in tokens.split(|token| *token == Token::SemiColon) {
-        let first = statement.iter().find_map(|token| match token {
-            Token::Word(word) => Some(word.value.as_str()),
-            _ => None,
-        });
-        if let Some(first) = first {
-            class.append(by_first_word(first));
-        }
-    }
-    if class.statements == 0 && tokens.iter().any(|token| !is_blank(token)) {
-        return StatementClass::unknown();
-    }
-    class
-}
-
-fn is_blank(token: &Token) -> bool {
-    matches!(token, Token::Whitespace(_) | Token::SemiColon | Token::EOF)
-}
-
-fn by_first_word(word: &str) -> StatementClass {
-    match word.to_ascii_uppercase().as_str() {
-        "" => StatementClass::empty(),
-        "COPY" => refused(RefusedFeature::Copy),
-        "LISTEN" | "UNLISTEN" => refused(RefusedFeature::Listen),
-        "SHOW" => read(),
-        "BEGIN" | "START" => begins(TransactionStart::ReadWrite),
-        "COMMIT" | "END" => ends(TransactionEnd::Commit),
-        "ROLLBACK" | "ABORT" => ends(TransactionEnd::Rollback),
-        _ => StatementClass::unknown(),
-    }
-}
--- a/crates/stairward-session/src/lib.rs
+++ b/crates/stairward-session/src/lib.rs
@@ -16,10 +16,12 @@
 mod comment;
 mod floor;
 mod hints;
+mod keywords;
 mod prepared;
 mod pure_functions;
 mod token;
 mod variables;
+mod write_search;
 
 pub use cache::ClassCache;
 pub use class::{RefusedFeature, SessionChange, StatementClass, TransactionEnd, TransactionStart};
--- /dev/null
+++ b/crates/stairward-session/src/write_search.rs
@@ -0,0 +1,97 @@
+//! Looking for writes in a syntax tree.
+
+use std::ops::ControlFlow;
+
+use sqlparser::ast::{
+    Expr, ObjectName, Query, Select, SetExpr, Statement, TableFactor, Visit, Visitor,
+};
+use stairward_types::AccessClass;
+
+use crate::class::{RefusedFeature, StatementClass};
+use crate::classify::{plain_name, read};
+use crate::pure_functions::{is_pure_function, is_session_lock_function};
+
+/// The class of a statement by what is in its syntax tree.
+pub(crate) fn by_syntax_tree(statement: &Statement) -> StatementClass {
+    let mut search = WriteSearch { class: read() };
+    let _: ControlFlow<()> = statement.visit(&mut search);
+    search.class
+}
+
+/// Looks through a syntax tree for anything that writes or locks.
+struct WriteSearch {
+    class: StatementClass,
+}
+
+impl WriteSearch {
+    fn found_function(&mut self, name: &ObjectName) {
+        let name = plain_name(name);
+        let name = name.strip_prefix("pg_catalog.").unwrap_or(&name);
+        if is_session_lock_function(name) {
+            self.class.refused = Some(RefusedFeature::AdvisoryLock);
+        }
+        if !is_pure_function(name) {
+            self.found_write();
+            // It may call set_config or do anything else to the session.
+            self.class.alters_session = true;
+        }
+    }
+
+    fn found_write(&mut self) {
+        self.class.access = AccessClass::Write;
+    }
+}
+
+impl Visitor for WriteSearch {
+    type Break = ();
+
+    fn pre_visit_statement(&mut self, statement: &Statement) -> ControlFlow<()> {
+        let is_read = matches!(statement, Statement::Query(_) | Statement::Declare { .. });
+        if !is_read {
+            self.found_write();
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_query(&mut self, query: &Query) -> ControlFlow<()> {
+        let writes = matches!(
+            *query.body,
+            SetExpr::Insert(_) | SetExpr::Update(_) | SetExpr::Delete(_) | SetExpr::Merge(_)
+        );
+        if writes || !query.locks.is_empty() {
+            self.found_write();
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_select(&mut self, select: &Select) -> ControlFlow<()> {
+        if select.into.is_some() {
+            self.found_write();
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_table_factor(&mut self, factor: &TableFactor) -> ControlFlow<()> {
+        match factor {
+            TableFactor::Table {
+                name,
+                args: Some(_),
+                ..
+            }
+            | TableFactor::Function { name, .. } => self.found_function(name),
+            TableFactor::Table { .. }
+            | TableFactor::Derived { .. }
+            | TableFactor::NestedJoin { .. }
+            | TableFactor::UNNEST { .. } => {}
+            _ => self.found_write(),
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_expr(&mut self, expression: &Expr) -> ControlFlow<()> {
+        if let Expr::Function(function) = expression {
+            self.found_function(&function.name);
+        }
+        ControlFlow::Continue(())
+    }
+}
