Take a back end again when its address changes; bound the end of a hand-over

A back end whose address or user changed in the settings kept its old connections for ever. It is given up and taken again. A stream that waits for its edge's window no longer holds up a hand-over, and a hand-over ends 3 s after its limit at the latest.

--- a/crates/stairward-proxy/src/owner/backend/mod.rs
+++ b/crates/stairward-proxy/src/owner/backend/mod.rs
@@ -14,7 +14,9 @@
 };
 use stairward_pool::{BackendPool, Lease, OwnerRole};
 use stairward_protocol::stream::BackendHint;
-use stairward_types::{AdminState, BackendId, BackendRole, GroupId, ResultCode, Term, Time};
+use stairward_types::{
+    AdminState, BackendId, BackendRole, GroupId, LogEvent, ResultCode, Term, Time,
+};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -26,6 +28,10 @@
 use crate::owner::login::Login;
 use crate::owner::status::BackendStatus;
 
+/// How much longer than allowed work may take to end before the back end is given up regardless. The
+/// successor ends the sessions that are left.
+const STOP_GRACE: Duration = Duration::from_secs(3);
+
 /// Pause between looks at whether commits still wait for their proof when the back end is given up.
 const FENCE_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -289,7 +295,18 @@
     pub(super) async fn stop(self: &Arc<Self>, limit: Duration) {
         let mut drained = self.drained.subscribe();
         self.handle(PoolEvent::DrainUntil(self.now() + limit));
-        let _ = drained.wait_for(|drained| *drained).await;
+        let empty = drained.wait_for(|drained| *drained);
+        let is_empty = matches!(
+            tokio::time::timeout(limit + STOP_GRACE, empty).await,
+            Ok(Ok(_))
+        );
+        if !is_empty {
+            tracing::warn!(
+                event = LogEvent::OwnershipReleased.number(),
+                backend = %self.identity.name,
+                "work did not end in time; the back end will end it"
+            );
+        }
         while self.fence.is_busy() {
             tokio::time::sleep(FENCE_POLL_INTERVAL).await;
         }
--- a/crates/stairward-proxy/src/owner/relay.rs
+++ b/crates/stairward-proxy/src/owner/relay.rs
@@ -203,9 +203,14 @@
         }
     }
 
+    /// False when the edge is gone or the stream's time is over.
     async fn wait_for_credit(&mut self) -> bool {
         while self.credit <= 0 {
-            match self.stream.receive().await {
+            let message = tokio::select! {
+                message = self.stream.receive() => message,
+                () = self.grant.ending.cancelled() => return false,
+            };
+            match message {
                 Some(EdgeMessage::Credit { bytes }) => self.credit += i64::from(bytes),
                 Some(EdgeMessage::Abandon) | None => return false,
                 Some(EdgeMessage::Open(_) | EdgeMessage::Batch(_) | EdgeMessage::Cancel) => {}
--- a/crates/stairward-proxy/src/owner/service.rs
+++ b/crates/stairward-proxy/src/owner/service.rs
@@ -35,6 +35,8 @@
 
 type Served = BTreeMap<(BackendId, OwnerRole), Arc<Backend>>;
 
+type Wanted<'a> = BTreeMap<(BackendId, OwnerRole), (&'a GroupSettings, &'a BackendSettings)>;
+
 /// The owner side of a node.
 pub struct OwnerService {
     context: Arc<OwnerContext>,
@@ -185,9 +187,9 @@
         let wanted = self.wanted(&settings, &state.served);
         let unwanted: Vec<_> = state
             .served
-            .keys()
-            .filter(|key| !wanted.contains_key(*key))
-            .cloned()
+            .iter()
+            .filter(|(key, backend)| !self.is_still_wanted(key, backend, &wanted))
+            .map(|(key, _)| key.clone())
             .collect();
         for key in unwanted {
             if let Some(backend) = state.served.remove(&key) {
@@ -201,16 +203,12 @@
     }
 
     /// The back ends this node should serve, by its own view.
-    fn wanted<'a>(
-        &self,
-        settings: &'a ResolvedSettings,
-        served: &Served,
-    ) -> BTreeMap<(BackendId, OwnerRole), (&'a GroupSettings, &'a BackendSettings)> {
+    fn wanted<'a>(&self, settings: &'a ResolvedSettings, served: &Served) -> Wanted<'a> {
         let holds = |name: &BackendId, role| {
             let backend = served.get(&(name.clone(), role));
             backend.is_some_and(|backend| backend.lease_is_held())
         };
-        let mut wanted = BTreeMap::new();
+        let mut wanted = Wanted::new();
         for group in settings.groups.values() {
             for backend in group.backends.values() {
                 let name = &backend.backend;
@@ -227,6 +225,20 @@
         wanted
     }
 
+    /// Whether a served back end is wanted in its role, and still reached in the same way. One that has
+    /// moved to another address is given up and taken again.
+    fn is_still_wanted(
+        &self,
+        key: &(BackendId, OwnerRole),
+        served: &Backend,
+        wanted: &Wanted<'_>,
+    ) -> bool {
+        wanted.get(key).is_some_and(|(group, settings)| {
+            let login = &served.identity.login;
+            login.address == settings.address && login.user == group.backend_user
+        })
+    }
+
     /// The role that the membership view gives this node at a back end.
     fn ranked_role(&self, backend: &BackendSettings) -> Option<OwnerRole> {
         let node = self.context.cluster.identity.node;
--- a/crates/stairward-proxy/tests/owner_streams.rs
+++ b/crates/stairward-proxy/tests/owner_streams.rs
@@ -229,3 +229,25 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_back_end_is_taken_again_when_its_address_changes() {
+    guarded(async {
+        let mut site = Site::with_table().await;
+        let moved = *site
+            .databases
+            .addresses()
+            .get(&backend(OTHER_REPLICA))
+            .unwrap();
+        site.change_settings(|group| {
+            group.backends.remove(&backend(OTHER_REPLICA));
+            let settings = group.backends.get_mut(&backend(REPLICA)).unwrap();
+            settings.address = moved;
+        });
+        // The server at the old address is gone; only the new one can answer.
+        let member = backend(REPLICA);
+        site.databases.inject(Fault::Stop { member });
+        site.nodes[0].await_served(REPLICA).await;
+    })
+    .await;
+}
