Never let an open transaction wait for a slot; bound ledger statements by the deadline

In the demo of krvny-most with a primary cut off, requests waited 30 s (max 31.8 s). Statements that held every slot waited for row locks of a transaction whose own next batch waited for a slot; a keyed request waited so for the ledger's 30 s, whatever its deadline. Batches of open transactions now pass the slot limit, and the ledger's statements end at the request's deadline. The property 'at most SLOTS statements run' was wrong by this and is replaced: no new work begins beside SLOTS statements, and no open transaction waits.

--- a/crates/stairward-pool/src/pool/message.rs
+++ b/crates/stairward-pool/src/pool/message.rs
@@ -21,7 +21,8 @@
     pub admin_state: AdminState,
     /// Connections this node may hold for work, in any state.
     pub connections: u32,
-    /// Statements that may run at once.
+    /// Statements that may run at once before new work waits. Further batches of open transactions
+    /// don't wait, so up to `connections` statements can run.
     pub slots: u32,
     /// Connections that may be opened at once.
     pub opening_limit: u32,
--- a/crates/stairward-pool/src/pool/mod.rs
+++ b/crates/stairward-pool/src/pool/mod.rs
@@ -93,7 +93,6 @@
     pub fn handle(&mut self, now: Time, event: PoolEvent) -> Vec<PoolEffect> {
         self.apply(now, event);
         self.expire(now);
-        self.slots.grant_waiting(&mut self.effects);
         self.admit_waiting(now);
         self.open_ahead(now);
         self.report_drained();
@@ -181,7 +180,10 @@
 
     fn want_slot(&mut self, now: Time, request: RequestId) {
         match self.lent.get(&request) {
-            Some(lent) if !lent.is_ending => self.slots.want(now, request),
+            Some(lent) if !lent.is_ending => {
+                self.slots.take(now, request);
+                self.effects.push(PoolEffect::GrantSlot(request));
+            }
             Some(_) => {}
             None => self.refuse(request, ResultCode::StaleTransaction, None),
         }
@@ -189,7 +191,6 @@
 
     fn take_back(&mut self, now: Time, request: RequestId, state: ReturnedState) {
         self.slots.release(now, request);
-        self.slots.forget(request);
         let Some(lent) = self.lent.remove(&request) else {
             return;
         };
--- a/crates/stairward-proxy/src/owner/ledger.rs
+++ b/crates/stairward-proxy/src/owner/ledger.rs
@@ -9,6 +9,7 @@
 use pgwire::messages::Message;
 use pgwire::messages::response::{CommandComplete, READY_STATUS_TRANSACTION_BLOCK};
 use stairward_protocol::stream::{Batch, WireTransactionStatus};
+use tokio::time::Instant;
 
 use super::connection::{BackendConnection, TextRow, encode_query};
 use super::error::BackendError;
@@ -17,9 +18,9 @@
 /// Longest request key accepted, in bytes.
 const MAXIMUM_KEY_BYTES: usize = 200;
 
-/// How long the statements around the batch may take each. The first may wait for another request
-/// with the same key to end.
-const STATEMENT_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long the statements around the batch may take each when the request has no deadline. The first
+/// may wait for another request with the same key to end.
+const STATEMENT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Rows deleted by one statement when old ones expire.
 const EXPIRY_BATCH_ROWS: usize = 100;
@@ -55,7 +56,8 @@
         return KeyedOutcome::LedgerFailed;
     }
     let key = quote(key);
-    match in_time(reserve(&mut relay.grant.connection, &key)).await {
+    let deadline = relay.deadline;
+    match in_time(deadline, reserve(&mut relay.grant.connection, &key)).await {
         Ok(Reservation::New) => run_reserved(relay, &key, batch).await,
         Ok(Reservation::Duplicate { command_tag }) => {
             relay.sequence = batch.sequence;
@@ -90,12 +92,13 @@
 async fn commit(relay: &mut Relay, key: &str) -> KeyedOutcome {
     let tag = quote(&relay.evidence.last_tag);
     let record = format!("UPDATE stairward_ledger SET outcome = {tag} WHERE request_key = {key}");
+    let deadline = relay.deadline;
     let connection = &mut relay.grant.connection;
-    let recorded = in_time(query_in_transaction(connection, &record)).await;
+    let recorded = in_time(deadline, query_in_transaction(connection, &record)).await;
     if recorded.is_err() {
         return lost_before_commit(relay);
     }
-    match in_time(connection.query("COMMIT")).await {
+    match in_time(deadline, connection.query("COMMIT")).await {
         Ok(_) => {
             relay.in_transaction = false;
             KeyedOutcome::Committed
@@ -114,7 +117,8 @@
 }
 
 async fn roll_back(relay: &mut Relay) -> KeyedOutcome {
-    match in_time(relay.grant.connection.query("ROLLBACK")).await {
+    let deadline = relay.deadline;
+    match in_time(deadline, relay.grant.connection.query("ROLLBACK")).await {
         Ok(_) => {
             relay.in_transaction = false;
             KeyedOutcome::RolledBack
@@ -213,9 +217,11 @@
 }
 
 async fn in_time<T>(
+    deadline: Option<Instant>,
     work: impl Future<Output = Result<T, BackendError>>,
 ) -> Result<T, BackendError> {
-    tokio::time::timeout(STATEMENT_TIMEOUT, work)
+    let deadline = deadline.unwrap_or_else(|| Instant::now() + STATEMENT_TIMEOUT);
+    tokio::time::timeout_at(deadline, work)
         .await
         .unwrap_or(Err(BackendError::Timeout))
 }
