--- a/crates/stairward-membership/src/swim/updates.rs
+++ b/crates/stairward-membership/src/swim/updates.rs
@@ -13,9 +13,9 @@
 pub(super) enum Source {
     /// As fresh news, to be passed on.
     Gossip,
-    /// By comparing views with this node. It may be old; it is not passed on, since every node
+    /// By comparing views with another node. It may be old; it is not passed on, since every node
     /// compares its view.
-    Comparison(NodeId),
+    Comparison,
 }
 
 impl SwimMember {
@@ -40,17 +40,14 @@
             }
             return false;
         }
+        let old = self.table.get(profile.node);
+        if old.is_some_and(|old| profile.version <= old.version) {
+            return self.complete_profile(profile);
+        }
         if self.is_stale_claim(profile) {
             return false;
         }
-        let old = self.table.get(profile.node).cloned();
-        match &old {
-            Some(old) if profile.version < old.version => return false,
-            Some(old) if profile.version == old.version => {
-                return self.complete_profile(profile, old);
-            }
-            _ => {}
-        }
+        let old = old.cloned();
         self.displace_from_address(profile, step);
         self.suspicions.clear(profile.node);
         self.believe(alive_record(profile, step.now), step);
@@ -60,15 +57,19 @@
     }
 
     /// A version heard of through others only lacks what the member says of itself.
-    fn complete_profile(&mut self, profile: &Arc<Profile>, old: &Record) -> bool {
-        if old.profile.version >= profile.version {
+    fn complete_profile(&mut self, profile: &Arc<Profile>) -> bool {
+        let Some(old) = self.table.get(profile.node) else {
+            return false;
+        };
+        if profile.version != old.version || old.profile.version == old.version {
             return false;
         }
-        self.view_changed = true;
-        self.table.put(Record {
+        let completed = Record {
             profile: Arc::clone(profile),
             ..old.clone()
-        });
+        };
+        self.view_changed = true;
+        self.table.put(completed);
         true
     }
 
@@ -162,6 +163,11 @@
         grew
     }
 
+    /// Counted as sent already for the end of a suspicion, which ends at most nodes by itself.
+    fn half_limit(&self) -> u32 {
+        self.config.retransmit_limit(self.table.live_count()) / 2
+    }
+
     fn apply_failed(
         &mut self,
         node: NodeId,
@@ -173,27 +179,15 @@
             self.refute_if_current(version, step);
             return false;
         }
-        if let Source::Comparison(sender) = source {
-            return self.question_old_failure(node, version, sender, step);
+        if source == Source::Comparison && self.table.live(node).is_some() {
+            // Perhaps the failure stems from a partition that has healed.
+            return false;
         }
-        self.fail(node, version, source, step)
-    }
-
-    /// A failure learnt from another's view may stem from a partition that has healed: the member
-    /// gets the chance to refute it.
-    fn question_old_failure(
-        &mut self,
-        node: NodeId,
-        version: Version,
-        sender: NodeId,
-        step: &mut Step<'_>,
-    ) -> bool {
-        let source = Source::Comparison(sender);
-        let is_new = self.apply_suspect(node, version, &[sender], source, step);
-        if is_new {
-            self.ping_untracked(node, step);
+        if self.is_catching_up(step.now) && self.table.live(node).is_some() {
+            // Perhaps the news is old and the member has refuted it since.
+            return self.apply_suspect(node, version, &[self.me.node], source, step);
         }
-        is_new
+        self.fail(node, version, source, step)
     }
 
     /// Takes a member as failed.
@@ -239,6 +233,7 @@
             return false;
         }
         let was_live = record.status.is_live();
+        let was_suspected = record.status == Status::Suspect;
         let ended = Record {
             version,
             status,
@@ -254,7 +249,8 @@
             };
             report(node, change, step);
         }
-        self.pass_on(update, source, step);
+        let sent = if was_suspected { self.half_limit() } else { 0 };
+        self.pass_on_as_sent(update, sent, source, step);
         true
     }
 
@@ -278,8 +274,12 @@
     }
 
     fn pass_on(&mut self, update: Update, source: Source, step: &mut Step<'_>) {
+        self.pass_on_as_sent(update, 0, source, step);
+    }
+
+    fn pass_on_as_sent(&mut self, update: Update, sent: u32, source: Source, step: &mut Step<'_>) {
         if source == Source::Gossip {
-            self.news.push(update);
+            self.news.push_as_sent(update, sent);
             self.schedule_gossip(step);
         }
     }
