Test five more broken variants in the simulation

Cause: only floor, multiplex and revision had a test. Change: fence, leaving, drain, pool-reset and retry each over two to six seeds.

--- a/crates/stairward-lab/tests/simulate.rs
+++ b/crates/stairward-lab/tests/simulate.rs
@@ -74,3 +74,57 @@
         ..broken(BrokenVariant::Revision, 1, &faults)
     });
 }
+
+#[test]
+fn an_acknowledgement_without_proof_is_caught() {
+    let faults = [FaultKind::PrimaryCutoff];
+    assert_caught(&Options {
+        seeds: 1..=4,
+        load_time: Duration::from_secs(10),
+        threads: 4,
+        ..broken(BrokenVariant::Fence, 1, &faults)
+    });
+}
+
+#[test]
+fn work_for_a_leaving_back_end_is_caught() {
+    let faults = [FaultKind::BackendLeaving];
+    assert_caught(&Options {
+        seeds: 1..=2,
+        load_time: Duration::from_secs(12),
+        threads: 2,
+        ..broken(BrokenVariant::Leaving, 1, &faults)
+    });
+}
+
+#[test]
+fn a_planned_stop_that_exits_at_once_is_caught() {
+    let faults = [FaultKind::PlannedStop];
+    assert_caught(&Options {
+        seeds: 1..=4,
+        load_time: Duration::from_secs(8),
+        threads: 4,
+        ..broken(BrokenVariant::Drain, 1, &faults)
+    });
+}
+
+#[test]
+fn a_connection_returned_in_a_transaction_is_caught() {
+    assert_caught(&Options {
+        seeds: 1..=6,
+        load_time: Duration::from_secs(8),
+        threads: 6,
+        ..broken(BrokenVariant::PoolReset, 1, &[])
+    });
+}
+
+#[test]
+fn a_request_sent_again_after_an_unknown_outcome_is_caught() {
+    let faults = [FaultKind::PrimaryCutoff, FaultKind::ProxyKill];
+    assert_caught(&Options {
+        seeds: 1..=6,
+        load_time: Duration::from_secs(8),
+        threads: 6,
+        ..broken(BrokenVariant::Retry, 1, &faults)
+    });
+}
