--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -29,7 +29,9 @@
     crate::compare::COMMAND,
     crate::configuration::command::COMMAND,
     crate::capacity::COMMAND,
+    crate::experiment::bench::COMMAND,
     crate::experiment::idle::COMMAND,
+    crate::experiment::sweep::COMMAND,
 ];
 
 /// Reads the subcommand's name from the command line and runs it.
--- a/crates/stairward-lab/src/experiment/mod.rs
+++ b/crates/stairward-lab/src/experiment/mod.rs
@@ -1,4 +1,6 @@
 //! Measurements that the capacity and benchmark pages rest on.
 
+pub mod bench;
 pub mod closed_loop;
 pub mod idle;
+pub mod sweep;
