--- a/crates/stairward-lab/src/demo/proxies.rs
+++ b/crates/stairward-lab/src/demo/proxies.rs
@@ -18,6 +18,9 @@
 
 /// Key shared by a demo's proxies. They listen on loopback only.
 const CLUSTER_KEY: &[u8] = b"stairward demo cluster key";
+/// Client connections that one of a demo's proxies takes: as many as a process may have descriptors
+/// for.
+const MAXIMUM_CLIENTS: u32 = 20_000;
 /// Attempts to start a proxy whose old sockets may not be closed yet.
 const START_ATTEMPTS: u32 = 20;
 /// Pause between two such attempts.
@@ -74,6 +77,7 @@
                 vec![platform],
                 Secret::new(CLUSTER_KEY),
             );
+            settings.callers.maximum_clients = MAXIMUM_CLIENTS;
             settings.cluster.seeds = proxies.iter().map(|proxy| proxy.addresses.peer).collect();
             if let (0, Some(address)) = (number, listen) {
                 settings.listen.client = address;
