--- a/crates/stairward-lab/src/capacity/model.rs
+++ b/crates/stairward-lab/src/capacity/model.rs
@@ -223,16 +223,29 @@
     }
 }
 
-/// The sum of the measured costs of control in one resource, and how many lines have no slope yet.
+/// What control costs in one resource, as far as it is measured.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ControlTotal {
+    /// The sum of the lines measured; none when no line is.
+    pub measured: Option<f64>,
+    /// How many lines have no slope yet.
+    pub lines_not_measured: usize,
+}
+
+/// Adds up the measured costs of control in one resource.
 #[must_use]
-pub fn control_total(resource: Resource, slopes: &Slopes) -> (f64, usize) {
+pub fn control_total(resource: Resource, slopes: &Slopes) -> ControlTotal {
+    let mut total = ControlTotal::default();
     let lines = LINES
         .iter()
         .filter(|line| line.is_control && line.resource == resource);
-    lines.fold((0.0, 0), |(sum, missing), line| match line.cost(slopes) {
-        Some(cost) => (sum + cost.value, missing),
-        None => (sum, missing + 1),
-    })
+    for line in lines {
+        match line.cost(slopes) {
+            Some(cost) => total.measured = Some(total.measured.unwrap_or(0.0) + cost.value),
+            None => total.lines_not_measured += 1,
+        }
+    }
+    total
 }
 
 /// Writes a value in the unit of its resource.
--- a/crates/stairward-lab/src/capacity/table.rs
+++ b/crates/stairward-lab/src/capacity/table.rs
@@ -22,20 +22,26 @@
     for line in LINES {
         table.push_str(&row(line, slopes));
     }
-    table.push_str("\n| control in all | cost a node | budget | share | lines not measured |\n|---|---|---|---|---|\n");
+    table.push_str("\n| control, lines measured | cost a node | budget | share | lines not measured |\n|---|---|---|---|---|\n");
     for (name, resource) in [
         ("processor time", Resource::Processor),
         ("memory", Resource::Memory),
         ("traffic", Resource::Traffic),
     ] {
-        let (sum, missing) = control_total(resource, slopes);
+        let total = control_total(resource, slopes);
+        let measured = |write: &dyn Fn(f64) -> String| {
+            total
+                .measured
+                .map_or_else(|| NOT_MEASURED.to_owned(), write)
+        };
         // Writing to a `String` cannot fail.
         let _ = writeln!(
             table,
-            "| {name} | {} | {} | {} | {missing} |",
-            show(resource, sum),
+            "| {name} | {} | {} | {} | {} |",
+            measured(&|sum| show(resource, sum)),
             show(resource, budget(resource)),
-            percent(sum / budget(resource)),
+            measured(&|sum| percent(sum / budget(resource))),
+            total.lines_not_measured,
         );
     }
     table
