--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -31,7 +31,9 @@
     crate::compare::COMMAND,
     crate::configuration::command::COMMAND,
     crate::capacity::COMMAND,
+    crate::experiment::bench::COMMAND,
     crate::experiment::idle::COMMAND,
+    crate::experiment::sweep::COMMAND,
     crate::simulate::COMMAND,
 ];
 
