--- a/crates/stairward-pool/src/fence/mod.rs
+++ b/crates/stairward-pool/src/fence/mod.rs
@@ -62,7 +62,8 @@
 /// What a member says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemberAnswer {
-    /// Its term and position. The term is the highest it has voted for or follows.
+    /// Its term and received position, which elections go by. The term is the highest it has voted
+    /// for or follows.
     pub freshness: Freshness,
     /// Whether it believes to be the primary.
     pub is_primary: bool,
--- a/crates/stairward-protocol/src/call.rs
+++ b/crates/stairward-protocol/src/call.rs
@@ -62,10 +62,13 @@
     /// A back end's own answer.
     #[deku(id = "3")]
     Backend {
-        /// Its term and position.
+        /// Its term and applied position: what reads on it see.
         freshness: WireFreshness,
         /// 1 when it says it is the primary.
         is_primary: u8,
+        /// Its term and received position: what it holds on its disk, though reads may not see it
+        /// yet. Never before the applied one.
+        received: WireFreshness,
     },
     /// What settings the asked node holds, and what the asking one lacks.
     #[deku(id = "4")]
--- a/crates/stairward-proxy/src/edge/majority.rs
+++ b/crates/stairward-proxy/src/edge/majority.rs
@@ -16,7 +16,10 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct MemberAnswer {
     pub(super) backend: BackendId,
+    /// Its term and applied position: what reads on it see.
     pub(super) freshness: Freshness,
+    /// Its term and received position: what counts for a majority.
+    pub(super) received: Freshness,
     pub(super) is_primary: bool,
 }
 
@@ -26,9 +29,11 @@
             Ok(CallReply::Backend {
                 freshness,
                 is_primary,
+                received,
             }) => Some(Self {
                 backend: backend.clone(),
                 freshness: freshness.into(),
+                received: received.into(),
                 is_primary: is_primary != 0,
             }),
             _ => None,
@@ -74,9 +79,10 @@
 impl MajorityRounds {
     /// The join of the answers of a majority, asked after this call; `None` without a majority.
     ///
-    /// The join is right whichever majority answers: a write acknowledged at a position is held
-    /// there by a majority, so one of those that answer holds it, or follows a later term whose log
-    /// includes it.
+    /// The join is right whichever majority answers: a write acknowledged at a position has been
+    /// received there by a majority, so one of those that answer has received it, or follows a later
+    /// term whose log includes it. Applied positions would not do: a write is acknowledged before
+    /// the replicas apply it.
     pub(super) async fn run<F>(
         &self,
         members: usize,
@@ -105,7 +111,7 @@
     let mut joined = Freshness::default();
     while let Some(answer) = answers.next().await {
         let Some(answer) = answer else { continue };
-        joined = joined.join(answer.freshness);
+        joined = joined.join(answer.received);
         count += 1;
         if count >= needed {
             return Some(joined);
--- a/crates/stairward-proxy/src/owner/fence.rs
+++ b/crates/stairward-proxy/src/owner/fence.rs
@@ -144,7 +144,7 @@
         Some(status) => FenceEvent::Answered {
             question,
             answer: MemberAnswer {
-                freshness: status.freshness,
+                freshness: status.received,
                 is_primary: status.is_primary(),
             },
         },
--- a/crates/stairward-proxy/src/owner/service.rs
+++ b/crates/stairward-proxy/src/owner/service.rs
@@ -111,6 +111,7 @@
                 return CallReply::Backend {
                     freshness: status.freshness.into(),
                     is_primary: u8::from(status.is_primary()),
+                    received: status.received.into(),
                 };
             }
         }
--- a/crates/stairward-proxy/src/owner/term_search.rs
+++ b/crates/stairward-proxy/src/owner/term_search.rs
@@ -86,6 +86,7 @@
         if let Ok(CallReply::Backend {
             freshness,
             is_primary,
+            received,
         }) = reply
         {
             let role = if is_primary == 1 {
@@ -93,8 +94,11 @@
             } else {
                 BackendRole::Replica
             };
-            let freshness = Freshness::from(freshness);
-            return Some(BackendStatus { freshness, role });
+            return Some(BackendStatus {
+                freshness: Freshness::from(freshness),
+                received: Freshness::from(received),
+                role,
+            });
         }
     }
     None
--- a/crates/stairward-proxy/tests/edge_support/scripted.rs
+++ b/crates/stairward-proxy/tests/edge_support/scripted.rs
@@ -115,6 +115,7 @@
             CallReply::Backend {
                 freshness: script.freshness().into(),
                 is_primary: u8::from(backend.as_str() == "a"),
+                received: script.freshness().into(),
             }
         })
     }
