Make property tests repeatable

Ruled out: BOLERO_RANDOM_SEED, which adds a single input. Change: stairward-testing::check! runs bolero targets with a fixed-seed engine; all property tests use it with 1,000 inputs as before.

--- a/crates/stairward-membership/tests/configuration.rs
+++ b/crates/stairward-membership/tests/configuration.rs
@@ -4,11 +4,11 @@
 
 use std::collections::BTreeSet;
 
-use bolero::check;
 use configuration_support::{Fleet, id};
 use stairward_membership::configuration::{
     Event, SourceStatus, SpreaderParameters, StoreAnswer, neighbours,
 };
+use stairward_testing::check;
 use stairward_types::{Duration, NodeId, Revision, Time};
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/crates/stairward-membership/tests/convergence.rs
+++ b/crates/stairward-membership/tests/convergence.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
-use bolero::{TypeGenerator, check};
+use bolero::TypeGenerator;
 use common::network::{Broken, Network};
+use stairward_testing::check;
 use stairward_types::Duration;
 
 const MEMBERS: u64 = 5;
--- a/crates/stairward-membership/tests/wire.rs
+++ b/crates/stairward-membership/tests/wire.rs
@@ -5,13 +5,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bolero::{TypeGenerator, check};
+use bolero::TypeGenerator;
 use stairward_membership::{
     Message, Packet, PacketDigest, Profile, TermNews, Update, Version, decode, encode,
     encoded_length,
 };
 use stairward_protocol::ClusterKey;
 use stairward_protocol::datagram::{DatagramError, MAXIMUM_DATAGRAM_BYTES};
+use stairward_testing::check;
 use stairward_types::{
     BackendId, GroupId, Incarnation, NodeId, RegionName, Revision, Term, ZoneName,
 };
--- a/crates/stairward-platform/tests/retry.rs
+++ b/crates/stairward-platform/tests/retry.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use bolero::check;
 use stairward_platform::RetryPolicy;
+use stairward_testing::check;
 
 const POLICY: RetryPolicy = RetryPolicy {
     attempts: 3,
--- a/crates/stairward-pool/tests/pool_properties.rs
+++ b/crates/stairward-pool/tests/pool_properties.rs
@@ -5,11 +5,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use bolero::check;
 use stairward_pool::BackendPool;
 use stairward_pool::pool::{
     BackendState, ConnectionRequest, PoolEffect, PoolEvent, PoolSettings, RequestId, ReturnedState,
 };
+use stairward_testing::check;
 use stairward_types::{
     AccessClass, AdminState, BackendRole, Freshness, LogPosition, ResultCode, ServiceName, Term,
     Time,
--- a/crates/stairward-proxy/src/edge/tests.rs
+++ b/crates/stairward-proxy/src/edge/tests.rs
@@ -26,7 +26,7 @@
 
 #[test]
 fn any_bytes_are_framed_alike_however_they_are_cut() {
-    bolero::check!()
+    stairward_testing::check!()
         .with_type::<(Vec<(u8, Vec<u8>)>, u8)>()
         .for_each(|(messages, step)| {
             let bytes: Vec<u8> = messages
@@ -59,7 +59,7 @@
 
 #[test]
 fn only_announced_parse_completes_are_kept_back() {
-    bolero::check!()
+    stairward_testing::check!()
         .with_type::<Vec<(u8, bool)>>()
         .for_each(|messages| {
             let mut filter = AnswerFilter::default();
@@ -86,7 +86,7 @@
 
 #[test]
 fn any_start_up_parameters_are_read_without_harm() {
-    bolero::check!()
+    stairward_testing::check!()
         .with_type::<(String, String, String)>()
         .for_each(|(name, value, options)| {
             let parameters = [
--- a/crates/stairward-proxy/tests/edge_pressure.rs
+++ b/crates/stairward-proxy/tests/edge_pressure.rs
@@ -58,7 +58,7 @@
         let bystander = site.connect().await;
         (site, bystander)
     });
-    bolero::check!()
+    stairward_testing::check!()
         .with_type::<Vec<(u8, Vec<u8>)>>()
         .for_each(|stretches| {
             runtime.block_on(guarded(async {
--- a/crates/stairward-routing/tests/request.rs
+++ b/crates/stairward-routing/tests/request.rs
@@ -425,7 +425,7 @@
 
 #[test]
 fn every_request_ends_once_and_in_the_right_class() {
-    bolero::check!()
+    stairward_testing::check!()
         .with_type::<(bool, bool, Vec<(u8, u8, u64)>)>()
         .for_each(|(writes, repeatable, events)| {
             let mut group = group();
--- a/crates/stairward-session/tests/classes.rs
+++ b/crates/stairward-session/tests/classes.rs
@@ -155,9 +155,11 @@
 
 #[test]
 fn any_text_has_a_class() {
-    bolero::check!().with_type::<String>().for_each(|text| {
-        let _ = classify(text);
-    });
+    stairward_testing::check!()
+        .with_type::<String>()
+        .for_each(|text| {
+            let _ = classify(text);
+        });
 }
 
 #[test]
@@ -188,15 +190,17 @@
         "AS",
         "FOR UPDATE",
     ];
-    bolero::check!().with_type::<Vec<u8>>().for_each(|choices| {
-        let words: Vec<&str> = choices
-            .iter()
-            .map(|choice| WORDS[usize::from(*choice) % WORDS.len()])
-            .collect();
-        let class = classify(&words.join(" "));
-        let inserts = words.first() == Some(&"INSERT INTO");
-        assert!(!inserts || class.access == AccessClass::Write, "{words:?}");
-    });
+    stairward_testing::check!()
+        .with_type::<Vec<u8>>()
+        .for_each(|choices| {
+            let words: Vec<&str> = choices
+                .iter()
+                .map(|choice| WORDS[usize::from(*choice) % WORDS.len()])
+                .collect();
+            let class = classify(&words.join(" "));
+            let inserts = words.first() == Some(&"INSERT INTO");
+            assert!(!inserts || class.access == AccessClass::Write, "{words:?}");
+        });
 }
 
 #[test]
--- a/crates/stairward-session/tests/state.rs
+++ b/crates/stairward-session/tests/state.rs
@@ -71,16 +71,18 @@
 
 #[test]
 fn any_comment_is_read_without_harm() {
-    bolero::check!().with_type::<String>().for_each(|text| {
-        let _ = hints_in_comments(&format!("SELECT 1 /*stairward.{text}*/"));
-        let _ = hints_in_comments(text);
-    });
+    stairward_testing::check!()
+        .with_type::<String>()
+        .for_each(|text| {
+            let _ = hints_in_comments(&format!("SELECT 1 /*stairward.{text}*/"));
+            let _ = hints_in_comments(text);
+        });
 }
 
 #[test]
 fn a_token_comes_back_as_it_was_signed() {
     let key = TokenKey::new(*b"secret");
-    bolero::check!()
+    stairward_testing::check!()
         .with_type::<(u64, u64)>()
         .for_each(|(term, position)| {
             let token = SessionToken {
@@ -98,7 +100,7 @@
         group: group("shelf"),
         floor: freshness(1, 2),
     });
-    bolero::check!()
+    stairward_testing::check!()
         .with_type::<(usize, u8)>()
         .for_each(|(place, byte)| {
             let mut changed = text.clone().into_bytes();
@@ -115,9 +117,11 @@
 #[test]
 fn any_text_is_no_token() {
     let key = TokenKey::new(*b"secret");
-    bolero::check!().with_type::<String>().for_each(|text| {
-        assert!(key.verify(text, &group("shelf")).is_err());
-    });
+    stairward_testing::check!()
+        .with_type::<String>()
+        .for_each(|text| {
+            assert!(key.verify(text, &group("shelf")).is_err());
+        });
 }
 
 #[test]
--- a/crates/stairward-settings/tests/properties.rs
+++ b/crates/stairward-settings/tests/properties.rs
@@ -2,11 +2,12 @@
 
 use std::path::Path;
 
-use bolero::{TypeGenerator, check};
+use bolero::TypeGenerator;
 use stairward_settings::{
     Change, Edit, EditError, ProcessSettings, SettingsDocument, SettingsOption, SettingsPath,
     SettingsTree, SettingsUpdate, Value, check_text,
 };
+use stairward_testing::check;
 use stairward_types::{ChangeId, Revision};
 
 const TREE: &str = include_str!("../../../examples/lintas.toml");
--- a/crates/stairward-standins/tests/group_isolation.rs
+++ b/crates/stairward-standins/tests/group_isolation.rs
@@ -172,7 +172,7 @@
 
 #[test]
 fn no_update_is_lost_and_none_counts_twice() {
-    bolero::check!()
+    stairward_testing::check!()
         .with_type::<[(u8, Action); STEPS]>()
         .for_each(|steps| {
             let mut model = Model::new();
@@ -295,7 +295,7 @@
 
 #[test]
 fn no_statement_harms_the_group() {
-    bolero::check!()
+    stairward_testing::check!()
         .with_type::<[(Template, Expression, Expression); 8]>()
         .for_each(|statements| {
             let mut model = Model::new();
--- a/crates/stairward-standins/tests/group_properties.rs
+++ b/crates/stairward-standins/tests/group_properties.rs
@@ -227,7 +227,7 @@
 fn under_any_faults_proved_commits_survive() {
     let proved = AtomicUsize::new(0);
     let lost = AtomicUsize::new(0);
-    bolero::check!()
+    stairward_testing::check!()
         .with_type::<(u64, [Step; STEPS])>()
         .for_each(|(seed, steps)| {
             let mut run = Run::new(*seed);
--- a/crates/stairward-types/tests/freshness.rs
+++ b/crates/stairward-types/tests/freshness.rs
@@ -4,18 +4,20 @@
 
 #[test]
 fn log_positions_survive_their_text_form() {
-    bolero::check!().with_type::<u64>().for_each(|number| {
-        let position = LogPosition(*number);
-        assert_eq!(
-            position.to_string().parse::<LogPosition>().ok(),
-            Some(position)
-        );
-    });
+    stairward_testing::check!()
+        .with_type::<u64>()
+        .for_each(|number| {
+            let position = LogPosition(*number);
+            assert_eq!(
+                position.to_string().parse::<LogPosition>().ok(),
+                Some(position)
+            );
+        });
 }
 
 #[test]
 fn what_covers_a_join_covers_both_parts() {
-    bolero::check!()
+    stairward_testing::check!()
         .with_type::<[u64; 6]>()
         .for_each(|numbers| {
             let [copy, first, second] = [0, 2, 4]
