Compare the clock with the settings' trust at each admission

Cause: whether the settings may be taken for the newest was passed on to the owner by a check every 100 ms. A node that was paused could admit work on settings that had aged meanwhile, until the next check.

Change: the owner reads the clock and Cluster::settings_trusted_until when a request arrives and again when it gets its connection, and refuses with ConfigurationTooOld. The check at intervals stays, for requests that wait.

Conclusion: no request is admitted after the trust has run out.

--- a/crates/stairward-proxy/src/owner/admission.rs
+++ b/crates/stairward-proxy/src/owner/admission.rs
@@ -27,6 +27,9 @@
     open: &Open,
     credit: &mut i64,
 ) -> Waited {
+    if !backend.context.trusts_settings() {
+        return Waited::Refused(Refusal::new(ResultCode::ConfigurationTooOld));
+    }
     let Some(request) = connection_request(backend, open) else {
         return Waited::Refused(Refusal::new(ResultCode::ProtocolViolation));
     };
@@ -60,15 +63,29 @@
     backend: &Arc<Backend>,
     granted: Result<Result<Grant, Refusal>, tokio::sync::oneshot::error::RecvError>,
 ) -> Waited {
-    match granted {
-        // The node may have been paused since: the lease is checked once more before use.
-        Ok(Ok(grant)) if backend.lease_is_held() => Waited::Admitted(grant),
-        Ok(Ok(grant)) => {
+    let grant = match granted {
+        Ok(Ok(grant)) => grant,
+        Ok(Err(refusal)) => return Waited::Refused(refusal),
+        Err(_) => return Waited::Refused(Refusal::new(ResultCode::NotOwner)),
+    };
+    match objection(backend) {
+        None => Waited::Admitted(grant),
+        Some(code) => {
             backend.give_back(grant, stairward_pool::pool::ReturnedState::Idle);
-            Waited::Refused(Refusal::new(ResultCode::NotOwner))
+            Waited::Refused(Refusal::new(code))
         }
-        Ok(Err(refusal)) => Waited::Refused(refusal),
-        Err(_) => Waited::Refused(Refusal::new(ResultCode::NotOwner)),
+    }
+}
+
+/// Why a connection just lent must not be used after all. The node may have been paused since the
+/// pool decided, so what depends on the clock is checked once more.
+fn objection(backend: &Backend) -> Option<ResultCode> {
+    if !backend.lease_is_held() {
+        Some(ResultCode::NotOwner)
+    } else if !backend.context.trusts_settings() {
+        Some(ResultCode::ConfigurationTooOld)
+    } else {
+        None
     }
 }
 
--- a/crates/stairward-proxy/src/owner/context.rs
+++ b/crates/stairward-proxy/src/owner/context.rs
@@ -43,6 +43,12 @@
             .collect()
     }
 
+    /// Whether the settings in force may be taken for the newest at this moment. Read at each
+    /// admission: a check at intervals is late after the node was paused.
+    pub(super) fn trusts_settings(&self) -> bool {
+        self.cluster.clock.now() <= self.cluster.settings_trusted_until()
+    }
+
     /// How long ledger rows of request keys are kept in a back end's group.
     pub(super) fn request_key_retention(&self, backend: &BackendIdentity) -> Duration {
         let settings = self.cluster.settings();
--- a/crates/stairward-proxy/tests/owner_streams.rs
+++ b/crates/stairward-proxy/tests/owner_streams.rs
@@ -10,7 +10,7 @@
 };
 use stairward_protocol::stream::{EdgeMessage, OwnerMessage, WireAccess, WireTransactionStatus};
 use stairward_standins::group::Fault;
-use stairward_types::{AdminState, Freshness, GroupId, LogPosition, ResultCode, Term};
+use stairward_types::{AdminState, Freshness, GroupId, LogPosition, ResultCode, Term, Time};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_proved_write_is_covered_by_its_hint() {
@@ -251,3 +251,46 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_trusted_no_longer_stop_new_work_at_once() {
+    guarded(async {
+        let site = Site::with_table().await;
+        let node = &site.nodes[0];
+        // Nothing here tells the owner service; only the moment in the cluster's state has passed.
+        node.cluster.trust_settings_until(Time::ZERO);
+        let refused = node.read(REPLICA, "SELECT 1").await;
+        assert_eq!(refused, Outcome::Refused(ResultCode::ConfigurationTooOld));
+        let refused = node.write("INSERT INTO books VALUES (1, 'x')").await;
+        assert_eq!(refused, Outcome::Refused(ResultCode::ConfigurationTooOld));
+        node.cluster.trust_settings_until(Time::NEVER);
+        assert_eq!(node.rows().await, 0);
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_that_age_while_a_request_waits_stop_it() {
+    guarded(async {
+        let site = Site::with_table().await;
+        let node = &site.nodes[0];
+        let lag = Duration::from_secs(2);
+        let member = backend(REPLICA);
+        site.databases.inject(Fault::Lag { member, lag });
+        let written = node.write("INSERT INTO books VALUES (1, 'x')").await;
+        let Outcome::Done { freshness, .. } = written else {
+            panic!("{written:?}");
+        };
+        let mut read = open(REPLICA, WireAccess::Read, "SELECT title FROM books");
+        read.floor = Some(freshness).into();
+        read.freshness_wait_milliseconds = 9_000;
+        let mut stream = node.stream(read).await;
+        while node.owner.status().backends[&backend(REPLICA)].waiting == 0 {
+            tokio::task::yield_now().await;
+        }
+        node.cluster.trust_settings_until(Time::ZERO);
+        let refused = outcome(&mut stream).await;
+        assert_eq!(refused, Outcome::Refused(ResultCode::ConfigurationTooOld));
+    })
+    .await;
+}
