Trust unconfirmed settings for 2 s instead of 2.5 s

The limit is 3 s. Ruled out: refusing at the transaction's begin, since the request is on its way to the database by then. Change: the source limit is 2 s.

--- a/crates/stairward-membership/src/configuration/parameters.rs
+++ b/crates/stairward-membership/src/configuration/parameters.rs
@@ -73,7 +73,7 @@
             refusal_pause: Duration::from_secs(5),
             proof_request_interval: Duration::from_millis(200),
             maximum_exchanges: 32,
-            source_limit: Duration::from_millis(2_500),
+            source_limit: Duration::from_millis(2_000),
             confirmation_wait: Duration::from_secs(3),
             confirmations: 3,
             rings: 3,
