--- a/crates/stairward/src/admin_client.rs
+++ b/crates/stairward/src/admin_client.rs
@@ -14,8 +14,7 @@
 const DEFAULT_ADDRESS: &str = "127.0.0.1:6480";
 
 /// Help text for the options that [`AdminOptions::take`] reads.
-pub const OPTIONS_HELP: &str = "\
-  --admin IP:PORT     a node's admin interface [127.0.0.1:6480]
+pub const OPTIONS_HELP: &str = "  --admin IP:PORT     a node's admin interface [127.0.0.1:6480]
   --token-file FILE   file with the admin token, needed away from loopback
   --json              print JSON
 ";
