--- a/crates/stairward-lab/src/simulate/mod.rs
+++ b/crates/stairward-lab/src/simulate/mod.rs
@@ -9,6 +9,7 @@
 
 mod caller;
 mod calls;
+mod configuration;
 mod control;
 mod database;
 mod delivery;
--- a/crates/stairward-lab/src/simulate/owner/claim.rs
+++ b/crates/stairward-lab/src/simulate/owner/claim.rs
@@ -14,10 +14,11 @@
 use stairward_standins::ConnectionNumber;
 use stairward_types::{AdminState, BackendId, GroupId, ServiceName, Term, Time};
 
+use super::commit::WaitingReply;
 use super::control_connection::{
     ControlConnection, Job, JobEnded, PROBE_INTERVAL, Status, WAITING_PROBE_INTERVAL,
 };
-use super::stream::{OwnerStream, WaitingReply};
+use super::stream::OwnerStream;
 use super::work::WorkConnection;
 use super::{ClaimKey, earliest, observation};
 use crate::simulate::database::{DatabaseReply, DatabaseRequest};
--- a/crates/stairward-lab/src/simulate/owner/mod.rs
+++ b/crates/stairward-lab/src/simulate/owner/mod.rs
@@ -1,6 +1,8 @@
 //! The owner side of a simulated proxy: drives the real lease, pool and fence decisions.
 
+mod batch;
 mod claim;
+mod commit;
 mod control_connection;
 mod stream;
 mod work;
--- a/crates/stairward-lab/src/simulate/owner/stream.rs
+++ b/crates/stairward-lab/src/simulate/owner/stream.rs
@@ -1,23 +1,18 @@
 //! One statement stream at its owner.
 
 use std::collections::VecDeque;
-use std::sync::Arc;
 use std::time::Duration;
 
-use stairward_pool::fence::{CommitId, FenceEffect, FenceEvent, MemberAnswer, QuestionId};
 use stairward_pool::pool::{ConnectionRequest, PoolEvent, RequestId, ReturnedState};
 use stairward_routing::Observation;
 use stairward_standins::ConnectionNumber;
-use stairward_standins::group::TransactionStatus;
-use stairward_standins::sql::{Answer, SqlError, Statement};
+use stairward_standins::sql::Statement;
 use stairward_types::{AccessClass, Freshness, ResultCode, Term, Time};
 
 use super::claim::{Claim, ClaimRequest};
 use super::observation;
 use crate::simulate::database::{BatchNumber, DatabaseRequest};
-use crate::simulate::message::{
-    Batch, BatchResult, OpenStream, OwnerMessage, PeerMessage, StreamKey,
-};
+use crate::simulate::message::{Batch, OpenStream, OwnerMessage, PeerMessage, StreamKey};
 use crate::simulate::outbox::Outbox;
 use crate::simulate::variant::BrokenVariant;
 
@@ -26,7 +21,7 @@
 
 /// How far a stream has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
+pub(super) enum Phase {
     /// It waits for a connection and a slot.
     Waiting,
     /// A batch runs.
@@ -49,28 +44,20 @@
 /// A stream.
 #[derive(Debug)]
 pub(super) struct OwnerStream {
-    key: StreamKey,
-    access: AccessClass,
+    pub(super) key: StreamKey,
+    pub(super) access: AccessClass,
     deadline: Time,
-    phase: Phase,
-    pending: VecDeque<Batch>,
+    pub(super) phase: Phase,
+    pub(super) pending: VecDeque<Batch>,
     /// The batch that came last; only the next in turn is taken.
     last_sequence: u32,
-    connection: Option<ConnectionNumber>,
+    pub(super) connection: Option<ConnectionNumber>,
     /// The edge has let go, or its time is over: it is rolled back at the next chance.
-    is_ending: bool,
+    pub(super) is_ending: bool,
     /// The edge wants to hear nothing more.
     is_abandoned: bool,
 }
 
-/// An answer that waits for the proof of its commit.
-#[derive(Debug)]
-pub(super) struct WaitingReply {
-    key: StreamKey,
-    sequence: u32,
-    result: BatchResult,
-}
-
 impl Claim {
     /// A stream opens.
     pub(super) fn open_stream(&mut self, key: StreamKey, open: OpenStream, out: &mut Outbox<'_>) {
@@ -152,7 +139,7 @@
     }
 
     /// Rolls an open transaction back, so that its connection can be used again.
-    fn roll_back(&mut self, request: RequestId, out: &mut Outbox<'_>) {
+    pub(super) fn roll_back(&mut self, request: RequestId, out: &mut Outbox<'_>) {
         if self.settings.broken == Some(BrokenVariant::PoolReset) {
             return self.finish_stream(request, ReturnedState::Idle, out);
         }
@@ -185,33 +172,6 @@
         self.run_pending(request, out);
     }
 
-    /// A slot is free for a stream's next batch.
-    pub(super) fn run_pending(&mut self, request: RequestId, out: &mut Outbox<'_>) {
-        let term = self
-            .pool
-            .state()
-            .map_or(Term::default(), |state| state.freshness.term);
-        let number = self.number_batch();
-        let Some(stream) = self.streams.get_mut(&request) else {
-            return;
-        };
-        let (Some(batch), Some(connection)) = (stream.pending.pop_front(), stream.connection)
-        else {
-            return;
-        };
-        stream.phase = Phase::Running {
-            batch: number,
-            sequence: batch.sequence,
-            may_commit: batch.may_commit,
-            term,
-        };
-        let run = DatabaseRequest::Run {
-            batch: number,
-            statements: batch.statements,
-        };
-        out.database(&self.backend, connection, run);
-    }
-
     /// The pool refuses a stream.
     pub(super) fn refuse_stream(
         &mut self,
@@ -230,134 +190,6 @@
         self.forget_stream(request);
     }
 
-    /// A batch of a stream has ended at the database.
-    pub(super) fn batch_ended(
-        &mut self,
-        request: RequestId,
-        batch: BatchNumber,
-        answers: Vec<Answer>,
-        error: Option<SqlError>,
-        status: TransactionStatus,
-        out: &mut Outbox<'_>,
-    ) {
-        let Some(stream) = self.streams.get(&request) else {
-            return;
-        };
-        match stream.phase {
-            Phase::RollingBack(running) if running == batch => {
-                self.finish_stream(request, ReturnedState::Idle, out);
-            }
-            Phase::Running {
-                batch: running,
-                sequence,
-                may_commit,
-                term,
-            } if running == batch => {
-                let committed = may_commit
-                    && stream.access == AccessClass::Write
-                    && error.is_none()
-                    && status == TransactionStatus::Idle;
-                let result = BatchResult {
-                    answers: Arc::new(answers),
-                    error,
-                    status,
-                };
-                match status {
-                    TransactionStatus::Idle if committed => {
-                        self.commit_ended(request, sequence, result, term, out);
-                    }
-                    TransactionStatus::Idle => self.idle_ended(request, sequence, result, out),
-                    _ => self.block_goes_on(request, sequence, result, out),
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn commit_ended(
-        &mut self,
-        request: RequestId,
-        sequence: u32,
-        result: BatchResult,
-        term: Term,
-        out: &mut Outbox<'_>,
-    ) {
-        let Some(key) = self.streams.get(&request).map(|stream| stream.key) else {
-            return;
-        };
-        self.next_commit += 1;
-        let commit = CommitId(self.next_commit);
-        let waiting = WaitingReply {
-            key,
-            sequence,
-            result,
-        };
-        self.commits.insert(commit, waiting);
-        self.finish_stream(request, ReturnedState::Idle, out);
-        let event = FenceEvent::Committed {
-            commit,
-            term,
-            deadline: out.now + self.settings.fence_timeout,
-        };
-        self.feed_fence(event, out);
-    }
-
-    fn idle_ended(
-        &mut self,
-        request: RequestId,
-        sequence: u32,
-        result: BatchResult,
-        out: &mut Outbox<'_>,
-    ) {
-        // Refused as a whole: it has become a replica since it was last asked.
-        let read_only = matches!(result.error, Some(SqlError::ReadOnly { .. }));
-        let message = if read_only {
-            OwnerMessage::Refused {
-                code: ResultCode::PrimaryReplaced,
-                retry_after: None,
-                observation: None,
-            }
-        } else {
-            OwnerMessage::BatchDone {
-                sequence,
-                result,
-                observation: self.observed(),
-            }
-        };
-        self.tell_edge(request, message, out);
-        self.finish_stream(request, ReturnedState::Idle, out);
-    }
-
-    fn block_goes_on(
-        &mut self,
-        request: RequestId,
-        sequence: u32,
-        result: BatchResult,
-        out: &mut Outbox<'_>,
-    ) {
-        let observed = self.observed();
-        let Some(stream) = self.streams.get_mut(&request) else {
-            return;
-        };
-        stream.phase = Phase::Between;
-        let is_ending = stream.is_ending;
-        let message = if is_ending {
-            OwnerMessage::TransactionLost
-        } else {
-            OwnerMessage::BatchDone {
-                sequence,
-                result,
-                observation: observed,
-            }
-        };
-        self.tell_edge(request, message, out);
-        if is_ending {
-            self.roll_back(request, out);
-        } else {
-            self.feed_pool(PoolEvent::SlotReleased(request), out);
-        }
-    }
-
     /// The connection lent to a stream is lost.
     pub(super) fn stream_connection_lost(&mut self, request: RequestId, out: &mut Outbox<'_>) {
         let Some(stream) = self.streams.get(&request) else {
@@ -412,7 +244,7 @@
         }
     }
 
-    fn observed(&self) -> Observation {
+    pub(super) fn observed(&self) -> Observation {
         let state = self.pool.state();
         let freshness = state.map_or(Freshness::default(), |state| state.freshness);
         let is_primary =
@@ -420,7 +252,12 @@
         observation(freshness, is_primary, self.pool.waiting())
     }
 
-    fn tell_edge(&self, request: RequestId, message: OwnerMessage, out: &mut Outbox<'_>) {
+    pub(super) fn tell_edge(
+        &self,
+        request: RequestId,
+        message: OwnerMessage,
+        out: &mut Outbox<'_>,
+    ) {
         if let Some(stream) = self.streams.get(&request)
             && !stream.is_abandoned
         {
@@ -436,66 +273,14 @@
         stream.connection
     }
 
-    fn finish_stream(&mut self, request: RequestId, state: ReturnedState, out: &mut Outbox<'_>) {
-        if let Some(number) = self.forget_stream(request) {
-            self.give_back(request, number, state, out);
-        }
-    }
-
-    /// Tells the fence what happened and carries its decisions out.
-    pub(super) fn feed_fence(&mut self, event: FenceEvent, out: &mut Outbox<'_>) {
-        for effect in self.fence.handle(out.now, event) {
-            self.fence_effect(effect, out);
-        }
-    }
-
-    fn fence_effect(&mut self, effect: FenceEffect, out: &mut Outbox<'_>) {
-        match effect {
-            FenceEffect::Ask { question, member } => {
-                self.requests
-                    .push(ClaimRequest::AskMember(question, member));
-            }
-            FenceEffect::Proved { commit, freshness } => {
-                if let Some(waiting) = self.commits.remove(&commit) {
-                    let message = OwnerMessage::BatchDone {
-                        sequence: waiting.sequence,
-                        result: waiting.result,
-                        observation: observation(freshness, true, self.pool.waiting()),
-                    };
-                    let edge = waiting.key.edge;
-                    out.peer(edge, PeerMessage::ToEdge(waiting.key, message));
-                }
-            }
-            FenceEffect::NotProved(commit) => {
-                if let Some(waiting) = self.commits.remove(&commit) {
-                    let message = OwnerMessage::OutcomeUnknown {
-                        code: ResultCode::FenceNotProved,
-                        observation: None,
-                    };
-                    let edge = waiting.key.edge;
-                    out.peer(edge, PeerMessage::ToEdge(waiting.key, message));
-                }
-            }
-        }
-    }
-
-    /// A member has answered, or not, a question of the fence.
-    pub(super) fn fence_answered(
+    pub(super) fn finish_stream(
         &mut self,
-        question: QuestionId,
-        answer: Option<(Freshness, bool)>,
+        request: RequestId,
+        state: ReturnedState,
         out: &mut Outbox<'_>,
     ) {
-        let event = match answer {
-            Some((freshness, is_primary)) => FenceEvent::Answered {
-                question,
-                answer: MemberAnswer {
-                    freshness,
-                    is_primary,
-                },
-            },
-            None => FenceEvent::Unanswered(question),
-        };
-        self.feed_fence(event, out);
+        if let Some(number) = self.forget_stream(request) {
+            self.give_back(request, number, state, out);
+        }
     }
 }
--- a/crates/stairward-proxy/src/peer/connection.rs
+++ b/crates/stairward-proxy/src/peer/connection.rs
@@ -1,64 +1,33 @@
-//! One TCP connection between two nodes: handshake, writer, and dispatch of what arrives.
+//! One TCP connection between two nodes: its writer, and dispatch of what arrives.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::BytesMut;
-use rand::Rng as _;
 use snafu::{OptionExt, ResultExt, ensure};
 use stairward_protocol::call::{CallReply, CallRequest};
 use stairward_protocol::stream::{EdgeMessage, OwnerMessage};
-use stairward_protocol::{
-    ClusterKey, Hello, NONCE_BYTES, PROTOCOL_VERSION, PeerMessage, Proof, decode_frame,
-    encode_frame,
-};
+use stairward_protocol::{ClusterKey, PeerMessage, encode_frame};
 use stairward_types::NodeId;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
+use super::handshake::shake_hands;
+use super::message_reader::MessageReader;
 use super::network::{
-    ConnectionLostSnafu, HandshakeSnafu, PeerError, PeerService, SocketSnafu, UnexpectedNodeSnafu,
+    ConnectionLostSnafu, PeerError, PeerService, SocketSnafu, UnexpectedNodeSnafu,
 };
 use super::stream::{EdgeStream, OwnerStream};
 use crate::cluster::Identity;
 
-const PROOF_PURPOSE: &str = "peer-connection";
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Frames written with one system call at most.
 const WRITE_BATCH_FRAMES: usize = 256;
 
-/// Reads whole messages from a peer.
-struct MessageReader {
-    half: OwnedReadHalf,
-    buffer: BytesMut,
-}
-
-impl MessageReader {
-    async fn next(&mut self) -> Result<PeerMessage, PeerError> {
-        loop {
-            if let Some(message) = decode_frame(&mut self.buffer).map_err(PeerError::from)? {
-                return Ok(message);
-            }
-            let count = self
-                .half
-                .read_buf(&mut self.buffer)
-                .await
-                .context(SocketSnafu)?;
-            ensure!(count > 0, ConnectionLostSnafu);
-        }
-    }
-}
-
-async fn write_message(half: &mut OwnedWriteHalf, message: &PeerMessage) -> Result<(), PeerError> {
-    let mut buffer = BytesMut::new();
-    encode_frame(message, &mut buffer).map_err(PeerError::from)?;
-    half.write_all(&buffer).await.context(SocketSnafu)
-}
-
 type Streams<M> = Mutex<HashMap<u64, mpsc::UnboundedSender<M>>>;
 
 /// What a connection has open. Dropping the entries tells their users that the peer is lost.
@@ -121,11 +90,7 @@
     ) -> Result<(NodeId, Self), PeerError> {
         socket.set_nodelay(true).context(SocketSnafu)?;
         let (read_half, mut write_half) = socket.into_split();
-        let buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
-        let mut reader = MessageReader {
-            half: read_half,
-            buffer,
-        };
+        let mut reader = MessageReader::new(read_half, READ_BUFFER_BYTES);
         let peer = shake_hands(&mut reader, &mut write_half, identity, key).await?;
         if let Some(expected) = expected {
             ensure!(
@@ -318,67 +283,6 @@
     }
 }
 
-async fn shake_hands(
-    reader: &mut MessageReader,
-    writer: &mut OwnedWriteHalf,
-    identity: &Identity,
-    key: &ClusterKey,
-) -> Result<NodeId, PeerError> {
-    let mut nonce = [0_u8; NONCE_BYTES];
-    rand::rng().fill_bytes(&mut nonce);
-    let hello = Hello {
-        version: PROTOCOL_VERSION,
-        node: identity.node.0,
-        incarnation: identity.incarnation.0,
-        nonce,
-    };
-    write_message(writer, &PeerMessage::Hello(hello)).await?;
-    let PeerMessage::Hello(theirs) = reader.next().await? else {
-        return HandshakeSnafu {
-            reason: "the first message is not Hello",
-        }
-        .fail();
-    };
-    ensure!(
-        theirs.version == PROTOCOL_VERSION,
-        HandshakeSnafu {
-            reason: "the peer speaks another protocol version"
-        }
-    );
-    let proof = key.prove(
-        PROOF_PURPOSE,
-        &[
-            &theirs.nonce,
-            &identity.node.0.to_be_bytes(),
-            &identity.incarnation.0.to_be_bytes(),
-        ],
-    );
-    write_message(writer, &PeerMessage::Proof(Proof { proof })).await?;
-    let PeerMessage::Proof(their_proof) = reader.next().await? else {
-        return HandshakeSnafu {
-            reason: "the second message is not Proof",
-        }
-        .fail();
-    };
-    let proved = key.verify(
-        PROOF_PURPOSE,
-        &[
-            &nonce,
-            &theirs.node.to_be_bytes(),
-            &theirs.incarnation.to_be_bytes(),
-        ],
-        &their_proof.proof,
-    );
-    // A proof of our own number would be our own answer sent back to us.
-    ensure!(
-        proved && theirs.node != identity.node.0,
-        HandshakeSnafu {
-            reason: "the peer does not know the cluster key"
-        }
-    );
-    Ok(NodeId(theirs.node))
-}
-
 async fn write_queue(
     mut writer: OwnedWriteHalf,
     mut queue: mpsc::UnboundedReceiver<Outgoing>,
--- a/crates/stairward-proxy/src/peer/mod.rs
+++ b/crates/stairward-proxy/src/peer/mod.rs
@@ -5,6 +5,8 @@
 //! without a socket.
 
 mod connection;
+mod handshake;
+mod message_reader;
 mod network;
 mod open_connections;
 mod stream;
