--- a/crates/stairward-lab/src/command.rs
+++ b/crates/stairward-lab/src/command.rs
@@ -3,6 +3,7 @@
 //! To add one, give its module a `pub const COMMAND: Command` and list it in [`COMMANDS`].
 
 use std::process::ExitCode;
+use std::str::FromStr;
 
 /// Exit code of a command that ran but found something wrong.
 pub const EXIT_FAILURE: u8 = 1;
@@ -73,6 +74,15 @@
     ExitCode::from(EXIT_FAILURE)
 }
 
+/// Parses an option's value that holds one or more values with commas between.
+///
+/// # Errors
+///
+/// The error of the first value that cannot be parsed.
+pub fn comma_separated<T: FromStr>(text: &str) -> Result<Vec<T>, T::Err> {
+    text.split(',').map(str::parse).collect()
+}
+
 /// The text of `stairward-lab --help`.
 #[must_use]
 pub fn usage() -> String {
--- a/crates/stairward-lab/src/experiment/bench.rs
+++ b/crates/stairward-lab/src/experiment/bench.rs
@@ -12,7 +12,7 @@
 use stairward_proxy::cluster::Clock;
 
 use super::closed_loop::{ClosedLoop, ClosedLoopResult};
-use crate::command::{Command, failure, usage_error};
+use crate::command::{Command, comma_separated, failure, usage_error};
 use crate::demo::cluster::{ClusterError, ClusterOptions, DemoCluster};
 use crate::load::connection::Credentials;
 use crate::load::run::{LoadError, LoadOptions, PreparedLoad};
@@ -162,7 +162,7 @@
     while let Some(argument) = parser.next()? {
         match argument {
             Long("site") => arguments.site = parser.value()?.string()?,
-            Long("callers") => arguments.callers = parser.value()?.parse_with(numbers)?,
+            Long("callers") => arguments.callers = parser.value()?.parse_with(comma_separated)?,
             Long("seconds") => arguments.seconds = parser.value()?.parse()?,
             Long("output") => arguments.output = Some(parser.value()?.into()),
             Long("help") | Short('h') => arguments.help = true,
@@ -172,10 +172,6 @@
     Ok(arguments)
 }
 
-fn numbers(text: &str) -> Result<Vec<usize>, std::num::ParseIntError> {
-    text.split(',').map(str::parse).collect()
-}
-
 fn run(parser: lexopt::Parser) -> ExitCode {
     let arguments = match parse(parser) {
         Ok(arguments) => arguments,
--- a/crates/stairward-lab/src/experiment/sweep.rs
+++ b/crates/stairward-lab/src/experiment/sweep.rs
@@ -6,7 +6,7 @@
 
 use lexopt::prelude::*;
 
-use crate::command::{Command, failure, usage_error};
+use crate::command::{Command, comma_separated, failure, usage_error};
 use crate::demo::fault::FaultKind;
 use crate::demo::report::DemoReport;
 use crate::demo::{DemoError, DemoOptions, run_demo};
@@ -63,8 +63,8 @@
         match argument {
             Long("site") => arguments.site = parser.value()?.string()?,
             Long("seconds") => arguments.seconds = parser.value()?.parse()?,
-            Long("lag-ms") => arguments.lags = parser.value()?.parse_with(numbers)?,
-            Long("seeds") => arguments.seeds = parser.value()?.parse_with(numbers)?,
+            Long("lag-ms") => arguments.lags = parser.value()?.parse_with(comma_separated)?,
+            Long("seeds") => arguments.seeds = parser.value()?.parse_with(comma_separated)?,
             Long("fault") => arguments.faults.push(parser.value()?.string()?),
             Long("output") => arguments.output = Some(parser.value()?.into()),
             Long("help") | Short('h') => arguments.help = true,
@@ -74,10 +74,6 @@
     Ok(arguments)
 }
 
-fn numbers(text: &str) -> Result<Vec<u64>, std::num::ParseIntError> {
-    text.split(',').map(str::parse).collect()
-}
-
 fn run(parser: lexopt::Parser) -> ExitCode {
     let arguments = match parse(parser) {
         Ok(arguments) => arguments,
