--- a/crates/stairward-lab/src/simulate/mod.rs
+++ b/crates/stairward-lab/src/simulate/mod.rs
@@ -9,11 +9,14 @@
 
 mod caller;
 mod calls;
+mod configuration;
 mod control;
 mod database;
+mod delivery;
 mod edge;
 mod fault;
 mod faults;
+mod groups;
 mod layout;
 mod message;
 mod metrics;
@@ -23,6 +26,7 @@
 mod outbox;
 mod owner;
 mod policy;
+mod process;
 mod proxy;
 mod queue;
 mod random;
