Tell a caller that left from a connection that was cut

Ruled out: the proxy's drain (it is not over its time, 15 s, and closes only idle sessions), the owner's hand-over (its stream had been answered). Change: an outcome of its own, CallerLeft.

--- a/crates/stairward-checker/src/event.rs
+++ b/crates/stairward-checker/src/event.rs
@@ -61,6 +61,8 @@
     OutcomeUnknown,
     /// The connection ended without an answer.
     ConnectionLost,
+    /// The caller itself left before it had its answer.
+    CallerLeft,
 }
 
 /// A row that a request writes.
--- a/crates/stairward-lab/src/simulate/caller.rs
+++ b/crates/stairward-lab/src/simulate/caller.rs
@@ -218,6 +218,7 @@
         Outcome::NotRun => "not_run",
         Outcome::OutcomeUnknown => "outcome_unknown",
         Outcome::ConnectionLost => "connection_lost",
+        Outcome::CallerLeft => "caller_left",
     }
 }
 
--- a/crates/stairward-lab/src/simulate/traffic.rs
+++ b/crates/stairward-lab/src/simulate/traffic.rs
@@ -251,7 +251,7 @@
         if in_flight.go_on() {
             if self.random.chance(VANISH_SHARE) {
                 self.disconnect(session);
-                return self.end_request(session, Outcome::ConnectionLost, None);
+                return self.end_request(session, Outcome::CallerLeft, None);
             }
             return self.send_statement(session);
         }
