--- /dev/null
+++ b/crates/stairward-engine/src/backend.rs
@@ -0,0 +1,172 @@
+//! What the engine keeps of one back end, and what using it costs at the moment.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use stairward_types::{Freshness, Time};
+
+use crate::identifiers::ConnectionId;
+use crate::settings::{BackendDescription, ZoneDistance};
+
+/// Weight of a new sample of a read's latency, as a divisor.
+const SAMPLE_WEIGHT: u64 = 8;
+/// After this time without a sample half of what was learnt about the latency is forgotten.
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(1);
+/// What each statement under way from this node adds to the expected latency.
+const IN_FLIGHT_COST: Duration = Duration::from_millis(6);
+/// Expected latency of a back end nobody has used lately, by its distance.
+const LATENCY_SAME_ZONE: Duration = Duration::from_millis(15);
+const LATENCY_SAME_REGION: Duration = Duration::from_millis(18);
+const LATENCY_REMOTE: Duration = Duration::from_millis(50);
+/// Bytes between regions cost money: a remote back end must be this much faster to be preferred.
+const REMOTE_PENALTY: Duration = Duration::from_millis(40);
+/// A back end whose log was just found to lack a position is tried last for this long.
+const LAGGING_PENALTY_TIME: Duration = Duration::from_millis(60);
+/// How long a back end that refused a statement for being full gets only what nobody else takes.
+const BUSY_PENALTY_TIME: Duration = Duration::from_millis(50);
+/// What a penalty adds to the expected latency.
+const PENALTY: Duration = Duration::from_millis(200);
+/// Pause after a failed attempt to open a connection.
+const OPEN_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a back end had too many connections.
+const CONNECTION_LIMIT_PAUSE: Duration = Duration::from_millis(400);
+
+/// One back end.
+#[derive(Debug)]
+pub(crate) struct Backend {
+    pub description: BackendDescription,
+    pub distance: ZoneDistance,
+    /// Since when it has been leaving or gone from discovery.
+    pub leaving_since: Option<Time>,
+    /// Whether discovery still lists it.
+    pub is_listed: bool,
+    /// Its connections.
+    pub connections: BTreeSet<ConnectionId>,
+    /// Statements of callers under way.
+    pub in_flight: u32,
+    /// Whether it leaves commands without an answer.
+    pub is_silent: bool,
+    /// When it last answered.
+    pub answered_at: Option<Time>,
+    /// How far its log had come when it last answered.
+    pub position: Option<Freshness>,
+    /// No connection is opened before this.
+    pub open_after: Time,
+    lagging_until: Time,
+    busy_until: Time,
+    latency_micros: u64,
+    sampled_at: Time,
+}
+
+impl Backend {
+    pub fn new(description: BackendDescription, distance: ZoneDistance) -> Self {
+        let mut backend = Self {
+            description,
+            distance,
+            leaving_since: None,
+            is_listed: true,
+            connections: BTreeSet::new(),
+            in_flight: 0,
+            is_silent: false,
+            answered_at: None,
+            position: None,
+            open_after: Time::ZERO,
+            lagging_until: Time::ZERO,
+            busy_until: Time::ZERO,
+            latency_micros: 0,
+            sampled_at: Time::ZERO,
+        };
+        backend.latency_micros = backend.base_latency();
+        backend
+    }
+
+    fn base_latency(&self) -> u64 {
+        let latency = match self.distance {
+            ZoneDistance::Same => LATENCY_SAME_ZONE,
+            ZoneDistance::Region => LATENCY_SAME_REGION,
+            ZoneDistance::Remote => LATENCY_REMOTE,
+        };
+        micros(latency)
+    }
+
+    /// Whether new work may still be sent to it.
+    pub fn may_be_used(&self, now: Time, leaving_limit: Duration) -> bool {
+        self.leaving_since
+            .is_none_or(|since| now < since + leaving_limit)
+    }
+
+    /// Whether it is here to stay and answers.
+    pub fn is_healthy(&self) -> bool {
+        self.leaving_since.is_none() && !self.is_silent
+    }
+
+    /// Notes how long a read took.
+    pub fn sample(&mut self, now: Time, latency: Duration) {
+        let known = self.latency(now);
+        let sample = micros(latency);
+        self.latency_micros = (known * (SAMPLE_WEIGHT - 1) + sample) / SAMPLE_WEIGHT;
+        self.sampled_at = now;
+    }
+
+    /// The latency to expect, which returns to the usual one while there are no samples.
+    fn latency(&self, now: Time) -> u64 {
+        let base = self.base_latency();
+        let age = micros(now.since(self.sampled_at));
+        let halvings = u32::try_from(age / micros(LATENCY_HALF_LIFE)).unwrap_or(u32::MAX);
+        if self.latency_micros > base {
+            let excess = self.latency_micros - base;
+            base + excess.checked_shr(halvings).unwrap_or(0)
+        } else {
+            self.latency_micros
+        }
+    }
+
+    /// What a read there costs, in microseconds.
+    pub fn cost(&self, now: Time, floor: Option<Freshness>) -> u64 {
+        let mut cost = self.latency(now) + u64::from(self.in_flight) * micros(IN_FLIGHT_COST);
+        if self.distance == ZoneDistance::Remote {
+            cost += micros(REMOTE_PENALTY);
+        }
+        if now < self.busy_until {
+            cost += micros(PENALTY);
+        }
+        let has_floor = match (self.position, floor) {
+            (Some(position), Some(floor)) => position.covers(floor),
+            (_, floor) => floor.is_none(),
+        };
+        if now < self.lagging_until && !has_floor {
+            cost += micros(PENALTY);
+        }
+        cost
+    }
+
+    pub fn was_not_fresh(&mut self, now: Time) {
+        self.lagging_until = now + LAGGING_PENALTY_TIME;
+    }
+
+    pub fn was_busy(&mut self, now: Time) {
+        self.busy_until = now + BUSY_PENALTY_TIME;
+    }
+
+    pub fn opening_failed(&mut self, now: Time, is_limit: bool) {
+        let pause = if is_limit {
+            CONNECTION_LIMIT_PAUSE
+        } else {
+            OPEN_PAUSE
+        };
+        self.open_after = now + pause;
+    }
+
+    /// Notes that it answered. Returns whether it had been silent.
+    pub fn answered(&mut self, now: Time, position: Option<Freshness>) -> bool {
+        self.answered_at = Some(now);
+        if position.is_some() {
+            self.position = position;
+        }
+        std::mem::take(&mut self.is_silent)
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/stairward-engine/src/engine.rs
@@ -0,0 +1,333 @@
+//! The engine: its state, and the dispatch of events and timers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairward_types::{BackendId, ServiceName, Time};
+
+use crate::backend::Backend;
+use crate::connection::Connection;
+use crate::event::{Effect, Event, Evidence};
+use crate::group::Group;
+use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
+use crate::session::Session;
+use crate::settings::{BackendDescription, EngineOptions, RoutingTable};
+use crate::stopping::Stop;
+use crate::timers::{Timer, Timers};
+
+/// How often leaving back ends are looked at.
+const BACKEND_REVIEW: Duration = Duration::from_millis(500);
+/// How long after a gone back end may no longer be used its connections are closed.
+const GONE_CLOSE_DELAY: Duration = Duration::from_secs(4);
+/// Connections per back end kept back for nodes that are not counted yet.
+const RESERVED_CONNECTIONS: u32 = 1;
+
+/// Figures about the engine for metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct EngineStatistics {
+    /// Open sessions.
+    pub sessions: usize,
+    /// Connections to back ends, open or being opened.
+    pub connections: usize,
+    /// Requests that wait.
+    pub waiting: usize,
+}
+
+/// A request that waits, in the order in which it is served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct WaitingKey {
+    pub priority: u8,
+    pub received: Time,
+    pub session: SessionId,
+}
+
+/// The engine of one node.
+#[derive(Debug)]
+pub struct Engine {
+    pub(crate) options: EngineOptions,
+    pub(crate) table: Option<Arc<RoutingTable>>,
+    pub(crate) sessions: BTreeMap<SessionId, Session>,
+    pub(crate) connections: BTreeMap<ConnectionId, Connection>,
+    pub(crate) backends: BTreeMap<BackendId, Backend>,
+    pub(crate) groups: BTreeMap<ServiceName, Group>,
+    pub(crate) timers: Timers,
+    pub(crate) waiting: BTreeMap<ServiceName, BTreeSet<WaitingKey>>,
+    pub(crate) changed: BTreeSet<ServiceName>,
+    pub(crate) effects: Vec<Effect>,
+    pub(crate) nodes: u32,
+    pub(crate) stop: Option<Stop>,
+    last_connection: u64,
+    last_request: u64,
+}
+
+impl Engine {
+    /// An engine that knows no configuration and no back end yet.
+    #[must_use]
+    pub fn new(options: EngineOptions) -> Self {
+        Self {
+            options,
+            table: None,
+            sessions: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            backends: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            timers: Timers::default(),
+            waiting: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            effects: Vec::new(),
+            nodes: 1,
+            stop: None,
+            last_connection: 0,
+            last_request: 0,
+        }
+    }
+
+    /// Takes an event in and says what must be done.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        self.run_timers(now);
+        self.apply(now, event);
+        self.serve_waiting(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// When the engine wants a [`Event::Tick`] at the latest.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Time> {
+        self.timers.next()
+    }
+
+    /// Whether sessions can be served: a configuration is known and no stop is under way.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.table.is_some() && self.stop.is_none()
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn routing_table(&self) -> Option<&Arc<RoutingTable>> {
+        self.table.as_ref()
+    }
+
+    /// Figures for metrics.
+    #[must_use]
+    pub fn statistics(&self) -> EngineStatistics {
+        EngineStatistics {
+            sessions: self.sessions.len(),
+            connections: self.connections.len(),
+            waiting: self.waiting.values().map(BTreeSet::len).sum(),
+        }
+    }
+
+    fn apply(&mut self, now: Time, event: Event) {
+        match event {
+            Event::SessionOpened { session, database } => self.open_session(session, database),
+            Event::Statement { session, statement } => {
+                self.take_statement(now, session, Some(statement));
+            }
+            Event::BadStatement { session } => self.take_statement(now, session, None),
+            Event::SessionClosed { session } => self.session_closed(now, session),
+            Event::ConnectionOpened {
+                connection,
+                position,
+            } => self.connection_opened(now, connection, position),
+            Event::OpenFailed {
+                connection,
+                failure,
+            } => self.open_failed(now, connection, failure),
+            Event::Reply { connection, reply } => self.take_reply(now, connection, reply),
+            Event::ConnectionLost { connection } => self.connection_lost(now, connection),
+            Event::Configured(table) => self.configure(now, table),
+            Event::Backends(list) => self.take_backends(now, list),
+            Event::Nodes(nodes) => self.nodes = nodes.max(1),
+            Event::StopRequested => self.begin_stop(now),
+            Event::Tick => {}
+        }
+    }
+
+    fn run_timers(&mut self, now: Time) {
+        while let Some(timer) = self.timers.pop(now) {
+            match timer {
+                Timer::HoldEnds(session, number) => self.hold_ended(now, session, number),
+                Timer::Hedge(session, number) => self.hedge(now, session, number),
+                Timer::Deadline(session, number) => self.deadline_passed(now, session, number),
+                Timer::TransactionIdle(session, number) => {
+                    self.transaction_rested(now, session, number);
+                }
+                Timer::Silence(connection) => self.check_silence(now, connection),
+                Timer::TryWaiting(service) => {
+                    self.changed.insert(service);
+                }
+                Timer::Backends => self.review_backends(now),
+                Timer::Stop => self.continue_stop(now),
+            }
+        }
+    }
+
+    pub(crate) fn next_connection(&mut self) -> ConnectionId {
+        self.last_connection += 1;
+        ConnectionId(self.last_connection)
+    }
+
+    pub(crate) fn next_request(&mut self) -> RequestNumber {
+        self.last_request += 1;
+        RequestNumber(self.last_request)
+    }
+
+    pub(crate) fn observe(&mut self, backend: &BackendId, evidence: Evidence) {
+        self.effects.push(Effect::Observed {
+            backend: backend.clone(),
+            evidence,
+        });
+    }
+
+    fn configure(&mut self, now: Time, table: Arc<RoutingTable>) {
+        let is_newer = self
+            .table
+            .as_ref()
+            .is_none_or(|known| table.revision > known.revision);
+        if !is_newer {
+            return;
+        }
+        self.table = Some(table);
+        self.changed.extend(self.groups.keys().cloned());
+        self.warm_up(now);
+    }
+
+    fn take_backends(&mut self, now: Time, list: Vec<BackendDescription>) {
+        let mut listed = BTreeSet::new();
+        for description in list {
+            listed.insert(description.id.clone());
+            self.take_backend(now, description);
+        }
+        for (id, backend) in &mut self.backends {
+            if !listed.contains(id) {
+                backend.is_listed = false;
+                backend.leaving_since.get_or_insert(now);
+                self.changed.insert(backend.description.service.clone());
+            }
+        }
+        self.timers.set(now + BACKEND_REVIEW, Timer::Backends);
+        self.warm_up(now);
+    }
+
+    fn take_backend(&mut self, now: Time, description: BackendDescription) {
+        let id = description.id.clone();
+        let service = description.service.clone();
+        self.changed.insert(service.clone());
+        self.groups
+            .entry(service)
+            .or_default()
+            .members
+            .insert(id.clone());
+        let distance = self.options.distance(&description.zone);
+        let is_leaving = description.is_leaving;
+        let backend = self
+            .backends
+            .entry(id)
+            .or_insert_with(|| Backend::new(description.clone(), distance));
+        let has_moved = backend.description.address != description.address;
+        backend.description = description;
+        backend.is_listed = true;
+        if is_leaving {
+            backend.leaving_since.get_or_insert(now);
+        } else {
+            backend.leaving_since = None;
+        }
+        if has_moved {
+            backend.is_silent = false;
+            backend.open_after = Time::ZERO;
+            let connections = backend.connections.clone();
+            let idle = self.idle_connections_of(&connections);
+            for connection in idle {
+                self.close_connection(connection);
+            }
+        }
+    }
+
+    fn idle_connections_of(&self, connections: &BTreeSet<ConnectionId>) -> Vec<ConnectionId> {
+        let is_idle = |connection: &&ConnectionId| {
+            self.connections
+                .get(connection)
+                .is_some_and(Connection::is_idle)
+        };
+        connections.iter().filter(is_idle).copied().collect()
+    }
+
+    /// Lets go of back ends whose time is over.
+    fn review_backends(&mut self, now: Time) {
+        let mut over = Vec::new();
+        let mut is_any_leaving = false;
+        for (id, backend) in &self.backends {
+            let Some(since) = backend.leaving_since else {
+                continue;
+            };
+            is_any_leaving = true;
+            if now < since + self.options.leaving_limit {
+                continue;
+            }
+            let is_over =
+                !backend.is_listed && now >= since + self.options.leaving_limit + GONE_CLOSE_DELAY;
+            over.push((id.clone(), is_over));
+        }
+        for (id, is_over) in over {
+            self.let_go(&id, is_over);
+        }
+        if is_any_leaving {
+            self.timers.set(now + BACKEND_REVIEW, Timer::Backends);
+        }
+    }
+
+    fn let_go(&mut self, id: &BackendId, is_over: bool) {
+        let Some(backend) = self.backends.get(id) else {
+            return;
+        };
+        let connections = backend.connections.clone();
+        for connection in self.idle_connections_of(&connections) {
+            self.close_connection(connection);
+        }
+        let Some(backend) = self.backends.get(id) else {
+            return;
+        };
+        if is_over && backend.connections.is_empty() {
+            let service = backend.description.service.clone();
+            self.backends.remove(id);
+            if let Some(group) = self.groups.get_mut(&service) {
+                group.members.remove(id);
+                group.denied.remove(id);
+            }
+        }
+    }
+
+    /// The connections this node may hold to each back end of a service.
+    pub(crate) fn connection_share(&self, service: &ServiceName) -> usize {
+        let limits = self
+            .table
+            .as_ref()
+            .and_then(|table| table.services.get(service));
+        let limit = limits.map_or(1, |limits| limits.connections);
+        let shared = limit.saturating_sub(RESERVED_CONNECTIONS) / self.nodes;
+        usize::try_from(shared.max(1)).unwrap_or(1)
+    }
+
+    /// Opens a first connection to each back end that routes lead to, so that the first requests find one.
+    fn warm_up(&mut self, now: Time) {
+        let Some(table) = self.table.clone() else {
+            return;
+        };
+        let services: BTreeSet<_> = table.routes.values().map(|route| &route.service).collect();
+        let unconnected: Vec<BackendId> = self
+            .backends
+            .iter()
+            .filter(|(_, backend)| {
+                backend.connections.is_empty()
+                    && backend.leaving_since.is_none()
+                    && services.contains(&backend.description.service)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in unconnected {
+            self.open_connection(now, &id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-engine/src/event.rs
@@ -0,0 +1,252 @@
+//! What goes into the engine and what comes out.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairward_types::{BackendId, Freshness, GroupId, ResultCode, ServiceName};
+
+use crate::identifiers::{ConnectionId, SessionId};
+use crate::reply::{BackendReply, Response};
+use crate::settings::{BackendDescription, RoutingTable};
+use crate::statement::{PreparedStatement, Statement};
+
+/// Why a connection to a back end could not be opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OpenFailure {
+    /// Nothing listens there.
+    Refused,
+    /// No answer came in time.
+    Silent,
+    /// The back end has too many connections.
+    ConnectionLimit,
+    /// Another back end answers at this address.
+    WrongBackend,
+    /// It answered something else.
+    Other,
+}
+
+/// What the engine hears.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A caller connected and asked for a database.
+    SessionOpened {
+        /// The new session.
+        session: SessionId,
+        /// The database asked for.
+        database: GroupId,
+    },
+    /// A caller sent a statement.
+    Statement {
+        /// Its session.
+        session: SessionId,
+        /// The statement.
+        statement: Statement,
+    },
+    /// A caller sent something that is not a statement; the session goes on.
+    BadStatement {
+        /// Its session.
+        session: SessionId,
+    },
+    /// A caller is gone.
+    SessionClosed {
+        /// Its session.
+        session: SessionId,
+    },
+    /// A connection to a back end is ready for use.
+    ConnectionOpened {
+        /// The connection.
+        connection: ConnectionId,
+        /// How far the back end's log had come.
+        position: Option<Freshness>,
+    },
+    /// A connection could not be opened.
+    OpenFailed {
+        /// The connection.
+        connection: ConnectionId,
+        /// Why.
+        failure: OpenFailure,
+    },
+    /// A back end answered the oldest command without an answer on this connection.
+    Reply {
+        /// The connection.
+        connection: ConnectionId,
+        /// The answer.
+        reply: BackendReply,
+    },
+    /// A connection ended, whoever closed it.
+    ConnectionLost {
+        /// The connection.
+        connection: ConnectionId,
+    },
+    /// A configuration was learnt.
+    Configured(Arc<RoutingTable>),
+    /// Discovery's whole present list.
+    Backends(Vec<BackendDescription>),
+    /// How many nodes share the back ends' connections.
+    Nodes(u32),
+    /// The process is to stop.
+    StopRequested,
+    /// Time has passed; see [`crate::Engine::next_wake`].
+    Tick,
+}
+
+/// A command to a back end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BackendCommand {
+    /// Drop the connection's values and prepared names.
+    Reset,
+    /// Set a value.
+    SetValue {
+        /// Its name.
+        name: String,
+        /// The value.
+        value: String,
+    },
+    /// Prepare a shape. Its name on the connection is derived from it, so that sessions can share it.
+    Prepare(PreparedStatement),
+    /// Open a transaction.
+    Begin {
+        /// Whether only reads follow.
+        read_only: bool,
+        /// What the log must hold.
+        floor: Option<Freshness>,
+    },
+    /// Undo the transaction.
+    Rollback,
+    /// Run a caller's statement, its text unchanged.
+    Run {
+        /// The caller's id.
+        id: String,
+        /// The text.
+        text: String,
+        /// What the log must hold.
+        floor: Option<Freshness>,
+    },
+    /// Run a prepared statement for a caller.
+    Execute {
+        /// The caller's id.
+        id: String,
+        /// What was prepared.
+        prepared: PreparedStatement,
+        /// Opaque arguments.
+        arguments: String,
+        /// What the log must hold.
+        floor: Option<Freshness>,
+    },
+}
+
+/// What use of a back end shows about it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// It answered.
+    Answered,
+    /// Nothing listens at its address.
+    Refused,
+    /// It has left a command or an opening without an answer for long.
+    Silent,
+    /// It said that it does not lead.
+    NotLeader,
+}
+
+/// Where to open a connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OpenTarget {
+    /// The back end that must answer.
+    pub backend: BackendId,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// What was decided about a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// It goes to another back end.
+    Retried,
+    /// It is also sent to a second back end, since the first is slow.
+    Hedged,
+    /// It was refused as not run.
+    Refused(ResultCode),
+    /// It ended with its outcome unknown.
+    OutcomeUnknown(ResultCode),
+}
+
+/// A decision that touches a request, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestRecord {
+    /// The caller's id of the statement.
+    pub id: String,
+    /// The service.
+    pub service: Option<ServiceName>,
+    /// The back end concerned.
+    pub backend: Option<BackendId>,
+    /// What was decided.
+    pub decision: Decision,
+    /// How often it had been sent.
+    pub attempts: u32,
+    /// How long ago it had come.
+    pub age: Duration,
+    /// How old the newest proof of the leader's position is.
+    pub proof_age: Option<Duration>,
+}
+
+/// What the engine wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// The session is accepted.
+    AcceptSession {
+        /// The session.
+        session: SessionId,
+    },
+    /// The session is refused and ends.
+    RefuseSession {
+        /// The session.
+        session: SessionId,
+        /// Why.
+        code: ResultCode,
+    },
+    /// Answer a session's oldest statement without an answer.
+    Respond {
+        /// The session.
+        session: SessionId,
+        /// The answer.
+        response: Response,
+    },
+    /// End a session that is at rest.
+    CloseSession {
+        /// The session.
+        session: SessionId,
+    },
+    /// Open a connection.
+    Open {
+        /// The connection's number.
+        connection: ConnectionId,
+        /// Where to.
+        target: OpenTarget,
+    },
+    /// Send a command.
+    Send {
+        /// The connection.
+        connection: ConnectionId,
+        /// The command.
+        command: BackendCommand,
+    },
+    /// Close a connection.
+    CloseConnection {
+        /// The connection.
+        connection: ConnectionId,
+    },
+    /// Use of a back end showed something about it.
+    Observed {
+        /// The back end.
+        backend: BackendId,
+        /// What was shown.
+        evidence: Evidence,
+    },
+    /// A decision for the log.
+    Record(RequestRecord),
+    /// The planned stop is complete.
+    Stopped,
+}
--- /dev/null
+++ b/crates/stairward-engine/src/lib.rs
@@ -0,0 +1,40 @@
+//! The statement-level engine of one node: sessions, transactions, freshness floors, the choice of back
+//! end, retries, hold and outcome, and on the back-end side admission, connection state and reset.
+//!
+//! Everything here is pure: [`Engine::handle`] takes the time and an [`Event`] and returns [`Effect`]s.
+//! Statements are opaque text with a class; no protocol is known here.
+
+#![forbid(unsafe_code)]
+
+mod backend;
+mod choice;
+mod connection;
+mod engine;
+mod event;
+mod group;
+mod identifiers;
+mod probes;
+mod replies;
+mod reply;
+mod requests;
+mod session;
+mod settings;
+mod statement;
+mod statements;
+mod stopping;
+mod timers;
+mod waiting;
+
+pub use engine::{Engine, EngineStatistics};
+pub use event::{
+    BackendCommand, Decision, Effect, Event, Evidence, OpenFailure, OpenTarget, RequestRecord,
+};
+pub use identifiers::{ConnectionId, SessionId};
+pub use reply::{
+    BackendError, BackendErrorCode, BackendReply, Response, ResponseResult, TransactionStatus,
+};
+pub use settings::{
+    BackendDescription, Consistency, EngineOptions, Route, RoutingTable, ServiceLimits,
+    ZoneDistance,
+};
+pub use statement::{PreparedStatement, Statement, StatementKind};
--- /dev/null
+++ b/crates/stairward-engine/src/replies.rs
@@ -0,0 +1,658 @@
+//! What back ends answer, and connections that open, fail or are lost.
+
+use std::time::Duration;
+
+use stairward_types::{Freshness, ResultCode, Time};
+
+use crate::connection::{SentStep, Step, User};
+use crate::engine::Engine;
+use crate::event::{BackendCommand, Decision, Effect, Evidence, OpenFailure};
+use crate::group::Proof;
+use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
+use crate::reply::TransactionStatus;
+use crate::reply::{BackendError, BackendErrorCode, BackendReply, Response, ResponseResult};
+use crate::session::{Need, OpenTransaction, Request, Stage, Transaction, WaitReason};
+
+/// When a caller refused by full back ends should come back.
+const RETRY_BUSY: Duration = Duration::from_millis(200);
+
+impl Engine {
+    pub(crate) fn connection_opened(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        position: Option<Freshness>,
+    ) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return self
+                .effects
+                .push(Effect::CloseConnection { connection: id });
+        };
+        connection.opening_since = None;
+        let service = connection.service.clone();
+        let backend_id = connection.backend.clone();
+        self.backend_answered(now, &backend_id, position);
+        self.changed.insert(service);
+    }
+
+    pub(crate) fn open_failed(&mut self, now: Time, id: ConnectionId, failure: OpenFailure) {
+        let Some(connection) = self.connections.get(&id) else {
+            return;
+        };
+        let backend_id = connection.backend.clone();
+        let service = connection.service.clone();
+        self.remove_connection(id);
+        if let Some(backend) = self.backends.get_mut(&backend_id) {
+            backend.opening_failed(now, failure == OpenFailure::ConnectionLimit);
+            if matches!(failure, OpenFailure::Refused | OpenFailure::Silent) {
+                backend.is_silent = true;
+            }
+        }
+        match failure {
+            OpenFailure::Refused => self.observe(&backend_id, Evidence::Refused),
+            OpenFailure::Silent => self.observe(&backend_id, Evidence::Silent),
+            OpenFailure::WrongBackend => {
+                // Another one answers there: what discovery told is over.
+                if let Some(backend) = self.backends.get_mut(&backend_id) {
+                    backend.leaving_since.get_or_insert(now);
+                }
+            }
+            OpenFailure::ConnectionLimit | OpenFailure::Other => {}
+        }
+        self.changed.insert(service);
+    }
+
+    fn backend_answered(
+        &mut self,
+        now: Time,
+        id: &stairward_types::BackendId,
+        position: Option<Freshness>,
+    ) {
+        let Some(backend) = self.backends.get_mut(id) else {
+            return;
+        };
+        let was_silent = backend.answered(now, position);
+        let service = backend.description.service.clone();
+        if let (Some(position), Some(group)) = (position, self.groups.get_mut(&service)) {
+            group.newest_term = group.newest_term.max(position.term);
+        }
+        if was_silent {
+            self.changed.insert(service);
+            self.observe(id, Evidence::Answered);
+        }
+    }
+
+    pub(crate) fn take_reply(&mut self, now: Time, id: ConnectionId, reply: BackendReply) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let Some(sent) = connection.sent.pop_front() else {
+            // An answer that nothing was asked for.
+            return self.drop_connection(now, id);
+        };
+        let backend_id = connection.backend.clone();
+        self.backend_answered(now, &backend_id, reply.position);
+        match sent.step {
+            Step::Reset | Step::SetValue { .. } | Step::Prepare(_) => {
+                self.take_setup_reply(now, id, sent, &reply);
+            }
+            Step::Begin { read_only } => self.take_begin_reply(now, id, read_only, sent.at, reply),
+            Step::Rollback => self.take_rollback_reply(now, id, &reply),
+            Step::Statement => {
+                if let Some(backend) = self.backends.get_mut(&backend_id) {
+                    backend.in_flight = backend.in_flight.saturating_sub(1);
+                }
+                self.take_statement_reply(now, id, sent.at, reply);
+            }
+        }
+    }
+
+    fn take_setup_reply(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        sent: SentStep,
+        reply: &BackendReply,
+    ) {
+        if reply.result.is_err() {
+            return self.drop_connection(now, id);
+        }
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        connection.note_setup(sent.step);
+        if connection.sent.is_empty() {
+            self.proceed(now, id);
+        }
+    }
+
+    fn take_begin_reply(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        read_only: bool,
+        sent_at: Time,
+        reply: BackendReply,
+    ) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let service = connection.service.clone();
+        match reply.result {
+            Ok(_) => {
+                connection.in_transaction = true;
+                connection.is_leader_transaction = !read_only;
+                if !read_only {
+                    self.prove(&service, reply.position, sent_at);
+                }
+                self.proceed(now, id);
+            }
+            Err(error) => {
+                connection.in_transaction = reply.status != TransactionStatus::Idle;
+                self.setup_refused(now, id, &error);
+            }
+        }
+    }
+
+    fn prove(
+        &mut self,
+        service: &stairward_types::ServiceName,
+        position: Option<Freshness>,
+        asked_at: Time,
+    ) {
+        let (Some(freshness), Some(group)) = (position, self.groups.get_mut(service)) else {
+            return;
+        };
+        group.prove(Proof {
+            freshness,
+            asked_at,
+        });
+        group.probing_since = None;
+        self.changed.insert(service.clone());
+    }
+
+    /// The request that uses a connection, if it is still the session's request.
+    fn request_on(&self, id: ConnectionId) -> Option<(SessionId, &Request)> {
+        let connection = self.connections.get(&id)?;
+        let Some(User::Session(session, number)) = connection.user else {
+            return None;
+        };
+        let request = self.sessions.get(&session)?.request.as_ref()?;
+        (request.number == number).then_some((session, request))
+    }
+
+    /// A connection is set up: its user's statement is sent, or its start of a transaction is done.
+    fn proceed(&mut self, now: Time, id: ConnectionId) {
+        let Some(connection) = self.connections.get(&id) else {
+            return;
+        };
+        if connection.user == Some(User::Probe) {
+            let service = connection.service.clone();
+            self.probe_ended(&service);
+            return self.free_connection(now, id);
+        }
+        let Some((session, request)) = self.request_on(id) else {
+            return self.free_connection(now, id);
+        };
+        match request.need {
+            Need::LeaderTransaction | Need::FreshTransaction => {
+                self.transaction_begun(now, session, id);
+            }
+            _ => self.send_statement(now, session, id),
+        }
+    }
+
+    fn transaction_begun(&mut self, now: Time, session_id: SessionId, id: ConnectionId) {
+        let position = self
+            .connections
+            .get(&id)
+            .and_then(|connection| self.backends.get(&connection.backend))
+            .and_then(|backend| backend.position);
+        self.abandon_others(session_id, id);
+        let Some(session) = self.sessions.get_mut(&session_id) else {
+            return;
+        };
+        let Some(request) = &session.request else {
+            return;
+        };
+        session.transaction = Transaction::Open(OpenTransaction {
+            connection: id,
+            route: request.route.clone(),
+            wrote: false,
+            rests: None,
+        });
+        let response = Response {
+            rows: Vec::new(),
+            result: ResponseResult::Completed { signature: None },
+            status: TransactionStatus::Open,
+            position,
+        };
+        self.finish(now, session_id, response);
+    }
+
+    /// Lets go of the other connections on which the same request was sent.
+    fn abandon_others(&mut self, session: SessionId, answered: ConnectionId) {
+        let Some(request) = self
+            .sessions
+            .get_mut(&session)
+            .and_then(|session| session.request.as_mut())
+        else {
+            return;
+        };
+        request.unanswered.remove(&answered);
+        let others = std::mem::take(&mut request.unanswered);
+        for other in others {
+            self.use_connection(other, User::Nobody);
+        }
+    }
+
+    /// The set-up of a connection was refused by its back end; nothing of the request ran.
+    fn setup_refused(&mut self, now: Time, id: ConnectionId, error: &BackendError) {
+        let is_probe = self
+            .connections
+            .get(&id)
+            .is_some_and(|connection| connection.user == Some(User::Probe));
+        self.note_refusal(now, id, error.code);
+        if is_probe {
+            if let Some(service) = self.connections.get(&id).map(|c| c.service.clone()) {
+                self.probe_ended(&service);
+            }
+            return self.free_connection(now, id);
+        }
+        let session = self.request_on(id).map(|(session, _)| session);
+        self.free_connection(now, id);
+        if let Some(session) = session {
+            self.try_elsewhere(now, session, id, Some(error));
+        }
+    }
+
+    /// Learns from a refusal about the back end behind a connection.
+    fn note_refusal(&mut self, now: Time, id: ConnectionId, code: BackendErrorCode) {
+        let Some(connection) = self.connections.get(&id) else {
+            return;
+        };
+        let backend_id = connection.backend.clone();
+        let service = connection.service.clone();
+        let Some(backend) = self.backends.get_mut(&backend_id) else {
+            return;
+        };
+        match code {
+            BackendErrorCode::Busy => backend.was_busy(now),
+            BackendErrorCode::NotFresh => backend.was_not_fresh(now),
+            BackendErrorCode::ReadOnly => {
+                let revision = backend.description.revision;
+                if let Some(group) = self.groups.get_mut(&service) {
+                    group.denied.insert(backend_id.clone(), revision);
+                }
+                self.observe(&backend_id, Evidence::NotLeader);
+            }
+            _ => {}
+        }
+    }
+
+    /// A request that has not run on a connection goes to another back end, or ends.
+    fn try_elsewhere(
+        &mut self,
+        now: Time,
+        session: SessionId,
+        connection: ConnectionId,
+        error: Option<&BackendError>,
+    ) {
+        let backend = self.connections.get(&connection).map(|c| c.backend.clone());
+        let Some(request) = self
+            .sessions
+            .get_mut(&session)
+            .and_then(|session| session.request.as_mut())
+        else {
+            return;
+        };
+        request.unanswered.remove(&connection);
+        if !request.unanswered.is_empty() {
+            // The other connection that it was sent on may still answer.
+            return;
+        }
+        let is_leader_only = request.need.is_leader_only();
+        request.stage = Stage::Waiting;
+        request.waits_for = match error.map(|error| error.code) {
+            Some(BackendErrorCode::NotFresh) => WaitReason::NotFresh,
+            Some(BackendErrorCode::ReadOnly) => WaitReason::NoLeader,
+            Some(BackendErrorCode::Busy) => WaitReason::NoConnection,
+            _ => WaitReason::NoBackend,
+        };
+        let is_busy_leader =
+            is_leader_only && error.is_some_and(|error| error.code == BackendErrorCode::Busy);
+        if let Some(backend) = &backend
+            && !is_leader_only
+        {
+            request.tried.insert(backend.clone());
+        }
+        if is_busy_leader || !self.may_try_again(now, session) {
+            let retry_after = Some(RETRY_BUSY);
+            return match error {
+                Some(error) if error.code == BackendErrorCode::Busy => {
+                    self.refuse(now, session, ResultCode::Overloaded, retry_after);
+                }
+                _ => self.give_up(now, session),
+            };
+        }
+        self.record(now, session, backend, Decision::Retried);
+        self.attempt(now, session);
+    }
+
+    fn take_rollback_reply(&mut self, now: Time, id: ConnectionId, reply: &BackendReply) {
+        if reply.status != TransactionStatus::Idle {
+            return self.drop_connection(now, id);
+        }
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.in_transaction = false;
+        }
+        self.free_connection(now, id);
+    }
+
+    /// Makes a connection idle, undoing what is open on it first.
+    pub(crate) fn free_connection(&mut self, now: Time, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        if connection.in_transaction {
+            let is_undoing = connection
+                .sent
+                .iter()
+                .any(|sent| sent.step == Step::Rollback);
+            connection.user = Some(User::Nobody);
+            if !is_undoing {
+                self.send(now, id, BackendCommand::Rollback);
+            }
+            return;
+        }
+        if !connection.sent.is_empty() {
+            connection.user = Some(User::Nobody);
+            return;
+        }
+        connection.user = None;
+        let backend_id = connection.backend.clone();
+        let service = connection.service.clone();
+        self.changed.insert(service);
+        let is_over = self
+            .backends
+            .get(&backend_id)
+            .is_none_or(|backend| !backend.may_be_used(now, self.options.leaving_limit));
+        if is_over {
+            self.close_connection(id);
+        }
+    }
+
+    fn take_statement_reply(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        sent_at: Time,
+        reply: BackendReply,
+    ) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.in_transaction = reply.status != TransactionStatus::Idle;
+        }
+        let Some((session, request)) = self.request_on(id) else {
+            return self.free_connection(now, id);
+        };
+        let need = request.need;
+        if matches!(need, Need::FreshRead | Need::LeaderRead)
+            && let Some(backend) = self.backend_of(id)
+            && reply.result.is_ok()
+        {
+            backend.sample(now, now.since(sent_at));
+        }
+        match need {
+            Need::InTransaction { .. } => self.transaction_reply(now, session, id, sent_at, reply),
+            Need::Commit => self.commit_reply(now, session, id, sent_at, reply),
+            _ => self.single_reply(now, session, id, sent_at, reply),
+        }
+    }
+
+    fn backend_of(&mut self, id: ConnectionId) -> Option<&mut crate::backend::Backend> {
+        let connection = self.connections.get(&id)?;
+        self.backends.get_mut(&connection.backend)
+    }
+
+    /// A statement by itself was answered.
+    fn single_reply(
+        &mut self,
+        now: Time,
+        session: SessionId,
+        id: ConnectionId,
+        sent_at: Time,
+        reply: BackendReply,
+    ) {
+        let Some((_, request)) = self.request_on(id) else {
+            return;
+        };
+        let need = request.need;
+        let may_repeat = need.is_repeatable() && request.attempts < request.route.attempts;
+        if let Err(error) = &reply.result {
+            let error = error.clone();
+            self.note_refusal(now, id, error.code);
+            let goes_on = error.code.is_not_run() && error.code != BackendErrorCode::Malformed;
+            if goes_on || (may_repeat && error.code != BackendErrorCode::Malformed) {
+                if error.code == BackendErrorCode::UnknownPreparedStatement
+                    && let Some(connection) = self.connections.get_mut(&id)
+                {
+                    connection.prepared.clear();
+                }
+                self.free_connection(now, id);
+                return self.try_elsewhere(now, session, id, Some(&error));
+            }
+        } else if need == Need::Write {
+            self.committed(session, id, reply.position, sent_at);
+        }
+        self.abandon_others(session, id);
+        self.free_connection(now, id);
+        self.pass_on(now, session, reply, TransactionStatus::Idle);
+    }
+
+    /// A write was acknowledged by the leader: the session must see it from now on.
+    fn committed(
+        &mut self,
+        session: SessionId,
+        id: ConnectionId,
+        position: Option<Freshness>,
+        sent_at: Time,
+    ) {
+        let Some(service) = self.connections.get(&id).map(|c| c.service.clone()) else {
+            return;
+        };
+        if let (Some(position), Some(session)) = (position, self.sessions.get_mut(&session)) {
+            session.commits.insert(service.clone(), position);
+        }
+        self.prove(&service, position, sent_at);
+    }
+
+    fn pass_on(
+        &mut self,
+        now: Time,
+        session: SessionId,
+        reply: BackendReply,
+        status: TransactionStatus,
+    ) {
+        let result = match reply.result {
+            Ok(signature) => ResponseResult::Completed {
+                signature: Some(signature),
+            },
+            Err(error) => ResponseResult::Failed(error),
+        };
+        let response = Response {
+            rows: reply.rows,
+            result,
+            status,
+            position: reply.position,
+        };
+        self.finish(now, session, response);
+    }
+
+    /// A statement within a transaction was answered.
+    fn transaction_reply(
+        &mut self,
+        now: Time,
+        session_id: SessionId,
+        id: ConnectionId,
+        sent_at: Time,
+        reply: BackendReply,
+    ) {
+        self.abandon_others(session_id, id);
+        if reply.status == TransactionStatus::Open {
+            if reply.result.is_ok() && self.is_leader_transaction(id) {
+                let service = self.connections.get(&id).map(|c| c.service.clone());
+                if let Some(service) = service {
+                    self.prove(&service, reply.position, sent_at);
+                }
+            }
+            return self.pass_on(now, session_id, reply, TransactionStatus::Open);
+        }
+        if let Err(error) = &reply.result {
+            self.note_refusal(now, id, error.code);
+        }
+        if let Some(session) = self.sessions.get_mut(&session_id) {
+            session.transaction = Transaction::Failed { is_told: true };
+        }
+        self.free_connection(now, id);
+        self.pass_on(now, session_id, reply, TransactionStatus::Failed);
+    }
+
+    /// Whether the open transaction on a connection is one that only the leader goes on with.
+    fn is_leader_transaction(&self, id: ConnectionId) -> bool {
+        self.connections
+            .get(&id)
+            .is_some_and(|connection| connection.is_leader_transaction)
+    }
+
+    /// A commit was answered.
+    fn commit_reply(
+        &mut self,
+        now: Time,
+        session_id: SessionId,
+        id: ConnectionId,
+        sent_at: Time,
+        reply: BackendReply,
+    ) {
+        self.abandon_others(session_id, id);
+        let wrote = self
+            .sessions
+            .get(&session_id)
+            .and_then(|session| session.open_transaction())
+            .is_some_and(|open| open.wrote);
+        if let Some(session) = self.sessions.get_mut(&session_id) {
+            session.transaction = Transaction::None;
+        }
+        match &reply.result {
+            Ok(_) if wrote => self.committed(session_id, id, reply.position, sent_at),
+            Ok(_) => {}
+            Err(error) => self.note_refusal(now, id, error.code),
+        }
+        self.free_connection(now, id);
+        self.pass_on(now, session_id, reply, TransactionStatus::Idle);
+    }
+
+    /// A connection has ended.
+    pub(crate) fn connection_lost(&mut self, now: Time, id: ConnectionId) {
+        let Some(connection) = self.connections.get(&id) else {
+            return;
+        };
+        let backend_id = connection.backend.clone();
+        let had_user = connection.user.is_some();
+        self.fail_users_of(now, id);
+        self.remove_connection(id);
+        let is_leader = self
+            .backends
+            .get(&backend_id)
+            .map(|backend| backend.description.service.clone())
+            .is_some_and(|service| self.leader(now, &service).as_ref() == Some(&backend_id));
+        if had_user || is_leader {
+            // Whether anything still listens there shows at once.
+            self.open_connection(now, &backend_id);
+        }
+    }
+
+    /// Closes a connection whose state is in doubt; what was on it is lost.
+    pub(crate) fn drop_connection(&mut self, now: Time, id: ConnectionId) {
+        self.fail_users_of(now, id);
+        self.close_connection(id);
+    }
+
+    /// Closes a connection.
+    pub(crate) fn close_connection(&mut self, id: ConnectionId) {
+        if self.remove_connection(id) {
+            self.effects
+                .push(Effect::CloseConnection { connection: id });
+        }
+    }
+
+    fn remove_connection(&mut self, id: ConnectionId) -> bool {
+        let Some(connection) = self.connections.remove(&id) else {
+            return false;
+        };
+        let statements = connection
+            .sent
+            .iter()
+            .filter(|sent| sent.step == Step::Statement);
+        let statements = u32::try_from(statements.count()).unwrap_or(0);
+        if let Some(backend) = self.backends.get_mut(&connection.backend) {
+            backend.connections.remove(&id);
+            backend.in_flight = backend.in_flight.saturating_sub(statements);
+        }
+        self.changed.insert(connection.service);
+        true
+    }
+
+    /// What a lost connection means for whoever used it.
+    fn fail_users_of(&mut self, now: Time, id: ConnectionId) {
+        let Some(connection) = self.connections.get(&id) else {
+            return;
+        };
+        match connection.user {
+            Some(User::Session(session, number)) => self.fail_session(now, session, number, id),
+            Some(User::Probe) => {
+                let service = connection.service.clone();
+                self.probe_ended(&service);
+            }
+            Some(User::Nobody) | None => {}
+        }
+    }
+
+    fn fail_session(
+        &mut self,
+        now: Time,
+        session_id: SessionId,
+        number: RequestNumber,
+        id: ConnectionId,
+    ) {
+        let Some(session) = self.sessions.get_mut(&session_id) else {
+            return;
+        };
+        let request = session.request.as_ref().filter(|r| r.number == number);
+        let Some(request) = request else {
+            // A transaction that rests, or whose next statement is on its way elsewhere.
+            let is_its = session
+                .open_transaction()
+                .is_some_and(|open| open.connection == id);
+            if is_its && session.request.is_none() {
+                let open = session.open_transaction().cloned();
+                session.transaction = Transaction::Failed { is_told: false };
+                if let Some(open) = open {
+                    self.stop_resting(session_id, &open);
+                }
+            }
+            return;
+        };
+        let was_sent = request.stage == Stage::Sent(id) || request.attempts > 0;
+        match request.need {
+            Need::InTransaction { .. } => self.lose_transaction(now, session_id),
+            Need::Commit if was_sent => {
+                self.lose_commit(now, session_id, ResultCode::BackendLostAfterSend);
+            }
+            Need::Commit => self.lose_transaction(now, session_id),
+            Need::Write if was_sent => {
+                self.leave_unknown(now, session_id, ResultCode::BackendLostAfterSend);
+            }
+            _ => self.try_elsewhere(now, session_id, id, None),
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-engine/src/requests.rs
@@ -0,0 +1,485 @@
+//! A request on its way: set-up of its connection, sending, giving up, and its end.
+
+use std::time::Duration;
+
+use stairward_types::{BackendId, Freshness, ResultCode, Time};
+
+use crate::connection::{SentStep, User, step_of};
+use crate::engine::Engine;
+use crate::event::{BackendCommand, Decision, Effect, Evidence, RequestRecord};
+use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
+use crate::reply::{Response, ResponseResult};
+use crate::session::{Need, Request, Stage, Transaction, WaitReason};
+use crate::statement::StatementKind;
+use crate::timers::Timer;
+
+/// A command without an answer for this long shows that its back end is silent.
+const SILENCE: Duration = Duration::from_millis(700);
+/// A connection is closed whose answer has been due for this long while its back end answered others.
+const LOST_ANSWER: Duration = Duration::from_millis(1_500);
+/// A connection is closed whose answer has been due for this long.
+const LOST_BACKEND: Duration = Duration::from_millis(4_000);
+/// When a refused caller should come back, by the reason.
+const RETRY_NO_LEADER: Duration = Duration::from_millis(500);
+const RETRY_OVERLOADED: Duration = Duration::from_millis(200);
+const RETRY_NOT_FRESH: Duration = Duration::from_millis(100);
+/// How often one request tries back ends in all.
+const MOST_TRIES: u32 = 5;
+
+impl Engine {
+    /// Gives a connection to a user.
+    pub(crate) fn use_connection(&mut self, id: ConnectionId, user: User) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.user = Some(user);
+        }
+    }
+
+    /// Sends a command and remembers that its answer is due.
+    pub(crate) fn send(&mut self, now: Time, id: ConnectionId, command: BackendCommand) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let step = step_of(&command);
+        if step == crate::connection::Step::Statement
+            && let Some(backend) = self.backends.get_mut(&connection.backend)
+        {
+            backend.in_flight += 1;
+        }
+        connection.sent.push_back(SentStep { step, at: now });
+        if !std::mem::replace(&mut connection.is_watched, true) {
+            self.timers.set(now + SILENCE, Timer::Silence(id));
+        }
+        self.effects.push(Effect::Send {
+            connection: id,
+            command,
+        });
+    }
+
+    /// Sets a connection up for a session's request, and sends the request once that is done.
+    pub(crate) fn prepare(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        connection_id: ConnectionId,
+        floor: Option<Freshness>,
+    ) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(request) = &mut session.request else {
+            return;
+        };
+        let Some(connection) = self.connections.get_mut(&connection_id) else {
+            return;
+        };
+        request.stage = Stage::Preparing(connection_id);
+        request.tries += 1;
+        request.unanswered.insert(connection_id);
+        request.floor = floor;
+        connection.user = Some(User::Session(id, request.number));
+        let prepared = match &request.statement.kind {
+            StatementKind::Execute { name, .. } => session.prepared.get(name),
+            _ => None,
+        };
+        let mut commands = connection.setup(&session.values, prepared);
+        match request.need {
+            Need::LeaderRead | Need::LeaderTransaction => commands.push(BackendCommand::Begin {
+                read_only: false,
+                floor: None,
+            }),
+            Need::FreshTransaction => commands.push(BackendCommand::Begin {
+                read_only: true,
+                floor,
+            }),
+            Need::Write | Need::FreshRead | Need::InTransaction { .. } | Need::Commit => {}
+        }
+        if commands.is_empty() {
+            return self.send_statement(now, id, connection_id);
+        }
+        for command in commands {
+            self.send(now, connection_id, command);
+        }
+    }
+
+    /// Sends a request's own statement on a connection that is set up for it.
+    pub(crate) fn send_statement(&mut self, now: Time, id: SessionId, connection: ConnectionId) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(request) = &mut session.request else {
+            return;
+        };
+        request.stage = Stage::Sent(connection);
+        request.attempts += 1;
+        let statement = &request.statement;
+        let is_read = request.need == Need::FreshRead;
+        let floor = request.floor.filter(|_| is_read);
+        let prepared = match &statement.kind {
+            StatementKind::Execute { name, arguments } => session
+                .prepared
+                .get(name)
+                .map(|prepared| (prepared.clone(), arguments.clone())),
+            _ => None,
+        };
+        let command = match prepared {
+            Some((prepared, arguments)) => BackendCommand::Execute {
+                id: statement.id.clone(),
+                prepared,
+                arguments,
+                floor,
+            },
+            None => BackendCommand::Run {
+                id: statement.id.clone(),
+                text: statement.text.clone(),
+                floor,
+            },
+        };
+        if request.need == (Need::InTransaction { writes: true })
+            && let Transaction::Open(open) = &mut session.transaction
+        {
+            open.wrote = true;
+        }
+        self.send(now, connection, command);
+    }
+
+    /// Ends a session's request with an answer.
+    pub(crate) fn finish(&mut self, now: Time, id: SessionId, response: Response) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(request) = session.request.take() else {
+            return;
+        };
+        self.cancel_timers(id, &request);
+        self.remove_from_queue(id, &request);
+        self.rest(now, id);
+        self.effects.push(Effect::Respond {
+            session: id,
+            response,
+        });
+        self.start_next(now, id);
+    }
+
+    pub(crate) fn cancel_timers(&mut self, id: SessionId, request: &Request) {
+        let number = request.number;
+        self.timers
+            .cancel(request.deadline, Timer::Deadline(id, number));
+        self.timers
+            .cancel(request.hold_ends, Timer::HoldEnds(id, number));
+        if let Some(at) = request.hedge_at {
+            self.timers.cancel(at, Timer::Hedge(id, number));
+        }
+    }
+
+    /// Starts the clock of an open transaction that rests.
+    fn rest(&mut self, now: Time, id: SessionId) {
+        let number = self.next_request();
+        let Some(limit) = self.table.as_ref().map(|t| t.transaction_idle_timeout) else {
+            return;
+        };
+        if let Some(session) = self.sessions.get_mut(&id)
+            && let Transaction::Open(open) = &mut session.transaction
+        {
+            let at = now + limit;
+            open.rests = Some((at, number));
+            self.timers.set(at, Timer::TransactionIdle(id, number));
+        }
+    }
+
+    /// Refuses a session's request that has provably not run.
+    pub(crate) fn refuse(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        code: ResultCode,
+        retry_after: Option<Duration>,
+    ) {
+        self.record(now, id, None, Decision::Refused(code));
+        let result = ResponseResult::Refused { code, retry_after };
+        self.finish_with(now, id, result);
+    }
+
+    /// Ends a session's request whose outcome is not known.
+    pub(crate) fn leave_unknown(&mut self, now: Time, id: SessionId, code: ResultCode) {
+        self.record(now, id, None, Decision::OutcomeUnknown(code));
+        let result = ResponseResult::Refused {
+            code,
+            retry_after: None,
+        };
+        self.finish_with(now, id, result);
+    }
+
+    pub(crate) fn finish_with(&mut self, now: Time, id: SessionId, result: ResponseResult) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        let response = Response {
+            rows: Vec::new(),
+            result,
+            status: session.status(),
+            position: None,
+        };
+        self.finish(now, id, response);
+    }
+
+    pub(crate) fn record(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        backend: Option<BackendId>,
+        decision: Decision,
+    ) {
+        let Some(request) = self.sessions.get(&id).and_then(|s| s.request.as_ref()) else {
+            return;
+        };
+        let service = &request.route.service;
+        let proof = self.groups.get(service).and_then(|group| group.proof);
+        let record = RequestRecord {
+            id: request.statement.id.clone(),
+            service: Some(service.clone()),
+            backend,
+            decision,
+            attempts: request.attempts,
+            age: now.since(request.received),
+            proof_age: proof.map(|proof| now.since(proof.asked_at)),
+        };
+        self.effects.push(Effect::Record(record));
+    }
+
+    /// Gives up a request that was not sent or was refused wherever it was sent.
+    pub(crate) fn give_up(&mut self, now: Time, id: SessionId) {
+        let Some(request) = self.sessions.get(&id).and_then(|s| s.request.as_ref()) else {
+            return;
+        };
+        let (code, retry_after) = match request.waits_for {
+            WaitReason::NoBackend => (ResultCode::BackendUnavailable, RETRY_NO_LEADER),
+            WaitReason::NoLeader => (ResultCode::BackendUnavailable, RETRY_NO_LEADER),
+            WaitReason::NotFresh => (ResultCode::NotFreshEnough, RETRY_NOT_FRESH),
+            WaitReason::NoConnection => (ResultCode::Overloaded, RETRY_OVERLOADED),
+        };
+        self.refuse(now, id, code, Some(retry_after));
+    }
+
+    fn is_current(&self, id: SessionId, number: RequestNumber) -> Option<&Request> {
+        let request = self.sessions.get(&id)?.request.as_ref()?;
+        (request.number == number).then_some(request)
+    }
+
+    /// A request that has not been sent by now is refused, so that its caller can go elsewhere.
+    pub(crate) fn hold_ended(&mut self, now: Time, id: SessionId, number: RequestNumber) {
+        let Some(request) = self.is_current(id, number) else {
+            return;
+        };
+        match request.stage {
+            Stage::Waiting if request.unanswered.is_empty() => self.give_up(now, id),
+            Stage::Preparing(connection) if self.is_on_silent_backend(connection) => {
+                self.refuse_prepared(now, id, ResultCode::BackendUnavailable);
+            }
+            Stage::Waiting | Stage::Preparing(_) | Stage::Sent(_) => {}
+        }
+    }
+
+    fn is_on_silent_backend(&self, connection: ConnectionId) -> bool {
+        let backend = self
+            .connections
+            .get(&connection)
+            .and_then(|connection| self.backends.get(&connection.backend));
+        backend.is_some_and(|backend| backend.is_silent)
+    }
+
+    /// Sends a read without an answer to another back end too. The first answer counts.
+    pub(crate) fn hedge(&mut self, now: Time, id: SessionId, number: RequestNumber) {
+        let Some(request) = self.is_current(id, number) else {
+            return;
+        };
+        let (Stage::Preparing(connection) | Stage::Sent(connection)) = request.stage else {
+            return;
+        };
+        if request.attempts >= request.route.attempts.max(2) {
+            return;
+        }
+        let Some(backend) = self.connections.get(&connection).map(|c| c.backend.clone()) else {
+            return;
+        };
+        self.record(now, id, Some(backend.clone()), Decision::Hedged);
+        if let Some(request) = self.sessions.get_mut(&id).and_then(|s| s.request.as_mut()) {
+            request.tried.insert(backend);
+            request.stage = Stage::Waiting;
+            request.hold_ends = request.deadline;
+        }
+        self.attempt(now, id);
+    }
+
+    pub(crate) fn deadline_passed(&mut self, now: Time, id: SessionId, number: RequestNumber) {
+        let Some(request) = self.is_current(id, number) else {
+            return;
+        };
+        let is_sent = request.attempts > 0;
+        let connections: Vec<_> = request.unanswered.iter().copied().collect();
+        let need = request.need;
+        for connection in connections {
+            if let Some(backend) = self.connections.get(&connection).map(|c| c.backend.clone()) {
+                self.observe(&backend, Evidence::Silent);
+            }
+            self.close_connection(connection);
+        }
+        match need {
+            Need::InTransaction { .. } => self.lose_transaction(now, id),
+            Need::Commit => self.lose_commit(now, id, ResultCode::DeadlineAfterSend),
+            _ if is_sent => self.leave_unknown(now, id, ResultCode::DeadlineAfterSend),
+            _ => {
+                let code = ResultCode::DeadlineBeforeSend;
+                self.refuse(now, id, code, Some(RETRY_NO_LEADER));
+            }
+        }
+    }
+
+    /// Refuses a request whose connection was being set up; the connection is closed.
+    pub(crate) fn refuse_prepared(&mut self, now: Time, id: SessionId, code: ResultCode) {
+        let Some(request) = self.sessions.get(&id).and_then(|s| s.request.as_ref()) else {
+            return;
+        };
+        let need = request.need;
+        let connections: Vec<_> = request.unanswered.iter().copied().collect();
+        for connection in connections {
+            self.close_connection(connection);
+        }
+        match need {
+            Need::InTransaction { .. } | Need::Commit => self.lose_transaction(now, id),
+            _ => self.refuse(now, id, code, Some(RETRY_NO_LEADER)),
+        }
+    }
+
+    /// The open transaction is lost before its commit was sent: nothing of it is kept.
+    pub(crate) fn lose_transaction(&mut self, now: Time, id: SessionId) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.transaction = Transaction::Failed { is_told: true };
+        }
+        self.refuse(now, id, ResultCode::TransactionLost, Some(RETRY_NO_LEADER));
+    }
+
+    /// The commit was sent and its answer is lost. Only a transaction without a write has a known outcome.
+    pub(crate) fn lose_commit(&mut self, now: Time, id: SessionId, code: ResultCode) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let wrote = session.open_transaction().is_some_and(|open| open.wrote);
+        session.transaction = Transaction::None;
+        if wrote {
+            self.leave_unknown(now, id, code);
+        } else {
+            self.refuse(now, id, ResultCode::TransactionLost, Some(RETRY_NO_LEADER));
+        }
+    }
+
+    /// A transaction has rested too long.
+    pub(crate) fn transaction_rested(&mut self, now: Time, id: SessionId, number: RequestNumber) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let rests = session
+            .open_transaction()
+            .is_some_and(|open| open.rests.is_some_and(|(_, timer)| timer == number));
+        if rests && session.request.is_none() {
+            self.abandon_transaction(now, id);
+        }
+    }
+
+    /// Ends an open transaction behind its caller's back; the caller is told at its next statement.
+    pub(crate) fn abandon_transaction(&mut self, now: Time, id: SessionId) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let failed = Transaction::Failed { is_told: false };
+        if let Transaction::Open(open) = std::mem::replace(&mut session.transaction, failed) {
+            self.stop_resting(id, &open);
+            self.roll_back_connection(now, open.connection);
+        }
+    }
+
+    /// A caller is gone: what it left is undone.
+    pub(crate) fn session_closed(&mut self, now: Time, id: SessionId) {
+        let Some(mut session) = self.sessions.remove(&id) else {
+            return;
+        };
+        if let Some(request) = session.request.take() {
+            self.cancel_timers(id, &request);
+            self.remove_from_queue(id, &request);
+            for connection in &request.unanswered {
+                self.use_connection(*connection, User::Nobody);
+            }
+        }
+        if let Transaction::Open(open) = &session.transaction {
+            self.stop_resting(id, open);
+            let is_busy = self
+                .connections
+                .get(&open.connection)
+                .is_some_and(|connection| !connection.sent.is_empty());
+            if is_busy {
+                self.use_connection(open.connection, User::Nobody);
+            } else {
+                self.roll_back_connection(now, open.connection);
+            }
+        }
+        self.stop_if_empty(now);
+    }
+
+    fn remove_from_queue(&mut self, id: SessionId, request: &Request) {
+        let key = crate::engine::WaitingKey {
+            priority: request.route.priority,
+            received: request.received,
+            session: id,
+        };
+        if let Some(queue) = self.waiting.get_mut(&request.route.service) {
+            queue.remove(&key);
+        }
+    }
+
+    /// Whether a request may go to yet another back end.
+    pub(crate) fn may_try_again(&self, now: Time, id: SessionId) -> bool {
+        let request = self.sessions.get(&id).and_then(|s| s.request.as_ref());
+        request.is_some_and(|request| request.tries < MOST_TRIES && now < request.deadline)
+    }
+
+    /// Looks for commands that have had no answer for long.
+    pub(crate) fn check_silence(&mut self, now: Time, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        connection.is_watched = false;
+        let Some(oldest) = connection.oldest_unanswered() else {
+            return;
+        };
+        let has_user = !matches!(connection.user, None | Some(User::Nobody));
+        let backend_id = connection.backend.clone();
+        if now < oldest + SILENCE {
+            return self.watch(id, oldest + SILENCE);
+        }
+        let Some(backend) = self.backends.get_mut(&backend_id) else {
+            return;
+        };
+        let has_answered_since = backend.answered_at.is_some_and(|at| at > oldest);
+        if !has_answered_since {
+            backend.is_silent = true;
+            self.changed.insert(backend.description.service.clone());
+            self.observe(&backend_id, Evidence::Silent);
+        }
+        let patience = if has_answered_since || !has_user {
+            LOST_ANSWER
+        } else {
+            LOST_BACKEND
+        };
+        if now >= oldest + patience {
+            self.drop_connection(now, id);
+        } else {
+            self.watch(id, (oldest + patience).min(now + SILENCE));
+        }
+    }
+
+    fn watch(&mut self, id: ConnectionId, at: Time) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.is_watched = true;
+            self.timers.set(at, Timer::Silence(id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-engine/src/session.rs
@@ -0,0 +1,181 @@
+//! What the engine keeps of one caller's session.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use stairward_types::{BackendId, Freshness, GroupId, ServiceName, Time};
+
+use crate::identifiers::{ConnectionId, RequestNumber};
+use crate::reply::TransactionStatus;
+use crate::settings::Route;
+use crate::statement::{PreparedStatement, Statement};
+
+/// One caller's session.
+#[derive(Debug)]
+pub(crate) struct Session {
+    /// The database asked for.
+    pub database: GroupId,
+    /// The values that were acknowledged to the caller.
+    pub values: BTreeMap<String, String>,
+    /// The caller's prepared names.
+    pub prepared: BTreeMap<String, PreparedStatement>,
+    /// The newest commit of the session, by service.
+    pub commits: BTreeMap<ServiceName, Freshness>,
+    /// The transaction, as the caller sees it.
+    pub transaction: Transaction,
+    /// The request under way.
+    pub request: Option<Request>,
+    /// Statements that came while a request was under way; none stands for one that is not understood.
+    pub queue: VecDeque<Option<Statement>>,
+}
+
+impl Session {
+    pub fn new(database: GroupId) -> Self {
+        Self {
+            database,
+            values: BTreeMap::new(),
+            prepared: BTreeMap::new(),
+            commits: BTreeMap::new(),
+            transaction: Transaction::None,
+            request: None,
+            queue: VecDeque::new(),
+        }
+    }
+
+    /// Whether nothing is under way, so that the session may be closed.
+    pub fn is_at_rest(&self) -> bool {
+        self.request.is_none() && self.queue.is_empty() && self.status() == TransactionStatus::Idle
+    }
+
+    pub fn status(&self) -> TransactionStatus {
+        match self.transaction {
+            Transaction::None => TransactionStatus::Idle,
+            Transaction::Open(_) => TransactionStatus::Open,
+            Transaction::Failed { .. } => TransactionStatus::Failed,
+        }
+    }
+
+    pub fn open_transaction(&self) -> Option<&OpenTransaction> {
+        match &self.transaction {
+            Transaction::Open(open) => Some(open),
+            Transaction::None | Transaction::Failed { .. } => None,
+        }
+    }
+}
+
+/// A session's transaction.
+#[derive(Debug)]
+pub(crate) enum Transaction {
+    /// None is open.
+    None,
+    /// One is open on a connection.
+    Open(OpenTransaction),
+    /// One failed and waits for its end by the caller. No connection belongs to it any more.
+    Failed {
+        /// Whether the caller has been told.
+        is_told: bool,
+    },
+}
+
+/// An open transaction.
+#[derive(Debug, Clone)]
+pub(crate) struct OpenTransaction {
+    /// The connection that it is bound to.
+    pub connection: ConnectionId,
+    /// The route it was begun on.
+    pub route: Arc<Route>,
+    /// Whether a write was sent in it.
+    pub wrote: bool,
+    /// Since when it rests, and the number its timer carries.
+    pub rests: Option<(Time, RequestNumber)>,
+}
+
+/// What a request needs of a back end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Need {
+    /// A write by itself.
+    Write,
+    /// A read by itself that must run at the leader, inside a transaction of its own that the back end
+    /// refuses to go on with once it has lost the lead.
+    LeaderRead,
+    /// A read by itself that any copy may answer that is fresh enough.
+    FreshRead,
+    /// The start of a transaction at the leader.
+    LeaderTransaction,
+    /// The start of a transaction that only reads, at any copy that is fresh enough.
+    FreshTransaction,
+    /// A statement within the open transaction.
+    InTransaction {
+        /// Whether it writes.
+        writes: bool,
+    },
+    /// The commit of the open transaction.
+    Commit,
+}
+
+impl Need {
+    /// Whether only the leader will do.
+    pub const fn is_leader_only(self) -> bool {
+        matches!(
+            self,
+            Self::Write | Self::LeaderRead | Self::LeaderTransaction
+        )
+    }
+
+    /// Whether it may be sent again although it may have run.
+    pub const fn is_repeatable(self) -> bool {
+        matches!(
+            self,
+            Self::LeaderRead | Self::FreshRead | Self::LeaderTransaction | Self::FreshTransaction
+        )
+    }
+}
+
+/// How far a request has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// It waits for a back end, a connection or a proof.
+    Waiting,
+    /// Its connection is being set up; it has not been sent.
+    Preparing(ConnectionId),
+    /// It was sent on this connection last.
+    Sent(ConnectionId),
+}
+
+/// Why a request waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum WaitReason {
+    /// No back end that could take it can be reached.
+    NoBackend,
+    /// No leader is known.
+    NoLeader,
+    /// The leader's position is not known freshly enough, or no copy has come so far.
+    NotFresh,
+    /// All connections are in use.
+    NoConnection,
+}
+
+/// A request under way.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub number: RequestNumber,
+    pub statement: Statement,
+    pub route: Arc<Route>,
+    pub need: Need,
+    pub received: Time,
+    pub deadline: Time,
+    pub hold_ends: Time,
+    pub hedge_at: Option<Time>,
+    pub stage: Stage,
+    /// What the log must hold behind the connection it goes to.
+    pub floor: Option<Freshness>,
+    pub waits_for: WaitReason,
+    /// How often it was sent and may have run.
+    pub attempts: u32,
+    /// How often a back end was tried in any way.
+    pub tries: u32,
+    /// Back ends not to be tried again.
+    pub tried: BTreeSet<BackendId>,
+    /// Connections on which it was sent and no answer has come.
+    pub unanswered: BTreeSet<ConnectionId>,
+}
--- /dev/null
+++ b/crates/stairward-engine/src/settings.rs
@@ -0,0 +1,147 @@
+//! The settings the engine works by, and what discovery tells of back ends.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairward_types::{BackendId, BackendRole, GroupId, Revision, ServiceName, Term, ZoneName};
+
+/// What a read on a route must see.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Consistency {
+    /// Every commit acknowledged before the read.
+    Primary,
+    /// Every commit acknowledged longer than this before the read.
+    Bounded {
+        /// The allowed staleness.
+        staleness: Duration,
+    },
+    /// As `Bounded`, and every commit of the own session.
+    OwnReads {
+        /// The allowed staleness towards other sessions.
+        staleness: Duration,
+    },
+}
+
+impl Consistency {
+    /// The allowed staleness; none where only the leader will do.
+    #[must_use]
+    pub const fn staleness(self) -> Option<Duration> {
+        match self {
+            Self::Primary => None,
+            Self::Bounded { staleness } | Self::OwnReads { staleness } => Some(staleness),
+        }
+    }
+}
+
+/// How the statements of one database name are served.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// The service whose back ends run them.
+    pub service: ServiceName,
+    /// What reads must see.
+    pub consistency: Consistency,
+    /// The longest a statement may take.
+    pub statement_timeout: Duration,
+    /// Within which time an operation should be answered.
+    pub target_latency: Duration,
+    /// 0 is served first.
+    pub priority: u8,
+    /// How often a statement that may have run is sent, if it can be repeated.
+    pub attempts: u32,
+}
+
+/// Limits of a service's back ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServiceLimits {
+    /// Connections each back end takes from all nodes together.
+    pub connections: u32,
+    /// Replicas that must have received a commit before it is acknowledged.
+    pub synchronous_replicas: u32,
+}
+
+/// A whole configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RoutingTable {
+    /// Its revision; an older one is never applied over a newer one.
+    pub revision: Revision,
+    /// Routes by the database name callers ask for.
+    pub routes: BTreeMap<GroupId, Arc<Route>>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, ServiceLimits>,
+    /// How long a transaction may rest.
+    pub transaction_idle_timeout: Duration,
+}
+
+/// A back end as discovery describes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendDescription {
+    /// Its id.
+    pub id: BackendId,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub zone: ZoneName,
+    /// Statements it runs at once.
+    pub slots: u32,
+    /// Whether it is about to end.
+    pub is_leaving: bool,
+    /// Its role as it sees itself.
+    pub role: BackendRole,
+    /// Grows with every change of the description.
+    pub revision: Revision,
+    /// Its term, where discovery tells it.
+    pub term: Option<Term>,
+}
+
+/// How far away a zone is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ZoneDistance {
+    /// The node's own zone.
+    Same,
+    /// Another zone of the same region.
+    Region,
+    /// Another region.
+    Remote,
+}
+
+/// What a node knows of itself and of the bounds it must keep.
+#[derive(Debug, Clone)]
+pub struct EngineOptions {
+    /// Distances of the zones from this node; an unknown zone counts as remote.
+    pub distances: BTreeMap<ZoneName, ZoneDistance>,
+    /// How long after a back end began to leave new work may still be sent to it.
+    pub leaving_limit: Duration,
+    /// From a planned stop's start to the process's end.
+    pub stop_grace: Duration,
+    /// Statements one session may have waiting behind the one that runs.
+    pub session_queue_limit: usize,
+    /// Requests that may wait at once.
+    pub waiting_limit: usize,
+}
+
+impl EngineOptions {
+    /// The distance of a zone.
+    #[must_use]
+    pub fn distance(&self, zone: &ZoneName) -> ZoneDistance {
+        self.distances
+            .get(zone)
+            .copied()
+            .unwrap_or(ZoneDistance::Remote)
+    }
+}
+
+impl Default for EngineOptions {
+    fn default() -> Self {
+        Self {
+            distances: BTreeMap::new(),
+            leaving_limit: Duration::from_secs(4),
+            stop_grace: Duration::from_secs(6),
+            session_queue_limit: 32,
+            waiting_limit: 256,
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-engine/src/statements.rs
@@ -0,0 +1,350 @@
+//! A statement's start: what the session answers by itself, and what becomes a request.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use stairward_types::{AccessClass, GroupId, ResultCode, Time};
+
+use crate::engine::Engine;
+use crate::event::{BackendCommand, Effect};
+use crate::identifiers::SessionId;
+use crate::reply::{Response, ResponseResult};
+use crate::session::{Need, OpenTransaction, Request, Session, Stage, Transaction, WaitReason};
+use crate::settings::{Consistency, Route};
+use crate::statement::{Statement, StatementKind};
+use crate::timers::Timer;
+
+/// The share of the target latency for which a request may wait without having been sent.
+const HOLD_DIVISOR: u32 = 4;
+/// The share of the target latency after which a read without an answer is also sent elsewhere.
+const HEDGE_DIVISOR: u32 = 4;
+
+impl Engine {
+    pub(crate) fn open_session(&mut self, id: SessionId, database: GroupId) {
+        let refusal = match &self.table {
+            None => Some(ResultCode::NotReady),
+            Some(table) if !table.routes.contains_key(&database) => {
+                Some(ResultCode::UnknownDatabase)
+            }
+            Some(_) => None,
+        };
+        if let Some(code) = refusal {
+            self.effects
+                .push(Effect::RefuseSession { session: id, code });
+            return;
+        }
+        self.sessions.insert(id, Session::new(database));
+        self.effects.push(Effect::AcceptSession { session: id });
+    }
+
+    /// Takes a statement in; none stands for one that is not understood.
+    pub(crate) fn take_statement(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        statement: Option<Statement>,
+    ) {
+        let limit = self.options.session_queue_limit;
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        if session.queue.len() >= limit {
+            // A caller that goes on sending without reading answers.
+            self.effects.push(Effect::CloseSession { session: id });
+            self.session_closed(now, id);
+            return;
+        }
+        session.queue.push_back(statement);
+        self.start_next(now, id);
+    }
+
+    /// Starts the session's next statement, unless one is under way.
+    pub(crate) fn start_next(&mut self, now: Time, id: SessionId) {
+        while let Some(session) = self.sessions.get_mut(&id) {
+            if session.request.is_some() {
+                return;
+            }
+            match session.queue.pop_front() {
+                Some(Some(statement)) => self.start(now, id, statement),
+                Some(None) => self.refuse_at_once(id, ResultCode::ProtocolViolation),
+                None => break,
+            }
+        }
+        self.close_if_stopping(now, id);
+    }
+
+    fn start(&mut self, now: Time, id: SessionId, statement: Statement) {
+        match &statement.kind {
+            StatementKind::SetValue { name, value } => {
+                let (name, value) = (name.clone(), value.clone());
+                self.change_session(id, |session| {
+                    session.values.insert(name, value);
+                });
+            }
+            StatementKind::Prepare { name, prepared } => {
+                let (name, prepared) = (name.clone(), prepared.clone());
+                self.change_session(id, |session| {
+                    session.prepared.insert(name, prepared);
+                });
+            }
+            StatementKind::Deallocate { name } => {
+                let name = name.clone();
+                self.change_session(id, |session| {
+                    session.prepared.remove(&name);
+                });
+            }
+            StatementKind::Rollback => self.roll_back(now, id),
+            StatementKind::Begin { read_only } => {
+                let read_only = *read_only;
+                self.begin_transaction(now, id, statement, read_only);
+            }
+            StatementKind::Commit => self.commit(now, id, statement),
+            StatementKind::Read | StatementKind::Write | StatementKind::Execute { .. } => {
+                self.access(now, id, statement);
+            }
+        }
+    }
+
+    /// Changes the session's own state, which a failed transaction does not allow.
+    fn change_session(&mut self, id: SessionId, change: impl FnOnce(&mut Session)) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        if let Transaction::Failed { .. } = session.transaction {
+            return self.refuse_in_failed(id);
+        }
+        change(session);
+        self.accept(id);
+    }
+
+    /// Answers with success that needs no back end.
+    fn accept(&mut self, id: SessionId) {
+        let result = ResponseResult::Completed { signature: None };
+        self.respond(id, result);
+    }
+
+    fn refuse_at_once(&mut self, id: SessionId, code: ResultCode) {
+        let result = ResponseResult::Refused {
+            code,
+            retry_after: None,
+        };
+        self.respond(id, result);
+    }
+
+    /// The first statement after the engine ended a transaction learns of it, all later ones are not
+    /// understood until the caller ends the transaction.
+    fn refuse_in_failed(&mut self, id: SessionId) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Transaction::Failed { is_told } = &mut session.transaction else {
+            return;
+        };
+        let code = if std::mem::replace(is_told, true) {
+            ResultCode::ProtocolViolation
+        } else {
+            ResultCode::TransactionLost
+        };
+        self.refuse_at_once(id, code);
+    }
+
+    /// Answers a statement that needed no back end.
+    pub(crate) fn respond(&mut self, id: SessionId, result: ResponseResult) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        let response = Response {
+            rows: Vec::new(),
+            result,
+            status: session.status(),
+            position: None,
+        };
+        self.effects.push(Effect::Respond {
+            session: id,
+            response,
+        });
+    }
+
+    fn roll_back(&mut self, now: Time, id: SessionId) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let ended = std::mem::replace(&mut session.transaction, Transaction::None);
+        if let Transaction::Open(open) = ended {
+            self.stop_resting(id, &open);
+            self.roll_back_connection(now, open.connection);
+        }
+        self.accept(id);
+    }
+
+    /// Undoes the transaction on a connection, which is idle afterwards.
+    pub(crate) fn roll_back_connection(
+        &mut self,
+        now: Time,
+        connection: crate::identifiers::ConnectionId,
+    ) {
+        self.use_connection(connection, crate::connection::User::Nobody);
+        self.send(now, connection, BackendCommand::Rollback);
+    }
+
+    fn begin_transaction(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        statement: Statement,
+        read_only: bool,
+    ) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        match session.transaction {
+            Transaction::None => {}
+            Transaction::Open(_) => return self.refuse_at_once(id, ResultCode::ProtocolViolation),
+            Transaction::Failed { .. } => return self.refuse_in_failed(id),
+        }
+        let Some(route) = self.route_of(id) else {
+            return self.refuse_at_once(id, ResultCode::UnknownDatabase);
+        };
+        let is_leader_only = !read_only || route.consistency == Consistency::Primary;
+        let need = if is_leader_only {
+            Need::LeaderTransaction
+        } else {
+            Need::FreshTransaction
+        };
+        self.begin_request(now, id, statement, route, need);
+    }
+
+    fn commit(&mut self, now: Time, id: SessionId, statement: Statement) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        match &session.transaction {
+            Transaction::None => self.refuse_at_once(id, ResultCode::ProtocolViolation),
+            Transaction::Failed { .. } => {
+                session.transaction = Transaction::None;
+                self.refuse_at_once(id, ResultCode::TransactionLost);
+            }
+            Transaction::Open(open) => {
+                let open = open.clone();
+                self.run_in_transaction(now, id, statement, &open, Need::Commit);
+            }
+        }
+    }
+
+    fn access(&mut self, now: Time, id: SessionId, statement: Statement) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        let Some(access) = access_of(session, &statement) else {
+            return self.refuse_at_once(id, ResultCode::UnknownPreparedStatement);
+        };
+        match &session.transaction {
+            Transaction::Failed { .. } => self.refuse_in_failed(id),
+            Transaction::Open(open) => {
+                let open = open.clone();
+                let writes = access == AccessClass::Write;
+                self.run_in_transaction(now, id, statement, &open, Need::InTransaction { writes });
+            }
+            Transaction::None => {
+                let Some(route) = self.route_of(id) else {
+                    return self.refuse_at_once(id, ResultCode::UnknownDatabase);
+                };
+                let need = match (access, route.consistency) {
+                    (AccessClass::Write, _) => Need::Write,
+                    (AccessClass::Read, Consistency::Primary) => Need::LeaderRead,
+                    (AccessClass::Read, _) => Need::FreshRead,
+                };
+                self.begin_request(now, id, statement, route, need);
+            }
+        }
+    }
+
+    fn route_of(&self, id: SessionId) -> Option<Arc<Route>> {
+        let database = &self.sessions.get(&id)?.database;
+        self.table.as_ref()?.routes.get(database).cloned()
+    }
+
+    fn begin_request(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        statement: Statement,
+        route: Arc<Route>,
+        need: Need,
+    ) {
+        self.insert_request(now, id, statement, route, need);
+        self.attempt(now, id);
+    }
+
+    fn run_in_transaction(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        statement: Statement,
+        open: &OpenTransaction,
+        need: Need,
+    ) {
+        self.stop_resting(id, open);
+        self.insert_request(now, id, statement, Arc::clone(&open.route), need);
+        self.prepare(now, id, open.connection, None);
+    }
+
+    fn insert_request(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        statement: Statement,
+        route: Arc<Route>,
+        need: Need,
+    ) {
+        let number = self.next_request();
+        let deadline = now + route.statement_timeout;
+        let hold_ends = deadline.min(now + route.target_latency / HOLD_DIVISOR);
+        let hedge_at = (need == Need::FreshRead || need == Need::FreshTransaction)
+            .then(|| now + route.target_latency / HEDGE_DIVISOR)
+            .filter(|at| *at < deadline);
+        self.timers.set(deadline, Timer::Deadline(id, number));
+        self.timers.set(hold_ends, Timer::HoldEnds(id, number));
+        if let Some(at) = hedge_at {
+            self.timers.set(at, Timer::Hedge(id, number));
+        }
+        let request = Request {
+            number,
+            statement,
+            route,
+            need,
+            received: now,
+            deadline,
+            hold_ends,
+            hedge_at,
+            stage: Stage::Waiting,
+            floor: None,
+            waits_for: WaitReason::NoConnection,
+            attempts: 0,
+            tries: 0,
+            tried: BTreeSet::new(),
+            unanswered: BTreeSet::new(),
+        };
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.request = Some(request);
+        }
+    }
+
+    /// Takes back the timer of a resting transaction.
+    pub(crate) fn stop_resting(&mut self, id: SessionId, open: &OpenTransaction) {
+        if let Some((at, number)) = open.rests {
+            self.timers.cancel(at, Timer::TransactionIdle(id, number));
+        }
+    }
+}
+
+/// Whether a statement reads or writes; none for a prepared name that does not exist.
+fn access_of(session: &Session, statement: &Statement) -> Option<AccessClass> {
+    match &statement.kind {
+        StatementKind::Read => Some(AccessClass::Read),
+        StatementKind::Execute { name, .. } => {
+            session.prepared.get(name).map(|prepared| prepared.access)
+        }
+        _ => Some(AccessClass::Write),
+    }
+}
--- /dev/null
+++ b/crates/stairward-engine/src/stopping.rs
@@ -0,0 +1,119 @@
+//! A planned stop: sessions are closed at rest, open transactions get half of the time.
+
+use std::time::Duration;
+
+use stairward_types::Time;
+
+use crate::engine::Engine;
+use crate::event::Effect;
+use crate::identifiers::SessionId;
+use crate::timers::Timer;
+
+/// When sessions at rest begin to be closed, as a share of the grace: new ones come for a while after the
+/// node has said that it is not ready.
+const CLOSING_PERCENT: u32 = 36;
+/// When resting transactions are ended.
+const TRANSACTIONS_PERCENT: u32 = 52;
+/// When everything is over, whatever is under way.
+const END_PERCENT: u32 = 92;
+/// How often sessions are looked at meanwhile.
+const REVIEW: Duration = Duration::from_millis(100);
+/// Sessions closed in one review, so that they don't all connect elsewhere at once.
+const CLOSED_AT_ONCE: usize = 12;
+
+/// A planned stop under way.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Stop {
+    began: Time,
+    is_over: bool,
+}
+
+impl Engine {
+    pub(crate) fn begin_stop(&mut self, now: Time) {
+        if self.stop.is_some() {
+            return;
+        }
+        self.stop = Some(Stop {
+            began: now,
+            is_over: false,
+        });
+        let closing = self.options.stop_grace * CLOSING_PERCENT / 100;
+        self.timers.set(now + closing, Timer::Stop);
+    }
+
+    pub(crate) fn continue_stop(&mut self, now: Time) {
+        let Some(stop) = self.stop else {
+            return;
+        };
+        let grace = self.options.stop_grace;
+        let elapsed = now.since(stop.began);
+        if elapsed >= grace * END_PERCENT / 100 {
+            return self.end_stop();
+        }
+        if elapsed >= grace * TRANSACTIONS_PERCENT / 100 {
+            self.end_resting_transactions(now);
+        }
+        let is_at_rest = |id: &SessionId| self.sessions.get(id).is_some_and(|s| s.is_at_rest());
+        let at_rest: Vec<_> = self
+            .sessions
+            .keys()
+            .copied()
+            .filter(is_at_rest)
+            .take(CLOSED_AT_ONCE)
+            .collect();
+        for id in at_rest {
+            self.close_session(now, id);
+        }
+        self.stop_if_empty(now);
+        self.timers.set(now + REVIEW, Timer::Stop);
+    }
+
+    fn end_resting_transactions(&mut self, now: Time) {
+        let resting: Vec<_> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| {
+                session.request.is_none() && session.open_transaction().is_some()
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in resting {
+            self.abandon_transaction(now, id);
+        }
+    }
+
+    /// Closes a session that has come to rest, once sessions are being closed.
+    pub(crate) fn close_if_stopping(&mut self, now: Time, id: SessionId) {
+        let Some(stop) = self.stop else {
+            return;
+        };
+        let closing = self.options.stop_grace * CLOSING_PERCENT / 100;
+        let is_at_rest = self.sessions.get(&id).is_some_and(|s| s.is_at_rest());
+        if now >= stop.began + closing && is_at_rest {
+            self.close_session(now, id);
+        }
+    }
+
+    fn close_session(&mut self, now: Time, id: SessionId) {
+        self.effects.push(Effect::CloseSession { session: id });
+        self.session_closed(now, id);
+    }
+
+    pub(crate) fn stop_if_empty(&mut self, now: Time) {
+        let Some(stop) = self.stop else {
+            return;
+        };
+        let closing = self.options.stop_grace * CLOSING_PERCENT / 100;
+        if self.sessions.is_empty() && now >= stop.began + closing + REVIEW {
+            self.end_stop();
+        }
+    }
+
+    fn end_stop(&mut self) {
+        if let Some(stop) = &mut self.stop
+            && !std::mem::replace(&mut stop.is_over, true)
+        {
+            self.effects.push(Effect::Stopped);
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-engine/src/timers.rs
@@ -0,0 +1,56 @@
+//! Moments at which the engine wants to be woken.
+
+use std::collections::BTreeSet;
+
+use stairward_types::{ServiceName, Time};
+
+use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
+
+/// What is due at a moment.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Timer {
+    /// A request that still waits is given up.
+    HoldEnds(SessionId, RequestNumber),
+    /// A request without an answer is also sent elsewhere.
+    Hedge(SessionId, RequestNumber),
+    /// A request's time is over.
+    Deadline(SessionId, RequestNumber),
+    /// A transaction that rests is ended.
+    TransactionIdle(SessionId, RequestNumber),
+    /// A connection is looked at for commands without an answer.
+    Silence(ConnectionId),
+    /// Requests that wait for a service are tried again.
+    TryWaiting(ServiceName),
+    /// Leaving and lost back ends are looked at.
+    Backends,
+    /// The next step of a planned stop.
+    Stop,
+}
+
+/// An ordered set of timers.
+#[derive(Debug, Default)]
+pub(crate) struct Timers {
+    due: BTreeSet<(Time, Timer)>,
+}
+
+impl Timers {
+    pub fn set(&mut self, at: Time, timer: Timer) {
+        self.due.insert((at, timer));
+    }
+
+    pub fn cancel(&mut self, at: Time, timer: Timer) {
+        self.due.remove(&(at, timer));
+    }
+
+    pub fn next(&self) -> Option<Time> {
+        self.due.first().map(|(at, _)| *at)
+    }
+
+    /// Takes the first timer that is due.
+    pub fn pop(&mut self, now: Time) -> Option<Timer> {
+        if self.next()? > now {
+            return None;
+        }
+        self.due.pop_first().map(|(_, timer)| timer)
+    }
+}
--- /dev/null
+++ b/crates/stairward-engine/src/waiting.rs
@@ -0,0 +1,131 @@
+//! Requests that wait for a back end, a connection or a proof.
+
+use std::collections::BTreeSet;
+
+use stairward_types::{ServiceName, Time};
+
+use crate::choice::Choice;
+use crate::engine::{Engine, WaitingKey};
+use crate::identifiers::SessionId;
+use crate::session::{Request, Stage, WaitReason};
+
+impl Engine {
+    /// Tries each waiting request of the services in which something has changed.
+    pub(crate) fn serve_waiting(&mut self, now: Time) {
+        for _ in 0..MOST_ROUNDS {
+            let changed = std::mem::take(&mut self.changed);
+            if changed.is_empty() {
+                return;
+            }
+            for service in changed {
+                self.serve_waiting_of(now, &service);
+            }
+        }
+    }
+
+    fn serve_waiting_of(&mut self, now: Time, service: &ServiceName) {
+        let Some(waiting) = self.waiting.get(service) else {
+            return;
+        };
+        let keys: Vec<WaitingKey> = waiting.iter().copied().collect();
+        // One request that finds no connection stands for all later ones of its kind.
+        let mut hopeless: BTreeSet<(bool, u8)> = BTreeSet::new();
+        for key in keys {
+            let Some(request) = self.waiting_request(key.session) else {
+                continue;
+            };
+            let kind = (request.need.is_leader_only(), key.priority);
+            if hopeless.contains(&kind) {
+                continue;
+            }
+            self.attempt(now, key.session);
+            if self
+                .waiting_request(key.session)
+                .is_some_and(|request| request.waits_for == WaitReason::NoConnection)
+            {
+                hopeless.insert(kind);
+            }
+        }
+    }
+
+    fn waiting_request(&self, session: SessionId) -> Option<&Request> {
+        let request = self.sessions.get(&session)?.request.as_ref()?;
+        (request.stage == Stage::Waiting).then_some(request)
+    }
+
+    /// Sends a waiting request, if a back end and a connection can be had.
+    pub(crate) fn attempt(&mut self, now: Time, id: SessionId) {
+        // Taken out while the choice looks at the rest of the engine.
+        let Some(session) = self.sessions.remove(&id) else {
+            return;
+        };
+        let choice = match &session.request {
+            Some(request) if request.stage == Stage::Waiting => {
+                Some(self.choose(now, request, &session))
+            }
+            _ => None,
+        };
+        self.sessions.insert(id, session);
+        match choice {
+            Some(Choice::Use(connection, floor)) => {
+                self.leave_queue(id);
+                self.prepare(now, id, connection, floor);
+            }
+            Some(Choice::Wait(reason)) => self.enter_queue(now, id, reason),
+            Some(Choice::Exhausted) => self.exhausted(now, id),
+            None => {}
+        }
+    }
+
+    /// No back end is left to try; one that was tried may still answer.
+    fn exhausted(&mut self, now: Time, id: SessionId) {
+        let Some(request) = self.sessions.get_mut(&id).and_then(|s| s.request.as_mut()) else {
+            return;
+        };
+        match request.unanswered.first() {
+            Some(connection) => request.stage = Stage::Sent(*connection),
+            None => self.give_up(now, id),
+        }
+    }
+
+    fn enter_queue(&mut self, now: Time, id: SessionId, reason: WaitReason) {
+        let limit = self.options.waiting_limit;
+        let Some(request) = self.sessions.get_mut(&id).and_then(|s| s.request.as_mut()) else {
+            return;
+        };
+        request.waits_for = reason;
+        let key = WaitingKey {
+            priority: request.route.priority,
+            received: request.received,
+            session: id,
+        };
+        let is_over = now >= request.hold_ends;
+        let queue = self
+            .waiting
+            .entry(request.route.service.clone())
+            .or_default();
+        let is_full = queue.len() >= limit && !queue.contains(&key);
+        if is_over || is_full {
+            self.exhausted(now, id);
+        } else {
+            queue.insert(key);
+        }
+    }
+
+    pub(crate) fn leave_queue(&mut self, id: SessionId) {
+        let Some(request) = self.sessions.get(&id).and_then(|s| s.request.as_ref()) else {
+            return;
+        };
+        let key = WaitingKey {
+            priority: request.route.priority,
+            received: request.received,
+            session: id,
+        };
+        if let Some(queue) = self.waiting.get_mut(&request.route.service) {
+            queue.remove(&key);
+        }
+    }
+}
+
+/// Rounds of looking at waiting requests within one event; what changes after them waits for the next.
+const MOST_ROUNDS: usize = 4;
--- /dev/null
+++ b/crates/stairward-failover/src/attempt.rs
@@ -0,0 +1,141 @@
+//! One attempt to replace a service's primary: from the claim to the new primary.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use stairward_types::{BackendId, BackendRole, Freshness, Term, Time};
+
+use crate::event::{FencingToken, GroupState, MemberStatus};
+
+/// How far an attempt has come.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// It waits for its turn to write the record.
+    Queued,
+    /// The record is being written.
+    Claiming,
+    /// Members are asked.
+    Asking,
+    /// The promotion is under way.
+    Promoting,
+    /// The promotion was accepted; the new primary is waited for.
+    Settling,
+}
+
+/// One attempt.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    /// The primary to be replaced; none where no member calls itself primary.
+    pub old: Option<BackendId>,
+    /// Whether the old primary still works and is only about to end.
+    pub is_planned: bool,
+    pub stage: Stage,
+    /// Since when it is in its stage.
+    pub since: Time,
+    pub token: Option<FencingToken>,
+    /// Members that were asked and have not answered.
+    pub asked: BTreeSet<BackendId>,
+    pub answers: BTreeMap<BackendId, MemberStatus>,
+    /// Replicas that may be on hold.
+    pub held: BTreeSet<BackendId>,
+    pub target: Option<BackendId>,
+    /// Whether an earlier promotion had no answer, so that it may still be carried out. A decision with a
+    /// higher token must be answered before this attempt may end.
+    pub must_fence: bool,
+}
+
+/// A replica chosen for promotion.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Chosen {
+    pub target: BackendId,
+    pub received: Option<Freshness>,
+}
+
+impl Attempt {
+    pub fn new(old: Option<BackendId>, is_planned: bool, now: Time) -> Self {
+        Self {
+            old,
+            is_planned,
+            stage: Stage::Queued,
+            since: now,
+            token: None,
+            asked: BTreeSet::new(),
+            answers: BTreeMap::new(),
+            held: BTreeSet::new(),
+            target: None,
+            must_fence: false,
+        }
+    }
+
+    pub fn enter(&mut self, stage: Stage, now: Time) {
+        self.stage = stage;
+        self.since = now;
+    }
+
+    /// Whether the old primary answered that it leads, in a term no other answer exceeds.
+    pub fn old_still_leads(&self) -> bool {
+        let Some(old) = &self.old else {
+            return false;
+        };
+        let Some(status) = self.answers.get(old) else {
+            return false;
+        };
+        let newest = self
+            .answers
+            .values()
+            .map(|status| status.received.term)
+            .max();
+        status.role == BackendRole::Primary && newest <= Some(status.received.term)
+    }
+
+    /// A member other than the old one that already leads.
+    pub fn other_leader(&self) -> Option<&BackendId> {
+        let mut others = self
+            .answers
+            .iter()
+            .filter(|(id, _)| Some(*id) != self.old.as_ref());
+        let newest = self.newest_term();
+        others
+            .find(|(_, status)| {
+                status.role == BackendRole::Primary && status.received.term >= newest
+            })
+            .map(|(id, _)| id)
+    }
+
+    /// The member that leads, by the answers.
+    pub fn present_leader(&self) -> Option<&BackendId> {
+        let old = self.old.as_ref().filter(|_| self.old_still_leads());
+        self.other_leader().or(old)
+    }
+
+    pub fn newest_term(&self) -> Term {
+        let terms = self.answers.values().map(|status| status.received.term);
+        terms.max().unwrap_or_default()
+    }
+
+    /// Whether every replica that can be asked has answered.
+    pub fn is_asked_out(&self) -> bool {
+        let waits_for_replica = self.asked.iter().any(|id| Some(id) != self.old.as_ref());
+        !waits_for_replica
+    }
+
+    /// The replica that has received most of those that answered and stay.
+    pub fn choose(&self, group: &GroupState) -> Option<Chosen> {
+        let stays = |id: &BackendId| {
+            let member = group.members.get(id);
+            Some(id) != self.old.as_ref()
+                && member.is_some_and(|member| member.is_listed && !member.is_leaving)
+        };
+        let answered = self.answers.iter().filter(|(id, _)| stays(id));
+        let best = answered.max_by_key(|(id, status)| {
+            (
+                status.received.term,
+                status.received.position,
+                std::cmp::Reverse(*id),
+            )
+        });
+        best.map(|(id, status)| Chosen {
+            target: id.clone(),
+            received: Some(status.received),
+        })
+    }
+}
--- /dev/null
+++ b/crates/stairward-failover/src/duty.rs
@@ -0,0 +1,510 @@
+//! The duty's state machine.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use stairward_types::{BackendId, BackendRole, Freshness, ServiceName, Term, Time};
+
+use crate::attempt::{Attempt, Stage};
+use crate::event::{
+    Action, DutyRecord, Effect, Event, FencingToken, GroupState, LeaderEvidence, MemberStatus,
+    PromotionOutcome, RecordVersion,
+};
+use crate::evidence::EvidenceLedger;
+use crate::options::FailoverOptions;
+
+/// Why a primary is to be replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Trigger {
+    Refused,
+    Silent,
+    Leaving,
+    Missing,
+    Leaderless,
+}
+
+impl Trigger {
+    const fn reason(self) -> &'static str {
+        match self {
+            Self::Refused => "nothing listens at the primary's address",
+            Self::Silent => "enough nodes find the primary silent",
+            Self::Leaving => "the primary is leaving",
+            Self::Missing => "discovery no longer lists the primary",
+            Self::Leaderless => "no member calls itself primary",
+        }
+    }
+
+    const fn is_planned(self) -> bool {
+        matches!(self, Self::Leaving | Self::Missing)
+    }
+}
+
+/// The failover duty of one node.
+#[derive(Debug)]
+pub struct FailoverDuty {
+    options: FailoverOptions,
+    groups: BTreeMap<ServiceName, GroupState>,
+    nodes: u32,
+    evidence: EvidenceLedger,
+    version: Option<RecordVersion>,
+    record: Option<DutyRecord>,
+    record_learnt: Time,
+    /// The service whose claim is being written.
+    writing: Option<ServiceName>,
+    attempts: BTreeMap<ServiceName, Attempt>,
+    /// No new attempt begins before this.
+    pauses: BTreeMap<ServiceName, Time>,
+    /// Since when a primary has been missing or leading nobody.
+    missing_since: BTreeMap<ServiceName, Time>,
+    effects: Vec<Effect>,
+}
+
+impl FailoverDuty {
+    /// A duty that knows nothing yet. It acts only once it has learnt the record.
+    #[must_use]
+    pub fn new(options: FailoverOptions) -> Self {
+        Self {
+            options,
+            groups: BTreeMap::new(),
+            nodes: 1,
+            evidence: EvidenceLedger::default(),
+            version: None,
+            record: None,
+            record_learnt: Time::ZERO,
+            writing: None,
+            attempts: BTreeMap::new(),
+            pauses: BTreeMap::new(),
+            missing_since: BTreeMap::new(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes an event in and says what must be done.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        self.apply(now, event);
+        let services: Vec<_> = self.groups.keys().cloned().collect();
+        for service in &services {
+            self.review(now, service);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// When the duty wants a [`Event::Tick`] at the latest; none while nothing is under way.
+    #[must_use]
+    pub fn next_wake(&self, now: Time) -> Option<Time> {
+        let is_idle = self.attempts.is_empty()
+            && self.missing_since.is_empty()
+            && self
+                .groups
+                .keys()
+                .all(|service| self.trigger(now, service).is_none());
+        (!is_idle).then(|| now + POLL)
+    }
+
+    fn apply(&mut self, now: Time, event: Event) {
+        match event {
+            Event::Groups(groups) => {
+                self.groups = groups;
+                self.attempts
+                    .retain(|service, _| self.groups.contains_key(service));
+            }
+            Event::Nodes(nodes) => self.nodes = nodes.max(1),
+            Event::Evidence(backend, evidence) => self.note_evidence(backend, evidence),
+            Event::Suspicions(others) => self.evidence.set_others(others),
+            Event::Record(version, record) => self.learn_record(now, version, record),
+            Event::RecordWritten(version) => self.record_written(now, version),
+            Event::RecordFailed => self.record_failed(now),
+            Event::Status(backend, status) => self.take_status(&backend, status),
+            Event::Promotion(service, token, outcome) => {
+                self.promotion_ended(now, &service, token, outcome);
+            }
+            Event::Tick => {}
+        }
+    }
+
+    fn note_evidence(&mut self, backend: BackendId, evidence: LeaderEvidence) {
+        if self.evidence.note(backend, evidence) {
+            let silent = self.evidence.silent().clone();
+            self.effects.push(Effect::Report(silent));
+        }
+    }
+
+    fn learn_record(&mut self, now: Time, version: RecordVersion, record: Option<DutyRecord>) {
+        if self.version.is_some_and(|known| known >= version) {
+            return;
+        }
+        self.version = Some(version);
+        self.record = record;
+        self.record_learnt = now;
+    }
+
+    /// Whether another node acts on the duty at the moment.
+    fn is_held_by_another(&self, now: Time) -> bool {
+        let is_another = self
+            .record
+            .as_ref()
+            .is_some_and(|record| record.holder != self.options.node);
+        is_another && now < self.record_learnt + self.options.lease
+    }
+
+    /// The member that calls itself primary, the one announced last if there are several.
+    fn announced_leader(group: &GroupState) -> Option<&BackendId> {
+        let primaries = group
+            .members
+            .iter()
+            .filter(|(_, member)| member.role == BackendRole::Primary);
+        primaries
+            .max_by_key(|(_, member)| (member.is_listed, member.revision))
+            .map(|(id, _)| id)
+    }
+
+    fn trigger(&self, now: Time, service: &ServiceName) -> Option<Trigger> {
+        let group = self.groups.get(service)?;
+        let missing_since = self.missing_since.get(service);
+        let is_missing_long =
+            missing_since.is_some_and(|since| now >= *since + self.options.missing_patience);
+        let Some(leader) = Self::announced_leader(group) else {
+            return is_missing_long.then_some(Trigger::Leaderless);
+        };
+        let member = group.members.get(leader)?;
+        if self.evidence.is_refused(leader) {
+            return Some(Trigger::Refused);
+        }
+        if self.evidence.suspecting(leader) >= self.suspicion_quorum() {
+            return Some(Trigger::Silent);
+        }
+        if member.is_leaving && member.is_listed {
+            return Some(Trigger::Leaving);
+        }
+        is_missing_long.then_some(Trigger::Missing)
+    }
+
+    fn suspicion_quorum(&self) -> usize {
+        if self.nodes == 1 {
+            return 1;
+        }
+        let share = (self.nodes * self.options.suspicion_percent).div_ceil(100);
+        usize::try_from(share.max(2)).unwrap_or(2)
+    }
+
+    fn note_missing(&mut self, now: Time, service: &ServiceName) {
+        let Some(group) = self.groups.get(service) else {
+            return;
+        };
+        let has_replica = group.members.values().any(|member| member.is_listed);
+        let leader = Self::announced_leader(group).and_then(|id| group.members.get(id));
+        let is_missing = has_replica && !leader.is_some_and(|leader| leader.is_listed);
+        if is_missing {
+            self.missing_since.entry(service.clone()).or_insert(now);
+        } else {
+            self.missing_since.remove(service);
+        }
+    }
+
+    fn review(&mut self, now: Time, service: &ServiceName) {
+        self.note_missing(now, service);
+        match self
+            .attempts
+            .get(service)
+            .map(|attempt| attempt.stage.clone())
+        {
+            None => self.maybe_begin(now, service),
+            Some(Stage::Queued) => self.claim(now, service),
+            Some(Stage::Claiming) => self.review_claim(now, service),
+            Some(Stage::Asking) => self.review_asking(now, service),
+            Some(Stage::Promoting) => self.review_promotion(now, service),
+            Some(Stage::Settling) => self.review_settling(now, service),
+        }
+    }
+
+    fn maybe_begin(&mut self, now: Time, service: &ServiceName) {
+        if self.pauses.get(service).is_some_and(|until| now < *until) {
+            return;
+        }
+        let Some(trigger) = self.trigger(now, service) else {
+            return;
+        };
+        if self.is_held_by_another(now) || self.version.is_none() {
+            return;
+        }
+        let Some(group) = self.groups.get(service) else {
+            return;
+        };
+        let old = Self::announced_leader(group).cloned();
+        let can_be_replaced = group
+            .members
+            .iter()
+            .any(|(id, member)| Some(id) != old.as_ref() && member.is_listed && !member.is_leaving);
+        if !can_be_replaced {
+            return;
+        }
+        let attempt = Attempt::new(old, trigger.is_planned(), now);
+        self.attempts.insert(service.clone(), attempt);
+        let reason = trigger.reason();
+        self.log(service, Action::Began { reason });
+        self.claim(now, service);
+    }
+
+    /// Writes the record, one service at a time.
+    fn claim(&mut self, now: Time, service: &ServiceName) {
+        if self.writing.is_some() {
+            return;
+        }
+        if self.is_held_by_another(now) {
+            return self.give_up(now, service, "another node holds the duty");
+        }
+        let Some(version) = self.version else {
+            return;
+        };
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return;
+        };
+        attempt.enter(Stage::Claiming, now);
+        attempt.token = None;
+        self.writing = Some(service.clone());
+        let record = DutyRecord {
+            holder: self.options.node.clone(),
+            service: service.clone(),
+        };
+        self.effects.push(Effect::WriteRecord(version, record));
+    }
+
+    fn record_written(&mut self, now: Time, version: RecordVersion) {
+        let Some(service) = self.writing.take() else {
+            return;
+        };
+        let record = DutyRecord {
+            holder: self.options.node.clone(),
+            service: service.clone(),
+        };
+        self.learn_record(now, version, Some(record));
+        let Some(attempt) = self.attempts.get_mut(&service) else {
+            return;
+        };
+        if attempt.stage != Stage::Claiming || now.since(attempt.since) > self.options.lease / 2 {
+            return self.give_up(now, &service, "the claim took too long");
+        }
+        attempt.token = Some(FencingToken(version.0));
+        attempt.enter(Stage::Asking, now);
+        self.ask_members(&service);
+    }
+
+    fn record_failed(&mut self, now: Time) {
+        if let Some(service) = self.writing.take() {
+            self.give_up(now, &service, "the record could not be written");
+        }
+    }
+
+    fn review_claim(&mut self, now: Time, service: &ServiceName) {
+        let is_late = self
+            .attempts
+            .get(service)
+            .is_some_and(|attempt| now.since(attempt.since) > self.options.call_patience);
+        if is_late {
+            self.writing = None;
+            self.give_up(now, service, "the store does not answer");
+        }
+    }
+
+    fn ask_members(&mut self, service: &ServiceName) {
+        let (Some(group), Some(attempt)) =
+            (self.groups.get(service), self.attempts.get_mut(service))
+        else {
+            return;
+        };
+        let must_hold = group.synchronous_replicas > 0 && !attempt.is_planned;
+        for (id, member) in &group.members {
+            if !member.is_listed && Some(id) != attempt.old.as_ref() {
+                continue;
+            }
+            attempt.asked.insert(id.clone());
+            if must_hold && Some(id) != attempt.old.as_ref() {
+                attempt.held.insert(id.clone());
+                self.effects.push(Effect::Hold(id.clone(), HOLD_TERM));
+            } else {
+                self.effects.push(Effect::Ask(id.clone()));
+            }
+        }
+    }
+
+    fn take_status(&mut self, backend: &BackendId, status: Option<MemberStatus>) {
+        for attempt in self.attempts.values_mut() {
+            if attempt.stage != Stage::Asking || !attempt.asked.remove(backend) {
+                continue;
+            }
+            if let Some(status) = status {
+                attempt.answers.insert(backend.clone(), status);
+            }
+        }
+    }
+
+    fn review_asking(&mut self, now: Time, service: &ServiceName) {
+        let (Some(attempt), Some(group)) = (self.attempts.get(service), self.groups.get(service))
+        else {
+            return;
+        };
+        let is_late = now.since(attempt.since) >= self.options.ask_patience;
+        let old_may_live = attempt.old.as_ref().is_some_and(|old| {
+            !attempt.is_planned && !self.evidence.is_refused(old) && attempt.asked.contains(old)
+        });
+        let is_complete = attempt.is_asked_out() && !old_may_live;
+        if !is_complete && !is_late {
+            return;
+        }
+        if now.since(attempt.since) > self.options.lease / 2 {
+            // The node may have been paused: another may hold the duty by now.
+            return self.give_up(now, service, "the answers are too old");
+        }
+        if attempt.must_fence
+            && let Some(leader) = attempt.present_leader().cloned()
+        {
+            // Promoting the one that leads changes nothing, but keeps the older call from taking effect.
+            return self.promote(now, service, leader, None);
+        }
+        if let Some(leader) = attempt.other_leader().cloned() {
+            self.evidence.forget(&leader);
+            return self.give_up(now, service, "another member leads already");
+        }
+        if !attempt.is_planned && attempt.old_still_leads() {
+            if let Some(old) = attempt.old.clone() {
+                self.evidence.forget(&old);
+            }
+            return self.give_up(now, service, "the primary answers that it leads");
+        }
+        let Some(chosen) = attempt.choose(group) else {
+            return self.give_up(now, service, "no replica answered");
+        };
+        self.promote(now, service, chosen.target, chosen.received);
+    }
+
+    fn promote(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        target: BackendId,
+        received: Option<Freshness>,
+    ) {
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return;
+        };
+        let Some(token) = attempt.token else {
+            return;
+        };
+        let answers = attempt.answers.len();
+        attempt.target = Some(target.clone());
+        attempt.enter(Stage::Promoting, now);
+        let chose = Action::Chose {
+            target: target.clone(),
+            token,
+            received,
+            answers,
+        };
+        self.log(service, chose);
+        self.effects
+            .push(Effect::Promote(service.clone(), target, token));
+    }
+
+    fn review_promotion(&mut self, now: Time, service: &ServiceName) {
+        let is_late = self
+            .attempts
+            .get(service)
+            .is_some_and(|attempt| now.since(attempt.since) > self.options.call_patience);
+        if is_late || self.target_leads(service) {
+            self.promotion_unknown(now, service);
+        }
+    }
+
+    /// The call may be carried out at any later time. Only a decision with a higher token that was
+    /// answered keeps it from that, so the attempt goes on until one is.
+    fn promotion_unknown(&mut self, now: Time, service: &ServiceName) {
+        if let Some(attempt) = self.attempts.get_mut(service) {
+            let old = attempt.old.clone();
+            let held = std::mem::take(&mut attempt.held);
+            let is_planned = attempt.is_planned;
+            *attempt = Attempt::new(old, is_planned, now);
+            attempt.held = held;
+            attempt.must_fence = true;
+        }
+        self.claim(now, service);
+    }
+
+    fn promotion_ended(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        token: FencingToken,
+        outcome: PromotionOutcome,
+    ) {
+        self.log(service, Action::Answered { token, outcome });
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return;
+        };
+        if attempt.token != Some(token) || attempt.stage != Stage::Promoting {
+            return;
+        }
+        match outcome {
+            PromotionOutcome::Accepted => {
+                attempt.enter(Stage::Settling, now);
+                self.resume_held(service);
+            }
+            PromotionOutcome::Refused | PromotionOutcome::Throttled => {
+                self.give_up(now, service, "the promotion was refused");
+            }
+            PromotionOutcome::Unknown => self.promotion_unknown(now, service),
+        }
+    }
+
+    fn target_leads(&self, service: &ServiceName) -> bool {
+        let (Some(group), Some(attempt)) = (self.groups.get(service), self.attempts.get(service))
+        else {
+            return false;
+        };
+        attempt.target.is_some() && Self::announced_leader(group) == attempt.target.as_ref()
+    }
+
+    fn review_settling(&mut self, now: Time, service: &ServiceName) {
+        let is_over = self
+            .attempts
+            .get(service)
+            .is_some_and(|attempt| now.since(attempt.since) > self.options.settle_patience);
+        if self.target_leads(service) || is_over {
+            let attempt = self.attempts.remove(service);
+            if let Some(old) = attempt.and_then(|attempt| attempt.old) {
+                self.evidence.forget(&old);
+            }
+            self.pauses
+                .insert(service.clone(), now + self.options.pause);
+        }
+    }
+
+    fn resume_held(&mut self, service: &ServiceName) {
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return;
+        };
+        for held in std::mem::take(&mut attempt.held) {
+            self.effects.push(Effect::Resume(held));
+        }
+    }
+
+    fn give_up(&mut self, now: Time, service: &ServiceName, reason: &'static str) {
+        self.resume_held(service);
+        self.attempts.remove(service);
+        self.pauses
+            .insert(service.clone(), now + self.options.pause);
+        self.log(service, Action::GaveUp { reason });
+    }
+
+    fn log(&mut self, service: &ServiceName, action: Action) {
+        self.effects.push(Effect::Log(service.clone(), action));
+    }
+
+    /// The back ends that this node finds silent.
+    #[must_use]
+    pub fn silent(&self) -> &BTreeSet<BackendId> {
+        self.evidence.silent()
+    }
+}
+
+/// How often the duty looks again while something is under way.
+const POLL: std::time::Duration = std::time::Duration::from_millis(50);
+/// A term above any that is reached, so that a hold is never refused as outdated.
+const HOLD_TERM: Term = Term(u32::MAX as u64);
--- /dev/null
+++ b/crates/stairward-failover/src/lib.rs
@@ -0,0 +1,21 @@
+//! The failover duty, for databases that don't elect a primary themselves.
+//!
+//! Every node runs a [`FailoverDuty`]; at any time at most one acts on it. The right to act is a record in
+//! the metadata store, changed by conditional writes. Each decision to promote is one such write, and the
+//! record's version after it is the decision's fencing token: it only rises, and never serves two nodes
+//! or two decisions. Everything is pure: time and events go in, effects come out.
+
+#![forbid(unsafe_code)]
+
+mod attempt;
+mod duty;
+mod event;
+mod evidence;
+mod options;
+
+pub use duty::FailoverDuty;
+pub use event::{
+    Action, DutyRecord, Effect, Event, FencingToken, GroupState, LeaderEvidence, MemberState,
+    MemberStatus, PromotionOutcome, RecordVersion,
+};
+pub use options::FailoverOptions;
--- /dev/null
+++ b/crates/stairward-failover/src/options.rs
@@ -0,0 +1,41 @@
+//! Times and limits of the duty.
+
+use std::time::Duration;
+
+/// Times and limits of the duty.
+#[derive(Debug, Clone)]
+pub struct FailoverOptions {
+    /// This node's name, unique among the nodes.
+    pub node: String,
+    /// How long a holder's last record keeps others from acting.
+    pub lease: Duration,
+    /// How long members are given to answer.
+    pub ask_patience: Duration,
+    /// How long a record or a promotion is given to be answered.
+    pub call_patience: Duration,
+    /// How long a promoted back end is given to lead.
+    pub settle_patience: Duration,
+    /// How long a primary's entry may be missing, or no member call itself primary, before it is replaced.
+    pub missing_patience: Duration,
+    /// Pause after an attempt that came to nothing.
+    pub pause: Duration,
+    /// The share of the nodes, in percent, that must find a primary silent before it is replaced.
+    pub suspicion_percent: u32,
+}
+
+impl FailoverOptions {
+    /// The usual times and limits.
+    #[must_use]
+    pub fn new(node: impl Into<String>) -> Self {
+        Self {
+            node: node.into(),
+            lease: Duration::from_millis(3_000),
+            ask_patience: Duration::from_millis(350),
+            call_patience: Duration::from_millis(2_500),
+            settle_patience: Duration::from_millis(3_000),
+            missing_patience: Duration::from_millis(1_500),
+            pause: Duration::from_millis(300),
+            suspicion_percent: 30,
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-runtime/src/callers.rs
@@ -0,0 +1,126 @@
+//! Callers' connections: accepting, reading and decoding.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use stairward_engine::{Event, SessionId};
+use stairward_types::{GroupId, LogEvent, ResultCode};
+use tokio::io::AsyncReadExt as _;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::node::Node;
+use crate::socket::Outgoing;
+use crate::wire::{CallerMessage, Wire};
+
+/// Room made for reading at once.
+const READ_SIZE: usize = 2 * 1024;
+/// A new connection must say which database it wants within this time.
+const CONNECT_PATIENCE: Duration = Duration::from_secs(5);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+impl<W: Wire> Node<W> {
+    /// Accepts callers. Runs for ever; at most `limit` are connected at once.
+    pub async fn accept_callers(self: Rc<Self>, listener: TcpListener, limit: usize) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) if self.sessions.borrow().len() < limit => self.begin(stream),
+                Ok(_) => tracing::warn!(
+                    event = LogEvent::SessionRefused.number(),
+                    code = ResultCode::TooManyClients.number(),
+                    "too many callers"
+                ),
+                Err(error) => {
+                    tracing::warn!(event = LogEvent::ListenerFailed.number(), %error);
+                    Self::pause(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn begin(self: &Rc<Self>, stream: TcpStream) {
+        let session = self.next_session();
+        let (reading, outgoing) = Outgoing::split(stream);
+        self.sessions
+            .borrow_mut()
+            .insert(session, Rc::clone(&outgoing));
+        let task = tokio::task::spawn_local(Rc::clone(self).serve(session, reading));
+        outgoing.set_reader(task.abort_handle());
+    }
+
+    async fn serve(self: Rc<Self>, session: SessionId, reading: OwnedReadHalf) {
+        let mut reader = CallerReader {
+            reading,
+            buffer: BytesMut::new(),
+        };
+        let first = tokio::time::timeout(CONNECT_PATIENCE, reader.next::<W>()).await;
+        if let Ok(Some(CallerMessage::Connect { database })) = first {
+            match GroupId::new(database) {
+                Ok(database) => {
+                    self.handle(Event::SessionOpened { session, database });
+                    self.serve_statements(session, &mut reader).await;
+                }
+                Err(_) => self.refuse(session, ResultCode::UnknownDatabase),
+            }
+        } else {
+            self.refuse(session, ResultCode::ProtocolViolation);
+        }
+        self.session_ended(session);
+    }
+
+    fn refuse(&self, session: SessionId, code: ResultCode) {
+        let outgoing = self.sessions.borrow().get(&session).cloned();
+        if let Some(outgoing) = outgoing {
+            let mut bytes = BytesMut::new();
+            W::encode_refusal(code, &mut bytes);
+            // The connection ends in any case.
+            let _ = outgoing.send(&bytes);
+        }
+    }
+
+    async fn serve_statements(self: &Rc<Self>, session: SessionId, reader: &mut CallerReader) {
+        loop {
+            let event = match reader.next::<W>().await {
+                Some(CallerMessage::Statement(statement)) => {
+                    Event::Statement { session, statement }
+                }
+                Some(CallerMessage::BadStatement) => Event::BadStatement { session },
+                Some(CallerMessage::Connect { .. } | CallerMessage::Terminate) | None => return,
+            };
+            self.handle(event);
+        }
+    }
+}
+
+struct CallerReader {
+    reading: OwnedReadHalf,
+    buffer: BytesMut,
+}
+
+impl CallerReader {
+    /// The next message; none when the connection has ended or breaks the protocol.
+    async fn next<W: Wire>(&mut self) -> Option<CallerMessage> {
+        loop {
+            match W::decode_caller(&mut self.buffer) {
+                Ok(Some(message)) => return Some(message),
+                Ok(None) => {}
+                Err(error) => {
+                    tracing::warn!(event = LogEvent::ProtocolViolated.number(), %error);
+                    return None;
+                }
+            }
+            if self.buffer.is_empty() {
+                // An idle session keeps no buffer.
+                self.buffer = BytesMut::new();
+                self.reading.readable().await.ok()?;
+            }
+            self.buffer.reserve(READ_SIZE);
+            let read = self.reading.read_buf(&mut self.buffer).await.ok()?;
+            if read == 0 {
+                return None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-runtime/src/coordination.rs
@@ -0,0 +1,43 @@
+//! What the failover duty needs of the world outside the node.
+
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::pin::Pin;
+
+use stairward_failover::{DutyRecord, FencingToken, PromotionOutcome, RecordVersion};
+use stairward_types::{BackendId, ServiceName};
+
+/// A future on the node's own thread.
+pub type CoordinationFuture<T> = Pin<Box<dyn Future<Output = T>>>;
+
+/// How a conditional write of the duty's record ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RecordWrite {
+    /// It was written and has this version now.
+    Written(RecordVersion),
+    /// Its version was another one; this is the record as it is.
+    Conflict(RecordVersion, Option<DutyRecord>),
+    /// It was not written, or that is not known.
+    Failed,
+}
+
+/// The metadata store and the call that promotes, for the failover duty.
+pub trait Coordination {
+    /// Writes the duty's record if its version is still `expected`; 0 creates it.
+    fn write_record(
+        &self,
+        expected: RecordVersion,
+        record: DutyRecord,
+    ) -> CoordinationFuture<RecordWrite>;
+
+    /// Tells the other nodes which back ends this node finds silent.
+    fn report(&self, silent: BTreeSet<BackendId>);
+
+    /// Promotes a back end.
+    fn promote(
+        &self,
+        service: ServiceName,
+        backend: BackendId,
+        token: FencingToken,
+    ) -> CoordinationFuture<PromotionOutcome>;
+}
--- /dev/null
+++ b/crates/stairward-runtime/src/duty.rs
@@ -0,0 +1,164 @@
+//! Driving the failover duty: its events come from the engine's use of back ends, from discovery and from
+//! the store; its effects are questions, writes and promotions.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use stairward_engine::OpenTarget;
+use stairward_failover::{
+    DutyRecord, Effect, Event, GroupState, LeaderEvidence, MemberState, RecordVersion,
+};
+use stairward_types::{BackendId, ServiceName};
+
+use crate::coordination::RecordWrite;
+use crate::members::ask_member;
+use crate::node::Node;
+use crate::wire::{MemberQuestion, Wire};
+
+/// How often the duty is looked at while nothing is due.
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
+
+impl<W: Wire> Node<W> {
+    /// The duty's record, as the store shows it.
+    pub fn learn_record(self: &Rc<Self>, version: RecordVersion, record: Option<DutyRecord>) {
+        self.tell_duty(Event::Record(version, record));
+    }
+
+    /// Which back ends each other node finds silent.
+    pub fn learn_suspicions(self: &Rc<Self>, others: BTreeMap<String, BTreeSet<BackendId>>) {
+        self.tell_duty(Event::Suspicions(others));
+    }
+
+    /// Gives the duty an event and carries out what it decides.
+    pub(crate) fn tell_duty(self: &Rc<Self>, event: Event) {
+        let now = self.now();
+        let effects = self.duty.borrow_mut().handle(now, event);
+        for effect in effects {
+            self.carry_out_duty(effect);
+        }
+    }
+
+    /// Wakes the duty when something is due. Runs for ever.
+    pub async fn run_duty(self: Rc<Self>) {
+        loop {
+            let now = self.now();
+            let wake_at = self.duty.borrow().next_wake(now);
+            let pause = wake_at.map_or(IDLE_PAUSE, |at| at.since(now));
+            Self::pause(pause.min(IDLE_PAUSE)).await;
+            self.tell_duty(Event::Tick);
+        }
+    }
+
+    fn carry_out_duty(self: &Rc<Self>, effect: Effect) {
+        let node = Rc::clone(self);
+        match effect {
+            Effect::WriteRecord(version, record) => {
+                let writing = self.coordination.write_record(version, record);
+                tokio::task::spawn_local(async move {
+                    match writing.await {
+                        RecordWrite::Written(version) => {
+                            node.tell_duty(Event::RecordWritten(version));
+                        }
+                        RecordWrite::Conflict(version, record) => {
+                            node.tell_duty(Event::Record(version, record));
+                            node.tell_duty(Event::RecordFailed);
+                        }
+                        RecordWrite::Failed => node.tell_duty(Event::RecordFailed),
+                    }
+                });
+            }
+            Effect::Report(silent) => self.coordination.report(silent),
+            Effect::Ask(backend) => self.question(backend, MemberQuestion::Status),
+            Effect::Hold(backend, term) => self.question(backend, MemberQuestion::Hold(term)),
+            Effect::Resume(backend) => self.question(backend, MemberQuestion::Resume),
+            Effect::Promote(service, backend, token) => {
+                let promoting = self.coordination.promote(service.clone(), backend, token);
+                tokio::task::spawn_local(async move {
+                    let outcome = promoting.await;
+                    node.tell_duty(Event::Promotion(service, token, outcome));
+                });
+            }
+            Effect::Log(service, action) => self.log.duty(self.now(), &service, &action),
+        }
+    }
+
+    fn question(self: &Rc<Self>, backend: BackendId, question: MemberQuestion) {
+        let target = self
+            .backends
+            .borrow()
+            .get(&backend)
+            .map(|description| OpenTarget {
+                backend: backend.clone(),
+                service: description.service.clone(),
+                address: description.address,
+            });
+        let node = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let status = match target {
+                Some(target) => ask_member::<W>(target, question).await,
+                None => None,
+            };
+            if status.is_some() {
+                let answered = Event::Evidence(backend.clone(), LeaderEvidence::Answered);
+                node.tell_duty(answered);
+            }
+            node.tell_duty(Event::Status(backend, status));
+        });
+    }
+
+    /// Tells the duty of services, members and their state.
+    pub(crate) fn tell_duty_of_groups(self: &Rc<Self>) {
+        let Some(table) = self.routing_table() else {
+            return;
+        };
+        let mut groups: BTreeMap<ServiceName, GroupState> = BTreeMap::new();
+        for (service, limits) in &table.services {
+            let group = groups.entry(service.clone()).or_default();
+            group.synchronous_replicas = limits.synchronous_replicas;
+        }
+        for description in self.backends.borrow().values() {
+            let Some(group) = groups.get_mut(&description.service) else {
+                continue;
+            };
+            let member = MemberState {
+                role: description.role,
+                is_leaving: description.is_leaving,
+                is_listed: true,
+                revision: description.revision.0,
+            };
+            group.members.insert(description.id.clone(), member);
+        }
+        self.keep_missing_leaders(&mut groups);
+        self.tell_duty(Event::Groups(groups));
+    }
+
+    /// A primary that discovery no longer lists stays known as missing until another member leads.
+    fn keep_missing_leaders(&self, groups: &mut BTreeMap<ServiceName, GroupState>) {
+        let mut leaders = self.last_leaders.borrow_mut();
+        for (service, group) in groups.iter_mut() {
+            let listed = group
+                .members
+                .iter()
+                .filter(|(_, member)| member.role == stairward_types::BackendRole::Primary)
+                .max_by_key(|(_, member)| member.revision)
+                .map(|(id, member)| (id.clone(), member.clone()));
+            match listed {
+                Some(leader) => {
+                    leaders.insert(service.clone(), leader);
+                }
+                None => {
+                    if let Some((id, member)) = leaders.get(service)
+                        && !group.members.contains_key(id)
+                    {
+                        let missing = MemberState {
+                            is_listed: false,
+                            ..member.clone()
+                        };
+                        group.members.insert(id.clone(), missing);
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-runtime/src/lib.rs
@@ -0,0 +1,23 @@
+//! Drives the statement engine and the failover duty of one node over real sockets.
+//!
+//! The statement protocol is a [`Wire`], the metadata store and the promotion call are a
+//! [`Coordination`]; both are given by whoever embeds the node. Everything runs on one thread, in a
+//! `tokio::task::LocalSet`.
+
+#![forbid(unsafe_code)]
+
+mod backends;
+mod callers;
+mod coordination;
+mod duty;
+mod health;
+mod log;
+mod members;
+mod node;
+mod socket;
+mod wire;
+
+pub use coordination::{Coordination, CoordinationFuture, RecordWrite};
+pub use health::{HealthService, Readiness};
+pub use node::{Node, NodeOptions};
+pub use wire::{CallerMessage, MemberQuestion, Wire, WireError};
--- /dev/null
+++ b/crates/stairward-runtime/src/log.rs
@@ -0,0 +1,109 @@
+//! Log lines for what the engine and the duty decide, bounded a second by kind.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use stairward_engine::{Decision, RequestRecord};
+use stairward_failover::Action;
+use stairward_types::{LogEvent, OutcomeClass, ServiceName, Time};
+
+/// Lines of one kind a second; the rest are counted and the count is told with the next line.
+const LINES_A_SECOND: u32 = 20;
+
+#[derive(Debug, Default)]
+struct Window {
+    second: u64,
+    lines: u32,
+    left_out: u64,
+}
+
+/// Writes log lines.
+#[derive(Debug, Default)]
+pub(crate) struct DecisionLog {
+    windows: RefCell<BTreeMap<LogEvent, Window>>,
+}
+
+impl DecisionLog {
+    /// Whether another line of this kind may be written, and how many were left out before it.
+    fn admit(&self, now: Time, event: LogEvent) -> Option<u64> {
+        let mut windows = self.windows.borrow_mut();
+        let window = windows.entry(event).or_default();
+        let second = now.0 / 1_000_000;
+        if window.second != second {
+            window.second = second;
+            window.lines = 0;
+        }
+        if window.lines >= LINES_A_SECOND {
+            window.left_out += 1;
+            return None;
+        }
+        window.lines += 1;
+        Some(std::mem::take(&mut window.left_out))
+    }
+
+    /// A decision that touched a request.
+    pub fn request(&self, now: Time, record: &RequestRecord) {
+        let event = match record.decision {
+            Decision::Retried => LogEvent::RequestRetried,
+            Decision::Hedged => LogEvent::RequestHedged,
+            Decision::Refused(code) if code.class() == OutcomeClass::NotRun => {
+                LogEvent::RequestRefused
+            }
+            Decision::Refused(_) | Decision::OutcomeUnknown(_) => LogEvent::OutcomeUnknown,
+        };
+        let Some(left_out) = self.admit(now, event) else {
+            return;
+        };
+        let code = match record.decision {
+            Decision::Refused(code) | Decision::OutcomeUnknown(code) => code.number(),
+            Decision::Retried | Decision::Hedged => 0,
+        };
+        let proof_age = record.proof_age.map(|age| age.as_millis());
+        tracing::info!(
+            event = event.number(),
+            name = event.name(),
+            request = record.id,
+            service = record.service.as_ref().map(ServiceName::as_str),
+            backend = record
+                .backend
+                .as_ref()
+                .map(stairward_types::BackendId::as_str),
+            code,
+            attempts = record.attempts,
+            age_ms = record.age.as_millis(),
+            proof_age_ms = proof_age,
+            left_out,
+        );
+    }
+
+    /// A step of the failover duty.
+    pub fn duty(&self, now: Time, service: &ServiceName, action: &Action) {
+        let event = match action {
+            Action::Began { .. } => LogEvent::FailoverBegan,
+            Action::GaveUp { .. } => LogEvent::FailoverGivenUp,
+            Action::Chose { .. } => LogEvent::PromotionDecided,
+            Action::Answered { .. } => LogEvent::PromotionAnswered,
+        };
+        if let Some(left_out) = self.admit(now, event) {
+            tracing::info!(
+                event = event.number(),
+                name = event.name(),
+                service = service.as_str(),
+                left_out,
+                "{action:?}"
+            );
+        }
+    }
+
+    /// A change of what is believed of a back end.
+    pub fn backend(&self, now: Time, event: LogEvent, backend: &str) {
+        if let Some(left_out) = self.admit(now, event) {
+            tracing::info!(
+                event = event.number(),
+                name = event.name(),
+                backend,
+                left_out
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-runtime/src/node.rs
@@ -0,0 +1,313 @@
+//! The node: engine and duty, and the carrying out of what they decide.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use stairward_engine::{
+    BackendDescription, ConnectionId, Effect, Engine, EngineOptions, EngineStatistics, Event,
+    Evidence, RoutingTable, SessionId,
+};
+use stairward_failover::{FailoverDuty, FailoverOptions, LeaderEvidence, MemberState};
+use stairward_types::{BackendId, LogEvent, ServiceName, Time};
+use tokio::sync::Notify;
+
+use crate::coordination::Coordination;
+use crate::health::Readiness;
+use crate::log::DecisionLog;
+use crate::socket::Outgoing;
+use crate::wire::Wire;
+
+/// How a node is set up.
+pub struct NodeOptions {
+    /// For the engine.
+    pub engine: EngineOptions,
+    /// For the failover duty.
+    pub failover: FailoverOptions,
+    /// The store and the promotion call.
+    pub coordination: Rc<dyn Coordination>,
+    /// Told whether the node is ready.
+    pub readiness: Arc<Readiness>,
+}
+
+/// One node. Use it within a `LocalSet`.
+pub struct Node<W: Wire> {
+    engine: RefCell<Engine>,
+    pub(crate) duty: RefCell<FailoverDuty>,
+    pub(crate) coordination: Rc<dyn Coordination>,
+    readiness: Arc<Readiness>,
+    started: Instant,
+    pub(crate) sessions: RefCell<BTreeMap<SessionId, Rc<Outgoing>>>,
+    pub(crate) connections: RefCell<BTreeMap<ConnectionId, Rc<Outgoing>>>,
+    pub(crate) backends: RefCell<BTreeMap<BackendId, BackendDescription>>,
+    /// The member of each service that last called itself primary.
+    pub(crate) last_leaders: RefCell<BTreeMap<ServiceName, (BackendId, MemberState)>>,
+    pub(crate) log: DecisionLog,
+    last_session: Cell<u64>,
+    rescheduled: Notify,
+    wake_at: Cell<Option<Time>>,
+    stopped: Notify,
+    is_stopped: Cell<bool>,
+    wire: std::marker::PhantomData<W>,
+}
+
+/// Bytes on their way out, by where they go, so that each connection is written to once a turn.
+#[derive(Default)]
+struct Turn {
+    to_sessions: BTreeMap<SessionId, BytesMut>,
+    to_connections: BTreeMap<ConnectionId, BytesMut>,
+}
+
+impl<W: Wire> Node<W> {
+    /// A node that knows nothing yet.
+    #[must_use]
+    pub fn new(options: NodeOptions) -> Rc<Self> {
+        Rc::new(Self {
+            engine: RefCell::new(Engine::new(options.engine)),
+            duty: RefCell::new(FailoverDuty::new(options.failover)),
+            coordination: options.coordination,
+            readiness: options.readiness,
+            started: Instant::now(),
+            sessions: RefCell::default(),
+            connections: RefCell::default(),
+            backends: RefCell::default(),
+            last_leaders: RefCell::default(),
+            log: DecisionLog::default(),
+            last_session: Cell::new(0),
+            rescheduled: Notify::new(),
+            wake_at: Cell::new(None),
+            stopped: Notify::new(),
+            is_stopped: Cell::new(false),
+            wire: std::marker::PhantomData,
+        })
+    }
+
+    /// The present moment on the node's own steady clock.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        Time::ZERO + self.started.elapsed()
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub fn configure(self: &Rc<Self>, table: RoutingTable) {
+        let revision = table.revision;
+        self.handle(Event::Configured(Arc::new(table)));
+        tracing::info!(
+            event = LogEvent::ConfigurationApplied.number(),
+            revision = revision.0,
+            "a configuration is known"
+        );
+        self.tell_duty_of_groups();
+    }
+
+    /// Takes discovery's whole present list in.
+    pub fn set_backends(self: &Rc<Self>, list: Vec<BackendDescription>) {
+        let known = list
+            .iter()
+            .map(|description| (description.id.clone(), description.clone()));
+        *self.backends.borrow_mut() = known.collect();
+        self.handle(Event::Backends(list));
+        self.tell_duty_of_groups();
+    }
+
+    /// How many nodes share the back ends.
+    pub fn set_nodes(self: &Rc<Self>, nodes: u32) {
+        self.handle(Event::Nodes(nodes));
+        self.tell_duty(stairward_failover::Event::Nodes(nodes));
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(self: &Rc<Self>) {
+        tracing::info!(
+            event = LogEvent::DrainStarted.number(),
+            "a planned stop begins"
+        );
+        self.handle(Event::StopRequested);
+    }
+
+    /// Waits until a planned stop is complete.
+    pub async fn stopped(&self) {
+        while !self.is_stopped.get() {
+            self.stopped.notified().await;
+        }
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn routing_table(&self) -> Option<Arc<RoutingTable>> {
+        self.engine.borrow().routing_table().cloned()
+    }
+
+    /// Figures for metrics.
+    #[must_use]
+    pub fn statistics(&self) -> EngineStatistics {
+        self.engine.borrow().statistics()
+    }
+
+    pub(crate) fn next_session(&self) -> SessionId {
+        self.last_session.set(self.last_session.get() + 1);
+        SessionId(self.last_session.get())
+    }
+
+    /// Gives the engine an event and carries out what it decides.
+    pub(crate) fn handle(self: &Rc<Self>, event: Event) {
+        let now = self.now();
+        let (effects, wake_at, is_ready) = {
+            let mut engine = self.engine.borrow_mut();
+            let effects = engine.handle(now, event);
+            (effects, engine.next_wake(), engine.is_ready())
+        };
+        self.readiness
+            .set(is_ready && !self.backends.borrow().is_empty());
+        self.carry_out(now, effects);
+        self.reschedule(wake_at);
+    }
+
+    fn reschedule(&self, wake_at: Option<Time>) {
+        let is_earlier = match (wake_at, self.wake_at.get()) {
+            (Some(wanted), Some(known)) => wanted < known,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        if is_earlier {
+            self.wake_at.set(wake_at);
+            self.rescheduled.notify_one();
+        }
+    }
+
+    /// Wakes the engine when something is due. Runs for ever.
+    pub async fn run_timers(self: Rc<Self>) {
+        loop {
+            let wake_at = self.engine.borrow().next_wake();
+            self.wake_at.set(wake_at);
+            match wake_at {
+                None => self.rescheduled.notified().await,
+                Some(at) => {
+                    let pause = at.since(self.now());
+                    tokio::select! {
+                        () = tokio::time::sleep(pause) => self.handle(Event::Tick),
+                        () = self.rescheduled.notified() => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, now: Time, effects: Vec<Effect>) {
+        let mut turn = Turn::default();
+        for effect in effects {
+            self.carry_out_one(now, effect, &mut turn);
+        }
+        self.flush(turn);
+    }
+
+    fn carry_out_one(self: &Rc<Self>, now: Time, effect: Effect, turn: &mut Turn) {
+        match effect {
+            Effect::AcceptSession { session } => {
+                W::encode_accept(turn.to_sessions.entry(session).or_default());
+            }
+            Effect::RefuseSession { session, code } => {
+                W::encode_refusal(code, turn.to_sessions.entry(session).or_default());
+                self.flush(std::mem::take(turn));
+                self.close_session(session);
+            }
+            Effect::Respond { session, response } => {
+                W::encode_response(&response, turn.to_sessions.entry(session).or_default());
+            }
+            Effect::CloseSession { session } => {
+                self.flush(std::mem::take(turn));
+                self.close_session(session);
+            }
+            Effect::Open { connection, target } => self.open(connection, target),
+            Effect::Send {
+                connection,
+                command,
+            } => W::encode_command(&command, turn.to_connections.entry(connection).or_default()),
+            Effect::CloseConnection { connection } => {
+                turn.to_connections.remove(&connection);
+                if let Some(outgoing) = self.connections.borrow_mut().remove(&connection) {
+                    outgoing.close();
+                }
+            }
+            Effect::Observed { backend, evidence } => self.observed(now, backend, evidence),
+            Effect::Record(record) => self.log.request(now, &record),
+            Effect::Stopped => {
+                self.is_stopped.set(true);
+                self.stopped.notify_waiters();
+            }
+        }
+    }
+
+    fn flush(self: &Rc<Self>, turn: Turn) {
+        for (session, bytes) in turn.to_sessions {
+            let outgoing = self.sessions.borrow().get(&session).cloned();
+            if let Some(outgoing) = outgoing
+                && outgoing.send(&bytes).is_err()
+            {
+                self.lose_session(session);
+            }
+        }
+        for (connection, bytes) in turn.to_connections {
+            let outgoing = self.connections.borrow().get(&connection).cloned();
+            if let Some(outgoing) = outgoing
+                && outgoing.send(&bytes).is_err()
+            {
+                self.lose_connection(connection);
+            }
+        }
+    }
+
+    /// A session's socket failed while it was written to: the engine hears of it in a turn of its own.
+    fn lose_session(self: &Rc<Self>, session: SessionId) {
+        let node = Rc::clone(self);
+        tokio::task::spawn_local(async move { node.session_ended(session) });
+    }
+
+    fn lose_connection(self: &Rc<Self>, connection: ConnectionId) {
+        let node = Rc::clone(self);
+        tokio::task::spawn_local(async move { node.connection_ended(connection) });
+    }
+
+    fn close_session(&self, session: SessionId) {
+        if let Some(outgoing) = self.sessions.borrow_mut().remove(&session) {
+            outgoing.close();
+        }
+    }
+
+    pub(crate) fn session_ended(self: &Rc<Self>, session: SessionId) {
+        let removed = self.sessions.borrow_mut().remove(&session);
+        if let Some(outgoing) = removed {
+            outgoing.close();
+            self.handle(Event::SessionClosed { session });
+        }
+    }
+
+    pub(crate) fn connection_ended(self: &Rc<Self>, connection: ConnectionId) {
+        let removed = self.connections.borrow_mut().remove(&connection);
+        if let Some(outgoing) = removed {
+            outgoing.close();
+            self.handle(Event::ConnectionLost { connection });
+        }
+    }
+
+    fn observed(self: &Rc<Self>, now: Time, backend: BackendId, evidence: Evidence) {
+        let (event, evidence) = match evidence {
+            Evidence::Answered => (LogEvent::BackendReachable, Some(LeaderEvidence::Answered)),
+            Evidence::Refused => (LogEvent::BackendUnreachable, Some(LeaderEvidence::Refused)),
+            Evidence::Silent => (LogEvent::BackendUnreachable, Some(LeaderEvidence::Silent)),
+            Evidence::NotLeader => (LogEvent::LeadershipDenied, None),
+        };
+        self.log.backend(now, event, backend.as_str());
+        if let Some(evidence) = evidence {
+            self.tell_duty(stairward_failover::Event::Evidence(backend, evidence));
+        }
+    }
+
+    /// A pause for tasks that wait for something to change.
+    pub(crate) async fn pause(duration: Duration) {
+        tokio::time::sleep(duration).await;
+    }
+}
--- /dev/null
+++ b/crates/stairward-runtime/src/socket.rs
@@ -0,0 +1,120 @@
+//! The writing side of a connection: bytes go out at once where they can, and wait in a bounded buffer
+//! where the peer does not read.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Buf as _, BytesMut};
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::task::AbortHandle;
+
+/// Bytes that may wait for a peer that does not read.
+const PENDING_LIMIT: usize = 4 * 1024 * 1024;
+/// Unacknowledged bytes for this long end a connection.
+const USER_TIMEOUT: Duration = Duration::from_secs(4);
+/// How long a closing connection is given to take its last bytes.
+const FLUSH_PATIENCE: Duration = Duration::from_secs(2);
+
+/// The writing side of a connection.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    stream: OwnedWriteHalf,
+    pending: RefCell<BytesMut>,
+    is_flushing: Cell<bool>,
+    reader: RefCell<Option<AbortHandle>>,
+}
+
+impl Outgoing {
+    /// Splits a stream, with the options that every connection has.
+    pub fn split(stream: TcpStream) -> (OwnedReadHalf, Rc<Self>) {
+        // Without these the connection works, only less promptly.
+        let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+        let (reading, writing) = stream.into_split();
+        let outgoing = Self {
+            stream: writing,
+            pending: RefCell::new(BytesMut::new()),
+            is_flushing: Cell::new(false),
+            reader: RefCell::new(None),
+        };
+        (reading, Rc::new(outgoing))
+    }
+
+    /// The task to end when the connection is closed from this side.
+    pub fn set_reader(&self, reader: AbortHandle) {
+        *self.reader.borrow_mut() = Some(reader);
+    }
+
+    /// Sends bytes, or keeps them until the peer reads.
+    ///
+    /// # Errors
+    /// When the connection has ended, or too much waits.
+    pub fn send(self: &Rc<Self>, bytes: &[u8]) -> io::Result<()> {
+        let mut pending = self.pending.borrow_mut();
+        if !pending.is_empty() {
+            pending.extend_from_slice(bytes);
+            return Self::check(pending.len());
+        }
+        let sent = match self.stream.try_write(bytes) {
+            Ok(sent) => sent,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => 0,
+            Err(error) => return Err(error),
+        };
+        if sent < bytes.len() {
+            pending.extend_from_slice(&bytes[sent..]);
+            Self::check(pending.len())?;
+            drop(pending);
+            self.start_flushing();
+        }
+        Ok(())
+    }
+
+    fn check(pending: usize) -> io::Result<()> {
+        if pending > PENDING_LIMIT {
+            return Err(io::Error::other("the peer does not read"));
+        }
+        Ok(())
+    }
+
+    fn start_flushing(self: &Rc<Self>) {
+        if self.is_flushing.replace(true) {
+            return;
+        }
+        let outgoing = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let _ = outgoing.flush().await;
+            outgoing.is_flushing.set(false);
+        });
+    }
+
+    async fn flush(&self) -> io::Result<()> {
+        while !self.pending.borrow().is_empty() {
+            self.stream.writable().await?;
+            let mut pending = self.pending.borrow_mut();
+            match self.stream.try_write(&pending) {
+                Ok(sent) => pending.advance(sent),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends the connection once what waits has gone out.
+    pub fn close(self: &Rc<Self>) {
+        if let Some(reader) = self.reader.borrow_mut().take() {
+            reader.abort();
+        }
+        if self.pending.borrow().is_empty() {
+            return;
+        }
+        let outgoing = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let _ = tokio::time::timeout(FLUSH_PATIENCE, outgoing.flush()).await;
+        });
+    }
+}
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -63,6 +63,10 @@
     RequestRefused = 202, Debug;
     /// A request ended with its outcome unknown.
     OutcomeUnknown = 203, Warn;
+    /// A request that has not run goes to another back end.
+    RequestRetried = 204, Debug;
+    /// A read without an answer was also sent to another back end.
+    RequestHedged = 205, Debug;
 
     /// A connection to another node was made.
     PeerConnected = 300, Debug;
@@ -87,6 +91,16 @@
     FenceFailed = 406, Warn;
     /// A back end has stopped taking new work because operators marked it as leaving.
     BackendLeaving = 407, Info;
+    /// A back end taken for the primary says that it is not.
+    LeadershipDenied = 408, Info;
+    /// This node has begun to replace a primary.
+    FailoverBegan = 409, Warn;
+    /// This node's attempt to replace a primary came to nothing.
+    FailoverGivenUp = 410, Warn;
+    /// This node has decided which replica to promote, under which fencing token.
+    PromotionDecided = 411, Warn;
+    /// A promotion was answered, or got no answer.
+    PromotionAnswered = 412, Warn;
 
     /// A node was found or came back.
     MemberJoined = 500, Info;
@@ -117,6 +131,8 @@
     EditRefused = 607, Warn;
     /// Certificates and keys were read again.
     CertificatesReloaded = 608, Info;
+    /// The process's settings file was read again.
+    SettingsReloaded = 609, Info;
 }
 
 impl LogEvent {
--- a/crates/stairward-types/src/result_code.rs
+++ b/crates/stairward-types/src/result_code.rs
@@ -119,6 +119,8 @@
     TransactionLost = 2024, NotRun, "40001", "not run: the transaction was lost with its primary and rolled back";
     /// Too many client connections at this proxy.
     TooManyClients = 2025, NotRun, "53300", "not run: too many client connections";
+    /// The session has prepared no statement of this name.
+    UnknownPreparedStatement = 2026, NotRun, "26000", "not run: no such prepared statement";
 
     /// The connection to the back end was lost after the request was sent.
     BackendLostAfterSend = 3001, OutcomeUnknown, "08007", "outcome unknown: the back end was lost while the request ran";
