--- /dev/null
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -0,0 +1,337 @@
+//! A scripted world around one engine: tests say what happens and look at what the engine wants done.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairward_engine::{
+    BackendCommand, BackendDescription, BackendError, BackendErrorCode, BackendReply, ConnectionId,
+    Consistency, Effect, Engine, EngineOptions, Event, OpenFailure, Response, ResponseResult,
+    Route, RoutingTable, ServiceLimits, SessionId, Statement, StatementKind, TransactionStatus,
+    ZoneDistance,
+};
+use stairward_types::{
+    BackendId, BackendRole, Freshness, GroupId, LogPosition, ResultCode, Revision, ServiceName,
+    Term, Time, ZoneName,
+};
+
+pub const SERVICE: &str = "core";
+pub const PRIMARY: &str = "db-1";
+pub const NEAR_REPLICA: &str = "db-2";
+pub const FAR_REPLICA: &str = "db-3";
+/// Databases that routes lead to, by the consistency of their reads.
+pub const LEADER_READS: &str = "leader-reads";
+pub const BOUNDED: &str = "bounded";
+pub const OWN_READS: &str = "own-reads";
+pub const STALENESS: Duration = Duration::from_millis(1_000);
+pub const TIMEOUT: Duration = Duration::from_millis(800);
+pub const TARGET: Duration = Duration::from_millis(600);
+pub const TRANSACTION_IDLE: Duration = Duration::from_millis(3_000);
+pub const CONNECTION_LIMIT: u32 = 9;
+
+pub fn at(term: u64, number: u64) -> Freshness {
+    Freshness::new(Term(term), LogPosition(number))
+}
+
+pub fn backend(name: &str) -> BackendId {
+    BackendId::new(name).unwrap()
+}
+
+pub fn service() -> ServiceName {
+    ServiceName::new(SERVICE).unwrap()
+}
+
+pub fn describe(name: &str, role: BackendRole, revision: u64) -> BackendDescription {
+    let zone = if name == FAR_REPLICA {
+        "zone-b"
+    } else {
+        "zone-a"
+    };
+    let port = 5_000 + u16::from(name.as_bytes()[3]);
+    BackendDescription {
+        id: backend(name),
+        service: service(),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: ZoneName::new(zone).unwrap(),
+        slots: 3,
+        is_leaving: false,
+        role,
+        revision: Revision(revision),
+        term: None,
+    }
+}
+
+pub fn usual_backends() -> Vec<BackendDescription> {
+    vec![
+        describe(PRIMARY, BackendRole::Primary, 1),
+        describe(NEAR_REPLICA, BackendRole::Replica, 2),
+        describe(FAR_REPLICA, BackendRole::Replica, 3),
+    ]
+}
+
+pub fn table(revision: u64) -> RoutingTable {
+    let route = |consistency| {
+        Arc::new(Route {
+            service: service(),
+            consistency,
+            statement_timeout: TIMEOUT,
+            target_latency: TARGET,
+            priority: 1,
+            attempts: 2,
+        })
+    };
+    let routes = [
+        (LEADER_READS, Consistency::Primary),
+        (
+            BOUNDED,
+            Consistency::Bounded {
+                staleness: STALENESS,
+            },
+        ),
+        (
+            OWN_READS,
+            Consistency::OwnReads {
+                staleness: STALENESS,
+            },
+        ),
+    ];
+    RoutingTable {
+        revision: Revision(revision),
+        routes: routes
+            .into_iter()
+            .map(|(name, consistency)| (GroupId::new(name).unwrap(), route(consistency)))
+            .collect(),
+        services: BTreeMap::from([(
+            service(),
+            ServiceLimits {
+                connections: CONNECTION_LIMIT,
+                synchronous_replicas: 0,
+            },
+        )]),
+        transaction_idle_timeout: TRANSACTION_IDLE,
+    }
+}
+
+/// A command that was sent and not answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sent {
+    pub connection: ConnectionId,
+    pub backend: BackendId,
+    pub command: BackendCommand,
+}
+
+/// The engine and what it wanted done.
+pub struct World {
+    pub engine: Engine,
+    pub now: Time,
+    pub sent: Vec<Sent>,
+    pub responses: Vec<(SessionId, Response)>,
+    pub refused_sessions: Vec<(SessionId, ResultCode)>,
+    pub closed_sessions: Vec<SessionId>,
+    pub closed_connections: Vec<ConnectionId>,
+    pub opened: Vec<(ConnectionId, BackendId)>,
+    pub is_stopped: bool,
+    connections: BTreeMap<ConnectionId, BackendId>,
+    /// Whether connections open by themselves.
+    pub opens: bool,
+    next_session: u64,
+    next_statement: u64,
+}
+
+impl World {
+    /// An engine that knows nothing.
+    pub fn empty() -> Self {
+        let near = ZoneName::new("zone-a").unwrap();
+        let far = ZoneName::new("zone-b").unwrap();
+        let options = EngineOptions {
+            distances: BTreeMap::from([(near, ZoneDistance::Same), (far, ZoneDistance::Remote)]),
+            ..EngineOptions::default()
+        };
+        Self {
+            engine: Engine::new(options),
+            now: Time::from_millis(1_000),
+            sent: Vec::new(),
+            responses: Vec::new(),
+            refused_sessions: Vec::new(),
+            closed_sessions: Vec::new(),
+            closed_connections: Vec::new(),
+            opened: Vec::new(),
+            is_stopped: false,
+            connections: BTreeMap::new(),
+            opens: true,
+            next_session: 0,
+            next_statement: 0,
+        }
+    }
+
+    /// An engine with a configuration, three back ends and a connection to each.
+    pub fn new() -> Self {
+        let mut world = Self::empty();
+        world.tell(Event::Configured(Arc::new(table(1))));
+        world.tell(Event::Backends(usual_backends()));
+        world
+    }
+
+    pub fn tell(&mut self, event: Event) {
+        let effects = self.engine.handle(self.now, event);
+        let mut opening = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::RefuseSession { session, code } => {
+                    self.refused_sessions.push((session, code));
+                }
+                Effect::Respond { session, response } => self.responses.push((session, response)),
+                Effect::CloseSession { session } => self.closed_sessions.push(session),
+                Effect::Open { connection, target } => {
+                    self.connections.insert(connection, target.backend.clone());
+                    self.opened.push((connection, target.backend));
+                    opening.push(connection);
+                }
+                Effect::Send {
+                    connection,
+                    command,
+                } => {
+                    let backend = self.connections[&connection].clone();
+                    self.sent.push(Sent {
+                        connection,
+                        backend,
+                        command,
+                    });
+                }
+                Effect::CloseConnection { connection } => {
+                    self.closed_connections.push(connection);
+                    self.sent.retain(|sent| sent.connection != connection);
+                }
+                Effect::Stopped => self.is_stopped = true,
+                Effect::AcceptSession { .. } | Effect::Observed { .. } | Effect::Record(_) => {}
+            }
+        }
+        if self.opens {
+            for connection in opening {
+                self.tell(Event::ConnectionOpened {
+                    connection,
+                    position: None,
+                });
+            }
+        }
+    }
+
+    /// Lets time pass, waking the engine when it wants to be woken.
+    pub fn pass(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while let Some(wake) = self.engine.next_wake().filter(|wake| *wake <= end) {
+            self.now = self.now.max(wake);
+            self.tell(Event::Tick);
+        }
+        self.now = end;
+        self.tell(Event::Tick);
+    }
+
+    pub fn open(&mut self, database: &str) -> SessionId {
+        self.next_session += 1;
+        let session = SessionId(self.next_session);
+        self.tell(Event::SessionOpened {
+            session,
+            database: GroupId::new(database).unwrap(),
+        });
+        session
+    }
+
+    /// Sends a statement of a session; its text is its kind's name.
+    pub fn say(&mut self, session: SessionId, kind: StatementKind) -> String {
+        self.next_statement += 1;
+        let id = format!("s{}", self.next_statement);
+        let statement = Statement {
+            id: id.clone(),
+            text: format!("{kind:?}"),
+            kind,
+        };
+        self.tell(Event::Statement { session, statement });
+        id
+    }
+
+    /// Answers the oldest command without an answer.
+    pub fn answer(&mut self, reply: BackendReply) -> Sent {
+        let sent = self.sent.remove(0);
+        let connection = sent.connection;
+        self.tell(Event::Reply { connection, reply });
+        sent
+    }
+
+    /// Loses the connection of the oldest command without an answer.
+    pub fn lose(&mut self) -> Sent {
+        let sent = self.sent.remove(0);
+        self.lose_connection(sent.connection);
+        sent
+    }
+
+    pub fn lose_connection(&mut self, connection: ConnectionId) {
+        self.sent.retain(|other| other.connection != connection);
+        self.tell(Event::ConnectionLost { connection });
+    }
+
+    pub fn refuse_openings(&mut self) {
+        let opened = std::mem::take(&mut self.opened);
+        for (connection, _) in opened {
+            self.tell(Event::OpenFailed {
+                connection,
+                failure: OpenFailure::Refused,
+            });
+        }
+    }
+
+    /// The only response so far, taken.
+    #[track_caller]
+    pub fn response(&mut self) -> Response {
+        assert_eq!(self.responses.len(), 1, "{:?}", self.responses);
+        self.responses.remove(0).1
+    }
+
+    /// The code of the only response so far, which is a refusal.
+    #[track_caller]
+    pub fn refusal(&mut self) -> ResultCode {
+        match self.response().result {
+            ResponseResult::Refused { code, .. } => code,
+            other => panic!("not refused: {other:?}"),
+        }
+    }
+
+    /// Proves the leader's position by a write of another session.
+    pub fn prove(&mut self, position: Freshness) {
+        let session = self.open(LEADER_READS);
+        self.say(session, StatementKind::Write);
+        self.answer(done(TransactionStatus::Idle, position));
+        self.response();
+        self.tell(Event::SessionClosed { session });
+    }
+
+    /// Begins a transaction and answers its start.
+    pub fn begin(&mut self, session: SessionId, read_only: bool, position: Freshness) {
+        self.say(session, StatementKind::Begin { read_only });
+        self.answer(done(TransactionStatus::Open, position));
+        assert_eq!(self.response().status, TransactionStatus::Open);
+    }
+}
+
+pub fn done(status: TransactionStatus, position: Freshness) -> BackendReply {
+    BackendReply {
+        rows: Vec::new(),
+        result: Ok("signed".to_owned()),
+        status,
+        position: Some(position),
+    }
+}
+
+pub fn failed(code: BackendErrorCode, status: TransactionStatus) -> BackendReply {
+    BackendReply {
+        rows: Vec::new(),
+        result: Err(BackendError {
+            code,
+            text: "because".to_owned(),
+        }),
+        status,
+        position: None,
+    }
+}
--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -118,6 +118,25 @@
         !waits_for_replica
     }
 
+    /// Whether the replica that would be chosen holds every commit that was acknowledged: so many replicas
+    /// answered that one of them has each, and none of them has more than the chosen one.
+    pub fn covers_acknowledged(&self, group: &GroupState) -> bool {
+        let is_replica = |id: &&BackendId| Some(*id) != self.old.as_ref();
+        let replicas = group.members.keys().filter(is_replica).count();
+        let answered = self.answers.keys().filter(is_replica).count();
+        let needed = replicas + 1;
+        let synchronous = usize::try_from(group.synchronous_replicas).unwrap_or(usize::MAX);
+        let most = self
+            .answers
+            .iter()
+            .filter(|(id, _)| is_replica(id))
+            .map(|(_, status)| (status.received.term, status.received.position))
+            .max();
+        let chosen = self.choose(group).and_then(|chosen| chosen.received);
+        let chosen = chosen.map(|received| (received.term, received.position));
+        answered.saturating_add(synchronous) >= needed && chosen == most
+    }
+
     /// The replica that has received most of those that answered and stay.
     pub fn choose(&self, group: &GroupState) -> Option<Chosen> {
         let stays = |id: &BackendId| {
--- a/crates/stairward-failover/src/duty.rs
+++ b/crates/stairward-failover/src/duty.rs
@@ -311,18 +311,33 @@
         else {
             return;
         };
-        let must_hold = group.synchronous_replicas > 0 && !attempt.is_planned;
         for (id, member) in &group.members {
             if !member.is_listed && Some(id) != attempt.old.as_ref() {
                 continue;
             }
             attempt.asked.insert(id.clone());
-            if must_hold && Some(id) != attempt.old.as_ref() {
-                attempt.held.insert(id.clone());
-                self.effects.push(Effect::Hold(id.clone(), HOLD_TERM));
-            } else {
-                self.effects.push(Effect::Ask(id.clone()));
+            self.effects.push(Effect::Ask(id.clone()));
+        }
+    }
+
+    /// Keeps the replicas from receiving, so that nothing more is acknowledged, and asks them again.
+    fn hold_replicas(&mut self, now: Time, service: &ServiceName) {
+        let (Some(group), Some(attempt)) =
+            (self.groups.get(service), self.attempts.get_mut(service))
+        else {
+            return;
+        };
+        let term = Term(attempt.newest_term().0 + 1);
+        attempt.enter(Stage::Asking, now);
+        attempt.asked.clear();
+        for id in group.members.keys() {
+            if Some(id) == attempt.old.as_ref() {
+                continue;
             }
+            attempt.answers.remove(id);
+            attempt.asked.insert(id.clone());
+            attempt.held.insert(id.clone());
+            self.effects.push(Effect::Hold(id.clone(), term));
         }
     }
 
@@ -370,6 +385,14 @@
             }
             return self.give_up(now, service, "the primary answers that it leads");
         }
+        if group.synchronous_replicas > 0 {
+            if attempt.held.is_empty() {
+                return self.hold_replicas(now, service);
+            }
+            if !attempt.covers_acknowledged(group) {
+                return self.give_up(now, service, "an acknowledged commit might be missed");
+            }
+        }
         let Some(chosen) = attempt.choose(group) else {
             return self.give_up(now, service, "no replica answered");
         };
@@ -506,5 +529,3 @@
 
 /// How often the duty looks again while something is under way.
 const POLL: std::time::Duration = std::time::Duration::from_millis(50);
-/// A term above any that is reached, so that a hold is never refused as outdated.
-const HOLD_TERM: Term = Term(u32::MAX as u64);
--- /dev/null
+++ b/crates/stairward-failover/tests/duty.rs
@@ -0,0 +1,360 @@
+//! The duty's decisions: one holder, rising tokens, evidence before a promotion, the replica that received
+//! most, and what happens when a step gets no answer.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use stairward_failover::{
+    Action, DutyRecord, Effect, Event, FailoverDuty, FailoverOptions, FencingToken, GroupState,
+    LeaderEvidence, MemberState, MemberStatus, PromotionOutcome, RecordVersion,
+};
+use stairward_types::{BackendId, BackendRole, Freshness, LogPosition, ServiceName, Term, Time};
+
+const OLD: &str = "db-1";
+const BEHIND: &str = "db-2";
+const AHEAD: &str = "db-3";
+
+fn backend(name: &str) -> BackendId {
+    BackendId::new(name).unwrap()
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("core").unwrap()
+}
+
+fn member(role: BackendRole) -> MemberState {
+    MemberState {
+        role,
+        is_leaving: false,
+        is_listed: true,
+        revision: 1,
+    }
+}
+
+fn usual_group() -> GroupState {
+    GroupState {
+        members: BTreeMap::from([
+            (backend(OLD), member(BackendRole::Primary)),
+            (backend(BEHIND), member(BackendRole::Replica)),
+            (backend(AHEAD), member(BackendRole::Replica)),
+        ]),
+        synchronous_replicas: 0,
+    }
+}
+
+fn status(role: BackendRole, term: u64, number: u64) -> Option<MemberStatus> {
+    Some(MemberStatus {
+        role,
+        received: Freshness::new(Term(term), LogPosition(number)),
+    })
+}
+
+/// One node's duty, with what it last wanted done.
+struct Node {
+    duty: FailoverDuty,
+    now: Time,
+    effects: Vec<Effect>,
+}
+
+impl Node {
+    fn new(name: &str) -> Self {
+        let mut node = Self {
+            duty: FailoverDuty::new(FailoverOptions::new(name)),
+            now: Time::from_millis(60_000),
+            effects: Vec::new(),
+        };
+        node.tell(Event::Nodes(3));
+        node.tell(Event::Record(RecordVersion(0), None));
+        node.set_group(usual_group());
+        node
+    }
+
+    fn tell(&mut self, event: Event) {
+        let effects = self.duty.handle(self.now, event);
+        self.effects.extend(effects);
+    }
+
+    fn set_group(&mut self, group: GroupState) {
+        self.tell(Event::Groups(BTreeMap::from([(service(), group)])));
+    }
+
+    fn pass(&mut self, milliseconds: u64) {
+        for _ in 0..milliseconds / 10 {
+            self.now = self.now + Duration::from_millis(10);
+            self.tell(Event::Tick);
+        }
+    }
+
+    fn see(&mut self, evidence: LeaderEvidence) {
+        self.tell(Event::Evidence(backend(OLD), evidence));
+    }
+
+    /// The version that a record is to be written over, if one is.
+    fn claim(&self) -> Option<RecordVersion> {
+        self.effects.iter().rev().find_map(|effect| match effect {
+            Effect::WriteRecord(version, _) => Some(*version),
+            _ => None,
+        })
+    }
+
+    fn promotions(&self) -> Vec<(BackendId, FencingToken)> {
+        let promotion = |effect: &Effect| match effect {
+            Effect::Promote(_, target, token) => Some((target.clone(), *token)),
+            _ => None,
+        };
+        self.effects.iter().filter_map(promotion).collect()
+    }
+
+    fn answer_both(&mut self) {
+        self.tell(Event::Status(
+            backend(BEHIND),
+            status(BackendRole::Replica, 1, 40),
+        ));
+        self.tell(Event::Status(
+            backend(AHEAD),
+            status(BackendRole::Replica, 1, 50),
+        ));
+    }
+
+    /// Sees the primary refuse, claims the duty and asks the members.
+    fn claim_after_refusal(&mut self, version: u64) {
+        self.see(LeaderEvidence::Refused);
+        assert!(self.claim().is_some(), "{:?}", self.effects);
+        self.tell(Event::RecordWritten(RecordVersion(version)));
+    }
+}
+
+#[test]
+fn a_refusing_primary_is_replaced_by_the_replica_that_received_most() {
+    let mut node = Node::new("a");
+    node.claim_after_refusal(7);
+    node.answer_both();
+    assert_eq!(node.promotions(), [(backend(AHEAD), FencingToken(7))]);
+}
+
+#[test]
+fn nothing_is_promoted_before_the_record_is_written() {
+    let mut node = Node::new("a");
+    node.see(LeaderEvidence::Refused);
+    node.answer_both();
+    node.tell(Event::RecordFailed);
+    node.answer_both();
+    assert!(node.promotions().is_empty());
+}
+
+#[test]
+fn one_silent_node_promotes_nobody_and_several_do() {
+    let mut node = Node::new("a");
+    node.see(LeaderEvidence::Silent);
+    node.pass(500);
+    assert_eq!(node.claim(), None);
+    let silent = BTreeSet::from([backend(OLD)]);
+    assert!(node.effects.contains(&Effect::Report(silent.clone())));
+    node.tell(Event::Suspicions(BTreeMap::from([(
+        "b".to_owned(),
+        silent,
+    )])));
+    assert!(node.claim().is_some());
+}
+
+#[test]
+fn a_silent_primary_that_answers_after_all_stays() {
+    let mut node = Node::new("a");
+    node.see(LeaderEvidence::Silent);
+    let silent = BTreeSet::from([backend(OLD)]);
+    node.tell(Event::Suspicions(BTreeMap::from([(
+        "b".to_owned(),
+        silent,
+    )])));
+    node.tell(Event::RecordWritten(RecordVersion(3)));
+    node.answer_both();
+    node.tell(Event::Status(
+        backend(OLD),
+        status(BackendRole::Primary, 1, 60),
+    ));
+    node.pass(500);
+    assert!(node.promotions().is_empty());
+}
+
+#[test]
+fn while_another_holds_the_duty_this_node_waits() {
+    let mut node = Node::new("a");
+    let record = DutyRecord {
+        holder: "b".to_owned(),
+        service: service(),
+    };
+    node.tell(Event::Record(RecordVersion(5), Some(record)));
+    node.see(LeaderEvidence::Refused);
+    node.pass(2_500);
+    assert_eq!(node.claim(), None);
+    node.pass(600);
+    assert_eq!(node.claim(), Some(RecordVersion(5)), "the lease has lapsed");
+}
+
+#[test]
+fn a_lost_race_for_the_record_is_a_lost_race() {
+    let mut node = Node::new("a");
+    node.see(LeaderEvidence::Refused);
+    let record = DutyRecord {
+        holder: "b".to_owned(),
+        service: service(),
+    };
+    node.tell(Event::Record(RecordVersion(5), Some(record)));
+    node.tell(Event::RecordFailed);
+    node.answer_both();
+    node.pass(1_000);
+    assert!(node.promotions().is_empty());
+}
+
+#[test]
+fn a_promotion_without_an_answer_is_decided_anew_under_a_higher_token() {
+    let mut node = Node::new("a");
+    node.claim_after_refusal(7);
+    node.answer_both();
+    node.tell(Event::Promotion(
+        service(),
+        FencingToken(7),
+        PromotionOutcome::Unknown,
+    ));
+    assert_eq!(node.claim(), Some(RecordVersion(7)));
+    node.tell(Event::RecordWritten(RecordVersion(9)));
+    node.answer_both();
+    let tokens: Vec<_> = node
+        .promotions()
+        .into_iter()
+        .map(|(_, token)| token)
+        .collect();
+    assert_eq!(tokens, [FencingToken(7), FencingToken(9)]);
+}
+
+#[test]
+fn a_late_promotion_is_fenced_off_by_promoting_the_one_that_leads() {
+    let mut node = Node::new("a");
+    node.claim_after_refusal(7);
+    node.answer_both();
+    node.tell(Event::Promotion(
+        service(),
+        FencingToken(7),
+        PromotionOutcome::Unknown,
+    ));
+    node.tell(Event::RecordWritten(RecordVersion(9)));
+    node.tell(Event::Status(
+        backend(AHEAD),
+        status(BackendRole::Primary, 2, 50),
+    ));
+    node.tell(Event::Status(
+        backend(BEHIND),
+        status(BackendRole::Replica, 2, 50),
+    ));
+    assert_eq!(
+        node.promotions().last(),
+        Some(&(backend(AHEAD), FencingToken(9)))
+    );
+}
+
+#[test]
+fn a_node_that_was_paused_after_its_claim_promotes_nobody() {
+    let mut node = Node::new("a");
+    node.claim_after_refusal(7);
+    node.now = node.now + Duration::from_secs(4);
+    node.answer_both();
+    assert!(node.promotions().is_empty());
+}
+
+#[test]
+fn a_leaving_primary_is_replaced_and_a_leaving_replica_not_chosen() {
+    let mut node = Node::new("a");
+    let mut group = usual_group();
+    group.members.get_mut(&backend(OLD)).unwrap().is_leaving = true;
+    group.members.get_mut(&backend(AHEAD)).unwrap().is_leaving = true;
+    node.set_group(group);
+    node.tell(Event::RecordWritten(RecordVersion(4)));
+    node.tell(Event::Status(
+        backend(OLD),
+        status(BackendRole::Primary, 1, 60),
+    ));
+    node.answer_both();
+    node.pass(400);
+    assert_eq!(node.promotions(), [(backend(BEHIND), FencingToken(4))]);
+}
+
+#[test]
+fn a_primary_that_discovery_lost_is_replaced_after_a_while() {
+    let mut node = Node::new("a");
+    let mut group = usual_group();
+    group.members.get_mut(&backend(OLD)).unwrap().is_listed = false;
+    node.set_group(group);
+    node.pass(1_000);
+    assert_eq!(node.claim(), None);
+    node.pass(1_000);
+    assert!(node.claim().is_some());
+}
+
+#[test]
+fn synchronous_replicas_are_held_before_they_are_asked_and_released_afterwards() {
+    let mut node = Node::new("a");
+    let mut group = usual_group();
+    group.synchronous_replicas = 1;
+    node.set_group(group);
+    node.claim_after_refusal(7);
+    node.answer_both();
+    assert!(node.promotions().is_empty(), "they still receive");
+    let holds = node
+        .effects
+        .iter()
+        .filter(|effect| matches!(effect, Effect::Hold(..)));
+    assert_eq!(holds.count(), 2);
+    node.answer_both();
+    node.tell(Event::Promotion(
+        service(),
+        FencingToken(7),
+        PromotionOutcome::Accepted,
+    ));
+    let resumes = node
+        .effects
+        .iter()
+        .filter(|effect| matches!(effect, Effect::Resume(_)));
+    assert_eq!(resumes.count(), 2);
+}
+
+#[test]
+fn synchronous_replicas_that_do_not_all_answer_give_no_promotion() {
+    let mut node = Node::new("a");
+    let mut group = usual_group();
+    group.synchronous_replicas = 1;
+    node.set_group(group);
+    node.claim_after_refusal(7);
+    node.answer_both();
+    node.tell(Event::Status(
+        backend(BEHIND),
+        status(BackendRole::Replica, 1, 40),
+    ));
+    node.pass(500);
+    assert!(
+        node.promotions().is_empty(),
+        "the other may hold an acknowledged commit"
+    );
+}
+
+#[test]
+fn every_step_is_logged() {
+    let mut node = Node::new("a");
+    node.claim_after_refusal(7);
+    node.answer_both();
+    node.tell(Event::Promotion(
+        service(),
+        FencingToken(7),
+        PromotionOutcome::Accepted,
+    ));
+    let logged: Vec<_> = node
+        .effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Log(_, action) => Some(action.clone()),
+            _ => None,
+        })
+        .collect();
+    assert!(matches!(logged[0], Action::Began { .. }));
+    assert!(matches!(logged[1], Action::Chose { .. }));
+    assert!(matches!(logged[2], Action::Answered { .. }));
+}
