Simulate nodes, databases that elect nobody and the store on a virtual clock

crates/stairward-simulation runs the real engine and the real duty of several nodes under 15 kinds of faults, and checks nine invariants against what callers were told and what the databases did. Nine deliberately broken variants, damaged on the way out or in so that the real code stays whole, are each caught. One seed is one run. On the way: a node whose reads at the leader lack the transaction around them was at first not caught: the first write on a node that missed a promotion tells it who leads, and the old primary goes on receiving. It takes an old primary that is alone and few writes; the faults gained the isolated primary.

--- /dev/null
+++ b/crates/stairward-simulation/src/callers.rs
@@ -0,0 +1,251 @@
+//! Callers: sessions that send operations one after the other and note what they are told.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt as _;
+use rand_chacha::ChaCha8Rng;
+use stairward_engine::{PreparedStatement, Response, ResponseResult, Statement, StatementKind};
+use stairward_types::{AccessClass, OutcomeClass, Time};
+
+use crate::checker::{Asked, Checker, Invariant, ReadKind};
+
+/// The databases that routes lead to, with what their reads must see.
+pub(crate) const DATABASES: [(&str, ReadKind); 3] = [
+    ("leader", ReadKind::Leader),
+    ("bounded", ReadKind::Bounded),
+    ("own", ReadKind::Own),
+];
+/// The callers' only prepared name.
+const PREPARED_NAME: &str = "p1";
+
+/// What a caller was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Told {
+    Success,
+    Promise,
+    Unknown,
+}
+
+fn told(response: &Response) -> Told {
+    match &response.result {
+        ResponseResult::Completed { .. } => Told::Success,
+        ResponseResult::Refused { code, .. } if code.class() == OutcomeClass::NotRun => {
+            Told::Promise
+        }
+        ResponseResult::Failed(error) if error.code.is_not_run() => Told::Promise,
+        ResponseResult::Refused { .. } | ResponseResult::Failed(_) => Told::Unknown,
+    }
+}
+
+/// A session of a caller.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    pub number: u64,
+    /// Its session's number, new with each connection.
+    pub session: u64,
+    /// The node and the life of it that it is connected to.
+    pub node: Option<(usize, u64)>,
+    pub database: usize,
+    values: BTreeMap<String, String>,
+    prepared: Option<PreparedStatement>,
+    plan: Vec<StatementKind>,
+    operation: u64,
+    start: Time,
+    in_transaction: bool,
+    before: Vec<String>,
+    writes: Vec<String>,
+    in_flight: Option<(String, StatementKind)>,
+    /// Statements sent.
+    sent: u64,
+}
+
+/// What a caller does next.
+#[derive(Debug)]
+pub(crate) enum Step {
+    Send(Statement),
+    Leave,
+}
+
+impl Caller {
+    pub fn new(number: u64) -> Self {
+        Self {
+            number,
+            session: 0,
+            node: None,
+            database: 0,
+            values: BTreeMap::new(),
+            prepared: None,
+            plan: Vec::new(),
+            operation: 0,
+            start: Time::ZERO,
+            in_transaction: false,
+            before: Vec::new(),
+            writes: Vec::new(),
+            in_flight: None,
+            sent: 0,
+        }
+    }
+
+    /// Connects anew.
+    pub fn connected(&mut self, session: u64, node: (usize, u64), database: usize) {
+        *self = Self {
+            session,
+            node: Some(node),
+            database,
+            ..Self::new(self.number)
+        };
+    }
+
+    /// The number of the operation under way.
+    pub fn asked_number(&self) -> u64 {
+        self.sent
+    }
+
+    pub fn is_waiting(&self) -> bool {
+        self.in_flight.is_some()
+    }
+
+    fn plan_operation(
+        &mut self,
+        random: &mut ChaCha8Rng,
+        now: Time,
+        operation: u64,
+        writes_in_twenty: u32,
+    ) {
+        self.operation = operation;
+        self.start = now;
+        self.in_transaction = false;
+        self.before.clear();
+        self.writes.clear();
+        self.plan = match random.random_range(0..20) {
+            0 => vec![StatementKind::SetValue {
+                name: format!("v{}", random.random_range(0..3)),
+                value: random.random_range(0..5).to_string(),
+            }],
+            1 => vec![StatementKind::Prepare {
+                name: PREPARED_NAME.to_owned(),
+                prepared: PreparedStatement {
+                    access: AccessClass::Read,
+                    shape: format!("q{}", random.random_range(0..4)),
+                },
+            }],
+            2 if self.prepared.is_some() => vec![StatementKind::Execute {
+                name: PREPARED_NAME.to_owned(),
+                arguments: "x".to_owned(),
+            }],
+            3..=6 => Self::plan_transaction(random, writes_in_twenty > 1),
+            kind if kind >= 7 && kind < 7 + writes_in_twenty => vec![StatementKind::Write],
+            _ => vec![StatementKind::Read],
+        };
+    }
+
+    fn plan_transaction(random: &mut ChaCha8Rng, may_write: bool) -> Vec<StatementKind> {
+        let read_only = random.random_range(0..3) == 0 || !may_write;
+        let mut plan = vec![StatementKind::Begin { read_only }];
+        for _ in 0..random.random_range(1..4) {
+            let writes = !read_only && random.random_range(0..2) == 0;
+            plan.push(if writes {
+                StatementKind::Write
+            } else {
+                StatementKind::Read
+            });
+        }
+        plan.push(if random.random_range(0..6) == 0 {
+            StatementKind::Rollback
+        } else {
+            StatementKind::Commit
+        });
+        plan.reverse();
+        plan
+    }
+
+    /// The next statement, or leaving.
+    pub fn step(
+        &mut self,
+        random: &mut ChaCha8Rng,
+        now: Time,
+        writes_in_twenty: u32,
+        numbers: &mut u64,
+        checker: &mut Checker,
+    ) -> Step {
+        if random.random_range(0..60) == 0 {
+            return Step::Leave;
+        }
+        *numbers += 1;
+        if self.plan.is_empty() {
+            let operation = *numbers;
+            self.plan_operation(random, now, operation, writes_in_twenty);
+        }
+        let kind = self.plan.pop().unwrap_or(StatementKind::Read);
+        let id = format!("a{numbers}");
+        let text = self.text(&kind, &id);
+        if let StatementKind::Begin { .. } = kind {
+            self.in_transaction = true;
+        }
+        let asked = Asked {
+            session: self.session,
+            operation: self.operation,
+            text: text.clone(),
+            kind: DATABASES[self.database].1,
+            start: self.start,
+            values: self.values.clone(),
+            before: self.before.clone(),
+            in_transaction: self.in_transaction,
+        };
+        checker.asked(id.clone(), asked);
+        if kind == StatementKind::Write {
+            self.writes.push(id.clone());
+        }
+        self.in_flight = Some((id.clone(), kind.clone()));
+        self.sent += 1;
+        Step::Send(Statement { id, kind, text })
+    }
+
+    fn text(&self, kind: &StatementKind, id: &str) -> String {
+        match kind {
+            StatementKind::Read => format!("READ {id}"),
+            StatementKind::Write => format!("WRITE {id}"),
+            StatementKind::Commit => "COMMIT".to_owned(),
+            StatementKind::Execute { arguments, .. } => {
+                let shape = self.prepared.as_ref().map_or("", |p| p.shape.as_str());
+                format!("READ {shape} {arguments}")
+            }
+            _ => String::new(),
+        }
+    }
+
+    /// Hears an answer. Returns whether it goes on with this session.
+    pub fn hear(&mut self, now: Time, response: &Response, checker: &mut Checker) -> bool {
+        checker.count(Invariant::OneAnswer);
+        let Some((id, kind)) = self.in_flight.take() else {
+            let text = format!("session {} heard {response:?} unasked", self.session);
+            checker.violate(now, Invariant::OneAnswer, text);
+            return false;
+        };
+        let told = told(response);
+        if told != Told::Success {
+            if told == Told::Promise {
+                checker.promised(self.operation);
+            }
+            self.plan.clear();
+            return !self.in_transaction;
+        }
+        match kind {
+            StatementKind::SetValue { name, value } => {
+                self.values.insert(name, value);
+            }
+            StatementKind::Prepare { prepared, .. } => self.prepared = Some(prepared),
+            StatementKind::Write if !self.in_transaction => {
+                checker.acknowledged(now, self.session, &[id]);
+            }
+            StatementKind::Commit => checker.acknowledged(now, self.session, &self.writes),
+            StatementKind::Read | StatementKind::Write | StatementKind::Execute { .. } => {
+                self.before.push(id);
+            }
+            StatementKind::Begin { .. }
+            | StatementKind::Rollback
+            | StatementKind::Deallocate { .. } => {}
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/stairward-simulation/src/database.rs
@@ -0,0 +1,355 @@
+//! One database: its log, its connections, and how it runs statements.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use stairward_engine::{
+    BackendCommand, BackendError, BackendErrorCode, BackendReply, PreparedStatement,
+    TransactionStatus,
+};
+use stairward_types::{BackendId, BackendRole, Freshness, LogPosition, Term, Time};
+
+/// A connection, unique in the world: the node's life and its own number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Link {
+    pub life: u64,
+    pub connection: stairward_engine::ConnectionId,
+}
+
+/// A committed write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Entry {
+    pub at: Freshness,
+    /// The statements' ids.
+    pub writes: Vec<String>,
+}
+
+/// A transaction open on a connection.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct OpenTransaction {
+    pub is_read_only: bool,
+    pub writes: Vec<String>,
+    pub statements: Vec<String>,
+    pub has_failed: bool,
+}
+
+/// What a connection holds.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ConnectionState {
+    pub values: BTreeMap<String, String>,
+    pub prepared: BTreeSet<PreparedStatement>,
+    pub transaction: Option<OpenTransaction>,
+}
+
+/// What a database did with a command, for the checks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Ran {
+    /// The statement's id.
+    pub id: String,
+    /// The statement's text, or shape and arguments.
+    pub text: String,
+    /// Whether it read, and up to which position.
+    pub read_at: Option<usize>,
+    /// Other statements of the same transaction.
+    pub beside: Vec<String>,
+    /// Whether a transaction was open.
+    pub in_transaction: bool,
+    /// The values it ran under.
+    pub values: BTreeMap<String, String>,
+}
+
+/// The outcome of a command.
+#[derive(Debug)]
+pub(crate) struct Outcome {
+    pub reply: BackendReply,
+    pub ran: Option<Ran>,
+    /// A commit took effect.
+    pub committed: Option<Entry>,
+}
+
+/// One database.
+#[derive(Debug)]
+pub(crate) struct Database {
+    pub id: BackendId,
+    pub is_alive: bool,
+    pub is_silent: bool,
+    pub role: BackendRole,
+    pub term: Term,
+    /// All that it has received.
+    pub log: Vec<Entry>,
+    /// How much of it is applied.
+    pub applied: usize,
+    pub connections: BTreeMap<Link, ConnectionState>,
+    pub connection_limit: usize,
+    /// Since when discovery says that it leaves or is gone, as the store took it.
+    pub leaving_since: Option<Time>,
+    /// Whether nothing passes between it and the other members.
+    pub is_deaf: bool,
+    pub lag_factor: u32,
+}
+
+impl Database {
+    pub fn new(id: BackendId, role: BackendRole, connection_limit: usize) -> Self {
+        Self {
+            id,
+            is_alive: true,
+            is_silent: false,
+            role,
+            term: Term(1),
+            log: Vec::new(),
+            applied: 0,
+            connections: BTreeMap::new(),
+            connection_limit,
+            leaving_since: None,
+            is_deaf: false,
+            lag_factor: 1,
+        }
+    }
+
+    pub fn position(&self) -> Freshness {
+        let number = u64::try_from(self.applied).unwrap_or_default();
+        Freshness::new(self.term, LogPosition(number))
+    }
+
+    pub fn received(&self) -> Freshness {
+        let number = u64::try_from(self.log.len()).unwrap_or_default();
+        Freshness::new(self.term, LogPosition(number))
+    }
+
+    /// Whether the applied log holds a position.
+    fn holds(&self, floor: Freshness) -> bool {
+        let Ok(number) = usize::try_from(floor.position.0) else {
+            return false;
+        };
+        if number == 0 {
+            return true;
+        }
+        if number > self.applied {
+            return false;
+        }
+        // A position of an earlier term may have been rolled back and its number used again.
+        self.log[number - 1].at.term <= floor.term
+    }
+
+    /// Runs a command on a connection.
+    pub fn run(&mut self, link: Link, command: &BackendCommand) -> Outcome {
+        let is_primary = self.role == BackendRole::Primary;
+        let position = self.position();
+        let Some(mut state) = self.connections.remove(&link) else {
+            return refused(BackendErrorCode::InDoubt, TransactionStatus::Idle, position);
+        };
+        let outcome = match command {
+            BackendCommand::Reset => {
+                state.values.clear();
+                state.prepared.clear();
+                done(&state, position)
+            }
+            BackendCommand::SetValue { name, value } => {
+                state.values.insert(name.clone(), value.clone());
+                done(&state, position)
+            }
+            BackendCommand::Prepare(prepared) => {
+                state.prepared.insert(prepared.clone());
+                done(&state, position)
+            }
+            BackendCommand::Begin { read_only, floor } => {
+                if floor.is_some_and(|floor| !self.holds(floor)) {
+                    refused(
+                        BackendErrorCode::NotFresh,
+                        TransactionStatus::Idle,
+                        position,
+                    )
+                } else if !read_only && !is_primary {
+                    refused(
+                        BackendErrorCode::ReadOnly,
+                        TransactionStatus::Idle,
+                        position,
+                    )
+                } else {
+                    state.transaction = Some(OpenTransaction {
+                        is_read_only: *read_only,
+                        ..OpenTransaction::default()
+                    });
+                    done(&state, position)
+                }
+            }
+            BackendCommand::Rollback => {
+                state.transaction = None;
+                done(&state, position)
+            }
+            BackendCommand::Run { id, text, floor } => {
+                self.run_text(&mut state, id, text, *floor, is_primary)
+            }
+            BackendCommand::Execute {
+                id,
+                prepared,
+                arguments,
+                floor,
+            } => {
+                if state.prepared.contains(prepared) {
+                    let verb = match prepared.access {
+                        stairward_types::AccessClass::Read => "READ",
+                        stairward_types::AccessClass::Write => "WRITE",
+                    };
+                    let text = format!("{verb} {} {arguments}", prepared.shape);
+                    self.run_text(&mut state, id, &text, *floor, is_primary)
+                } else {
+                    let code = BackendErrorCode::UnknownPreparedStatement;
+                    refused(code, status(&state), position)
+                }
+            }
+        };
+        self.connections.insert(link, state);
+        outcome
+    }
+
+    fn run_text(
+        &mut self,
+        state: &mut ConnectionState,
+        id: &str,
+        text: &str,
+        floor: Option<Freshness>,
+        is_primary: bool,
+    ) -> Outcome {
+        let position = self.position();
+        if text.starts_with("COMMIT") {
+            return self.commit(state, id, is_primary);
+        }
+        if let Some(open) = &mut state.transaction {
+            if open.has_failed {
+                return refused(
+                    BackendErrorCode::Malformed,
+                    TransactionStatus::Failed,
+                    position,
+                );
+            }
+            if !open.is_read_only && !is_primary {
+                open.has_failed = true;
+                return refused(
+                    BackendErrorCode::ReadOnly,
+                    TransactionStatus::Failed,
+                    position,
+                );
+            }
+        }
+        if floor.is_some_and(|floor| !self.holds(floor)) {
+            return refused(BackendErrorCode::NotFresh, status(state), position);
+        }
+        let writes = text.starts_with("WRITE");
+        if writes && !is_primary {
+            return refused(BackendErrorCode::ReadOnly, status(state), position);
+        }
+        let in_transaction = state.transaction.is_some();
+        let beside = state
+            .transaction
+            .as_ref()
+            .map(|open| open.statements.clone())
+            .unwrap_or_default();
+        let ran = Ran {
+            id: id.to_owned(),
+            text: text.to_owned(),
+            read_at: (!writes).then_some(self.applied),
+            beside,
+            in_transaction,
+            values: state.values.clone(),
+        };
+        let mut committed = None;
+        match &mut state.transaction {
+            Some(open) => {
+                open.statements.push(id.to_owned());
+                if writes {
+                    open.writes.push(id.to_owned());
+                }
+            }
+            None if writes => committed = Some(self.append(vec![id.to_owned()])),
+            None => {}
+        }
+        let mut outcome = done(state, self.position());
+        outcome.ran = Some(ran);
+        outcome.committed = committed;
+        outcome
+    }
+
+    fn commit(&mut self, state: &mut ConnectionState, id: &str, is_primary: bool) -> Outcome {
+        let position = self.position();
+        let Some(open) = state.transaction.take() else {
+            return refused(
+                BackendErrorCode::Malformed,
+                TransactionStatus::Idle,
+                position,
+            );
+        };
+        if open.has_failed || (!open.writes.is_empty() && !is_primary) {
+            return refused(
+                BackendErrorCode::ReadOnly,
+                TransactionStatus::Idle,
+                position,
+            );
+        }
+        let ran = Ran {
+            id: id.to_owned(),
+            text: "COMMIT".to_owned(),
+            read_at: None,
+            beside: open.statements,
+            in_transaction: true,
+            values: state.values.clone(),
+        };
+        let committed = (!open.writes.is_empty()).then(|| self.append(open.writes));
+        let mut outcome = done(state, self.position());
+        outcome.ran = Some(ran);
+        outcome.committed = committed;
+        outcome
+    }
+
+    fn append(&mut self, writes: Vec<String>) -> Entry {
+        let number = u64::try_from(self.log.len() + 1).unwrap_or_default();
+        let entry = Entry {
+            at: Freshness::new(self.term, LogPosition(number)),
+            writes,
+        };
+        self.log.push(entry.clone());
+        self.applied = self.log.len();
+        entry
+    }
+
+    /// Ends every connection; what was open on them is undone.
+    pub fn drop_connections(&mut self) -> Vec<Link> {
+        std::mem::take(&mut self.connections).into_keys().collect()
+    }
+}
+
+fn status(state: &ConnectionState) -> TransactionStatus {
+    match &state.transaction {
+        None => TransactionStatus::Idle,
+        Some(open) if open.has_failed => TransactionStatus::Failed,
+        Some(_) => TransactionStatus::Open,
+    }
+}
+
+fn done(state: &ConnectionState, position: Freshness) -> Outcome {
+    Outcome {
+        reply: BackendReply {
+            rows: Vec::new(),
+            result: Ok("signed".to_owned()),
+            status: status(state),
+            position: Some(position),
+        },
+        ran: None,
+        committed: None,
+    }
+}
+
+fn refused(code: BackendErrorCode, status: TransactionStatus, position: Freshness) -> Outcome {
+    Outcome {
+        reply: BackendReply {
+            rows: Vec::new(),
+            result: Err(BackendError {
+                code,
+                text: String::new(),
+            }),
+            status,
+            position: Some(position),
+        },
+        ran: None,
+        committed: None,
+    }
+}
--- /dev/null
+++ b/crates/stairward-simulation/src/faults.rs
@@ -0,0 +1,269 @@
+//! Faults: when they strike, what they do, and how they end.
+
+use std::time::Duration;
+
+use rand::RngExt as _;
+use stairward_types::BackendId;
+
+use crate::options::FaultKind;
+use crate::world::{DRAIN_LIMIT, Happening, World};
+
+/// How much later than its time a leaving database ends.
+const LINGER: Duration = Duration::from_secs(2);
+/// Silence after which discovery forgets a database.
+const LISTING_LAPSE: Duration = Duration::from_millis(3_600);
+/// Share of statements whose answers are lost, in percent.
+const LOST_ANSWERS_PERCENT: u32 = 8;
+/// The shortest pause between two faults, in milliseconds.
+const SHORTEST_PAUSE: u64 = 100;
+/// How many times later a lagging replica applies.
+const LAG_FACTOR: u32 = 60;
+
+/// How a fault ends.
+#[derive(Debug)]
+pub(crate) enum Ending {
+    DatabaseStarts(BackendId),
+    DatabaseForgotten(BackendId, u64),
+    DatabaseEnds(BackendId),
+    ReplicaRecovers(BackendId),
+    CutHeals(Vec<(usize, BackendId)>),
+    StoreHeals(usize),
+    StoreReturns,
+    AnswersReturn,
+    PromotionsReturn,
+    StoreAnswers,
+}
+
+impl World {
+    /// The next fault strikes.
+    pub fn strike(&mut self) {
+        let is_early = self.now() < stairward_types::Time::ZERO + self.options.length;
+        if self.strikes_left == 0 || self.options.faults.is_empty() || !is_early {
+            return;
+        }
+        self.strikes_left -= 1;
+        let place = self.random.random_range(0..self.options.faults.len());
+        let kind = self.options.faults[place];
+        let length = self.between(1_000, 6_000);
+        let now = self.now();
+        self.strikes
+            .push(format!("{now:?} {kind:?} for {length:?}"));
+        self.apply(kind, length);
+        let pause = self.between(SHORTEST_PAUSE, self.options.longest_pause);
+        self.queue.plan(pause, Happening::Strike);
+    }
+
+    fn apply(&mut self, kind: FaultKind, length: Duration) {
+        match kind {
+            FaultKind::PrimaryCrash => self.crash_primary(length),
+            FaultKind::PrimaryDark => self.darken_primary(length),
+            FaultKind::PrimaryLeaves => self.leave_primary(),
+            FaultKind::PrimaryIsolated => self.isolate_primary(length),
+            FaultKind::ReplicaLag => self.slow_replica(length),
+            FaultKind::ReplicaDeaf => self.deafen_replica(length),
+            FaultKind::NodeKill => self.kill_some_node(),
+            FaultKind::NodeFreeze => self.freeze_some_node(length),
+            FaultKind::PrimaryCut => self.cut_primary(length),
+            FaultKind::StoreCut => self.cut_from_store(length),
+            FaultKind::StoreDown => self.stop_store(length),
+            FaultKind::StoreLost => {
+                self.store.loses_answers = true;
+                self.end_after(length, Ending::StoreAnswers);
+            }
+            FaultKind::LatePromotion => {
+                self.promotions_are_late = true;
+                self.end_after(length * 2, Ending::PromotionsReturn);
+            }
+            FaultKind::AnswerLost => {
+                self.answer_loss_percent = LOST_ANSWERS_PERCENT;
+                self.end_after(length, Ending::AnswersReturn);
+            }
+            FaultKind::ConfigurationChange => self.change_configuration(),
+        }
+    }
+
+    fn end_after(&mut self, length: Duration, ending: Ending) {
+        self.queue.plan(length, Happening::FaultEnds(ending));
+    }
+
+    fn live_primary(&self) -> Option<BackendId> {
+        let id = self.group.primary()?;
+        let database = self.group.databases.get(id)?;
+        let is_whole = database.is_alive && !database.is_silent && database.leaving_since.is_none();
+        is_whole.then(|| id.clone())
+    }
+
+    fn some_replica(&mut self) -> Option<BackendId> {
+        let primary = self.group.primary().cloned();
+        let replicas: Vec<_> = self
+            .group
+            .databases
+            .keys()
+            .filter(|id| Some(*id) != primary.as_ref())
+            .cloned()
+            .collect();
+        let place = self.random.random_range(0..replicas.len());
+        replicas.get(place).cloned()
+    }
+
+    fn some_node(&mut self) -> usize {
+        self.random.random_range(0..self.nodes.len())
+    }
+
+    fn crash_primary(&mut self, length: Duration) {
+        if let Some(id) = self.live_primary() {
+            self.stop_database(&id);
+            let revision = self.group.revision;
+            self.end_after(
+                LISTING_LAPSE,
+                Ending::DatabaseForgotten(id.clone(), revision),
+            );
+            self.end_after(length, Ending::DatabaseStarts(id));
+        }
+    }
+
+    fn darken_primary(&mut self, length: Duration) {
+        if let Some(id) = self.live_primary() {
+            if let Some(database) = self.group.databases.get_mut(&id) {
+                database.is_silent = true;
+                let links: Vec<_> = database.connections.keys().copied().collect();
+                self.stalled.extend(links);
+            }
+            let revision = self.group.revision;
+            self.end_after(
+                LISTING_LAPSE,
+                Ending::DatabaseForgotten(id.clone(), revision),
+            );
+            self.end_after(length, Ending::DatabaseStarts(id));
+        }
+    }
+
+    fn leave_primary(&mut self) {
+        let now = self.now();
+        if let Some(id) = self.live_primary() {
+            if let Some(database) = self.group.databases.get_mut(&id) {
+                database.leaving_since = Some(now);
+            }
+            self.group.announce(&id);
+            self.push_to_all();
+            self.end_after(DRAIN_LIMIT + LINGER, Ending::DatabaseEnds(id));
+        }
+    }
+
+    fn isolate_primary(&mut self, length: Duration) {
+        if let Some(id) = self.live_primary() {
+            if let Some(database) = self.group.databases.get_mut(&id) {
+                database.is_deaf = true;
+            }
+            self.end_after(length, Ending::ReplicaRecovers(id));
+        }
+    }
+
+    fn slow_replica(&mut self, length: Duration) {
+        if let Some(id) = self.some_replica() {
+            if let Some(database) = self.group.databases.get_mut(&id) {
+                database.lag_factor = LAG_FACTOR;
+            }
+            self.end_after(length, Ending::ReplicaRecovers(id));
+        }
+    }
+
+    fn deafen_replica(&mut self, length: Duration) {
+        if let Some(id) = self.some_replica() {
+            if let Some(database) = self.group.databases.get_mut(&id) {
+                database.is_deaf = true;
+            }
+            self.end_after(length, Ending::ReplicaRecovers(id));
+        }
+    }
+
+    fn kill_some_node(&mut self) {
+        let node = self.some_node();
+        if self.nodes[node].is_running {
+            self.kill_node(node);
+            let pause = self.between(300, 1_500);
+            self.queue.plan(pause, Happening::StartNode(node));
+        }
+    }
+
+    fn freeze_some_node(&mut self, length: Duration) {
+        let node = self.some_node();
+        let until = self.now() + length;
+        self.nodes[node].frozen_until = until;
+        self.nodes[node].in_touch_since = until;
+    }
+
+    fn cut_primary(&mut self, length: Duration) {
+        let Some(id) = self.live_primary() else {
+            return;
+        };
+        let count = self.nodes.len().div_ceil(2);
+        let cut: Vec<_> = (0..count).map(|node| (node, id.clone())).collect();
+        self.cuts.extend(cut.iter().cloned());
+        self.end_after(length, Ending::CutHeals(cut));
+    }
+
+    fn cut_from_store(&mut self, length: Duration) {
+        let node = self.some_node();
+        let until = self.now() + length;
+        self.nodes[node].is_cut_from_store = true;
+        self.nodes[node].in_touch_since = until;
+        self.end_after(length, Ending::StoreHeals(node));
+    }
+
+    fn stop_store(&mut self, length: Duration) {
+        let until = self.now() + length;
+        self.store.is_down = true;
+        for node in &mut self.nodes {
+            node.in_touch_since = node.in_touch_since.max(until);
+        }
+        self.end_after(length, Ending::StoreReturns);
+    }
+
+    /// A fault ends.
+    pub fn fault_ends(&mut self, ending: Ending) {
+        match ending {
+            Ending::DatabaseStarts(id) => self.start_database(&id),
+            Ending::DatabaseForgotten(id, revision) => {
+                let is_unchanged = self
+                    .group
+                    .listed
+                    .get(&id)
+                    .is_some_and(|listed| listed.revision.0 <= revision);
+                let is_away = self
+                    .group
+                    .databases
+                    .get(&id)
+                    .is_some_and(|database| !database.is_alive || database.is_silent);
+                if is_unchanged && is_away {
+                    let now = self.now();
+                    self.group.forget(&id, now);
+                    self.push_to_all();
+                }
+            }
+            Ending::DatabaseEnds(id) => {
+                self.stop_database(&id);
+                let now = self.now();
+                self.group.forget(&id, now);
+                self.push_to_all();
+                self.end_after(LINGER, Ending::DatabaseStarts(id));
+            }
+            Ending::ReplicaRecovers(id) => {
+                if let Some(database) = self.group.databases.get_mut(&id) {
+                    database.lag_factor = 1;
+                    database.is_deaf = false;
+                }
+            }
+            Ending::CutHeals(cut) => {
+                for pair in cut {
+                    self.cuts.remove(&pair);
+                }
+            }
+            Ending::StoreHeals(node) => self.nodes[node].is_cut_from_store = false,
+            Ending::StoreReturns => self.store.is_down = false,
+            Ending::AnswersReturn => self.answer_loss_percent = 0,
+            Ending::PromotionsReturn => self.promotions_are_late = false,
+            Ending::StoreAnswers => self.store.loses_answers = false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-simulation/src/group.rs
@@ -0,0 +1,125 @@
+//! The databases of one service together: replication, promotion, and what discovery says of them.
+
+use std::collections::BTreeMap;
+
+use stairward_engine::BackendDescription;
+use stairward_types::{BackendId, BackendRole, Revision, ServiceName, Term, Time, ZoneName};
+
+use crate::database::{Database, Entry};
+
+/// The one service.
+pub(crate) const SERVICE: &str = "core";
+
+/// The databases of one service.
+#[derive(Debug)]
+pub(crate) struct Group {
+    pub databases: BTreeMap<BackendId, Database>,
+    /// What discovery says.
+    pub listed: BTreeMap<BackendId, BackendDescription>,
+    pub revision: u64,
+    /// The highest fencing token seen.
+    pub fence: u64,
+}
+
+pub(crate) fn service() -> ServiceName {
+    ServiceName::new(SERVICE).expect("a name")
+}
+
+impl Group {
+    /// A primary and two replicas.
+    pub fn new(connection_limit: usize) -> Self {
+        let mut databases = BTreeMap::new();
+        for number in 1..=3 {
+            let id = BackendId::new(format!("db-{number}")).expect("a name");
+            let role = if number == 1 {
+                BackendRole::Primary
+            } else {
+                BackendRole::Replica
+            };
+            databases.insert(id.clone(), Database::new(id, role, connection_limit));
+        }
+        let mut group = Self {
+            databases,
+            listed: BTreeMap::new(),
+            revision: 0,
+            fence: 0,
+        };
+        let ids: Vec<_> = group.databases.keys().cloned().collect();
+        for id in ids {
+            group.announce(&id);
+        }
+        group
+    }
+
+    /// Discovery takes in what a database says of itself.
+    pub fn announce(&mut self, id: &BackendId) {
+        let Some(database) = self.databases.get(id) else {
+            return;
+        };
+        self.revision += 1;
+        let number = u16::from(id.as_str().as_bytes()[3] - b'0');
+        let description = BackendDescription {
+            id: id.clone(),
+            service: service(),
+            address: ([127, 0, 0, 1], 7_000 + number).into(),
+            zone: ZoneName::new(format!("zone-{number}")).expect("a name"),
+            slots: 3,
+            is_leaving: database.leaving_since.is_some(),
+            role: database.role,
+            revision: Revision(self.revision),
+            term: None,
+        };
+        self.listed.insert(id.clone(), description);
+    }
+
+    /// Discovery forgets a database. It counts as leaving from then on.
+    pub fn forget(&mut self, id: &BackendId, now: Time) {
+        self.revision += 1;
+        self.listed.remove(id);
+        if let Some(database) = self.databases.get_mut(id) {
+            database.leaving_since.get_or_insert(now);
+        }
+    }
+
+    pub fn primary(&self) -> Option<&BackendId> {
+        let primaries = self
+            .databases
+            .values()
+            .filter(|database| database.role == BackendRole::Primary);
+        primaries
+            .max_by_key(|database| database.term)
+            .map(|database| &database.id)
+    }
+
+    /// A database leads the next term with what it has received; the others follow it.
+    pub fn promote(&mut self, id: &BackendId) -> Vec<Entry> {
+        let newest = self.databases.values().map(|database| database.term).max();
+        let term = Term(newest.unwrap_or_default().0 + 1);
+        let Some(leader) = self.databases.get_mut(id) else {
+            return Vec::new();
+        };
+        leader.role = BackendRole::Primary;
+        leader.term = term;
+        leader.applied = leader.log.len();
+        let kept = leader.log.clone();
+        let mut rolled_back = Vec::new();
+        for (other_id, other) in &mut self.databases {
+            if other_id == id {
+                continue;
+            }
+            other.role = BackendRole::Replica;
+            if other.is_alive {
+                other.term = term;
+            }
+            let same = other
+                .log
+                .iter()
+                .zip(&kept)
+                .take_while(|(theirs, ours)| theirs == ours)
+                .count();
+            rolled_back.extend(other.log.split_off(same));
+            other.applied = other.applied.min(other.log.len());
+        }
+        rolled_back
+    }
+}
--- /dev/null
+++ b/crates/stairward-simulation/src/lib.rs
@@ -0,0 +1,23 @@
+//! Deterministic simulation of the statement engine and the failover duty.
+//!
+//! Several nodes run the real [`stairward_engine::Engine`] and [`stairward_failover::FailoverDuty`] on a
+//! virtual clock, before a group of databases that elect nobody, with a metadata store and a promotion
+//! call between them. Faults strike; what callers were told is compared with what the databases did. One
+//! seed is one run.
+
+#![forbid(unsafe_code)]
+
+mod callers;
+mod checker;
+mod database;
+mod faults;
+mod group;
+mod nodes;
+mod options;
+mod queue;
+mod store;
+mod world;
+
+pub use checker::{Invariant, Violation};
+pub use options::{BrokenVariant, FaultKind, Options};
+pub use world::{Report, simulate};
--- /dev/null
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -0,0 +1,162 @@
+//! One simulated node: the real engine and the real duty.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairward_engine::{
+    BackendDescription, ConnectionId, Consistency, Engine, EngineOptions, Route, RoutingTable,
+    ServiceLimits, ZoneDistance,
+};
+use stairward_failover::{FailoverDuty, FailoverOptions, GroupState, MemberState};
+use stairward_types::{BackendId, BackendRole, GroupId, Revision, ServiceName, Time, ZoneName};
+
+use crate::callers::DATABASES;
+use crate::group::service;
+
+/// How old a bounded read may be.
+pub(crate) const STALENESS: Duration = Duration::from_millis(1_000);
+/// Connections each database takes.
+pub(crate) const CONNECTION_LIMIT: u32 = 40;
+
+/// One node.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub engine: Engine,
+    pub duty: FailoverDuty,
+    /// Grows with each start of the process; unique in the world.
+    pub life: u64,
+    pub is_running: bool,
+    pub frozen_until: Time,
+    pub connections: BTreeMap<ConnectionId, BackendId>,
+    pub is_cut_from_store: bool,
+    /// Since when it has been able to reach the store without a fault.
+    pub in_touch_since: Time,
+    pub last_leader: Option<(BackendId, MemberState)>,
+    /// The newest configuration that it has had in force, by its content.
+    pub newest_content: u64,
+    pub timer_at: Time,
+    pub duty_timer_at: Time,
+}
+
+/// A node's name.
+pub(crate) fn node_name(index: usize) -> String {
+    format!("node-{index}")
+}
+
+impl Node {
+    pub fn start(index: usize, life: u64, now: Time) -> Self {
+        let zone = |number: usize| ZoneName::new(format!("zone-{number}")).expect("a name");
+        let own = index % 3 + 1;
+        let distances = (1..=3).map(|number| {
+            let distance = if number == own {
+                ZoneDistance::Same
+            } else {
+                ZoneDistance::Remote
+            };
+            (zone(number), distance)
+        });
+        let options = EngineOptions {
+            distances: distances.collect(),
+            ..EngineOptions::default()
+        };
+        Self {
+            engine: Engine::new(options),
+            duty: FailoverDuty::new(FailoverOptions::new(node_name(index))),
+            life,
+            is_running: true,
+            frozen_until: Time::ZERO,
+            connections: BTreeMap::new(),
+            is_cut_from_store: false,
+            in_touch_since: now,
+            last_leader: None,
+            newest_content: 0,
+            timer_at: Time::NEVER,
+            duty_timer_at: Time::NEVER,
+        }
+    }
+
+    /// The duty's view of the back ends: a primary that is no longer listed stays known as missing.
+    pub fn groups(&mut self, list: &[BackendDescription]) -> BTreeMap<ServiceName, GroupState> {
+        let mut group = GroupState::default();
+        for description in list {
+            let member = MemberState {
+                role: description.role,
+                is_leaving: description.is_leaving,
+                is_listed: true,
+                revision: description.revision.0,
+            };
+            group.members.insert(description.id.clone(), member);
+        }
+        let leader = group
+            .members
+            .iter()
+            .filter(|(_, member)| member.role == BackendRole::Primary)
+            .max_by_key(|(_, member)| member.revision);
+        match leader {
+            Some((id, member)) => self.last_leader = Some((id.clone(), member.clone())),
+            None => {
+                if let Some((id, member)) = &self.last_leader
+                    && !group.members.contains_key(id)
+                {
+                    let missing = MemberState {
+                        is_listed: false,
+                        ..member.clone()
+                    };
+                    group.members.insert(id.clone(), missing);
+                }
+            }
+        }
+        BTreeMap::from([(service(), group)])
+    }
+}
+
+/// The name of the route that shows a configuration's revision.
+pub(crate) fn revision_route(revision: u64) -> GroupId {
+    GroupId::new(format!("revision-{revision}")).expect("a name")
+}
+
+/// The configuration of a revision.
+pub(crate) fn routing_table(revision: u64, content: u64) -> Arc<RoutingTable> {
+    let route = |consistency| {
+        Arc::new(Route {
+            service: service(),
+            consistency,
+            statement_timeout: Duration::from_millis(800),
+            target_latency: Duration::from_millis(800),
+            priority: 1,
+            attempts: 2,
+        })
+    };
+    let staleness = STALENESS;
+    let consistencies = [
+        Consistency::Primary,
+        Consistency::Bounded { staleness },
+        Consistency::OwnReads { staleness },
+    ];
+    let mut routes: BTreeMap<_, _> = DATABASES
+        .iter()
+        .zip(consistencies)
+        .map(|((name, _), consistency)| (GroupId::new(*name).expect("a name"), route(consistency)))
+        .collect();
+    routes.insert(revision_route(content), route(Consistency::Primary));
+    let limits = ServiceLimits {
+        connections: CONNECTION_LIMIT,
+        synchronous_replicas: 0,
+    };
+    Arc::new(RoutingTable {
+        revision: Revision(revision),
+        routes,
+        services: BTreeMap::from([(service(), limits)]),
+        transaction_idle_timeout: Duration::from_millis(3_000),
+    })
+}
+
+/// The revision that a configuration's content shows.
+pub(crate) fn content_of(table: &RoutingTable) -> u64 {
+    let names: BTreeSet<_> = table.routes.keys().collect();
+    let shown = names
+        .iter()
+        .find_map(|name| name.as_str().strip_prefix("revision-"));
+    shown.and_then(|number| number.parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/stairward-simulation/src/options.rs
@@ -0,0 +1,139 @@
+//! What a run is made of.
+
+use std::time::Duration;
+
+/// A kind of fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FaultKind {
+    /// The primary's process ends; it comes back with its log.
+    PrimaryCrash,
+    /// The primary falls silent and comes back with its log.
+    PrimaryDark,
+    /// The primary says that it leaves, and ends after its time.
+    PrimaryLeaves,
+    /// The primary and its replicas don't reach each other.
+    PrimaryIsolated,
+    /// A replica applies late.
+    ReplicaLag,
+    /// A replica receives nothing.
+    ReplicaDeaf,
+    /// A node's process is killed and started again.
+    NodeKill,
+    /// A node stands still.
+    NodeFreeze,
+    /// Some nodes and the primary don't reach each other.
+    PrimaryCut,
+    /// A node and the store don't reach each other.
+    StoreCut,
+    /// The store answers nothing.
+    StoreDown,
+    /// Writes to the store are done and not answered.
+    StoreLost,
+    /// Promotions are not answered and carried out late.
+    LatePromotion,
+    /// Databases run statements whose answers are lost.
+    AnswerLost,
+    /// The configuration changes.
+    ConfigurationChange,
+}
+
+impl FaultKind {
+    /// All kinds.
+    pub const ALL: [Self; 15] = [
+        Self::PrimaryCrash,
+        Self::PrimaryDark,
+        Self::PrimaryLeaves,
+        Self::PrimaryIsolated,
+        Self::ReplicaLag,
+        Self::ReplicaDeaf,
+        Self::NodeKill,
+        Self::NodeFreeze,
+        Self::PrimaryCut,
+        Self::StoreCut,
+        Self::StoreDown,
+        Self::StoreLost,
+        Self::LatePromotion,
+        Self::AnswerLost,
+        Self::ConfigurationChange,
+    ];
+}
+
+/// A deliberately broken node, to show that the checks can fail. The damage is done to what the real code
+/// wants done, on its way out or in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BrokenVariant {
+    /// Reads go out without their floor.
+    Floor,
+    /// Reads at the leader go out without the transaction around them.
+    LeaderProof,
+    /// A write whose outcome is unknown is called not run.
+    Promise,
+    /// A write goes out twice.
+    Resend,
+    /// Values and prepared names are not dropped between sessions.
+    Reset,
+    /// Statements of a transaction go to another connection.
+    Multiplex,
+    /// Every decision uses the same fencing token.
+    Token,
+    /// Back ends that leave are not known to leave.
+    Drain,
+    /// An older configuration is put in force over a newer one.
+    Configuration,
+}
+
+impl BrokenVariant {
+    /// All variants.
+    pub const ALL: [Self; 9] = [
+        Self::Floor,
+        Self::LeaderProof,
+        Self::Promise,
+        Self::Resend,
+        Self::Reset,
+        Self::Multiplex,
+        Self::Token,
+        Self::Drain,
+        Self::Configuration,
+    ];
+}
+
+/// A run.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The seed.
+    pub seed: u64,
+    /// Kinds of faults that strike.
+    pub faults: Vec<FaultKind>,
+    /// How many faults strike in all.
+    pub strikes: u32,
+    /// The longest pause between two of them, in milliseconds.
+    pub longest_pause: u64,
+    /// Nodes.
+    pub nodes: u32,
+    /// Sessions at once.
+    pub sessions: u32,
+    /// Operations of twenty that are single writes; with 1 or less, transactions only read.
+    pub writes_in_twenty: u32,
+    /// How long callers act.
+    pub length: Duration,
+    /// A deliberate damage.
+    pub broken: Option<BrokenVariant>,
+}
+
+impl Options {
+    /// A run with all kinds of faults.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            faults: FaultKind::ALL.to_vec(),
+            strikes: 5,
+            longest_pause: 5_000,
+            nodes: 4,
+            sessions: 24,
+            writes_in_twenty: 5,
+            length: Duration::from_secs(20),
+            broken: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -0,0 +1,138 @@
+//! What must hold, on many seeds with all kinds of faults; that each check can fail; and that one seed is
+//! one run.
+
+use stairward_simulation::{BrokenVariant, FaultKind, Invariant, Options, Report, simulate};
+
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=60;
+
+#[track_caller]
+fn assert_holds(options: &Options) -> Report {
+    let report = simulate(options);
+    let first: Vec<_> = report.violations.iter().take(3).collect();
+    assert!(
+        first.is_empty(),
+        "seed {}: {} violations, strikes {:#?}, first {first:#?}",
+        options.seed,
+        report.violations.len(),
+        report.strikes
+    );
+    report
+}
+
+#[test]
+fn everything_holds_under_all_kinds_of_faults() {
+    let mut promotions = 0;
+    for seed in SEEDS {
+        let report = assert_holds(&Options::new(seed));
+        promotions += report.promotions;
+        assert!(
+            report.succeeded > report.failed,
+            "seed {seed}: {} of {} succeeded, strikes {:#?}",
+            report.succeeded,
+            report.succeeded + report.failed,
+            report.strikes
+        );
+    }
+    assert!(promotions > 20, "{promotions} promotions in all");
+}
+
+#[test]
+fn everything_holds_under_each_kind_of_fault() {
+    for kind in FaultKind::ALL {
+        for seed in 1..=4 {
+            assert_holds(&Options {
+                faults: vec![kind],
+                ..Options::new(seed)
+            });
+        }
+    }
+}
+
+#[test]
+fn without_faults_everything_is_served_and_checked() {
+    let report = assert_holds(&Options {
+        faults: Vec::new(),
+        ..Options::new(1)
+    });
+    assert_eq!(report.failed, 0);
+    for invariant in [
+        Invariant::FreshRead,
+        Invariant::Once,
+        Invariant::Unasked,
+        Invariant::OwnTransaction,
+        Invariant::Configuration,
+        Invariant::OneAnswer,
+    ] {
+        assert!(report.checked[&invariant] > 100, "{:?}", report.checked);
+    }
+}
+
+#[test]
+fn one_seed_is_one_run() {
+    let runs = [(); 2].map(|()| simulate(&Options::new(7)).fingerprint);
+    assert_eq!(runs[0], runs[1]);
+    assert_ne!(runs[0], simulate(&Options::new(8)).fingerprint);
+}
+
+/// Faults under which a broken variant shows; all kinds where none are named.
+fn faults_for(variant: BrokenVariant) -> Vec<FaultKind> {
+    match variant {
+        // A node must miss a promotion while the old primary goes on, alone.
+        BrokenVariant::LeaderProof => vec![
+            FaultKind::PrimaryLeaves,
+            FaultKind::PrimaryIsolated,
+            FaultKind::StoreCut,
+        ],
+        BrokenVariant::Drain => vec![FaultKind::PrimaryLeaves],
+        BrokenVariant::Token => vec![FaultKind::PrimaryCrash],
+        _ => FaultKind::ALL.to_vec(),
+    }
+}
+
+/// What a broken variant must be caught by.
+fn caught_by(variant: BrokenVariant) -> Invariant {
+    match variant {
+        BrokenVariant::Floor | BrokenVariant::LeaderProof => Invariant::FreshRead,
+        BrokenVariant::Promise => Invariant::Promise,
+        BrokenVariant::Resend => Invariant::Once,
+        BrokenVariant::Reset | BrokenVariant::Multiplex => Invariant::OwnTransaction,
+        BrokenVariant::Token => Invariant::OneDecision,
+        BrokenVariant::Drain => Invariant::Leaving,
+        BrokenVariant::Configuration => Invariant::Configuration,
+    }
+}
+
+/// A run in which a broken variant shows.
+fn broken(variant: BrokenVariant, seed: u64) -> Options {
+    let options = Options {
+        broken: Some(variant),
+        faults: faults_for(variant),
+        strikes: 12,
+        ..Options::new(seed)
+    };
+    if variant != BrokenVariant::LeaderProof {
+        return options;
+    }
+    Options {
+        strikes: 30,
+        longest_pause: 900,
+        // The first write on a node tells it who leads.
+        writes_in_twenty: 1,
+        ..options
+    }
+}
+
+#[test]
+fn each_broken_variant_is_caught() {
+    for variant in BrokenVariant::ALL {
+        let wanted = caught_by(variant);
+        let is_caught = SEEDS.into_iter().any(|seed| {
+            let report = simulate(&broken(variant, seed));
+            report
+                .violations
+                .iter()
+                .any(|violation| violation.invariant == wanted)
+        });
+        assert!(is_caught, "{variant:?} is not caught");
+    }
+}
