--- a/crates/stairward-lab/src/demo/cluster.rs
+++ b/crates/stairward-lab/src/demo/cluster.rs
@@ -5,13 +5,13 @@
 
 use snafu::{ResultExt, Snafu};
 use stairward_checker::{HistoryEvent, Recorder};
-use stairward_platform::{
-    EditFailure, PlatformClient, PlatformClientSettings, ReadError, create_settings,
-};
 use stairward_proxy::cluster::Clock;
 use stairward_standins::platform::{
     PlatformStandin, PlatformStandinConfig, PlatformStartError, StoreFault,
 };
+use stairward_store::{
+    EditFailure, PlatformClient, PlatformClientSettings, ReadError, create_settings,
+};
 
 use super::databases::{DatabaseOptions, DatabasesError, SiteDatabases};
 use super::proxies::{Proxies, ProxiesError};
--- a/crates/stairward-lab/src/demo/operator.rs
+++ b/crates/stairward-lab/src/demo/operator.rs
@@ -4,10 +4,10 @@
 
 use snafu::{OptionExt, ResultExt, Snafu};
 use stairward_checker::{HistoryEvent, Recorder};
-use stairward_platform::EditFailure;
 use stairward_proxy::cluster::Clock;
 use stairward_proxy::control::configuration::ConfigurationHandle;
 use stairward_settings::{Change, Edit, SettingsOption, SettingsPath, Value};
+use stairward_store::EditFailure;
 use stairward_types::{AdminState, BackendId, ChangeId};
 
 /// How long the operator waits for the settings of the proxy asked.
--- a/crates/stairward-proxy/src/admin/error.rs
+++ b/crates/stairward-proxy/src/admin/error.rs
@@ -7,8 +7,8 @@
 use gotham::hyper::header::{CONTENT_TYPE, HeaderValue};
 use gotham::hyper::{Response, StatusCode};
 use serde::Serialize;
-use stairward_platform::EditFailure;
 use stairward_settings::{AppliedEdit, EditError, SettingsProblem};
+use stairward_store::EditFailure;
 use stairward_types::{ResultCode, Revision};
 
 /// Content type of all bodies but the metrics.
--- a/crates/stairward-proxy/src/control/configuration/driver.rs
+++ b/crates/stairward-proxy/src/control/configuration/driver.rs
@@ -9,10 +9,10 @@
     OutgoingUpdate, PeerPlace, Readiness, SettingsDigest, SpreaderParameters, Update, from_wire,
     to_wire,
 };
-use stairward_platform::{Machine, PlatformClient};
 use stairward_protocol::call::{CallReply, CallRequest};
 use stairward_protocol::settings::SettingsExchange;
 use stairward_settings::SettingsDocument;
+use stairward_store::{Machine, PlatformClient};
 use stairward_types::{Duration, LogEvent, NodeId, Revision};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::MissedTickBehavior;
--- a/crates/stairward-proxy/src/control/configuration/handle.rs
+++ b/crates/stairward-proxy/src/control/configuration/handle.rs
@@ -4,10 +4,10 @@
 
 use snafu::Snafu;
 use stairward_membership::configuration::{NotReadyReason, Readiness, SourceAge, SourceStatus};
-use stairward_platform::{EditFailure, EditOutcome, Machine, PlatformClient, edit_settings};
 use stairward_protocol::call::CallReply;
 use stairward_protocol::settings::SettingsExchange;
 use stairward_settings::{Edit, SettingsDocument};
+use stairward_store::{EditFailure, EditOutcome, Machine, PlatformClient, edit_settings};
 use stairward_types::{LogEvent, NodeId, ResultCode, Revision, Time};
 use tokio::sync::{mpsc, oneshot, watch};
 
--- a/crates/stairward-proxy/src/control/configuration/machines.rs
+++ b/crates/stairward-proxy/src/control/configuration/machines.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use rand::RngExt as _;
-use stairward_platform::{Machine, PlatformClient};
+use stairward_store::{Machine, PlatformClient};
 use stairward_types::Duration;
 use tokio::sync::watch;
 
--- a/crates/stairward-proxy/src/control/configuration/mod.rs
+++ b/crates/stairward-proxy/src/control/configuration/mod.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 
 use stairward_membership::configuration::SpreaderParameters;
-use stairward_platform::PlatformClient;
+use stairward_store::PlatformClient;
 use stairward_types::Time;
 
 pub use driver::ConfigurationDriver;
--- a/crates/stairward-proxy/src/control/configuration/store.rs
+++ b/crates/stairward-proxy/src/control/configuration/store.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use stairward_membership::configuration::StoreAnswer;
-use stairward_platform::{PlatformClient, ReadError, VersionedObject};
 use stairward_settings::{SETTINGS_OBJECT, SettingsDocument};
+use stairward_store::{PlatformClient, ReadError, VersionedObject};
 use stairward_types::{Duration, LogEvent, Revision};
 
 /// How a read of the store ended; none when nothing newer came in time.
--- a/crates/stairward-proxy/src/node/error.rs
+++ b/crates/stairward-proxy/src/node/error.rs
@@ -1,9 +1,9 @@
 //! Why a node could not start.
 
 use snafu::Snafu;
-use stairward_platform::ReadError;
 use stairward_protocol::InvalidClusterKey;
 use stairward_settings::SettingsProblem;
+use stairward_store::ReadError;
 
 /// Why a node could not start.
 #[derive(Debug, Snafu)]
--- a/crates/stairward-proxy/src/node/mod.rs
+++ b/crates/stairward-proxy/src/node/mod.rs
@@ -15,11 +15,11 @@
 use rand::RngExt as _;
 use snafu::ResultExt as _;
 use stairward_membership::configuration::SpreaderParameters;
-use stairward_platform::{PlatformClient, PlatformClientSettings};
 use stairward_protocol::ClusterKey;
 use stairward_session::TokenKey;
 use stairward_settings::ProcessSettings;
 use stairward_settings::process::Secret;
+use stairward_store::{PlatformClient, PlatformClientSettings};
 use stairward_types::{Incarnation, LogEvent, NodeId};
 
 pub use embedded::{EmbeddedNode, EmbeddedNodeError};
--- a/crates/stairward-proxy/tests/configuration_fleet.rs
+++ b/crates/stairward-proxy/tests/configuration_fleet.rs
@@ -5,9 +5,9 @@
 
 use configuration_support::{TestFleet, until, weight_edit};
 use stairward_membership::configuration::SourceStatus;
-use stairward_platform::EditFailure;
 use stairward_settings::EditError;
 use stairward_standins::platform::StoreFault;
+use stairward_store::EditFailure;
 use stairward_types::{ChangeId, ResultCode, Revision};
 
 const FIRST: Revision = Revision(1);
--- a/crates/stairward-proxy/tests/configuration_support/mod.rs
+++ b/crates/stairward-proxy/tests/configuration_support/mod.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use stairward_membership::configuration::SpreaderParameters;
-use stairward_platform::{PlatformClient, PlatformClientSettings, RetryPolicy, create_settings};
 use stairward_protocol::ClusterKey;
 use stairward_protocol::call::{CallReply, CallRequest};
 use stairward_proxy::cluster::{Cluster, Identity, Member, MembershipView};
@@ -16,6 +15,7 @@
 use stairward_proxy::peer::{CallFuture, OwnerStream, PeerNetwork, PeerService};
 use stairward_settings::{Change, Edit, SettingsOption, SettingsPath, SettingsTree};
 use stairward_standins::platform::{PlatformStandin, PlatformStandinConfig};
+use stairward_store::{PlatformClient, PlatformClientSettings, RetryPolicy, create_settings};
 use stairward_types::{ChangeId, Incarnation, NodeId, RegionName, Revision, ZoneName};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
--- a/crates/stairward-simulation/examples/seeds.rs
+++ b/crates/stairward-simulation/examples/seeds.rs
@@ -6,7 +6,9 @@
     let mut arguments = std::env::args().skip(1);
     let mut number = |default: u64| {
         let argument = arguments.next();
-        argument.and_then(|text| text.parse().ok()).unwrap_or(default)
+        argument
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(default)
     };
     let (first, last) = (number(1), number(200));
     let (mut violations, mut promotions, mut succeeded, mut failed) = (0, 0, 0, 0);
@@ -20,5 +22,7 @@
         succeeded += report.succeeded;
         failed += report.failed;
     }
-    println!("seeds {first}..{last}: {violations} violations, {promotions} promotions, {succeeded} statements succeeded, {failed} did not");
+    println!(
+        "seeds {first}..{last}: {violations} violations, {promotions} promotions, {succeeded} statements succeeded, {failed} did not"
+    );
 }
--- a/crates/stairward-platform/tests/objects.rs
+++ b/crates/stairward-store/tests/objects.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use serde_json::json;
-use stairward_platform::{Machine, MachineState, PlatformClient, ReadError, WriteError};
 use stairward_standins::platform::{StoreConfig, StoreFault};
+use stairward_store::{Machine, MachineState, PlatformClient, ReadError, WriteError};
 use stairward_types::{RegionName, ZoneName};
 use support::{client, start_store, start_store_with};
 
-type Object = stairward_platform::VersionedObject<serde_json::Value>;
+type Object = stairward_store::VersionedObject<serde_json::Value>;
 
 async fn get(client: &PlatformClient, name: &str) -> Option<Object> {
     client.get(name).await.expect("the store answers")
--- a/crates/stairward-platform/tests/retry.rs
+++ b/crates/stairward-store/tests/retry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use stairward_platform::RetryPolicy;
+use stairward_store::RetryPolicy;
 use stairward_testing::check;
 
 const POLICY: RetryPolicy = RetryPolicy {
--- a/crates/stairward-platform/tests/settings.rs
+++ b/crates/stairward-store/tests/settings.rs
@@ -5,11 +5,9 @@
 use std::collections::BTreeSet;
 
 use futures::future::join_all;
-use stairward_platform::{
-    EditFailure, PlatformClient, create_settings, edit_settings, read_settings,
-};
 use stairward_settings::{Edit, EditError, SettingsDocument, SettingsTree};
 use stairward_standins::platform::{PlatformStandin, StoreFault};
+use stairward_store::{EditFailure, PlatformClient, create_settings, edit_settings, read_settings};
 use stairward_types::{ChangeId, ResultCode, Revision};
 use support::{client, start_store, tree, weight_edit};
 
--- a/crates/stairward-platform/tests/support/mod.rs
+++ b/crates/stairward-store/tests/support/mod.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use stairward_platform::{PlatformClient, PlatformClientSettings, RetryPolicy};
 use stairward_settings::{Change, Edit, SettingsOption, SettingsPath, SettingsTree};
 use stairward_standins::platform::{PlatformStandin, PlatformStandinConfig, StoreConfig};
+use stairward_store::{PlatformClient, PlatformClientSettings, RetryPolicy};
 use stairward_types::{ChangeId, Revision};
 
 /// How long an exchange may take before the client gives up; only tests of a silent store wait it
