Count requests, latencies, reads by role and failover steps; hold for a fifth of the target

The figures are shown at the address that deploy/system.toml names, and where readiness is asked. A fifth is kept: it stays under the quarter and gives a failover most of the time.

--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairward_types::{BackendId, Freshness, GroupId, ResultCode, ServiceName};
+use stairward_types::{
+    AccessClass, BackendId, BackendRole, Freshness, GroupId, OutcomeClass, ResultCode, ServiceName,
+};
 
 use crate::identifiers::{ConnectionId, SessionId};
 use crate::reply::{BackendReply, Response};
-use crate::settings::{BackendDescription, RoutingTable};
+use crate::settings::{BackendDescription, Consistency, RoutingTable};
 use crate::statement::{PreparedStatement, Statement};
 
 /// Why a connection to a back end could not be opened.
@@ -192,6 +194,21 @@
     pub proof_age: Option<Duration>,
 }
 
+/// How a request ended, for metrics.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestMeasure {
+    /// What reads of its route must see.
+    pub consistency: Consistency,
+    /// Whether it could write.
+    pub access: AccessClass,
+    /// Whether it ran.
+    pub outcome: OutcomeClass,
+    /// The role of the back end that answered; none where none did.
+    pub served_by: Option<BackendRole>,
+    /// From its arrival to its answer.
+    pub latency: Duration,
+}
+
 /// What the engine wants done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
@@ -247,6 +264,8 @@
     },
     /// A decision for the log.
     Record(RequestRecord),
+    /// A request has ended.
+    Measured(RequestMeasure),
     /// The planned stop is complete.
     Stopped,
 }
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -27,7 +27,8 @@
 
 pub use engine::{Engine, EngineStatistics};
 pub use event::{
-    BackendCommand, Decision, Effect, Event, Evidence, OpenFailure, OpenTarget, RequestRecord,
+    BackendCommand, Decision, Effect, Event, Evidence, OpenFailure, OpenTarget, RequestMeasure,
+    RequestRecord,
 };
 pub use identifiers::{ConnectionId, SessionId};
 pub use reply::{
--- a/crates/stairward-engine/src/requests.rs
+++ b/crates/stairward-engine/src/requests.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use stairward_types::{BackendId, Freshness, ResultCode, Time};
+use stairward_types::{AccessClass, BackendId, Freshness, OutcomeClass, ResultCode, Time};
 
 use crate::connection::{SentStep, User, step_of};
 use crate::engine::Engine;
-use crate::event::{BackendCommand, Decision, Effect, Evidence, RequestRecord};
+use crate::event::{BackendCommand, Decision, Effect, Evidence, RequestMeasure, RequestRecord};
 use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
 use crate::reply::{Response, ResponseResult};
 use crate::session::{Need, Request, Stage, Transaction, WaitReason};
@@ -153,6 +153,7 @@
         self.cancel_timers(id, &request);
         self.remove_from_queue(id, &request);
         self.rest(now, id);
+        self.measure(now, &request, &response);
         self.effects.push(Effect::Respond {
             session: id,
             response,
@@ -160,6 +161,36 @@
         self.start_next(now, id);
     }
 
+    fn measure(&mut self, now: Time, request: &Request, response: &Response) {
+        let outcome = match &response.result {
+            ResponseResult::Completed { .. } => OutcomeClass::Answered,
+            ResponseResult::Refused { code, .. } => code.class(),
+            ResponseResult::Failed(error) if error.code.is_not_run() => OutcomeClass::NotRun,
+            ResponseResult::Failed(_) => OutcomeClass::OutcomeUnknown,
+        };
+        let access = match request.need {
+            Need::Write | Need::Commit | Need::InTransaction { writes: true } => AccessClass::Write,
+            _ => AccessClass::Read,
+        };
+        let answered_by = match request.stage {
+            Stage::Sent(connection) | Stage::Preparing(connection) => {
+                self.connections.get(&connection)
+            }
+            Stage::Waiting => None,
+        };
+        let backend = answered_by.and_then(|connection| self.backends.get(&connection.backend));
+        let served_by = backend
+            .filter(|_| outcome == OutcomeClass::Answered)
+            .map(|backend| backend.description.role);
+        self.effects.push(Effect::Measured(RequestMeasure {
+            consistency: request.route.consistency,
+            access,
+            outcome,
+            served_by,
+            latency: now.since(request.received),
+        }));
+    }
+
     pub(crate) fn cancel_timers(&mut self, id: SessionId, request: &Request) {
         let number = request.number;
         self.timers
--- a/crates/stairward-engine/src/statements.rs
+++ b/crates/stairward-engine/src/statements.rs
@@ -15,7 +15,7 @@
 use crate::timers::Timer;
 
 /// The share of the target latency for which a request may wait without having been sent.
-const HOLD_DIVISOR: u32 = 6;
+const HOLD_DIVISOR: u32 = 5;
 /// The share of the target latency after which a read without an answer is also sent elsewhere.
 const HEDGE_DIVISOR: u32 = 4;
 
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -208,7 +208,7 @@
                 }
                 Effect::Stopped => self.is_stopped = true,
                 Effect::Observed { backend, evidence } => self.observed.push((backend, evidence)),
-                Effect::AcceptSession { .. } | Effect::Record(_) => {}
+                Effect::AcceptSession { .. } | Effect::Record(_) | Effect::Measured(_) => {}
             }
         }
         if self.opens {
--- a/crates/stairward-runtime/src/duty.rs
+++ b/crates/stairward-runtime/src/duty.rs
@@ -12,6 +12,7 @@
 use stairward_types::{BackendId, ServiceName};
 
 use crate::coordination::RecordWrite;
+use crate::figures;
 use crate::members::ask_member;
 use crate::node::Node;
 use crate::wire::{MemberQuestion, Wire};
@@ -47,6 +48,7 @@
             let pause = wake_at.map_or(IDLE_PAUSE, |at| at.since(now));
             Self::pause(pause.min(IDLE_PAUSE)).await;
             self.tell_duty(Event::Tick);
+            figures::show(self.statistics());
         }
     }
 
@@ -79,7 +81,10 @@
                     node.tell_duty(Event::Promotion(service, token, outcome));
                 });
             }
-            Effect::Log(service, action) => self.log.duty(self.now(), &service, &action),
+            Effect::Log(service, action) => {
+                figures::count_step(&action);
+                self.log.duty(self.now(), &service, &action);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/stairward-runtime/src/figures.rs
@@ -0,0 +1,94 @@
+//! The node's figures: counters and latency histograms, shown as text for Prometheus.
+
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use stairward_engine::{Consistency, EngineStatistics, RequestMeasure};
+use stairward_failover::Action;
+use stairward_types::{AccessClass, BackendRole, OutcomeClass};
+
+/// Requests that ended, by what their reads must see, access and outcome.
+const REQUESTS: &str = "stairward_requests_total";
+/// Time from a request's arrival to its answer, in seconds, by the same.
+const LATENCY: &str = "stairward_request_seconds";
+/// Reads that a back end answered, by its role.
+const READS: &str = "stairward_reads_total";
+/// Steps of the failover duty, by kind.
+const FAILOVER_STEPS: &str = "stairward_failover_steps_total";
+/// Open sessions.
+const SESSIONS: &str = "stairward_sessions";
+/// Connections to back ends.
+const CONNECTIONS: &str = "stairward_backend_connections";
+/// Requests that wait.
+const WAITING: &str = "stairward_requests_waiting";
+/// Upper ends of the histogram's buckets, in seconds.
+const BUCKETS: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
+
+/// Starts counting in this process; a second start fails.
+///
+/// # Errors
+/// When counting was started before.
+pub fn start() -> Result<PrometheusHandle, BuildError> {
+    PrometheusBuilder::new()
+        .set_buckets(&BUCKETS)?
+        .install_recorder()
+}
+
+fn consistency_name(consistency: Consistency) -> &'static str {
+    match consistency {
+        Consistency::Primary => "primary",
+        Consistency::Bounded { .. } => "bounded",
+        Consistency::OwnReads { .. } => "own_reads",
+    }
+}
+
+fn access_name(access: AccessClass) -> &'static str {
+    match access {
+        AccessClass::Read => "read",
+        AccessClass::Write => "write",
+    }
+}
+
+fn outcome_name(outcome: OutcomeClass) -> &'static str {
+    match outcome {
+        OutcomeClass::Answered => "answered",
+        OutcomeClass::NotRun => "not_run",
+        OutcomeClass::OutcomeUnknown => "unknown",
+    }
+}
+
+/// Counts a request that ended.
+pub(crate) fn count(measure: &RequestMeasure) {
+    let consistency = consistency_name(measure.consistency);
+    let access = access_name(measure.access);
+    let outcome = outcome_name(measure.outcome);
+    metrics::counter!(REQUESTS, "consistency" => consistency, "access" => access, "outcome" => outcome)
+        .increment(1);
+    metrics::histogram!(LATENCY, "consistency" => consistency, "access" => access, "outcome" => outcome)
+        .record(measure.latency.as_secs_f64());
+    let role = match measure.served_by {
+        Some(BackendRole::Primary) => "primary",
+        Some(BackendRole::Replica) => "replica",
+        None => return,
+    };
+    if measure.access == AccessClass::Read {
+        metrics::counter!(READS, "served_by" => role).increment(1);
+    }
+}
+
+/// Counts a step of the failover duty.
+pub(crate) fn count_step(action: &Action) {
+    let step = match action {
+        Action::Began { .. } => "began",
+        Action::GaveUp { .. } => "given_up",
+        Action::Chose { .. } => "decided",
+        Action::Answered { .. } => "answered",
+    };
+    metrics::counter!(FAILOVER_STEPS, "step" => step).increment(1);
+}
+
+/// Shows how much is open.
+pub(crate) fn show(statistics: EngineStatistics) {
+    let gauge = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+    metrics::gauge!(SESSIONS).set(gauge(statistics.sessions));
+    metrics::gauge!(CONNECTIONS).set(gauge(statistics.connections));
+    metrics::gauge!(WAITING).set(gauge(statistics.waiting));
+}
--- a/crates/stairward-runtime/src/health.rs
+++ b/crates/stairward-runtime/src/health.rs
@@ -5,8 +5,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use gotham::handler::{HandlerFuture, IntoResponse as _, NewHandler};
-use gotham::hyper::StatusCode;
-use gotham::state::State;
+use gotham::hyper::{StatusCode, Uri};
+use gotham::state::{FromState as _, State};
+use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 
 /// Whether the node is ready for new callers.
@@ -28,27 +29,37 @@
     }
 }
 
-/// Answers health questions over HTTP: 200 when the node is ready, 503 when not, on any path.
+/// The path of the figures; every other one is a question for readiness.
+const FIGURES_PATH: &str = "/metrics";
+
+/// Answers over HTTP: the figures on their path; on any other 200 when the node is ready, 503 when not.
 pub struct HealthService;
 
 #[derive(Clone)]
-struct ReadinessHandler {
+struct HealthHandler {
     readiness: Arc<Readiness>,
+    figures: Option<PrometheusHandle>,
+}
+
+impl HealthHandler {
+    fn answer(&self, path: &str) -> (StatusCode, String) {
+        match &self.figures {
+            Some(figures) if path == FIGURES_PATH => (StatusCode::OK, figures.render()),
+            _ if self.readiness.get() => (StatusCode::OK, String::new()),
+            _ => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        }
+    }
 }
 
-impl gotham::handler::Handler for ReadinessHandler {
+impl gotham::handler::Handler for HealthHandler {
     fn handle(self, state: State) -> Pin<Box<HandlerFuture>> {
-        let status = if self.readiness.get() {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        };
-        let response = (status, mime::TEXT_PLAIN, "").into_response(&state);
+        let (status, body) = self.answer(Uri::borrow_from(&state).path());
+        let response = (status, mime::TEXT_PLAIN, body).into_response(&state);
         Box::pin(async move { Ok((state, response)) })
     }
 }
 
-impl NewHandler for ReadinessHandler {
+impl NewHandler for HealthHandler {
     type Instance = Self;
 
     fn new_handler(&self) -> gotham::anyhow::Result<Self::Instance> {
@@ -58,8 +69,12 @@
 
 impl HealthService {
     /// Serves on a listener. Runs for ever.
-    pub async fn serve(listener: TcpListener, readiness: Arc<Readiness>) {
-        let handler = ReadinessHandler { readiness };
+    pub async fn serve(
+        listener: TcpListener,
+        readiness: Arc<Readiness>,
+        figures: Option<PrometheusHandle>,
+    ) {
+        let handler = HealthHandler { readiness, figures };
         gotham::bind_server(listener, handler, |socket| {
             Box::pin(async move { Ok::<_, ()>(socket) })
         })
--- a/crates/stairward-runtime/src/lib.rs
+++ b/crates/stairward-runtime/src/lib.rs
@@ -10,6 +10,7 @@
 mod callers;
 mod coordination;
 mod duty;
+pub mod figures;
 mod health;
 mod log;
 mod members;
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 
 use crate::coordination::Coordination;
+use crate::figures;
 use crate::health::Readiness;
 use crate::log::DecisionLog;
 use crate::socket::Outgoing;
@@ -234,6 +235,7 @@
             }
             Effect::Observed { backend, evidence } => self.observed(now, backend, evidence),
             Effect::Record(record) => self.log.request(now, &record),
+            Effect::Measured(measure) => figures::count(&measure),
             Effect::Stopped => {
                 self.is_stopped.set(true);
                 self.stopped.notify_waiters();
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -368,7 +368,10 @@
 
     fn carry_out(&mut self, index: usize, life: u64, effect: Effect) {
         match effect {
-            Effect::AcceptSession { .. } | Effect::Record(_) | Effect::Stopped => {}
+            Effect::AcceptSession { .. }
+            | Effect::Record(_)
+            | Effect::Measured(_)
+            | Effect::Stopped => {}
             Effect::RefuseSession { session, .. } | Effect::CloseSession { session } => {
                 if let Some(caller) = self.caller_of(session) {
                     let cut = Happening::CallerCut(caller, session.0);
