Refuse a read at once when every living copy has refused it

Cause: a read that the living copies had refused as full waited for a connection to the copy that was down, until its hold was over. Ruled out: waiting for the database's queue (nothing was sent after the second refusal). The test failed first.

--- a/crates/stairward-engine/src/choice.rs
+++ b/crates/stairward-engine/src/choice.rs
@@ -110,12 +110,20 @@
             if let Some(connection) = self.connection_to(now, &id, values) {
                 return Choice::Use(connection, Some(floor));
             }
+            if self.backends.get(&id).is_some_and(|copy| copy.is_silent) {
+                // One that does not answer is not worth waiting for.
+                continue;
+            }
             reason = Some(WaitReason::NoConnection);
             if self.is_opening_soon(now, &id) {
                 break;
             }
         }
-        reason.map_or(Choice::Exhausted, Choice::Wait)
+        match reason {
+            Some(reason) => Choice::Wait(reason),
+            None if request.tried.is_empty() => Choice::Wait(WaitReason::NoBackend),
+            None => Choice::Exhausted,
+        }
     }
 
     /// The copies that may answer a read, best first.
--- a/crates/stairward-engine/tests/reads.rs
+++ b/crates/stairward-engine/tests/reads.rs
@@ -186,3 +186,30 @@
     assert_ne!(lost.backend, again.backend);
     world.response();
 }
+
+/// Reads that all living copies had refused used to wait for the connection to a copy that was down.
+#[test]
+fn a_read_refused_by_all_living_copies_is_not_held_for_one_that_is_down() {
+    let mut world = World::new();
+    world.prove(at(1, 7));
+    world.opens = false;
+    let far = world
+        .opened
+        .iter()
+        .find(|(_, id)| *id == backend(FAR_REPLICA))
+        .map(|(connection, _)| *connection);
+    world.opened.clear();
+    let session = world.open(BOUNDED);
+    world.say(session, StatementKind::Read);
+    world.tell(Event::ConnectionLost {
+        connection: far.unwrap(),
+    });
+    world.tell(Event::Backends(usual_backends()));
+    world.refuse_openings();
+    world.answer(failed(BackendErrorCode::Busy, IDLE));
+    world.answer(failed(BackendErrorCode::Busy, IDLE));
+    assert_eq!(
+        world.refusal().class(),
+        stairward_types::OutcomeClass::NotRun
+    );
+}
--- a/crates/stairward-runtime/src/log.rs
+++ b/crates/stairward-runtime/src/log.rs
@@ -8,7 +8,7 @@
 use stairward_types::{LogEvent, OutcomeClass, ServiceName, Time};
 
 /// Lines of one kind a second; the rest are counted and the count is told with the next line.
-const LINES_A_SECOND: u32 = 20;
+const LINES_A_SECOND: u32 = 100;
 
 #[derive(Debug, Default)]
 struct Window {
