--- a/crates/stairward-engine/src/requests.rs
+++ b/crates/stairward-engine/src/requests.rs
@@ -76,6 +76,7 @@
         request.tries += 1;
         request.unanswered.insert(connection_id);
         request.floor = floor;
+        request.last_backend = Some(connection.backend.clone());
         connection.user = Some(User::Session(id, request.number));
         let prepared = match &request.statement.kind {
             StatementKind::Execute { name, .. } => session.prepared.get(name),
@@ -268,7 +269,7 @@
         let record = RequestRecord {
             id: request.statement.id.clone(),
             service: Some(service.clone()),
-            backend,
+            backend: backend.or_else(|| request.last_backend.clone()),
             decision,
             attempts: request.attempts,
             age: now.since(request.received),
--- a/crates/stairward-engine/src/session.rs
+++ b/crates/stairward-engine/src/session.rs
@@ -176,6 +176,8 @@
     pub tries: u32,
     /// Back ends not to be tried again.
     pub tried: BTreeSet<BackendId>,
+    /// The back end it went to last.
+    pub last_backend: Option<BackendId>,
     /// Connections on which it was sent and no answer has come.
     pub unanswered: BTreeSet<ConnectionId>,
 }
--- a/crates/stairward-engine/src/statements.rs
+++ b/crates/stairward-engine/src/statements.rs
@@ -323,6 +323,7 @@
             attempts: 0,
             tries: 0,
             tried: BTreeSet::new(),
+            last_backend: None,
             unanswered: BTreeSet::new(),
         };
         if let Some(session) = self.sessions.get_mut(&id) {
