--- a/crates/stairward-simulation/src/callers.rs
+++ b/crates/stairward-simulation/src/callers.rs
@@ -10,7 +10,7 @@
 use crate::checker::{Asked, Checker, Invariant, ReadKind};
 
 /// The databases that routes lead to, with what their reads must see.
-pub(crate) const DATABASES: [(&str, ReadKind); 3] = [
+pub const DATABASES: [(&str, ReadKind); 3] = [
     ("leader", ReadKind::Leader),
     ("bounded", ReadKind::Bounded),
     ("own", ReadKind::Own),
@@ -39,12 +39,14 @@
 
 /// A session of a caller.
 #[derive(Debug)]
-pub(crate) struct Caller {
+pub struct Caller {
+    /// Its number, the same for all its sessions.
     pub number: u64,
     /// Its session's number, new with each connection.
     pub session: u64,
     /// The node and the life of it that it is connected to.
     pub node: Option<(usize, u64)>,
+    /// The database it asked for, by its place in [`DATABASES`].
     pub database: usize,
     values: BTreeMap<String, String>,
     prepared: Option<PreparedStatement>,
@@ -61,12 +63,15 @@
 
 /// What a caller does next.
 #[derive(Debug)]
-pub(crate) enum Step {
+pub enum Step {
+    /// Send a statement.
     Send(Statement),
+    /// Close the session.
     Leave,
 }
 
 impl Caller {
+    /// A caller that is not connected.
     pub fn new(number: u64) -> Self {
         Self {
             number,
@@ -101,6 +106,7 @@
         self.sent
     }
 
+    /// Whether an answer is due.
     pub fn is_waiting(&self) -> bool {
         self.in_flight.is_some()
     }
--- a/crates/stairward-simulation/src/checker.rs
+++ b/crates/stairward-simulation/src/checker.rs
@@ -43,25 +43,33 @@
 
 /// What a read must see besides what is older than the staleness.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum ReadKind {
+pub enum ReadKind {
+    /// Every commit acknowledged before.
     Leader,
+    /// Every commit acknowledged longer than the staleness before.
     Bounded,
+    /// The same, and every commit of the own session.
     Own,
 }
 
 /// What a caller sent.
 #[derive(Debug, Clone)]
-pub(crate) struct Asked {
+pub struct Asked {
+    /// The caller's session.
     pub session: u64,
     /// The caller's operation; statements of one transaction share it.
     pub operation: u64,
+    /// The statement's text.
     pub text: String,
+    /// What its reads must see.
     pub kind: ReadKind,
     /// When the first byte of the read, or of its transaction, was sent.
     pub start: Time,
+    /// The values that were acknowledged to the session.
     pub values: BTreeMap<String, String>,
     /// Statements of the same transaction that were answered before.
     pub before: Vec<String>,
+    /// Whether it belongs to a transaction.
     pub in_transaction: bool,
 }
 
@@ -74,18 +82,21 @@
 
 /// The history and its checks.
 #[derive(Debug)]
-pub(crate) struct Checker {
+pub struct Checker {
     staleness: Duration,
     asked: BTreeMap<String, Asked>,
     commits: BTreeMap<String, Vec<Entry>>,
     acknowledged: Vec<Acknowledged>,
     promised: BTreeSet<u64>,
     decisions: BTreeMap<u64, String>,
+    /// What was violated so far.
     pub violations: Vec<Violation>,
+    /// How often each invariant was checked.
     pub checked: BTreeMap<Invariant, u64>,
 }
 
 impl Checker {
+    /// An empty history.
     pub fn new(staleness: Duration) -> Self {
         Self {
             staleness,
@@ -99,6 +110,7 @@
         }
     }
 
+    /// Notes a violation.
     pub fn violate(&mut self, at: Time, invariant: Invariant, text: String) {
         self.violations.push(Violation {
             invariant,
@@ -107,10 +119,12 @@
         });
     }
 
+    /// Notes that an invariant was checked.
     pub fn count(&mut self, invariant: Invariant) {
         *self.checked.entry(invariant).or_default() += 1;
     }
 
+    /// A caller sent a statement.
     pub fn asked(&mut self, id: String, asked: Asked) {
         self.asked.insert(id, asked);
     }
--- a/crates/stairward-simulation/src/database.rs
+++ b/crates/stairward-simulation/src/database.rs
@@ -10,14 +10,17 @@
 
 /// A connection, unique in the world: the node's life and its own number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Link {
+pub struct Link {
+    /// The node's life, unique in the world.
     pub life: u64,
+    /// The connection's number in it.
     pub connection: stairward_engine::ConnectionId,
 }
 
 /// A committed write.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Entry {
+pub struct Entry {
+    /// Its position in the log.
     pub at: Freshness,
     /// The statements' ids.
     pub writes: Vec<String>,
@@ -25,24 +28,31 @@
 
 /// A transaction open on a connection.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct OpenTransaction {
+pub struct OpenTransaction {
+    /// Whether only reads may follow.
     pub is_read_only: bool,
+    /// Ids of its writes.
     pub writes: Vec<String>,
+    /// Ids of its statements.
     pub statements: Vec<String>,
+    /// Whether only its end is accepted.
     pub has_failed: bool,
 }
 
 /// What a connection holds.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct ConnectionState {
+pub struct ConnectionState {
+    /// Values set on it.
     pub values: BTreeMap<String, String>,
+    /// What is prepared on it.
     pub prepared: BTreeSet<PreparedStatement>,
+    /// The open transaction.
     pub transaction: Option<OpenTransaction>,
 }
 
 /// What a database did with a command, for the checks.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Ran {
+pub struct Ran {
     /// The statement's id.
     pub id: String,
     /// The statement's text, or shape and arguments.
@@ -59,8 +69,10 @@
 
 /// The outcome of a command.
 #[derive(Debug)]
-pub(crate) struct Outcome {
+pub struct Outcome {
+    /// The answer.
     pub reply: BackendReply,
+    /// The caller's statement that ran.
     pub ran: Option<Ran>,
     /// A commit took effect.
     pub committed: Option<Entry>,
@@ -68,26 +80,35 @@
 
 /// One database.
 #[derive(Debug)]
-pub(crate) struct Database {
+pub struct Database {
+    /// Its id.
     pub id: BackendId,
+    /// Whether its process runs.
     pub is_alive: bool,
+    /// Whether nothing reaches it and it says nothing.
     pub is_silent: bool,
+    /// Its role.
     pub role: BackendRole,
+    /// The term it is in.
     pub term: Term,
     /// All that it has received.
     pub log: Vec<Entry>,
     /// How much of it is applied.
     pub applied: usize,
+    /// Open connections.
     pub connections: BTreeMap<Link, ConnectionState>,
+    /// Connections it takes.
     pub connection_limit: usize,
     /// Since when discovery says that it leaves or is gone, as the store took it.
     pub leaving_since: Option<Time>,
     /// Whether nothing passes between it and the other members.
     pub is_deaf: bool,
+    /// How many times later than usual it applies.
     pub lag_factor: u32,
 }
 
 impl Database {
+    /// A database with an empty log.
     pub fn new(id: BackendId, role: BackendRole, connection_limit: usize) -> Self {
         Self {
             id,
@@ -105,11 +126,13 @@
         }
     }
 
+    /// How far it has applied the log.
     pub fn position(&self) -> Freshness {
         let number = u64::try_from(self.applied).unwrap_or_default();
         Freshness::new(self.term, LogPosition(number))
     }
 
+    /// How much of the log it has received.
     pub fn received(&self) -> Freshness {
         let number = u64::try_from(self.log.len()).unwrap_or_default();
         Freshness::new(self.term, LogPosition(number))
--- a/crates/stairward-simulation/src/group.rs
+++ b/crates/stairward-simulation/src/group.rs
@@ -1,6 +1,7 @@
 //! The databases of one service together: replication, promotion, and what discovery says of them.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use stairward_engine::BackendDescription;
 use stairward_types::{BackendId, BackendRole, Revision, ServiceName, Term, Time, ZoneName};
@@ -8,20 +9,24 @@
 use crate::database::{Database, Entry};
 
 /// The one service.
-pub(crate) const SERVICE: &str = "core";
+pub const SERVICE: &str = "core";
 
 /// The databases of one service.
 #[derive(Debug)]
-pub(crate) struct Group {
+pub struct Group {
+    /// The databases by id.
     pub databases: BTreeMap<BackendId, Database>,
     /// What discovery says.
     pub listed: BTreeMap<BackendId, BackendDescription>,
+    /// Grows with each change of what discovery says.
     pub revision: u64,
     /// The highest fencing token seen.
     pub fence: u64,
+    applied_at: BTreeMap<BackendId, Vec<(Time, usize)>>,
 }
 
-pub(crate) fn service() -> ServiceName {
+/// The one service's name.
+pub fn service() -> ServiceName {
     ServiceName::new(SERVICE).expect("a name")
 }
 
@@ -43,6 +48,7 @@
             listed: BTreeMap::new(),
             revision: 0,
             fence: 0,
+            applied_at: BTreeMap::new(),
         };
         let ids: Vec<_> = group.databases.keys().cloned().collect();
         for id in ids {
@@ -81,6 +87,7 @@
         }
     }
 
+    /// The database that leads the newest term.
     pub fn primary(&self) -> Option<&BackendId> {
         let primaries = self
             .databases
@@ -94,6 +101,7 @@
     /// A database leads the next term with what it has received; the others follow it.
     pub fn promote(&mut self, id: &BackendId) -> Vec<Entry> {
         let newest = self.databases.values().map(|database| database.term).max();
+        self.applied_at.clear();
         let term = Term(newest.unwrap_or_default().0 + 1);
         let Some(leader) = self.databases.get_mut(id) else {
             return Vec::new();
@@ -122,4 +130,36 @@
         }
         rolled_back
     }
+
+    /// Replicas receive what the primary has, and apply it after `lag` times their own factor.
+    pub fn replicate(&mut self, now: Time, lag: Duration) {
+        let Some(primary) = self.primary().cloned() else {
+            return;
+        };
+        let Some(leader) = self.databases.remove(&primary) else {
+            return;
+        };
+        let leads = leader.is_alive && !leader.is_silent && !leader.is_deaf;
+        for (id, database) in &mut self.databases {
+            if !database.is_alive {
+                continue;
+            }
+            if leads && !database.is_deaf && !database.is_silent {
+                database.term = leader.term;
+                if database.log.len() != leader.log.len() {
+                    database.log.clone_from(&leader.log);
+                }
+            }
+            let history = self.applied_at.entry(id.clone()).or_default();
+            history.push((now, database.log.len()));
+            let lag = lag * database.lag_factor;
+            let due = history.iter().rposition(|(at, _)| *at + lag <= now);
+            if let Some(due) = due {
+                let length = history[due].1.min(database.log.len());
+                database.applied = database.applied.max(length);
+                history.drain(..due);
+            }
+        }
+        self.databases.insert(primary, leader);
+    }
 }
--- a/crates/stairward-simulation/src/lib.rs
+++ b/crates/stairward-simulation/src/lib.rs
@@ -18,6 +18,9 @@
 mod store;
 mod world;
 
-pub use checker::{Invariant, Violation};
+pub use callers::{Caller, DATABASES, Step};
+pub use checker::{Asked, Checker, Invariant, ReadKind, Violation};
+pub use database::{ConnectionState, Database, Entry, Link, Outcome, Ran};
+pub use group::{Group, SERVICE, service};
 pub use options::{BrokenVariant, FaultKind, Options};
 pub use world::{Report, simulate};
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -129,7 +129,6 @@
     pub strikes: Vec<String>,
     pub strikes_left: u32,
     pub lives: u64,
-    applied_at: BTreeMap<BackendId, Vec<(Time, usize)>>,
     numbers: u64,
     sessions: u64,
     succeeded: u64,
@@ -175,7 +174,6 @@
             strikes: Vec::new(),
             strikes_left: options.strikes,
             lives: 0,
-            applied_at: BTreeMap::new(),
             numbers: 0,
             sessions: 0,
             succeeded: 0,
@@ -614,35 +612,7 @@
     fn replicate(&mut self) {
         let now = self.now();
         self.queue.plan(REPLICATION_TICK, Happening::Replicate);
-        let Some(primary) = self.group.primary().cloned() else {
-            return;
-        };
-        let Some(leader) = self.group.databases.remove(&primary) else {
-            return;
-        };
-        let (log, term) = (&leader.log, leader.term);
-        let leads = leader.is_alive && !leader.is_silent && !leader.is_deaf;
-        for (id, database) in &mut self.group.databases {
-            if !database.is_alive {
-                continue;
-            }
-            if leads && !database.is_deaf && !database.is_silent {
-                database.term = term;
-                if database.log.len() != log.len() {
-                    database.log.clone_from(log);
-                }
-            }
-            let history = self.applied_at.entry(id.clone()).or_default();
-            history.push((now, database.log.len()));
-            let lag = USUAL_LAG * database.lag_factor;
-            let due = history.iter().rposition(|(at, _)| *at + lag <= now);
-            if let Some(due) = due {
-                let length = history[due].1.min(database.log.len());
-                database.applied = database.applied.max(length);
-                history.drain(..due);
-            }
-        }
-        self.group.databases.insert(primary, leader);
+        self.group.replicate(now, USUAL_LAG);
     }
 
     fn ask_at(&mut self, node: usize, life: u64, backend: &BackendId, question: Question) {
@@ -682,7 +652,6 @@
         self.promotions += 1;
         let rolled_back = self.group.promote(backend);
         self.checker.rolled_back(&rolled_back);
-        self.applied_at.clear();
         let ids: Vec<_> = self.group.databases.keys().cloned().collect();
         for id in ids {
             if self.group.listed.contains_key(&id) {
