Forward the statements of sessions whose connections other nodes hold

The number of nodes that hold connections to a back end is derived: its connections divided by the smallest useful share (3), at most the live nodes. A node that holds none keeps the session, and forwards each statement with all of the session that it needs to a holder. Tests: what is forwarded, transactions stay with their holder, a lost holder leaves a write unknown and undoes a transaction, a late answer is dropped.

--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -4,13 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairward_types::{BackendId, ServiceName, Time};
+use stairward_types::{BackendId, NodeId, ServiceName, Time};
 
 use crate::backend::Backend;
 use crate::connection::Connection;
 use crate::event::{Effect, Event, Evidence};
 use crate::group::Group;
 use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
+use crate::node_count::NodeCount;
+use crate::relay::holder_count;
 use crate::session::Session;
 use crate::settings::{BackendDescription, EngineOptions, RoutingTable};
 use crate::stopping::Stop;
@@ -55,7 +57,9 @@
     pub(crate) waiting: BTreeMap<ServiceName, BTreeSet<WaitingKey>>,
     pub(crate) changed: BTreeSet<ServiceName>,
     pub(crate) effects: Vec<Effect>,
-    pub(crate) nodes: u32,
+    pub(crate) nodes: NodeCount,
+    /// Services held by other nodes only.
+    pub(crate) holders: BTreeMap<ServiceName, Vec<NodeId>>,
     pub(crate) stop: Option<Stop>,
     last_connection: u64,
     last_request: u64,
@@ -76,7 +80,8 @@
             waiting: BTreeMap::new(),
             changed: BTreeSet::new(),
             effects: Vec::new(),
-            nodes: 1,
+            nodes: NodeCount::default(),
+            holders: BTreeMap::new(),
             stop: None,
             last_connection: 0,
             last_request: 0,
@@ -139,7 +144,18 @@
             Event::ConnectionLost { connection } => self.connection_lost(now, connection),
             Event::Configured(table) => self.configure(now, table),
             Event::Backends(list) => self.take_backends(now, list),
-            Event::Nodes(nodes) => self.nodes = nodes.max(1),
+            Event::Nodes(nodes) => self.nodes.note(now, nodes),
+            Event::Holders(holders) => self.set_holders(holders),
+            Event::Forwarded { session, forwarded } => {
+                self.take_forwarded(now, session, *forwarded);
+            }
+            Event::ForwardAnswered {
+                holder,
+                session,
+                request,
+                response,
+            } => self.forward_answered(now, holder, session, request, response),
+            Event::HolderLost(holder) => self.holder_lost(now, holder),
             Event::StopRequested => self.begin_stop(now),
             Event::Tick => {}
         }
@@ -306,7 +322,8 @@
             .as_ref()
             .and_then(|table| table.services.get(service));
         let limit = limits.map_or(1, |limits| limits.connections);
-        let shared = limit.saturating_sub(RESERVED_CONNECTIONS) / self.nodes;
+        let sharing = self.nodes.most().min(holder_count(limit));
+        let shared = limit.saturating_sub(RESERVED_CONNECTIONS) / sharing;
         usize::try_from(shared.max(1)).unwrap_or(1)
     }
 
@@ -323,6 +340,7 @@
                 backend.connections.is_empty()
                     && backend.leaving_since.is_none()
                     && services.contains(&backend.description.service)
+                    && !self.holders.contains_key(&backend.description.service)
             })
             .map(|(id, _)| id.clone())
             .collect();
--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -1,14 +1,17 @@
 //! What goes into the engine and what comes out.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use stairward_types::{
-    AccessClass, BackendId, BackendRole, Freshness, GroupId, OutcomeClass, ResultCode, ServiceName,
+    AccessClass, BackendId, BackendRole, Freshness, GroupId, NodeId, OutcomeClass, ResultCode,
+    ServiceName,
 };
 
 use crate::identifiers::{ConnectionId, SessionId};
+use crate::relay::Forwarded;
 use crate::reply::{BackendReply, Response};
 use crate::settings::{BackendDescription, Consistency, RoutingTable};
 use crate::statement::{PreparedStatement, Statement};
@@ -87,6 +90,28 @@
     Backends(Vec<BackendDescription>),
     /// How many nodes share the back ends' connections.
     Nodes(u32),
+    /// The services whose connections only other nodes hold, and those nodes, best first.
+    Holders(BTreeMap<ServiceName, Vec<NodeId>>),
+    /// Another node forwards a statement of one of its sessions.
+    Forwarded {
+        /// The session, by a number of this node.
+        session: SessionId,
+        /// The statement, with all of the session that it needs.
+        forwarded: Box<Forwarded>,
+    },
+    /// A holder answered a statement that was forwarded to it.
+    ForwardAnswered {
+        /// The holder.
+        holder: NodeId,
+        /// The session.
+        session: SessionId,
+        /// The request's number, as it was forwarded.
+        request: u64,
+        /// The answer.
+        response: Response,
+    },
+    /// A node that statements were forwarded to can't be reached any more.
+    HolderLost(NodeId),
     /// The process is to stop.
     StopRequested,
     /// Time has passed; see [`crate::Engine::next_wake`].
@@ -262,6 +287,26 @@
         /// What was shown.
         evidence: Evidence,
     },
+    /// Forward a statement to another node.
+    Forward {
+        /// The node.
+        holder: NodeId,
+        /// The session.
+        session: SessionId,
+        /// The request's number.
+        request: u64,
+        /// How long an answer is waited for.
+        time_left: Duration,
+        /// The statement.
+        forwarded: Forwarded,
+    },
+    /// Tell a node that a session has ended whose statements were forwarded to it.
+    CloseForwarded {
+        /// The node.
+        holder: NodeId,
+        /// The session.
+        session: SessionId,
+    },
     /// A decision for the log.
     Record(RequestRecord),
     /// A request has ended.
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -13,7 +13,9 @@
 mod event;
 mod group;
 mod identifiers;
+mod node_count;
 mod probes;
+mod relay;
 mod replies;
 mod reply;
 mod requests;
@@ -31,6 +33,7 @@
     RequestRecord,
 };
 pub use identifiers::{ConnectionId, SessionId};
+pub use relay::{Forwarded, holder_count};
 pub use reply::{
     BackendError, BackendErrorCode, BackendReply, Response, ResponseResult, TransactionStatus,
 };
--- /dev/null
+++ b/crates/stairward-engine/src/node_count.rs
@@ -0,0 +1,31 @@
+//! How many nodes share the back ends' connections, carefully: a node that sees few others may be cut off
+//! from the rest, which go on holding their shares.
+
+use std::time::Duration;
+
+use stairward_types::Time;
+
+/// How long a larger number of nodes is still counted after it was seen.
+const MEMORY: Duration = Duration::from_secs(30);
+
+/// The largest number of nodes seen lately.
+#[derive(Debug, Default)]
+pub(crate) struct NodeCount {
+    seen: Vec<(Time, u32)>,
+}
+
+impl NodeCount {
+    /// Notes how many nodes there are at the moment.
+    pub fn note(&mut self, now: Time, nodes: u32) {
+        self.seen.retain(|(at, _)| now.since(*at) < MEMORY);
+        // A count is of no further use once a later one is as large.
+        self.seen.retain(|(_, seen)| *seen > nodes);
+        self.seen.push((now, nodes));
+    }
+
+    /// The number to share by, at least 1.
+    pub fn most(&self) -> u32 {
+        let most = self.seen.iter().map(|(_, nodes)| *nodes).max();
+        most.unwrap_or(1).max(1)
+    }
+}
--- /dev/null
+++ b/crates/stairward-engine/src/relay.rs
@@ -0,0 +1,295 @@
+//! Sessions whose back ends' connections are held by other nodes: their statements are forwarded to one of
+//! the holders, with all of the session that it needs. The session itself stays here.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairward_types::{Freshness, GroupId, NodeId, ResultCode, ServiceName, Time};
+
+use crate::engine::Engine;
+use crate::event::{Decision, Effect};
+use crate::identifiers::{RequestNumber, SessionId};
+use crate::reply::{Response, ResponseResult, TransactionStatus};
+use crate::session::{Need, RelayedTransaction, Session, Stage, Transaction};
+use crate::settings::Route;
+use crate::statement::{PreparedStatement, Statement, StatementKind};
+
+/// Holders that one request is forwarded to at most.
+const MOST_HOLDERS: usize = 3;
+/// When a caller should come back whose statement no holder took.
+const RETRY_NO_HOLDER: Duration = Duration::from_millis(300);
+/// The smallest number of connections to a back end that a node may usefully hold.
+pub(crate) const SMALLEST_SHARE: u32 = 3;
+/// The name under which a holder keeps what a forwarded statement runs.
+const FORWARDED_NAME: &str = "forwarded";
+
+/// A statement for another node to run, with all of the session that it needs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Forwarded {
+    /// The database that the session asked for.
+    pub database: GroupId,
+    /// The session's values.
+    pub values: BTreeMap<String, String>,
+    /// What the statement runs that was prepared.
+    pub prepared: Option<PreparedStatement>,
+    /// The session's newest commit at the service.
+    pub commit: Option<Freshness>,
+    /// The statement.
+    pub statement: Statement,
+}
+
+/// How many nodes hold connections to a back end that takes so many from all of them.
+#[must_use]
+pub fn holder_count(connections: u32) -> u32 {
+    (connections.saturating_sub(1) / SMALLEST_SHARE).max(1)
+}
+
+impl Engine {
+    /// Learns which services' connections are held by other nodes only, and by which.
+    pub(crate) fn set_holders(&mut self, holders: BTreeMap<ServiceName, Vec<NodeId>>) {
+        let given_up: Vec<_> = holders
+            .keys()
+            .filter(|service| !self.holders.contains_key(*service))
+            .cloned()
+            .collect();
+        self.holders = holders;
+        for service in given_up {
+            self.close_idle_connections(&service);
+        }
+    }
+
+    fn close_idle_connections(&mut self, service: &ServiceName) {
+        let idle: Vec<_> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| connection.service == *service && connection.is_idle())
+            .map(|(id, _)| *id)
+            .collect();
+        for connection in idle {
+            self.close_connection(connection);
+        }
+    }
+
+    /// The nodes that hold a service's connections, if this one does not. A forwarded session is never
+    /// forwarded again.
+    pub(crate) fn is_held_elsewhere(&self, id: SessionId, service: &ServiceName) -> bool {
+        let is_own = self
+            .sessions
+            .get(&id)
+            .is_some_and(|session| !session.is_forwarded);
+        is_own && self.holders.contains_key(service)
+    }
+
+    /// Forwards the session's request to the holder of its transaction, or to the next one in rank.
+    pub(crate) fn forward(&mut self, now: Time, id: SessionId) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(request) = &mut session.request else {
+            return;
+        };
+        let service = &request.route.service;
+        let bound = match &session.transaction {
+            Transaction::Relayed(relayed) => Some(relayed.holder),
+            _ => None,
+        };
+        let ranked = self.holders.get(service).map_or(&[][..], Vec::as_slice);
+        let next = ranked
+            .iter()
+            .find(|holder| !request.tried_holders.contains(holder))
+            .filter(|_| request.tried_holders.len() < MOST_HOLDERS);
+        let Some(holder) = bound.or(next.copied()) else {
+            return self.refuse(now, id, ResultCode::NotOwner, Some(RETRY_NO_HOLDER));
+        };
+        request.tried_holders.insert(holder);
+        request.stage = Stage::Forwarded(holder);
+        request.attempts += 1;
+        session.holders.insert(holder);
+        let prepared = match &request.statement.kind {
+            StatementKind::Execute { name, .. } => session.prepared.get(name).cloned(),
+            _ => None,
+        };
+        let forwarded = Forwarded {
+            database: session.database.clone(),
+            values: session.values.clone(),
+            prepared,
+            commit: session.commits.get(service).copied(),
+            statement: request.statement.clone(),
+        };
+        if request.need == (Need::InTransaction { writes: true })
+            && let Transaction::Relayed(relayed) = &mut session.transaction
+        {
+            relayed.wrote = true;
+        }
+        self.effects.push(Effect::Forward {
+            holder,
+            session: id,
+            request: request.number.0,
+            time_left: request.deadline.since(now),
+            forwarded,
+        });
+    }
+
+    /// A statement comes from another node, for a session that it numbers anew here.
+    pub(crate) fn take_forwarded(&mut self, now: Time, id: SessionId, forwarded: Forwarded) {
+        let route = self
+            .table
+            .as_ref()
+            .and_then(|table| table.routes.get(&forwarded.database).cloned());
+        let Some(route) = route else {
+            let code = match self.table {
+                None => ResultCode::NotReady,
+                Some(_) => ResultCode::UnknownDatabase,
+            };
+            return self.answer_unknown(id, code);
+        };
+        let session = self.sessions.entry(id).or_insert_with(|| Session {
+            is_forwarded: true,
+            ..Session::new(forwarded.database.clone())
+        });
+        session.values = forwarded.values;
+        if let Some(commit) = forwarded.commit {
+            session.commits.insert(route.service.clone(), commit);
+        }
+        let mut statement = forwarded.statement;
+        if let (Some(prepared), StatementKind::Execute { name, .. }) =
+            (forwarded.prepared, &mut statement.kind)
+        {
+            FORWARDED_NAME.clone_into(name);
+            session.prepared.insert(FORWARDED_NAME.to_owned(), prepared);
+        }
+        self.take_statement(now, id, Some(statement));
+    }
+
+    fn answer_unknown(&mut self, id: SessionId, code: ResultCode) {
+        let response = Response {
+            rows: Vec::new(),
+            result: ResponseResult::Refused {
+                code,
+                retry_after: Some(RETRY_NO_HOLDER),
+            },
+            status: TransactionStatus::Idle,
+            position: None,
+        };
+        self.effects.push(Effect::Respond {
+            session: id,
+            response,
+        });
+    }
+
+    /// A holder answered a forwarded statement.
+    pub(crate) fn forward_answered(
+        &mut self,
+        now: Time,
+        holder: NodeId,
+        id: SessionId,
+        number: u64,
+        response: Response,
+    ) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(request) = &session.request else {
+            return;
+        };
+        if request.number != RequestNumber(number) || request.stage != Stage::Forwarded(holder) {
+            return;
+        }
+        let need = request.need;
+        let route = Arc::clone(&request.route);
+        let starts_nothing = !matches!(need, Need::InTransaction { .. } | Need::Commit);
+        if starts_nothing && is_refused_by_holder(&response) {
+            self.record(now, id, None, Decision::Retried);
+            return self.forward(now, id);
+        }
+        let is_success = matches!(response.result, ResponseResult::Completed { .. });
+        let may_have_written = matches!(need, Need::Write | Need::Commit);
+        if let (true, true, Some(position)) = (is_success, may_have_written, response.position) {
+            session.commits.insert(route.service.clone(), position);
+        }
+        session.follow_relayed(holder, route, need, response.status);
+        let status = session.status();
+        self.finish(now, id, Response { status, ..response });
+    }
+
+    /// A holder can't be reached any more: what it had is lost.
+    pub(crate) fn holder_lost(&mut self, now: Time, holder: NodeId) {
+        let concerned: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.holders.contains(&holder))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in concerned {
+            self.holder_of_session_lost(now, id, holder);
+        }
+    }
+
+    fn holder_of_session_lost(&mut self, now: Time, id: SessionId, holder: NodeId) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        session.holders.remove(&holder);
+        let is_bound =
+            matches!(&session.transaction, Transaction::Relayed(t) if t.holder == holder);
+        let request = session.request.as_ref();
+        let need = request
+            .filter(|request| request.stage == Stage::Forwarded(holder))
+            .map(|request| request.need);
+        match need {
+            None if is_bound => session.transaction = Transaction::Failed { is_told: false },
+            None => {}
+            Some(Need::InTransaction { .. }) => self.lose_transaction(now, id),
+            Some(Need::Commit) => self.lose_commit(now, id, ResultCode::OwnerLostAfterSend),
+            Some(Need::Write) => self.leave_unknown(now, id, ResultCode::OwnerLostAfterSend),
+            Some(_) => self.forward(now, id),
+        }
+    }
+
+    /// Tells the holders that a session has ended.
+    pub(crate) fn close_forwarded(&mut self, id: SessionId, holders: &BTreeSet<NodeId>) {
+        for holder in holders {
+            self.effects.push(Effect::CloseForwarded {
+                holder: *holder,
+                session: id,
+            });
+        }
+    }
+}
+
+/// Whether a holder did not take the statement at all, so that another may.
+fn is_refused_by_holder(response: &Response) -> bool {
+    matches!(
+        response.result,
+        ResponseResult::Refused {
+            code: ResultCode::NotReady | ResultCode::NotOwner | ResultCode::ProxyStopping,
+            ..
+        }
+    )
+}
+
+impl Session {
+    /// Follows what a holder's answer says of the transaction.
+    fn follow_relayed(
+        &mut self,
+        holder: NodeId,
+        route: Arc<Route>,
+        need: Need,
+        status: TransactionStatus,
+    ) {
+        let begins = matches!(need, Need::LeaderTransaction | Need::FreshTransaction);
+        match status {
+            TransactionStatus::Open if begins => {
+                self.transaction = Transaction::Relayed(RelayedTransaction {
+                    holder,
+                    route,
+                    wrote: false,
+                });
+            }
+            TransactionStatus::Open => {}
+            TransactionStatus::Failed => self.transaction = Transaction::Failed { is_told: true },
+            TransactionStatus::Idle => self.transaction = Transaction::None,
+        }
+    }
+}
--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -537,8 +537,7 @@
         let wrote = self
             .sessions
             .get(&session_id)
-            .and_then(|session| session.open_transaction())
-            .is_some_and(|open| open.wrote);
+            .is_some_and(|session| session.has_written());
         if let Some(session) = self.sessions.get_mut(&session_id) {
             session.transaction = Transaction::None;
         }
--- a/crates/stairward-engine/src/requests.rs
+++ b/crates/stairward-engine/src/requests.rs
@@ -177,7 +177,7 @@
             Stage::Sent(connection) | Stage::Preparing(connection) => {
                 self.connections.get(&connection)
             }
-            Stage::Waiting => None,
+            Stage::Waiting | Stage::Forwarded(_) => None,
         };
         let backend = answered_by.and_then(|connection| self.backends.get(&connection.backend));
         let served_by = backend
@@ -307,7 +307,7 @@
             Stage::Preparing(connection) if self.is_on_silent_backend(connection) => {
                 self.refuse_prepared(now, id, ResultCode::BackendUnavailable);
             }
-            Stage::Waiting | Stage::Preparing(_) | Stage::Sent(_) => {}
+            Stage::Waiting | Stage::Preparing(_) | Stage::Sent(_) | Stage::Forwarded(_) => {}
         }
     }
 
@@ -392,7 +392,7 @@
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
-        let wrote = session.open_transaction().is_some_and(|open| open.wrote);
+        let wrote = session.has_written();
         session.transaction = Transaction::None;
         if wrote {
             self.leave_unknown(now, id, code);
@@ -420,9 +420,13 @@
             return;
         };
         let failed = Transaction::Failed { is_told: false };
-        if let Transaction::Open(open) = std::mem::replace(&mut session.transaction, failed) {
-            self.stop_resting(id, &open);
-            self.roll_back_connection(now, open.connection);
+        match std::mem::replace(&mut session.transaction, failed) {
+            Transaction::Open(open) => {
+                self.stop_resting(id, &open);
+                self.roll_back_connection(now, open.connection);
+            }
+            Transaction::Relayed(relayed) => self.close_forwarded(id, &[relayed.holder].into()),
+            Transaction::None | Transaction::Failed { .. } => {}
         }
     }
 
@@ -438,6 +442,7 @@
                 self.use_connection(*connection, User::Nobody);
             }
         }
+        self.close_forwarded(id, &session.holders);
         if let Transaction::Open(open) = &session.transaction {
             self.stop_resting(id, open);
             let is_busy = self
--- a/crates/stairward-engine/src/session.rs
+++ b/crates/stairward-engine/src/session.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use stairward_types::{BackendId, Freshness, GroupId, ServiceName, Time};
+use stairward_types::{BackendId, Freshness, GroupId, NodeId, ServiceName, Time};
 
 use crate::identifiers::{ConnectionId, RequestNumber};
 use crate::reply::TransactionStatus;
@@ -25,6 +25,10 @@
     pub transaction: Transaction,
     /// The request under way.
     pub request: Option<Request>,
+    /// Whether another node forwards its statements here.
+    pub is_forwarded: bool,
+    /// The nodes that statements of it were forwarded to.
+    pub holders: BTreeSet<NodeId>,
     /// Statements that came while a request was under way; none stands for one that is not understood.
     pub queue: VecDeque<Option<Statement>>,
 }
@@ -38,6 +42,8 @@
             commits: BTreeMap::new(),
             transaction: Transaction::None,
             request: None,
+            is_forwarded: false,
+            holders: BTreeSet::new(),
             queue: VecDeque::new(),
         }
     }
@@ -50,7 +56,7 @@
     pub fn status(&self) -> TransactionStatus {
         match self.transaction {
             Transaction::None => TransactionStatus::Idle,
-            Transaction::Open(_) => TransactionStatus::Open,
+            Transaction::Open(_) | Transaction::Relayed(_) => TransactionStatus::Open,
             Transaction::Failed { .. } => TransactionStatus::Failed,
         }
     }
@@ -58,7 +64,16 @@
     pub fn open_transaction(&self) -> Option<&OpenTransaction> {
         match &self.transaction {
             Transaction::Open(open) => Some(open),
-            Transaction::None | Transaction::Failed { .. } => None,
+            Transaction::None | Transaction::Relayed(_) | Transaction::Failed { .. } => None,
+        }
+    }
+
+    /// Whether a write was sent in the open transaction.
+    pub fn has_written(&self) -> bool {
+        match &self.transaction {
+            Transaction::Open(open) => open.wrote,
+            Transaction::Relayed(relayed) => relayed.wrote,
+            Transaction::None | Transaction::Failed { .. } => false,
         }
     }
 }
@@ -70,6 +85,8 @@
     None,
     /// One is open on a connection.
     Open(OpenTransaction),
+    /// One is open at another node.
+    Relayed(RelayedTransaction),
     /// One failed and waits for its end by the caller. No connection belongs to it any more.
     Failed {
         /// Whether the caller has been told.
@@ -77,6 +94,17 @@
     },
 }
 
+/// A transaction that is open at another node.
+#[derive(Debug, Clone)]
+pub(crate) struct RelayedTransaction {
+    /// The node.
+    pub holder: NodeId,
+    /// The route it was begun on.
+    pub route: Arc<Route>,
+    /// Whether a write was sent in it.
+    pub wrote: bool,
+}
+
 /// An open transaction.
 #[derive(Debug, Clone)]
 pub(crate) struct OpenTransaction {
@@ -140,6 +168,8 @@
     Preparing(ConnectionId),
     /// It was sent on this connection last.
     Sent(ConnectionId),
+    /// It was forwarded to another node.
+    Forwarded(NodeId),
 }
 
 /// Why a request waits.
@@ -176,6 +206,8 @@
     pub tries: u32,
     /// Back ends not to be tried again.
     pub tried: BTreeSet<BackendId>,
+    /// Nodes that it was forwarded to.
+    pub tried_holders: BTreeSet<NodeId>,
     /// The back end it went to last.
     pub last_backend: Option<BackendId>,
     /// Connections on which it was sent and no answer has come.
--- a/crates/stairward-engine/src/statements.rs
+++ b/crates/stairward-engine/src/statements.rs
@@ -170,9 +170,13 @@
             return;
         };
         let ended = std::mem::replace(&mut session.transaction, Transaction::None);
-        if let Transaction::Open(open) = ended {
-            self.stop_resting(id, &open);
-            self.roll_back_connection(now, open.connection);
+        match ended {
+            Transaction::Open(open) => {
+                self.stop_resting(id, &open);
+                self.roll_back_connection(now, open.connection);
+            }
+            Transaction::Relayed(relayed) => self.close_forwarded(id, &[relayed.holder].into()),
+            Transaction::None | Transaction::Failed { .. } => {}
         }
         self.accept(id);
     }
@@ -199,7 +203,9 @@
         };
         match session.transaction {
             Transaction::None => {}
-            Transaction::Open(_) => return self.refuse_at_once(id, ResultCode::ProtocolViolation),
+            Transaction::Open(_) | Transaction::Relayed(_) => {
+                return self.refuse_at_once(id, ResultCode::ProtocolViolation);
+            }
             Transaction::Failed { .. } => return self.refuse_in_failed(id),
         }
         let Some(route) = self.route_of(id) else {
@@ -228,6 +234,10 @@
                 let open = open.clone();
                 self.run_in_transaction(now, id, statement, &open, Need::Commit);
             }
+            Transaction::Relayed(relayed) => {
+                let route = Arc::clone(&relayed.route);
+                self.begin_request(now, id, statement, route, Need::Commit);
+            }
         }
     }
 
@@ -245,6 +255,11 @@
                 let writes = access == AccessClass::Write;
                 self.run_in_transaction(now, id, statement, &open, Need::InTransaction { writes });
             }
+            Transaction::Relayed(relayed) => {
+                let route = Arc::clone(&relayed.route);
+                let writes = access == AccessClass::Write;
+                self.begin_request(now, id, statement, route, Need::InTransaction { writes });
+            }
             Transaction::None => {
                 let Some(route) = self.route_of(id) else {
                     return self.refuse_at_once(id, ResultCode::UnknownDatabase);
@@ -272,8 +287,17 @@
         route: Arc<Route>,
         need: Need,
     ) {
+        let is_held_elsewhere = self.is_held_elsewhere(id, &route.service);
+        let is_relayed = self
+            .sessions
+            .get(&id)
+            .is_some_and(|session| matches!(session.transaction, Transaction::Relayed(_)));
         self.insert_request(now, id, statement, route, need);
-        self.attempt(now, id);
+        if is_held_elsewhere || is_relayed {
+            self.forward(now, id);
+        } else {
+            self.attempt(now, id);
+        }
     }
 
     fn run_in_transaction(
@@ -323,6 +347,7 @@
             attempts: 0,
             tries: 0,
             tried: BTreeSet::new(),
+            tried_holders: BTreeSet::new(),
             last_backend: None,
             unanswered: BTreeSet::new(),
         };
--- a/crates/stairward-engine/src/stopping.rs
+++ b/crates/stairward-engine/src/stopping.rs
@@ -7,6 +7,7 @@
 use crate::engine::Engine;
 use crate::event::Effect;
 use crate::identifiers::SessionId;
+use crate::reply::TransactionStatus;
 use crate::timers::Timer;
 
 /// When sessions at rest begin to be closed, as a share of the grace: new ones come for a while after the
@@ -73,7 +74,7 @@
             .sessions
             .iter()
             .filter(|(_, session)| {
-                session.request.is_none() && session.open_transaction().is_some()
+                session.request.is_none() && session.status() == TransactionStatus::Open
             })
             .map(|(id, _)| *id)
             .collect();
--- /dev/null
+++ b/crates/stairward-engine/tests/relays.rs
@@ -0,0 +1,208 @@
+//! Sessions whose back ends' connections other nodes hold: what is forwarded, and what a lost holder means.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use stairward_engine::{
+    Event, Forwarded, PreparedStatement, Response, ResponseResult, SessionId, Statement,
+    StatementKind, TransactionStatus, holder_count,
+};
+use stairward_types::{AccessClass, Freshness, GroupId, NodeId, ResultCode};
+use support::{LEADER_READS, OWN_READS, World, at, done, service};
+
+const FIRST: NodeId = NodeId(7);
+const SECOND: NodeId = NodeId(8);
+
+/// A world in which two other nodes hold the service's connections.
+fn edge() -> World {
+    let mut world = World::new();
+    let holders = BTreeMap::from([(service(), vec![FIRST, SECOND])]);
+    world.tell(Event::Holders(holders));
+    world.sent.clear();
+    world
+}
+
+fn completed(status: TransactionStatus, position: Freshness) -> Response {
+    Response {
+        rows: Vec::new(),
+        result: ResponseResult::Completed {
+            signature: Some("signed".to_owned()),
+        },
+        status,
+        position: Some(position),
+    }
+}
+
+impl World {
+    /// Answers the statement that was forwarded last.
+    fn holder_answers(&mut self, response: Response) -> Forwarded {
+        let (holder, session, request, forwarded) = self.forwarded.pop().unwrap();
+        self.tell(Event::ForwardAnswered {
+            holder,
+            session,
+            request,
+            response,
+        });
+        forwarded
+    }
+}
+
+#[test]
+fn a_statement_goes_to_the_first_holder_with_the_sessions_state() {
+    let mut world = edge();
+    let session = world.open(OWN_READS);
+    let value = StatementKind::SetValue {
+        name: "lang".to_owned(),
+        value: "sk".to_owned(),
+    };
+    world.say(session, value);
+    world.response();
+    world.say(session, StatementKind::Write);
+    assert_eq!(world.forwarded[0].0, FIRST);
+    let write = world.holder_answers(completed(TransactionStatus::Idle, at(1, 9)));
+    assert_eq!(write.values["lang"], "sk");
+    assert_eq!(world.response().status, TransactionStatus::Idle);
+    world.say(session, StatementKind::Read);
+    let read = world.holder_answers(completed(TransactionStatus::Idle, at(1, 9)));
+    assert_eq!(
+        read.commit,
+        Some(at(1, 9)),
+        "the session's commit goes along"
+    );
+    assert!(world.sent.is_empty(), "nothing runs here");
+}
+
+#[test]
+fn a_transaction_stays_with_its_holder() {
+    let mut world = edge();
+    let session = world.open(LEADER_READS);
+    world.say(session, StatementKind::Begin { read_only: false });
+    world.holder_answers(completed(TransactionStatus::Open, at(1, 1)));
+    assert_eq!(world.response().status, TransactionStatus::Open);
+    world.tell(Event::Holders(BTreeMap::from([(service(), vec![SECOND])])));
+    world.say(session, StatementKind::Write);
+    assert_eq!(world.forwarded[0].0, FIRST);
+    world.holder_answers(completed(TransactionStatus::Open, at(1, 1)));
+    world.response();
+    world.say(session, StatementKind::Commit);
+    world.holder_answers(completed(TransactionStatus::Idle, at(1, 2)));
+    assert_eq!(world.response().status, TransactionStatus::Idle);
+}
+
+#[test]
+fn a_lost_holder_leaves_a_write_unknown_and_a_read_goes_to_the_next() {
+    let mut world = edge();
+    let writer = world.open(LEADER_READS);
+    world.say(writer, StatementKind::Write);
+    world.tell(Event::HolderLost(FIRST));
+    assert_eq!(world.refusal(), ResultCode::OwnerLostAfterSend);
+    assert_eq!(world.forwarded.len(), 1, "a write is sent once");
+    world.forwarded.clear();
+    let reader = world.open(LEADER_READS);
+    world.say(reader, StatementKind::Read);
+    world.tell(Event::HolderLost(FIRST));
+    assert_eq!(world.forwarded.last().unwrap().0, SECOND);
+    world.tell(Event::HolderLost(SECOND));
+    assert_eq!(
+        world.refusal(),
+        ResultCode::NotOwner,
+        "it provably wrote nothing"
+    );
+}
+
+#[test]
+fn a_lost_holder_undoes_a_transaction_unless_its_commit_was_sent() {
+    let begin = |world: &mut World| {
+        let session = world.open(LEADER_READS);
+        world.say(session, StatementKind::Begin { read_only: false });
+        world.holder_answers(completed(TransactionStatus::Open, at(1, 1)));
+        world.response();
+        world.say(session, StatementKind::Write);
+        session
+    };
+    let mut world = edge();
+    begin(&mut world);
+    world.tell(Event::HolderLost(FIRST));
+    assert_eq!(world.refusal(), ResultCode::TransactionLost);
+    let mut world = edge();
+    let session = begin(&mut world);
+    world.holder_answers(completed(TransactionStatus::Open, at(1, 1)));
+    world.response();
+    world.say(session, StatementKind::Commit);
+    world.tell(Event::HolderLost(FIRST));
+    assert_eq!(world.refusal(), ResultCode::OwnerLostAfterSend);
+}
+
+#[test]
+fn an_answer_to_an_earlier_request_is_dropped() {
+    let mut world = edge();
+    let session = world.open(LEADER_READS);
+    world.say(session, StatementKind::Read);
+    let (holder, session_id, request, _) = world.forwarded.pop().unwrap();
+    world.pass(support::TIMEOUT);
+    world.response();
+    world.say(session, StatementKind::Read);
+    world.tell(Event::ForwardAnswered {
+        holder,
+        session: session_id,
+        request,
+        response: completed(TransactionStatus::Idle, at(1, 1)),
+    });
+    assert!(world.responses.is_empty(), "{:?}", world.responses);
+}
+
+#[test]
+fn holders_hear_of_a_rolled_back_transaction_and_of_the_sessions_end() {
+    let mut world = edge();
+    let session = world.open(LEADER_READS);
+    world.say(session, StatementKind::Begin { read_only: false });
+    world.holder_answers(completed(TransactionStatus::Open, at(1, 1)));
+    world.response();
+    world.say(session, StatementKind::Rollback);
+    world.response();
+    assert_eq!(world.closed_forwarded, [(FIRST, session)]);
+    world.tell(Event::SessionClosed { session });
+    assert_eq!(world.closed_forwarded.len(), 2);
+}
+
+#[test]
+fn a_holder_runs_a_forwarded_statement_and_forwards_it_no_further() {
+    let mut world = World::new();
+    let holders = BTreeMap::from([(service(), vec![FIRST])]);
+    world.tell(Event::Holders(holders));
+    let session = SessionId(1_000);
+    let forwarded = Forwarded {
+        database: GroupId::new(LEADER_READS).unwrap(),
+        values: BTreeMap::from([("lang".to_owned(), "sk".to_owned())]),
+        prepared: Some(PreparedStatement {
+            access: AccessClass::Write,
+            shape: "q1".to_owned(),
+        }),
+        commit: None,
+        statement: Statement {
+            id: "x1".to_owned(),
+            kind: StatementKind::Execute {
+                name: "s1".to_owned(),
+                arguments: "a".to_owned(),
+            },
+            text: String::new(),
+        },
+    };
+    world.tell(Event::Forwarded {
+        session,
+        forwarded: Box::new(forwarded),
+    });
+    for position in 1..=3 {
+        world.answer(done(TransactionStatus::Idle, at(1, position)));
+    }
+    assert_eq!(world.response().status, TransactionStatus::Idle);
+    assert!(world.forwarded.is_empty());
+}
+
+#[test]
+fn the_number_of_holders_follows_from_the_connections() {
+    assert_eq!(holder_count(36), 11);
+    assert_eq!(holder_count(50), 16);
+    assert_eq!(holder_count(2), 1);
+}
--- a/crates/stairward-protocol/src/frame.rs
+++ b/crates/stairward-protocol/src/frame.rs
@@ -1,11 +1,10 @@
-//! Framing on TCP: a four-byte length, then one encoded [`PeerMessage`].
+//! Framing on TCP: a four-byte length, then one encoded message, a [`crate::PeerMessage`] or a
+//! [`crate::neighbour::NeighbourMessage`].
 
 use bytes::{Buf, BufMut, BytesMut};
 use deku::prelude::*;
 use snafu::{ResultExt, Snafu, ensure};
 
-use crate::peer::PeerMessage;
-
 /// Longest frame accepted, without its length field, in bytes.
 pub const MAXIMUM_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
@@ -38,7 +37,10 @@
 ///
 /// # Errors
 /// [`FrameError::TooLarge`] or [`FrameError::Malformed`]; `output` is then unchanged.
-pub fn encode_frame(message: &PeerMessage, output: &mut BytesMut) -> Result<(), FrameError> {
+pub fn encode_frame<M: DekuContainerWrite>(
+    message: &M,
+    output: &mut BytesMut,
+) -> Result<(), FrameError> {
     let bytes = message.to_bytes().context(MalformedSnafu)?;
     ensure!(
         bytes.len() <= MAXIMUM_FRAME_BYTES,
@@ -56,7 +58,9 @@
 ///
 /// # Errors
 /// [`FrameError`]; the connection must then be closed, since the position of the next frame is lost.
-pub fn decode_frame(input: &mut BytesMut) -> Result<Option<PeerMessage>, FrameError> {
+pub fn decode_frame<M: for<'a> DekuContainerRead<'a>>(
+    input: &mut BytesMut,
+) -> Result<Option<M>, FrameError> {
     if input.len() < LENGTH_BYTES {
         return Ok(None);
     }
@@ -67,7 +71,7 @@
     }
     input.advance(LENGTH_BYTES);
     let frame = input.split_to(length);
-    let ((rest, _), message) = PeerMessage::from_bytes((&frame, 0)).context(MalformedSnafu)?;
+    let ((rest, _), message) = M::from_bytes((&frame, 0)).context(MalformedSnafu)?;
     ensure!(rest.is_empty(), TrailingBytesSnafu { count: rest.len() });
     Ok(Some(message))
 }
--- a/crates/stairward-protocol/src/lib.rs
+++ b/crates/stairward-protocol/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod datagram;
 mod field;
 mod frame;
+pub mod neighbour;
 mod peer;
 pub mod settings;
 pub mod stream;
--- /dev/null
+++ b/crates/stairward-protocol/src/neighbour.rs
@@ -0,0 +1,194 @@
+//! Messages between nodes that share databases which elect nobody: documents for a node that can't read
+//! the store, and statements run for a node that holds no connections.
+
+use deku::prelude::*;
+
+use crate::field::{ByteString, OptionalFreshness, Text};
+
+/// A value of a session.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct SessionValue {
+    /// Its name.
+    pub name: ByteString,
+    /// The value.
+    pub value: ByteString,
+}
+
+/// A statement to run for a session of another node, with all of the session that it needs.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct ForwardedStatement {
+    /// The session, by the sender's number.
+    pub session: u64,
+    /// The request, by the sender's number; its answer carries it back.
+    pub request: u64,
+    /// The database that the session asked for.
+    pub database: Text,
+    /// How long the sender waits for an answer, in milliseconds.
+    pub time_left_milliseconds: u32,
+    /// The session's newest commit.
+    pub commit: OptionalFreshness,
+    #[deku(update = "self.values.len()")]
+    value_count: u16,
+    /// The session's values.
+    #[deku(count = "value_count")]
+    pub values: Vec<SessionValue>,
+    /// What the statement runs that was prepared: 0 nothing, 1 a read, 2 a write.
+    pub prepared_access: u8,
+    /// The prepared shape.
+    pub prepared_shape: ByteString,
+    /// The statement's kind, as [`StatementTag`] numbers it.
+    pub tag: u8,
+    /// The caller's id of the statement.
+    pub id: ByteString,
+    /// Its text, or the arguments of what was prepared.
+    pub text: ByteString,
+}
+
+/// The kinds of statements that are forwarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StatementTag {
+    /// Opens a transaction.
+    Begin = 1,
+    /// Opens a transaction that only reads.
+    BeginRead = 2,
+    /// Ends the transaction and keeps it.
+    Commit = 3,
+    /// Ends the transaction and undoes it.
+    Rollback = 4,
+    /// Reads.
+    Read = 5,
+    /// Writes.
+    Write = 6,
+    /// Runs what was prepared.
+    Execute = 7,
+}
+
+impl StatementTag {
+    /// The kind of a number.
+    #[must_use]
+    pub const fn from_number(number: u8) -> Option<Self> {
+        Some(match number {
+            1 => Self::Begin,
+            2 => Self::BeginRead,
+            3 => Self::Commit,
+            4 => Self::Rollback,
+            5 => Self::Read,
+            6 => Self::Write,
+            7 => Self::Execute,
+            _ => return None,
+        })
+    }
+}
+
+impl ForwardedStatement {
+    /// Sets the values and their count.
+    #[must_use]
+    pub fn with_values(mut self, values: Vec<SessionValue>) -> Self {
+        self.value_count = u16::try_from(values.len()).unwrap_or(u16::MAX);
+        self.values = values;
+        self.values.truncate(usize::from(u16::MAX));
+        self
+    }
+
+    /// A statement without values.
+    #[must_use]
+    #[allow(
+        clippy::too_many_arguments,
+        reason = "one for each field of the message"
+    )]
+    pub fn new(
+        session: u64,
+        request: u64,
+        database: &str,
+        time_left_milliseconds: u32,
+        commit: OptionalFreshness,
+        prepared_access: u8,
+        prepared_shape: Vec<u8>,
+        tag: StatementTag,
+        id: Vec<u8>,
+        text: Vec<u8>,
+    ) -> Self {
+        Self {
+            session,
+            request,
+            database: Text::new(database),
+            time_left_milliseconds,
+            commit,
+            value_count: 0,
+            values: Vec::new(),
+            prepared_access,
+            prepared_shape: ByteString::new(prepared_shape),
+            tag: tag as u8,
+            id: ByteString::new(id),
+            text: ByteString::new(text),
+        }
+    }
+}
+
+/// How a forwarded statement ended.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct ForwardedAnswer {
+    /// The session, by the other side's number.
+    pub session: u64,
+    /// The request, by the other side's number.
+    pub request: u64,
+    /// 0 completed without a signature, 1 completed with one, 2 refused by the node, 3 failed at the back
+    /// end.
+    pub end: u8,
+    /// The result code of a refusal, or the number of the back end's error.
+    pub code: u16,
+    /// When the caller may come back, in milliseconds; 0 where that is not said.
+    pub retry_after_milliseconds: u32,
+    /// The signature, or the text of the error.
+    pub text: ByteString,
+    /// 0 no transaction, 1 an open one, 2 a failed one.
+    pub status: u8,
+    /// How far the back end's log had come.
+    pub position: OptionalFreshness,
+    /// Rows.
+    pub row_count: u32,
+    /// The rows.
+    #[deku(count = "row_count")]
+    pub rows: Vec<ByteString>,
+}
+
+/// A message between two nodes.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "big", id_type = "u8")]
+pub enum NeighbourMessage {
+    /// Asks for a document as the other node last read it from the store.
+    #[deku(id = "1")]
+    AskDocument {
+        /// The document's name.
+        name: Text,
+    },
+    /// A document; empty where the node has none.
+    #[deku(id = "2")]
+    Document {
+        /// The document's name.
+        name: Text,
+        /// Its content.
+        content: ByteString,
+    },
+    /// Run a statement.
+    #[deku(id = "3")]
+    Forward(ForwardedStatement),
+    /// A statement has ended.
+    #[deku(id = "4")]
+    Answer(ForwardedAnswer),
+    /// A session of the sender has ended.
+    #[deku(id = "5")]
+    CloseSession {
+        /// The session, by the sender's number.
+        session: u64,
+    },
+    /// The sender ends the session's transaction: its connection is needed or the node stops.
+    #[deku(id = "6")]
+    TransactionEnded {
+        /// The session, by the receiver's number.
+        session: u64,
+    },
+}
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -369,6 +369,8 @@
             Effect::AcceptSession { .. }
             | Effect::Record(_)
             | Effect::Measured(_)
+            | Effect::Forward { .. }
+            | Effect::CloseForwarded { .. }
             | Effect::Stopped => {}
             Effect::RefuseSession { session, .. } | Effect::CloseSession { session } => {
                 if let Some(caller) = self.caller_of(session) {
