Learn peers by membership, forward to holders, and start without the store from a peer's word

The runtime drives the product's own membership over UDP on the control address: the live nodes count, not the store's objects (a write and an event a node less). Links between nodes carry forwarded statements and documents: a node that starts while the store is away takes the configuration and the back ends from a seed until the store answers. A node that has just started assumes eight nodes, so that it does not take connections that others hold; its test failed first.

--- a/crates/stairward-engine/src/node_count.rs
+++ b/crates/stairward-engine/src/node_count.rs
@@ -7,13 +7,24 @@
 
 /// How long a larger number of nodes is still counted after it was seen.
 const MEMORY: Duration = Duration::from_secs(30);
+/// The number assumed at first: a node that has just started has not heard of the others yet, and they hold
+/// their shares.
+const ASSUMED_AT_START: u32 = 8;
 
 /// The largest number of nodes seen lately.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct NodeCount {
     seen: Vec<(Time, u32)>,
 }
 
+impl Default for NodeCount {
+    fn default() -> Self {
+        Self {
+            seen: vec![(Time::ZERO, ASSUMED_AT_START)],
+        }
+    }
+}
+
 impl NodeCount {
     /// Notes how many nodes there are at the moment.
     pub fn note(&mut self, now: Time, nodes: u32) {
--- a/crates/stairward-engine/tests/sessions.rs
+++ b/crates/stairward-engine/tests/sessions.rs
@@ -218,3 +218,32 @@
     assert_eq!(world.sent[0].command, BackendCommand::Rollback);
     assert_ne!(backend(NEAR_REPLICA), world.sent[0].backend);
 }
+
+/// A node that had just started took itself to be the only one, and took connections that others held.
+#[test]
+fn a_node_that_has_just_started_assumes_others() {
+    let mut world = World::empty();
+    let mut wide = table(1);
+    for limits in wide.services.values_mut() {
+        limits.connections = 41;
+    }
+    world.tell(Event::Configured(Arc::new(wide)));
+    world.tell(Event::Backends(usual_backends()));
+    world.tell(Event::Nodes(1));
+    for _ in 0..40 {
+        let session = world.open(LEADER_READS);
+        world.say(session, StatementKind::Write);
+    }
+    let count = |world: &World| {
+        let opened = world.opened.iter();
+        opened.filter(|(_, id)| *id == backend(PRIMARY)).count()
+    };
+    assert_eq!(count(&world), 5);
+    world.pass(Duration::from_secs(31));
+    world.tell(Event::Nodes(1));
+    for _ in 0..40 {
+        let session = world.open(LEADER_READS);
+        world.say(session, StatementKind::Write);
+    }
+    assert!(count(&world) > 20, "{}", count(&world));
+}
--- a/crates/stairward-failover/src/duty.rs
+++ b/crates/stairward-failover/src/duty.rs
@@ -183,7 +183,7 @@
             return 1;
         }
         let share = (self.nodes * self.options.suspicion_percent).div_ceil(100);
-        usize::try_from(share.max(2)).unwrap_or(2)
+        usize::try_from(share.clamp(2, MOST_NEEDED)).unwrap_or(2)
     }
 
     fn note_missing(&mut self, now: Time, service: &ServiceName) {
@@ -527,5 +527,7 @@
     }
 }
 
+/// Nodes that must find a primary silent at most, however many there are.
+const MOST_NEEDED: u32 = 3;
 /// How often the duty looks again while something is under way.
 const POLL: std::time::Duration = std::time::Duration::from_millis(50);
--- a/crates/stairward-membership/src/ownership.rs
+++ b/crates/stairward-membership/src/ownership.rs
@@ -4,8 +4,9 @@
 //! ends it ranks first for move.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 
-use stairward_types::{BackendId, NodeId, RegionName, ZoneName};
+use stairward_types::{BackendId, NodeId, RegionName, ServiceName, ZoneName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// What the ranking needs to know of a member believed alive.
@@ -81,3 +82,38 @@
 fn score(backend: &BackendId, node: NodeId) -> u64 {
     xxh3_64_with_seed(backend.as_str().as_bytes(), node.0)
 }
+
+/// The members of a zone, by hash.
+type ZoneMembers = Vec<(Reverse<u64>, NodeId)>;
+
+/// The members that hold a service's connections when not all can: at most `count`, taken from the zones in
+/// turn, in each zone by hash. Members that leave are not among them. Best first.
+#[must_use]
+pub fn rank_holders<'a>(
+    members: impl IntoIterator<Item = Candidate<'a>>,
+    service: &ServiceName,
+    count: usize,
+) -> Vec<NodeId> {
+    let mut zones: BTreeMap<(&RegionName, &ZoneName), ZoneMembers> = BTreeMap::new();
+    for member in members.into_iter().filter(|member| !member.leaving) {
+        let score = xxh3_64_with_seed(service.as_str().as_bytes(), member.node.0);
+        let zone = zones.entry((member.region, member.zone)).or_default();
+        zone.push((Reverse(score), member.node));
+    }
+    let mut ranked = Vec::new();
+    for members in zones.values_mut() {
+        members.sort_unstable();
+        ranked.extend(
+            members
+                .iter()
+                .enumerate()
+                .map(|(turn, member)| (turn, *member)),
+        );
+    }
+    ranked.sort_unstable();
+    ranked
+        .into_iter()
+        .take(count)
+        .map(|(_, (_, node))| node)
+        .collect()
+}
--- a/crates/stairward-runtime/src/lib.rs
+++ b/crates/stairward-runtime/src/lib.rs
@@ -14,11 +14,16 @@
 mod health;
 mod log;
 mod members;
+mod membership;
+mod neighbour_messages;
+mod neighbours;
 mod node;
 mod socket;
 mod wire;
 
 pub use coordination::{Coordination, CoordinationFuture, RecordWrite};
 pub use health::{HealthService, Readiness};
+pub use membership::PeerIdentity;
+pub use neighbours::ask_for_document;
 pub use node::{Node, NodeOptions};
 pub use wire::{CallerMessage, MemberQuestion, Wire, WireError};
--- /dev/null
+++ b/crates/stairward-runtime/src/membership.rs
@@ -0,0 +1,189 @@
+//! Driving the membership state machine over UDP, and what follows from the view: how many nodes share the
+//! back ends, and which of them hold a service's connections.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rand::rngs::StdRng;
+use stairward_engine::holder_count;
+use stairward_membership::{
+    Candidate, Effect, Event, MemberChange, Profile, SwimConfig, SwimMember, Version, decode,
+    encode, rank_holders,
+};
+use stairward_protocol::ClusterKey;
+use stairward_protocol::datagram::MAXIMUM_DATAGRAM_BYTES;
+use stairward_types::{Incarnation, LogEvent, NodeId, RegionName, ServiceName, ZoneName};
+use tokio::net::UdpSocket;
+
+use crate::node::Node;
+use crate::wire::Wire;
+
+/// Time between the starts of two probes. Losses of nodes only change shares here, so it need not be short.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause between two tellings of the number of nodes, so that a larger one is forgotten in time.
+const COUNT_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Who a node is among its peers.
+#[derive(Debug, Clone)]
+pub struct PeerIdentity {
+    /// Its number, the same in each life of its process.
+    pub node: NodeId,
+    /// Where it listens for peers, by TCP and UDP.
+    pub address: SocketAddr,
+    /// Its region.
+    pub region: RegionName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Addresses of peers, which may be stale.
+    pub seeds: Vec<SocketAddr>,
+    /// Shared by all nodes; packets and links without it are refused.
+    pub key: ClusterKey,
+}
+
+/// The number of the process's present life: later lives have higher ones, as far as the clock allows.
+fn incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let milliseconds = since_epoch.map_or(0, |elapsed| elapsed.as_millis());
+    Incarnation(u64::try_from(milliseconds).unwrap_or(0))
+}
+
+impl<W: Wire> Node<W> {
+    /// Takes part in membership. Runs for ever.
+    pub async fn run_membership(self: Rc<Self>, socket: UdpSocket) {
+        let mut random: StdRng = rand::make_rng();
+        let identity = &self.peer;
+        let profile = Profile {
+            node: identity.node,
+            version: Version::first(incarnation()),
+            address: identity.address,
+            region: identity.region.clone(),
+            zone: identity.zone.clone(),
+            leaving: false,
+        };
+        let config = SwimConfig {
+            probe_interval: PROBE_INTERVAL,
+            ..SwimConfig::default()
+        };
+        let now = self.now();
+        let mut swim = SwimMember::new(profile, &identity.seeds, config, now, &mut random);
+        let mut buffer = [0; MAXIMUM_DATAGRAM_BYTES + 1];
+        let mut told_count = now;
+        let mut has_announced = false;
+        loop {
+            let pause = swim.next_deadline().since(self.now());
+            let event = tokio::select! {
+                received = socket.recv_from(&mut buffer) => match received {
+                    Ok((length, from)) => match decode(&buffer[..length], &identity.key) {
+                        Ok(packet) => Event::Received { from, packet },
+                        Err(_) => continue,
+                    },
+                    Err(_) => Event::Tick,
+                },
+                () = tokio::time::sleep(pause) => Event::Tick,
+            };
+            let now = self.now();
+            let mut effects = swim.handle(now, event, &mut random);
+            if self.is_stopping() && !std::mem::replace(&mut has_announced, true) {
+                effects.extend(swim.handle(now, Event::LeaveAnnounced, &mut random));
+            }
+            let mut has_changed = false;
+            for effect in effects {
+                match effect {
+                    Effect::Send { to, packet } => {
+                        if let Ok(bytes) = encode(&packet, &identity.key) {
+                            // A datagram that can't be sent counts as lost on the way.
+                            let _ = socket.try_send_to(&bytes, to);
+                        }
+                    }
+                    Effect::ViewChanged => has_changed = true,
+                    Effect::MemberChanged { node, change } => self.log_member(node, change),
+                    Effect::PeerDigest { .. } | Effect::TermArrived(_) => {}
+                }
+            }
+            if has_changed || now.since(told_count) >= COUNT_INTERVAL {
+                told_count = now;
+                self.set_members(swim.view().cloned().collect());
+            }
+        }
+    }
+
+    /// Whether a node is believed to live.
+    #[must_use]
+    pub fn is_member(&self, node: NodeId) -> bool {
+        self.members
+            .borrow()
+            .iter()
+            .any(|member| member.node == node)
+    }
+
+    /// Takes the membership view in.
+    fn set_members(self: &Rc<Self>, members: Vec<Profile>) {
+        let count = members.iter().filter(|member| !member.leaving).count();
+        *self.members.borrow_mut() = members;
+        self.set_nodes(u32::try_from(count).unwrap_or(1));
+        self.update_holders();
+    }
+
+    /// Works out which services' connections only other nodes hold.
+    pub(crate) fn update_holders(self: &Rc<Self>) {
+        let Some(table) = self.routing_table() else {
+            return;
+        };
+        let mut elsewhere: BTreeMap<ServiceName, Vec<NodeId>> = BTreeMap::new();
+        {
+            let members = self.members.borrow();
+            for (service, limits) in &table.services {
+                let count = usize::try_from(holder_count(limits.connections)).unwrap_or(1);
+                let holders = rank_holders(members.iter().map(candidate), service, count);
+                if members.len() > count && !holders.contains(&self.peer.node) {
+                    elsewhere.insert(service.clone(), self.by_nearness(&members, holders));
+                }
+            }
+        }
+        if *self.holders.borrow() != elsewhere {
+            self.holders.borrow_mut().clone_from(&elsewhere);
+            self.handle(stairward_engine::Event::Holders(elsewhere));
+        }
+    }
+
+    /// Holders of the own zone first, then of the own region; each node begins elsewhere among them.
+    fn by_nearness(&self, members: &[Profile], holders: Vec<NodeId>) -> Vec<NodeId> {
+        let distance = |node: &NodeId| {
+            let member = members.iter().find(|member| member.node == *node);
+            match member {
+                Some(member) if member.zone == self.peer.zone => 0,
+                Some(member) if member.region == self.peer.region => 1,
+                _ => 2,
+            }
+        };
+        let mut ranked: Vec<_> = holders
+            .into_iter()
+            .map(|node| (distance(&node), node.0 ^ self.peer.node.0, node))
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, _, node)| node).collect()
+    }
+}
+
+impl<W: Wire> Node<W> {
+    fn log_member(&self, node: NodeId, change: MemberChange) {
+        let event = match change {
+            MemberChange::Joined => LogEvent::MemberJoined,
+            MemberChange::Failed => LogEvent::MemberFailed,
+            MemberChange::Leaving | MemberChange::Left => LogEvent::MemberLeft,
+            MemberChange::Suspected | MemberChange::Refuted => return,
+        };
+        self.log.backend(self.now(), event, &node.to_string());
+    }
+}
+
+fn candidate(member: &Profile) -> Candidate<'_> {
+    Candidate {
+        node: member.node,
+        region: &member.region,
+        zone: &member.zone,
+        leaving: member.leaving,
+    }
+}
--- /dev/null
+++ b/crates/stairward-runtime/src/neighbours.rs
@@ -0,0 +1,331 @@
+//! Links between nodes: statements forwarded to holders of connections, and documents for a node that
+//! can't read the store.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use stairward_engine::{Event, Forwarded, Response, SessionId};
+use stairward_protocol::neighbour::NeighbourMessage;
+use stairward_protocol::{Text, decode_frame, encode_frame};
+use stairward_types::{LogEvent, NodeId};
+use tokio::io::AsyncReadExt as _;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::neighbour_messages::{answer_message, forwarded_of, response_of, statement_message};
+use crate::node::Node;
+use crate::socket::Outgoing;
+use crate::wire::Wire;
+
+/// How long a link may take to be made.
+const LINK_PATIENCE: Duration = Duration::from_millis(500);
+/// How long a peer may take to answer with a document.
+const DOCUMENT_PATIENCE: Duration = Duration::from_millis(800);
+/// Room made for reading at once.
+const READ_SIZE: usize = 8 * 1024;
+/// Pause after a link could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A link to a holder.
+pub(crate) enum Link {
+    /// It is being made; these bytes wait.
+    Opening(BytesMut),
+    /// It can be written to.
+    Open(Rc<Outgoing>),
+}
+
+/// A session of another node whose statements run here.
+pub(crate) struct Guest {
+    outgoing: Rc<Outgoing>,
+    session: u64,
+    request: u64,
+}
+
+/// Sessions of other nodes, by both numbers.
+#[derive(Default)]
+pub(crate) struct Guests {
+    by_own: BTreeMap<SessionId, Guest>,
+    by_theirs: BTreeMap<(u64, u64), SessionId>,
+    last_link: u64,
+}
+
+/// A connection from or to another node, read message by message.
+struct MessageReader {
+    reading: OwnedReadHalf,
+    buffer: BytesMut,
+}
+
+impl MessageReader {
+    /// The next message; none when the connection has ended or breaks the protocol.
+    async fn next(&mut self) -> Option<NeighbourMessage> {
+        loop {
+            if let Some(message) = decode_frame(&mut self.buffer).ok()? {
+                return Some(message);
+            }
+            self.buffer.reserve(READ_SIZE);
+            if self.reading.read_buf(&mut self.buffer).await.ok()? == 0 {
+                return None;
+            }
+        }
+    }
+}
+
+fn frame(message: &NeighbourMessage) -> BytesMut {
+    let mut bytes = BytesMut::new();
+    // Only a message over the limit can't be encoded, and none is made that long.
+    let _ = encode_frame(message, &mut bytes);
+    bytes
+}
+
+async fn connect(address: SocketAddr) -> Option<(MessageReader, Rc<Outgoing>)> {
+    let connecting = TcpStream::connect(address);
+    let stream = tokio::time::timeout(LINK_PATIENCE, connecting)
+        .await
+        .ok()?
+        .ok()?;
+    let (reading, outgoing) = Outgoing::split(stream);
+    let reader = MessageReader {
+        reading,
+        buffer: BytesMut::new(),
+    };
+    Some((reader, outgoing))
+}
+
+/// Asks peers, one after the other, for a document that the store holds.
+pub async fn ask_for_document(peers: &[SocketAddr], name: &str) -> Option<Vec<u8>> {
+    for peer in peers {
+        let asking = async {
+            let (mut reader, outgoing) = connect(*peer).await?;
+            let question = NeighbourMessage::AskDocument {
+                name: Text::new(name),
+            };
+            outgoing.send(&frame(&question)).ok()?;
+            match reader.next().await? {
+                NeighbourMessage::Document { content, .. } if !content.bytes.is_empty() => {
+                    Some(content.bytes)
+                }
+                _ => None,
+            }
+        };
+        let answer = tokio::time::timeout(DOCUMENT_PATIENCE, asking).await;
+        if let Ok(Some(content)) = answer {
+            return Some(content);
+        }
+    }
+    None
+}
+
+impl<W: Wire> Node<W> {
+    /// Keeps a document as last read from the store, for peers that can't read it.
+    pub fn keep_document(&self, name: &str, content: Vec<u8>) {
+        self.documents.borrow_mut().insert(name.to_owned(), content);
+    }
+
+    /// Accepts links of other nodes. Runs for ever.
+    pub async fn accept_neighbours(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::task::spawn_local(Rc::clone(&self).serve_neighbour(stream));
+                }
+                Err(error) => {
+                    tracing::warn!(event = LogEvent::ListenerFailed.number(), %error);
+                    Self::pause(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_neighbour(self: Rc<Self>, stream: TcpStream) {
+        let link = {
+            let mut guests = self.guests.borrow_mut();
+            guests.last_link += 1;
+            guests.last_link
+        };
+        let (reading, outgoing) = Outgoing::split(stream);
+        let mut reader = MessageReader {
+            reading,
+            buffer: BytesMut::new(),
+        };
+        while let Some(message) = reader.next().await {
+            match message {
+                NeighbourMessage::AskDocument { name } => {
+                    let documents = self.documents.borrow();
+                    let content = documents.get(name.as_str()).cloned().unwrap_or_default();
+                    let answer = NeighbourMessage::Document {
+                        name,
+                        content: content.into(),
+                    };
+                    if outgoing.send(&frame(&answer)).is_err() {
+                        break;
+                    }
+                }
+                NeighbourMessage::Forward(message) => {
+                    let Some(forwarded) = forwarded_of(&message) else {
+                        break;
+                    };
+                    let session = self.guest(link, &outgoing, message.session, message.request);
+                    self.handle(Event::Forwarded {
+                        session,
+                        forwarded: Box::new(forwarded),
+                    });
+                }
+                NeighbourMessage::CloseSession { session } => self.close_guest(link, session),
+                NeighbourMessage::Document { .. }
+                | NeighbourMessage::Answer(_)
+                | NeighbourMessage::TransactionEnded { .. } => break,
+            }
+        }
+        self.close_guests_of(link);
+    }
+
+    /// The own number of another node's session, with its request under way.
+    fn guest(&self, link: u64, outgoing: &Rc<Outgoing>, theirs: u64, request: u64) -> SessionId {
+        let mut guests = self.guests.borrow_mut();
+        let known = guests.by_theirs.get(&(link, theirs)).copied();
+        let own = known.unwrap_or_else(|| self.next_session());
+        guests.by_theirs.insert((link, theirs), own);
+        let guest = Guest {
+            outgoing: Rc::clone(outgoing),
+            session: theirs,
+            request,
+        };
+        guests.by_own.insert(own, guest);
+        own
+    }
+
+    fn close_guest(self: &Rc<Self>, link: u64, theirs: u64) {
+        let own = {
+            let mut guests = self.guests.borrow_mut();
+            let own = guests.by_theirs.remove(&(link, theirs));
+            if let Some(own) = &own {
+                guests.by_own.remove(own);
+            }
+            own
+        };
+        if let Some(session) = own {
+            self.handle(Event::SessionClosed { session });
+        }
+    }
+
+    fn close_guests_of(self: &Rc<Self>, link: u64) {
+        let theirs: Vec<u64> = {
+            let guests = self.guests.borrow();
+            let of_link = guests.by_theirs.range((link, 0)..=(link, u64::MAX));
+            of_link.map(|((_, theirs), _)| *theirs).collect()
+        };
+        for session in theirs {
+            self.close_guest(link, session);
+        }
+    }
+
+    /// Sends an answer to the node whose session it is for; gives it back when the session is this node's.
+    pub(crate) fn answer_guest(&self, session: SessionId, response: Response) -> Option<Response> {
+        let guests = self.guests.borrow();
+        let Some(guest) = guests.by_own.get(&session) else {
+            return Some(response);
+        };
+        let answer = answer_message(guest.session, guest.request, response);
+        // A link that has failed ends in its reader.
+        let _ = guest
+            .outgoing
+            .send(&frame(&NeighbourMessage::Answer(answer)));
+        None
+    }
+
+    /// The engine has ended another node's session, which was at rest.
+    pub(crate) fn forget_guest(&self, session: SessionId) {
+        let mut guests = self.guests.borrow_mut();
+        if guests.by_own.remove(&session).is_some() {
+            guests.by_theirs.retain(|_, own| *own != session);
+        }
+    }
+
+    /// Forwards a statement to a holder.
+    pub(crate) fn forward(
+        self: &Rc<Self>,
+        holder: NodeId,
+        session: SessionId,
+        request: u64,
+        time_left: Duration,
+        forwarded: Forwarded,
+    ) {
+        if let Some(message) = statement_message(session.0, request, time_left, forwarded) {
+            self.tell_holder(holder, &NeighbourMessage::Forward(message));
+        }
+    }
+
+    /// Tells a holder that a session has ended.
+    pub(crate) fn close_forwarded(self: &Rc<Self>, holder: NodeId, session: SessionId) {
+        if self.links.borrow().contains_key(&holder) {
+            let message = NeighbourMessage::CloseSession { session: session.0 };
+            self.tell_holder(holder, &message);
+        }
+    }
+
+    fn tell_holder(self: &Rc<Self>, holder: NodeId, message: &NeighbourMessage) {
+        let bytes = frame(message);
+        let node = Rc::clone(self);
+        let mut links = self.links.borrow_mut();
+        match links.get_mut(&holder) {
+            Some(Link::Opening(waiting)) => waiting.extend_from_slice(&bytes),
+            Some(Link::Open(outgoing)) => {
+                if outgoing.send(&bytes).is_err() {
+                    tokio::task::spawn_local(async move { node.link_lost(holder) });
+                }
+            }
+            None => {
+                links.insert(holder, Link::Opening(bytes));
+                tokio::task::spawn_local(node.run_link(holder));
+            }
+        }
+    }
+
+    async fn run_link(self: Rc<Self>, holder: NodeId) {
+        let address = self
+            .members
+            .borrow()
+            .iter()
+            .find(|member| member.node == holder)
+            .map(|member| member.address);
+        let connected = match address {
+            Some(address) => connect(address).await,
+            None => None,
+        };
+        let Some((mut reader, outgoing)) = connected else {
+            return self.link_lost(holder);
+        };
+        let opened = Link::Open(Rc::clone(&outgoing));
+        let waiting = self.links.borrow_mut().insert(holder, opened);
+        if let Some(Link::Opening(waiting)) = waiting
+            && outgoing.send(&waiting).is_err()
+        {
+            return self.link_lost(holder);
+        }
+        tracing::info!(event = LogEvent::PeerConnected.number(), holder = holder.0);
+        while let Some(NeighbourMessage::Answer(answer)) = reader.next().await {
+            let (session, request) = (SessionId(answer.session), answer.request);
+            self.handle(Event::ForwardAnswered {
+                holder,
+                session,
+                request,
+                response: response_of(answer),
+            });
+        }
+        self.link_lost(holder);
+    }
+
+    fn link_lost(self: &Rc<Self>, holder: NodeId) {
+        let link = self.links.borrow_mut().remove(&holder);
+        if let Some(link) = link {
+            if let Link::Open(outgoing) = link {
+                outgoing.close();
+            }
+            tracing::warn!(event = LogEvent::PeerLost.number(), holder = holder.0);
+            self.handle(Event::HolderLost(holder));
+        }
+    }
+}
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -12,13 +12,16 @@
     Evidence, RoutingTable, SessionId,
 };
 use stairward_failover::{FailoverDuty, FailoverOptions, LeaderEvidence, MemberState};
-use stairward_types::{BackendId, LogEvent, ServiceName, Time};
+use stairward_membership::Profile;
+use stairward_types::{BackendId, LogEvent, NodeId, ServiceName, Time};
 use tokio::sync::Notify;
 
 use crate::coordination::Coordination;
 use crate::figures;
 use crate::health::Readiness;
 use crate::log::DecisionLog;
+use crate::membership::PeerIdentity;
+use crate::neighbours::{Guests, Link};
 use crate::socket::Outgoing;
 use crate::wire::Wire;
 
@@ -30,6 +33,8 @@
     pub failover: FailoverOptions,
     /// The store and the promotion call.
     pub coordination: Rc<dyn Coordination>,
+    /// Who the node is among its peers.
+    pub peer: PeerIdentity,
     /// Told whether the node is ready.
     pub readiness: Arc<Readiness>,
 }
@@ -46,11 +51,20 @@
     pub(crate) backends: RefCell<BTreeMap<BackendId, BackendDescription>>,
     /// The member of each service that last called itself primary.
     pub(crate) last_leaders: RefCell<BTreeMap<ServiceName, (BackendId, MemberState)>>,
+    pub(crate) peer: PeerIdentity,
+    /// The membership view.
+    pub(crate) members: RefCell<Vec<Profile>>,
+    /// Services whose connections only other nodes hold.
+    pub(crate) holders: RefCell<BTreeMap<ServiceName, Vec<NodeId>>>,
+    pub(crate) links: RefCell<BTreeMap<NodeId, Link>>,
+    pub(crate) guests: RefCell<Guests>,
+    pub(crate) documents: RefCell<BTreeMap<String, Vec<u8>>>,
     pub(crate) log: DecisionLog,
     last_session: Cell<u64>,
     rescheduled: Notify,
     wake_at: Cell<Option<Time>>,
     stopped: Notify,
+    is_stop_requested: Cell<bool>,
     is_stopped: Cell<bool>,
     wire: std::marker::PhantomData<W>,
 }
@@ -76,11 +90,18 @@
             connections: RefCell::default(),
             backends: RefCell::default(),
             last_leaders: RefCell::default(),
+            peer: options.peer,
+            members: RefCell::default(),
+            holders: RefCell::default(),
+            links: RefCell::default(),
+            guests: RefCell::default(),
+            documents: RefCell::default(),
             log: DecisionLog::default(),
             last_session: Cell::new(0),
             rescheduled: Notify::new(),
             wake_at: Cell::new(None),
             stopped: Notify::new(),
+            is_stop_requested: Cell::new(false),
             is_stopped: Cell::new(false),
             wire: std::marker::PhantomData,
         })
@@ -102,6 +123,7 @@
             "a configuration is known"
         );
         self.tell_duty_of_groups();
+        self.update_holders();
     }
 
     /// Takes discovery's whole present list in.
@@ -115,7 +137,7 @@
     }
 
     /// How many nodes share the back ends.
-    pub fn set_nodes(self: &Rc<Self>, nodes: u32) {
+    pub(crate) fn set_nodes(self: &Rc<Self>, nodes: u32) {
         self.handle(Event::Nodes(nodes));
         self.tell_duty(stairward_failover::Event::Nodes(nodes));
     }
@@ -126,9 +148,15 @@
             event = LogEvent::DrainStarted.number(),
             "a planned stop begins"
         );
+        self.is_stop_requested.set(true);
         self.handle(Event::StopRequested);
     }
 
+    /// Whether a planned stop is under way.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stop_requested.get()
+    }
+
     /// Waits until a planned stop is complete.
     pub async fn stopped(&self) {
         while !self.is_stopped.get() {
@@ -210,17 +238,28 @@
             Effect::AcceptSession { session } => {
                 W::encode_accept(turn.to_sessions.entry(session).or_default());
             }
+            Effect::Forward {
+                holder,
+                session,
+                request,
+                time_left,
+                forwarded,
+            } => self.forward(holder, session, request, time_left, forwarded),
+            Effect::CloseForwarded { holder, session } => self.close_forwarded(holder, session),
             Effect::RefuseSession { session, code } => {
                 W::encode_refusal(code, turn.to_sessions.entry(session).or_default());
                 self.flush(std::mem::take(turn));
                 self.close_session(session);
             }
             Effect::Respond { session, response } => {
-                W::encode_response(&response, turn.to_sessions.entry(session).or_default());
+                if let Some(response) = self.answer_guest(session, response) {
+                    W::encode_response(&response, turn.to_sessions.entry(session).or_default());
+                }
             }
             Effect::CloseSession { session } => {
                 self.flush(std::mem::take(turn));
                 self.close_session(session);
+                self.forget_guest(session);
             }
             Effect::Open { connection, target } => self.open(connection, target),
             Effect::Send {
