--- a/crates/stairward-protocol/src/neighbour.rs
+++ b/crates/stairward-protocol/src/neighbour.rs
@@ -185,10 +185,4 @@
         /// The session, by the sender's number.
         session: u64,
     },
-    /// The sender ends the session's transaction: its connection is needed or the node stops.
-    #[deku(id = "6")]
-    TransactionEnded {
-        /// The session, by the receiver's number.
-        session: u64,
-    },
 }
--- /dev/null
+++ b/crates/stairward-protocol/tests/neighbour.rs
@@ -0,0 +1,76 @@
+//! Messages between nodes: each reads back as it was written, and no bytes do harm.
+
+use bytes::BytesMut;
+use stairward_protocol::neighbour::{
+    ForwardedAnswer, ForwardedStatement, NeighbourMessage, SessionValue, StatementTag,
+};
+use stairward_protocol::{ByteString, OptionalFreshness, Text, decode_frame, encode_frame};
+use stairward_testing::check;
+use stairward_types::{Freshness, LogPosition, Term};
+
+fn messages() -> Vec<NeighbourMessage> {
+    let position = OptionalFreshness::from(Some(Freshness::new(Term(3), LogPosition(1_207))));
+    let statement = ForwardedStatement::new(
+        7,
+        9,
+        "reader-core",
+        800,
+        position,
+        2,
+        b"q2c".to_vec(),
+        StatementTag::Execute,
+        b"5c0e".to_vec(),
+        b"1a4 xkq".to_vec(),
+    );
+    let values = vec![SessionValue {
+        name: ByteString::new(b"lang".to_vec()),
+        value: ByteString::new(b"ms".to_vec()),
+    }];
+    vec![
+        NeighbourMessage::AskDocument {
+            name: Text::new("routes"),
+        },
+        NeighbourMessage::Document {
+            name: Text::new("routes"),
+            content: ByteString::new(vec![1, 2, 3]),
+        },
+        NeighbourMessage::Forward(statement.with_values(values)),
+        NeighbourMessage::Answer(ForwardedAnswer {
+            session: 7,
+            request: 9,
+            end: 1,
+            code: 0,
+            retry_after_milliseconds: 0,
+            text: ByteString::new(b"7.1f3".to_vec()),
+            status: 1,
+            position,
+            row_count: 1,
+            rows: vec![ByteString::new(b"qhz".to_vec())],
+        }),
+        NeighbourMessage::CloseSession { session: 7 },
+    ]
+}
+
+#[test]
+fn messages_read_back_as_they_were_written() {
+    let mut bytes = BytesMut::new();
+    for message in messages() {
+        encode_frame(&message, &mut bytes).unwrap();
+    }
+    for message in messages() {
+        assert_eq!(decode_frame(&mut bytes).unwrap(), Some(message));
+    }
+    assert_eq!(decode_frame::<NeighbourMessage>(&mut bytes).unwrap(), None);
+}
+
+#[test]
+fn no_bytes_of_a_peer_do_harm() {
+    check!().for_each(|bytes: &[u8]| {
+        let mut buffer = BytesMut::from(bytes);
+        while let Ok(Some(_)) = decode_frame::<NeighbourMessage>(&mut buffer) {}
+        let mut framed = BytesMut::new();
+        framed.extend_from_slice(&u32::try_from(bytes.len()).unwrap().to_be_bytes());
+        framed.extend_from_slice(bytes);
+        let _ = decode_frame::<NeighbourMessage>(&mut framed);
+    });
+}
--- a/crates/stairward-runtime/src/neighbours.rs
+++ b/crates/stairward-runtime/src/neighbours.rs
@@ -174,9 +174,7 @@
                     });
                 }
                 NeighbourMessage::CloseSession { session } => self.close_guest(link, session),
-                NeighbourMessage::Document { .. }
-                | NeighbourMessage::Answer(_)
-                | NeighbourMessage::TransactionEnded { .. } => break,
+                NeighbourMessage::Document { .. } | NeighbourMessage::Answer(_) => break,
             }
         }
         self.close_guests_of(link);
