--- a/crates/stairward-engine/src/connection.rs
+++ b/crates/stairward-engine/src/connection.rs
@@ -56,6 +56,8 @@
     pub in_transaction: bool,
     /// Whether that transaction is one that only the leader goes on with.
     pub is_leader_transaction: bool,
+    /// Since when nobody has used it.
+    pub idle_since: Time,
     /// Whether a timer looks for answers that are due.
     pub is_watched: bool,
 }
@@ -72,6 +74,7 @@
             user: None,
             in_transaction: false,
             is_leader_transaction: false,
+            idle_since: now,
             is_watched: true,
         }
     }
--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -20,6 +20,9 @@
 
 /// How often leaving back ends are looked at.
 const BACKEND_REVIEW: Duration = Duration::from_millis(500);
+/// A connection that nobody has used for this long is closed, but for one to each back end: what a node
+/// holds without need its successor can't have when it loses power.
+const IDLE_LIMIT: Duration = Duration::from_millis(2_000);
 /// How long after a gone back end may no longer be used its connections are closed.
 const GONE_CLOSE_DELAY: Duration = Duration::from_secs(4);
 /// Connections per back end kept back for nodes that are not counted yet.
@@ -61,6 +64,7 @@
     /// Services held by other nodes only.
     pub(crate) holders: BTreeMap<ServiceName, Vec<NodeId>>,
     pub(crate) stop: Option<Stop>,
+    is_reviewing: bool,
     last_connection: u64,
     last_request: u64,
 }
@@ -83,6 +87,7 @@
             nodes: NodeCount::default(),
             holders: BTreeMap::new(),
             stop: None,
+            is_reviewing: false,
             last_connection: 0,
             last_request: 0,
         }
@@ -223,7 +228,7 @@
                 self.changed.insert(backend.description.service.clone());
             }
         }
-        self.timers.set(now + BACKEND_REVIEW, Timer::Backends);
+        self.plan_review(now);
         self.warm_up(now);
     }
 
@@ -270,8 +275,15 @@
         connections.iter().filter(is_idle).copied().collect()
     }
 
-    /// Lets go of back ends whose time is over.
+    fn plan_review(&mut self, now: Time) {
+        if !std::mem::replace(&mut self.is_reviewing, true) {
+            self.timers.set(now + BACKEND_REVIEW, Timer::Backends);
+        }
+    }
+
+    /// Lets go of back ends whose time is over, and of connections that nobody needs.
     fn review_backends(&mut self, now: Time) {
+        self.is_reviewing = false;
         let mut over = Vec::new();
         let mut is_any_leaving = false;
         for (id, backend) in &self.backends {
@@ -289,8 +301,28 @@
         for (id, is_over) in over {
             self.let_go(&id, is_over);
         }
-        if is_any_leaving {
-            self.timers.set(now + BACKEND_REVIEW, Timer::Backends);
+        self.trim(now);
+        if is_any_leaving || !self.connections.is_empty() {
+            self.plan_review(now);
+        }
+    }
+
+    /// Closes connections that nobody has needed lately, but for one to each back end.
+    fn trim(&mut self, now: Time) {
+        let mut unused = Vec::new();
+        for backend in self.backends.values() {
+            let mut idle = self.idle_connections_of(&backend.connections);
+            let is_any_in_use = idle.len() < backend.connections.len();
+            if !is_any_in_use && !idle.is_empty() {
+                idle.remove(0);
+            }
+            unused.extend(idle.into_iter().filter(|id| {
+                let connection = self.connections.get(id);
+                connection.is_some_and(|connection| now.since(connection.idle_since) >= IDLE_LIMIT)
+            }));
+        }
+        for connection in unused {
+            self.close_connection(connection);
         }
     }
 
--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -29,6 +29,7 @@
                 .push(Effect::CloseConnection { connection: id });
         };
         connection.opening_since = None;
+        connection.idle_since = now;
         let service = connection.service.clone();
         let backend_id = connection.backend.clone();
         self.backend_answered(now, &backend_id, position);
@@ -370,6 +371,7 @@
             return;
         }
         connection.user = None;
+        connection.idle_since = now;
         let backend_id = connection.backend.clone();
         let service = connection.service.clone();
         self.changed.insert(service);
--- a/crates/stairward-engine/tests/sessions.rs
+++ b/crates/stairward-engine/tests/sessions.rs
@@ -247,3 +247,28 @@
     }
     assert!(count(&world) > 20, "{}", count(&world));
 }
+
+/// Connections that a node held without need were lost to its successor while the back end still counted
+/// them, after a loss of power.
+#[test]
+fn connections_that_nobody_needs_are_closed_but_for_one() {
+    let mut world = World::new();
+    let sessions: Vec<_> = (0..3).map(|_| world.open(LEADER_READS)).collect();
+    for session in &sessions {
+        world.say(*session, StatementKind::Write);
+    }
+    for position in 1..=3 {
+        world.answer(done(IDLE, at(1, position)));
+    }
+    world.responses.clear();
+    let to_primary = |world: &World| {
+        let opened = world.opened.iter();
+        let open = opened.filter(|(connection, id)| {
+            *id == backend(PRIMARY) && !world.closed_connections.contains(connection)
+        });
+        open.count()
+    };
+    assert_eq!(to_primary(&world), 3);
+    world.pass(Duration::from_secs(4));
+    assert_eq!(to_primary(&world), 1);
+}
