Ask peers for the leader's position when the leader can't be asked

A peer says how far the leader's log had come and how old that is by its own clock; the asker counts from before its question, so no clocks are compared. What is older than the asker's own clock is not taken (tested).

--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -160,6 +160,12 @@
                 request,
                 response,
             } => self.forward_answered(now, holder, session, request, response),
+            Event::PeerPosition {
+                service,
+                freshness,
+                asked_at,
+                age,
+            } => self.take_peer_position(&service, freshness, asked_at, age),
             Event::HolderLost(holder) => self.holder_lost(now, holder),
             Event::StopRequested => self.begin_stop(now),
             Event::Tick => {}
--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -7,7 +7,7 @@
 
 use stairward_types::{
     AccessClass, BackendId, BackendRole, Freshness, GroupId, NodeId, OutcomeClass, ResultCode,
-    ServiceName,
+    ServiceName, Time,
 };
 
 use crate::identifiers::{ConnectionId, SessionId};
@@ -110,6 +110,17 @@
         /// The answer.
         response: Response,
     },
+    /// A peer said how far the leader's log had come.
+    PeerPosition {
+        /// The service.
+        service: ServiceName,
+        /// The position.
+        freshness: Freshness,
+        /// When this node asked the peer.
+        asked_at: Time,
+        /// How old the peer's knowledge was when it answered, by its own clock.
+        age: Duration,
+    },
     /// A node that statements were forwarded to can't be reached any more.
     HolderLost(NodeId),
     /// The process is to stop.
@@ -287,6 +298,11 @@
         /// What was shown.
         evidence: Evidence,
     },
+    /// Ask peers how far the leader's log had come.
+    AskPosition {
+        /// The service.
+        service: ServiceName,
+    },
     /// Forward a statement to another node.
     Forward {
         /// The node.
--- a/crates/stairward-engine/src/group.rs
+++ b/crates/stairward-engine/src/group.rs
@@ -26,6 +26,8 @@
     pub newest_term: Term,
     /// Back ends that said they don't lead, with the revision of the description that they denied.
     pub denied: BTreeMap<BackendId, Revision>,
+    /// When peers were last asked for a newer proof.
+    pub asked_peers_at: Option<Time>,
     /// When the last probe of the leader's position was begun; none when it has ended.
     pub probing_since: Option<Time>,
 }
--- a/crates/stairward-engine/src/probes.rs
+++ b/crates/stairward-engine/src/probes.rs
@@ -4,16 +4,21 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use stairward_types::{ServiceName, Time};
+use stairward_types::{Freshness, ServiceName, Time};
 
 use crate::connection::User;
 use crate::engine::Engine;
-use crate::event::BackendCommand;
+use crate::event::{BackendCommand, Effect};
+use crate::group::Proof;
 
 /// The part of the allowed staleness after which a proof is renewed ahead of need, in percent.
 const RENEWAL_AGE_PERCENT: u32 = 40;
 /// A probe without an answer for this long is given up.
 const PROBE_PATIENCE: Duration = Duration::from_millis(400);
+/// A probe without an answer for this long makes the node ask its peers too.
+const PEER_DELAY: Duration = Duration::from_millis(150);
+/// Pause between two questions to peers.
+const PEER_PAUSE: Duration = Duration::from_millis(100);
 
 impl Engine {
     /// Begins a probe of the leader's position when the newest proof grows old for this staleness.
@@ -30,20 +35,73 @@
         let is_fresh = group.proof.is_some_and(|proof| {
             now.since(proof.asked_at) < renewal_age && proof.freshness.term >= group.newest_term
         });
-        let is_probing = group
-            .probing_since
-            .is_some_and(|since| now.since(since) < PROBE_PATIENCE);
-        if !is_fresh && !is_probing {
-            self.begin_probe(now, service);
+        if is_fresh {
+            return;
+        }
+        let probing_for = group.probing_since.map(|since| now.since(since));
+        let is_probing = probing_for.is_some_and(|elapsed| elapsed < PROBE_PATIENCE);
+        let is_slow = probing_for.is_some_and(|elapsed| elapsed >= PEER_DELAY);
+        let has_begun = is_probing || self.begin_probe(now, service);
+        if !has_begun || is_slow {
+            self.ask_peers(now, service);
         }
     }
 
-    fn begin_probe(&mut self, now: Time, service: &ServiceName) {
-        let Some(leader) = self.leader(now, service) else {
+    /// Asks peers for what they know of the leader's position: this node can't ask the leader itself.
+    fn ask_peers(&mut self, now: Time, service: &ServiceName) {
+        let Some(group) = self.groups.get_mut(service) else {
             return;
         };
-        let Some(connection) = self.connection_to(now, &leader, &BTreeMap::new()) else {
+        let was_asked = group
+            .asked_peers_at
+            .is_some_and(|at| now.since(at) < PEER_PAUSE);
+        if !was_asked {
+            group.asked_peers_at = Some(now);
+            let service = service.clone();
+            self.effects.push(Effect::AskPosition { service });
+        }
+    }
+
+    /// A peer said what it knows. Its answer came after the question, so the leader was asked at most `age`
+    /// before that; no two clocks are compared.
+    pub(crate) fn take_peer_position(
+        &mut self,
+        service: &ServiceName,
+        freshness: Freshness,
+        asked_at: Time,
+        age: Duration,
+    ) {
+        if age > asked_at.since(Time::ZERO) {
+            // From before this node's clock began: it can't be dated here.
             return;
+        }
+        if let Some(group) = self.groups.get_mut(service) {
+            group.prove(Proof {
+                freshness,
+                asked_at: asked_at - age,
+            });
+            self.changed.insert(service.clone());
+        }
+    }
+
+    /// The newest proved position of a service's leader, and how long ago it was asked for.
+    #[must_use]
+    pub fn proved_position(
+        &self,
+        now: Time,
+        service: &ServiceName,
+    ) -> Option<(Freshness, Duration)> {
+        let proof = self.groups.get(service)?.proof?;
+        Some((proof.freshness, now.since(proof.asked_at)))
+    }
+
+    /// Begins a probe; returns whether there was a leader and a connection for it.
+    fn begin_probe(&mut self, now: Time, service: &ServiceName) -> bool {
+        let Some(leader) = self.leader(now, service) else {
+            return false;
+        };
+        let Some(connection) = self.connection_to(now, &leader, &BTreeMap::new()) else {
+            return false;
         };
         if let Some(group) = self.groups.get_mut(service) {
             group.probing_since = Some(now);
@@ -54,6 +112,7 @@
             floor: None,
         };
         self.send(now, connection, begin);
+        true
     }
 
     /// A probe has ended, with or without a proof.
--- a/crates/stairward-engine/tests/reads.rs
+++ b/crates/stairward-engine/tests/reads.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use stairward_engine::{BackendCommand, BackendErrorCode, Event, StatementKind, TransactionStatus};
-use stairward_types::{BackendRole, Freshness, ResultCode};
+use stairward_types::{BackendRole, Freshness, ResultCode, Time};
 use support::{
     BOUNDED, FAR_REPLICA, LEADER_READS, NEAR_REPLICA, OWN_READS, PRIMARY, STALENESS, World, at,
     backend, describe, done, failed, usual_backends,
@@ -213,3 +213,33 @@
         stairward_types::OutcomeClass::NotRun
     );
 }
+
+#[test]
+fn a_node_that_cannot_ask_the_leader_asks_its_peers() {
+    let mut world = World::new();
+    let mut backends = usual_backends();
+    backends.remove(0);
+    world.tell(Event::Backends(backends));
+    world.pass(Duration::from_millis(4_100));
+    let session = world.open(BOUNDED);
+    world.say(session, StatementKind::Read);
+    assert_eq!(world.asked_peers, [support::service()]);
+    let too_old = STALENESS + Duration::from_millis(1);
+    // An age from before this node's clock began must not count as younger than it is.
+    let before_the_clock = world.now.since(Time::ZERO) + Duration::from_secs(1);
+    for (age, is_sent) in [
+        (too_old, false),
+        (before_the_clock, false),
+        (Duration::ZERO, true),
+    ] {
+        world.tell(Event::PeerPosition {
+            service: support::service(),
+            freshness: at(1, 7),
+            asked_at: world.now,
+            age,
+        });
+        let reads = world.sent.iter().filter(|sent| is_run(&sent.command));
+        let floors: Vec<_> = reads.map(|sent| floor(&sent.command)).collect();
+        assert_eq!(floors == [Some(at(1, 7))], is_sent, "{floors:?}");
+    }
+}
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -133,6 +133,7 @@
     pub closed_connections: Vec<ConnectionId>,
     pub opened: Vec<(ConnectionId, BackendId)>,
     pub forwarded: Vec<(NodeId, SessionId, u64, Forwarded)>,
+    pub asked_peers: Vec<ServiceName>,
     pub closed_forwarded: Vec<(NodeId, SessionId)>,
     pub observed: Vec<(BackendId, Evidence)>,
     pub is_stopped: bool,
@@ -162,6 +163,7 @@
             closed_connections: Vec::new(),
             opened: Vec::new(),
             forwarded: Vec::new(),
+            asked_peers: Vec::new(),
             closed_forwarded: Vec::new(),
             observed: Vec::new(),
             is_stopped: false,
@@ -222,6 +224,7 @@
                 Effect::CloseForwarded { holder, session } => {
                     self.closed_forwarded.push((holder, session));
                 }
+                Effect::AskPosition { service } => self.asked_peers.push(service),
                 Effect::AcceptSession { .. } | Effect::Record(_) | Effect::Measured(_) => {}
             }
         }
--- a/crates/stairward-protocol/src/neighbour.rs
+++ b/crates/stairward-protocol/src/neighbour.rs
@@ -179,6 +179,26 @@
     /// A statement has ended.
     #[deku(id = "4")]
     Answer(ForwardedAnswer),
+    /// Asks how far the log of a service's leader had come.
+    #[deku(id = "6")]
+    AskPosition {
+        /// The service.
+        service: Text,
+        /// The sender's own moment; the answer carries it back.
+        asked_at_microseconds: u64,
+    },
+    /// What is known of it.
+    #[deku(id = "7")]
+    Position {
+        /// The service.
+        service: Text,
+        /// From the question.
+        asked_at_microseconds: u64,
+        /// The position.
+        position: OptionalFreshness,
+        /// How long before this answer the leader was asked.
+        age_microseconds: u64,
+    },
     /// A session of the sender has ended.
     #[deku(id = "5")]
     CloseSession {
--- a/crates/stairward-protocol/tests/neighbour.rs
+++ b/crates/stairward-protocol/tests/neighbour.rs
@@ -47,6 +47,16 @@
             row_count: 1,
             rows: vec![ByteString::new(b"qhz".to_vec())],
         }),
+        NeighbourMessage::AskPosition {
+            service: Text::new("reader-core"),
+            asked_at_microseconds: 12,
+        },
+        NeighbourMessage::Position {
+            service: Text::new("reader-core"),
+            asked_at_microseconds: 12,
+            position,
+            age_microseconds: 30,
+        },
         NeighbourMessage::CloseSession { session: 7 },
     ]
 }
--- a/crates/stairward-runtime/src/neighbours.rs
+++ b/crates/stairward-runtime/src/neighbours.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use rand::seq::IndexedRandom as _;
 use stairward_engine::{Event, Forwarded, Response, SessionId};
 use stairward_protocol::neighbour::NeighbourMessage;
-use stairward_protocol::{Text, decode_frame, encode_frame};
-use stairward_types::{LogEvent, NodeId};
+use stairward_protocol::{OptionalFreshness, Text, decode_frame, encode_frame};
+use stairward_types::{Freshness, LogEvent, NodeId, ServiceName, Time};
 use tokio::io::AsyncReadExt as _;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
@@ -24,6 +25,8 @@
 const LINK_PATIENCE: Duration = Duration::from_millis(500);
 /// How long a peer may take to answer with a document.
 const DOCUMENT_PATIENCE: Duration = Duration::from_millis(800);
+/// Peers asked at once for a position.
+const PEERS_ASKED: usize = 2;
 /// Room made for reading at once.
 const READ_SIZE: usize = 8 * 1024;
 /// Pause after a link could not be accepted.
@@ -174,7 +177,18 @@
                     });
                 }
                 NeighbourMessage::CloseSession { session } => self.close_guest(link, session),
-                NeighbourMessage::Document { .. } | NeighbourMessage::Answer(_) => break,
+                NeighbourMessage::AskPosition {
+                    service,
+                    asked_at_microseconds,
+                } => {
+                    let answer = self.position_answer(service, asked_at_microseconds);
+                    if outgoing.send(&frame(&answer)).is_err() {
+                        break;
+                    }
+                }
+                NeighbourMessage::Document { .. }
+                | NeighbourMessage::Position { .. }
+                | NeighbourMessage::Answer(_) => break,
             }
         }
         self.close_guests_of(link);
@@ -304,18 +318,80 @@
             return self.link_lost(holder);
         }
         tracing::info!(event = LogEvent::PeerConnected.number(), holder = holder.0);
-        while let Some(NeighbourMessage::Answer(answer)) = reader.next().await {
-            let (session, request) = (SessionId(answer.session), answer.request);
-            self.handle(Event::ForwardAnswered {
-                holder,
-                session,
-                request,
-                response: response_of(answer),
-            });
+        while let Some(message) = reader.next().await {
+            match message {
+                NeighbourMessage::Answer(answer) => {
+                    let (session, request) = (SessionId(answer.session), answer.request);
+                    self.handle(Event::ForwardAnswered {
+                        holder,
+                        session,
+                        request,
+                        response: response_of(answer),
+                    });
+                }
+                NeighbourMessage::Position {
+                    service,
+                    asked_at_microseconds,
+                    position,
+                    age_microseconds,
+                } => {
+                    let age = Duration::from_micros(age_microseconds);
+                    let asked_at = Time(asked_at_microseconds);
+                    self.take_position(&service, position.into(), asked_at, age);
+                }
+                _ => break,
+            }
         }
         self.link_lost(holder);
     }
 
+    /// Asks two peers, chosen anew each time, how far a leader's log had come.
+    pub(crate) fn ask_peers_for_position(self: &Rc<Self>, service: &ServiceName) {
+        let others: Vec<NodeId> = {
+            let members = self.members.borrow();
+            let nodes = members.iter().map(|member| member.node);
+            nodes.filter(|node| *node != self.peer.node).collect()
+        };
+        let message = NeighbourMessage::AskPosition {
+            service: Text::new(service.as_str()),
+            asked_at_microseconds: self.now().0,
+        };
+        for peer in others.sample(&mut rand::rng(), PEERS_ASKED) {
+            self.tell_holder(*peer, &message);
+        }
+    }
+
+    fn position_answer(&self, service: Text, asked_at_microseconds: u64) -> NeighbourMessage {
+        let name = ServiceName::new(service.as_str()).ok();
+        let proved = name.and_then(|name| self.proved_position(&name));
+        let (position, age) = proved.unzip();
+        let age = age.unwrap_or_default().as_micros();
+        NeighbourMessage::Position {
+            service,
+            asked_at_microseconds,
+            position: OptionalFreshness::from(position),
+            age_microseconds: u64::try_from(age).unwrap_or(u64::MAX),
+        }
+    }
+
+    fn take_position(
+        self: &Rc<Self>,
+        service: &Text,
+        position: Option<Freshness>,
+        asked_at: Time,
+        age: Duration,
+    ) {
+        let service = ServiceName::new(service.as_str()).ok();
+        if let (Some(service), Some(freshness)) = (service, position) {
+            self.handle(Event::PeerPosition {
+                service,
+                freshness,
+                asked_at,
+                age,
+            });
+        }
+    }
+
     fn link_lost(self: &Rc<Self>, holder: NodeId) {
         let link = self.links.borrow_mut().remove(&holder);
         if let Some(link) = link {
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -13,7 +13,7 @@
 };
 use stairward_failover::{FailoverDuty, FailoverOptions, LeaderEvidence, MemberState};
 use stairward_membership::Profile;
-use stairward_types::{BackendId, LogEvent, NodeId, ServiceName, Time};
+use stairward_types::{BackendId, Freshness, LogEvent, NodeId, ServiceName, Time};
 use tokio::sync::Notify;
 
 use crate::coordination::Coordination;
@@ -170,6 +170,12 @@
         self.engine.borrow().routing_table().cloned()
     }
 
+    /// The newest proved position of a service's leader, and its age.
+    pub(crate) fn proved_position(&self, service: &ServiceName) -> Option<(Freshness, Duration)> {
+        let now = self.now();
+        self.engine.borrow().proved_position(now, service)
+    }
+
     /// Figures for metrics.
     #[must_use]
     pub fn statistics(&self) -> EngineStatistics {
@@ -245,6 +251,7 @@
                 time_left,
                 forwarded,
             } => self.forward(holder, session, request, time_left, forwarded),
+            Effect::AskPosition { service } => self.ask_peers_for_position(&service),
             Effect::CloseForwarded { holder, session } => self.close_forwarded(holder, session),
             Effect::RefuseSession { session, code } => {
                 W::encode_refusal(code, turn.to_sessions.entry(session).or_default());
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -71,6 +71,7 @@
     CommandAt(usize, Link, BackendId, BackendCommand),
     CloseAt(Link, BackendId),
     RecordAt(usize, u64, RecordVersion, stairward_failover::DutyRecord),
+    AskPeerAt(usize, u64, usize, Time),
     AskAt(usize, u64, BackendId, Question),
     PromoteAt(
         usize,
@@ -260,6 +261,9 @@
             Happening::RecordAt(node, life, version, record) => {
                 self.record_at(node, life, version, record);
             }
+            Happening::AskPeerAt(node, life, peer, asked_at) => {
+                self.ask_peer_at(node, life, peer, asked_at);
+            }
             Happening::AskAt(node, life, backend, question) => {
                 self.ask_at(node, life, &backend, question);
             }
@@ -372,6 +376,12 @@
             | Effect::Forward { .. }
             | Effect::CloseForwarded { .. }
             | Effect::Stopped => {}
+            Effect::AskPosition { .. } => {
+                let asked_at = self.now();
+                let peer = (index + 1) % self.nodes.len();
+                let ask = Happening::AskPeerAt(index, life, peer, asked_at);
+                self.queue.plan(FAR_DELAY, ask);
+            }
             Effect::RefuseSession { session, .. } | Effect::CloseSession { session } => {
                 if let Some(caller) = self.caller_of(session) {
                     let cut = Happening::CallerCut(caller, session.0);
@@ -641,6 +651,26 @@
             .plan(delay, Happening::Duty(node, life, Box::new(event)));
     }
 
+    /// A peer says what it knows of the leader's position, and how old that is by its own clock.
+    fn ask_peer_at(&mut self, node: usize, life: u64, peer: usize, asked_at: Time) {
+        let now = self.now();
+        let asked = &self.nodes[peer];
+        if !asked.is_running || now < asked.frozen_until {
+            return;
+        }
+        let service = crate::group::service();
+        if let Some((freshness, age)) = asked.engine.proved_position(now, &service) {
+            let event = Event::PeerPosition {
+                service,
+                freshness,
+                asked_at,
+                age,
+            };
+            let event = Happening::Engine(node, life, Box::new(event));
+            self.queue.plan(FAR_DELAY, event);
+        }
+    }
+
     fn leads(&mut self, backend: &BackendId) {
         let is_alive = self
             .group
