--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -22,7 +22,7 @@
 const BACKEND_REVIEW: Duration = Duration::from_millis(500);
 /// A connection that nobody has used for this long is closed, but for one to each back end: what a node
 /// holds without need its successor can't have when it loses power.
-const IDLE_LIMIT: Duration = Duration::from_millis(2_000);
+const IDLE_LIMIT: Duration = Duration::from_millis(800);
 /// How long after a gone back end may no longer be used its connections are closed.
 const GONE_CLOSE_DELAY: Duration = Duration::from_secs(4);
 /// Connections per back end kept back for nodes that are not counted yet.
