Keep synchronous replicas on hold until the new primary leads

Until then the old primary could acknowledge through a replica that was not chosen. A replica that started meanwhile was not held at all. Ruled out: too few answers (4 of 4 members answered), a choice of the wrong replica (it had received most). Also mended, found while reading: a promotion without an answer was forgotten when the store could not be written afterwards; the attempt now goes on until a later decision is answered. The check that replicas are released on acceptance was wrong; its successor wants them released when the new primary leads and not before. Three tests failed first.

--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -31,6 +31,8 @@
     pub stage: Stage,
     /// Since when it is in its stage.
     pub since: Time,
+    /// While it is queued: not claimed before this.
+    pub not_before: Time,
     pub token: Option<FencingToken>,
     /// Members that were asked and have not answered.
     pub asked: BTreeSet<BackendId>,
@@ -57,6 +59,7 @@
             is_planned,
             stage: Stage::Queued,
             since: now,
+            not_before: now,
             token: None,
             asked: BTreeSet::new(),
             answers: BTreeMap::new(),
--- a/crates/stairward-failover/src/duty.rs
+++ b/crates/stairward-failover/src/duty.rs
@@ -202,13 +202,14 @@
 
     fn review(&mut self, now: Time, service: &ServiceName) {
         self.note_missing(now, service);
+        self.hold_late_members(service);
         match self
             .attempts
             .get(service)
             .map(|attempt| attempt.stage.clone())
         {
             None => self.maybe_begin(now, service),
-            Some(Stage::Queued) => self.claim(now, service),
+            Some(Stage::Queued) => self.review_queued(now, service),
             Some(Stage::Claiming) => self.review_claim(now, service),
             Some(Stage::Asking) => self.review_asking(now, service),
             Some(Stage::Promoting) => self.review_promotion(now, service),
@@ -294,6 +295,40 @@
         }
     }
 
+    fn review_queued(&mut self, now: Time, service: &ServiceName) {
+        let is_due = self
+            .attempts
+            .get(service)
+            .is_some_and(|attempt| now >= attempt.not_before);
+        if is_due {
+            self.claim(now, service);
+        }
+    }
+
+    /// A replica that comes while the others are on hold would let the old primary acknowledge again.
+    fn hold_late_members(&mut self, service: &ServiceName) {
+        let (Some(group), Some(attempt)) =
+            (self.groups.get(service), self.attempts.get_mut(service))
+        else {
+            return;
+        };
+        if attempt.held.is_empty() {
+            return;
+        }
+        let term = Term(attempt.newest_term().0 + 1);
+        for (id, member) in &group.members {
+            let is_known = Some(id) == attempt.old.as_ref() || attempt.held.contains(id);
+            if is_known || member.role == BackendRole::Primary {
+                continue;
+            }
+            attempt.held.insert(id.clone());
+            if attempt.stage == Stage::Asking {
+                attempt.asked.insert(id.clone());
+            }
+            self.effects.push(Effect::Hold(id.clone(), term));
+        }
+    }
+
     fn review_claim(&mut self, now: Time, service: &ServiceName) {
         let is_late = self
             .attempts
@@ -466,8 +501,9 @@
         }
         match outcome {
             PromotionOutcome::Accepted => {
+                // Replicas stay on hold until the new primary leads: the old one could acknowledge
+                // through any of them until then.
                 attempt.enter(Stage::Settling, now);
-                self.resume_held(service);
             }
             PromotionOutcome::Refused | PromotionOutcome::Throttled => {
                 self.give_up(now, service, "the promotion was refused");
@@ -490,6 +526,7 @@
             .get(service)
             .is_some_and(|attempt| now.since(attempt.since) > self.options.settle_patience);
         if self.target_leads(service) || is_over {
+            self.resume_held(service);
             let attempt = self.attempts.remove(service);
             if let Some(old) = attempt.and_then(|attempt| attempt.old) {
                 self.evidence.forget(&old);
@@ -509,6 +546,16 @@
     }
 
     fn give_up(&mut self, now: Time, service: &ServiceName, reason: &'static str) {
+        let is_held_by_another = self.is_held_by_another(now);
+        if let Some(attempt) = self.attempts.get_mut(service)
+            && attempt.must_fence
+            && !is_held_by_another
+        {
+            // An earlier promotion may still be carried out: go on until a later one is answered.
+            attempt.enter(Stage::Queued, now);
+            attempt.not_before = now + self.options.pause;
+            return self.log(service, Action::GaveUp { reason });
+        }
         self.resume_held(service);
         self.attempts.remove(service);
         self.pauses
--- a/crates/stairward-failover/tests/duty.rs
+++ b/crates/stairward-failover/tests/duty.rs
@@ -310,11 +310,44 @@
         FencingToken(7),
         PromotionOutcome::Accepted,
     ));
-    let resumes = node
+    node.pass(500);
+    let resumes = |node: &Node| {
+        let resumes = node.effects.iter();
+        resumes
+            .filter(|effect| matches!(effect, Effect::Resume(_)))
+            .count()
+    };
+    assert_eq!(resumes(&node), 0, "the old primary could still acknowledge");
+    let mut group = usual_group();
+    group.synchronous_replicas = 1;
+    let target = group.members.get_mut(&backend(AHEAD)).unwrap();
+    target.role = BackendRole::Primary;
+    target.revision = 9;
+    node.set_group(group);
+    assert_eq!(resumes(&node), 2);
+}
+
+/// A replica that comes while the others are held would let the old primary acknowledge again.
+#[test]
+fn a_replica_that_comes_meanwhile_is_held_too() {
+    let mut node = Node::new("a");
+    let mut group = usual_group();
+    group.synchronous_replicas = 1;
+    node.set_group(group.clone());
+    node.claim_after_refusal(7);
+    node.answer_both();
+    node.answer_both();
+    assert_eq!(node.promotions().len(), 1);
+    let late = backend("db-4");
+    group
+        .members
+        .insert(late.clone(), member(BackendRole::Replica));
+    node.set_group(group);
+    let is_held = node
         .effects
         .iter()
-        .filter(|effect| matches!(effect, Effect::Resume(_)));
-    assert_eq!(resumes.count(), 2);
+        .any(|effect| matches!(effect, Effect::Hold(id, _) if *id == late));
+    assert!(is_held, "{:?}", node.effects);
 }
 
 #[test]
@@ -358,3 +391,24 @@
     assert!(matches!(logged[1], Action::Chose { .. }));
     assert!(matches!(logged[2], Action::Answered { .. }));
 }
+
+#[test]
+fn a_promotion_without_an_answer_is_not_forgotten_when_the_store_is_away() {
+    let mut node = Node::new("a");
+    node.claim_after_refusal(7);
+    node.answer_both();
+    let unknown = Event::Promotion(service(), FencingToken(7), PromotionOutcome::Unknown);
+    node.tell(unknown);
+    node.tell(Event::RecordFailed);
+    // The primary is back, so that nothing else would begin an attempt.
+    node.see(LeaderEvidence::Answered);
+    node.effects.clear();
+    node.pass(500);
+    assert_eq!(node.claim(), Some(RecordVersion(7)));
+    node.tell(Event::RecordWritten(RecordVersion(9)));
+    let leads = status(BackendRole::Primary, 1, 60);
+    node.tell(Event::Status(backend(OLD), leads));
+    node.answer_both();
+    node.pass(400);
+    assert_eq!(node.promotions(), [(backend(OLD), FencingToken(9))]);
+}
