Simulate synchronous replicas, holds, and the loss of acknowledged commits

The answer to a commit waits for a replica; a promotion that rolls an acknowledged commit back is a violation. The variant whose holds are not carried out is caught once a replica goes deaf between the question and the promotion.

--- a/crates/stairward-simulation/src/checker.rs
+++ b/crates/stairward-simulation/src/checker.rs
@@ -20,6 +20,8 @@
     Unasked,
     /// Statements run in their own transaction, under their own session's values.
     OwnTransaction,
+    /// Where replicas are synchronous, a promotion loses no acknowledged commit.
+    Kept,
     /// One decision a fencing token.
     OneDecision,
     /// A configuration comes into force in time and never goes back.
@@ -219,6 +221,20 @@
         }
     }
 
+    /// A promotion rolled commits back that must all be kept.
+    pub fn check_kept(&mut self, now: Time, rolled_back: &[Entry]) {
+        self.count(Invariant::Kept);
+        let lost = self
+            .acknowledged
+            .iter()
+            .find(|write| rolled_back.contains(&write.entry))
+            .cloned();
+        if let Some(lost) = lost {
+            let text = format!("{:?}, acknowledged at {:?}, is lost", lost.entry, lost.at);
+            self.violate(now, Invariant::Kept, text);
+        }
+    }
+
     /// A promotion rolled commits back: they no longer count.
     pub fn rolled_back(&mut self, entries: &[Entry]) {
         for entry in entries {
--- a/crates/stairward-simulation/src/database.rs
+++ b/crates/stairward-simulation/src/database.rs
@@ -103,6 +103,8 @@
     pub leaving_since: Option<Time>,
     /// Whether nothing passes between it and the other members.
     pub is_deaf: bool,
+    /// Whether it was told not to receive.
+    pub is_held: bool,
     /// How many times later than usual it applies.
     pub lag_factor: u32,
 }
@@ -122,6 +124,7 @@
             connection_limit,
             leaving_since: None,
             is_deaf: false,
+            is_held: false,
             lag_factor: 1,
         }
     }
--- a/crates/stairward-simulation/src/group.rs
+++ b/crates/stairward-simulation/src/group.rs
@@ -112,6 +112,7 @@
         let kept = leader.log.clone();
         let mut rolled_back = Vec::new();
         for (other_id, other) in &mut self.databases {
+            other.is_held = false;
             if other_id == id {
                 continue;
             }
@@ -131,6 +132,17 @@
         rolled_back
     }
 
+    /// Whether a commit is on as many replicas as it must be before it is acknowledged.
+    #[must_use]
+    pub fn is_received(&self, entry: &Entry, replicas: u32) -> bool {
+        let number = usize::try_from(entry.at.position.0).unwrap_or(usize::MAX);
+        let has_it = |database: &&Database| {
+            database.role == BackendRole::Replica && database.log.get(number - 1) == Some(entry)
+        };
+        let holding = self.databases.values().filter(has_it).count();
+        holding >= usize::try_from(replicas).unwrap_or(usize::MAX)
+    }
+
     /// Replicas receive what the primary has, and apply it after `lag` times their own factor.
     pub fn replicate(&mut self, now: Time, lag: Duration) {
         let Some(primary) = self.primary().cloned() else {
@@ -144,7 +156,7 @@
             if !database.is_alive {
                 continue;
             }
-            if leads && !database.is_deaf && !database.is_silent {
+            if leads && !database.is_deaf && !database.is_silent && !database.is_held {
                 database.term = leader.term;
                 if database.log.len() != leader.log.len() {
                     database.log.clone_from(&leader.log);
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -77,8 +77,15 @@
     }
 
     /// The duty's view of the back ends: a primary that is no longer listed stays known as missing.
-    pub fn groups(&mut self, list: &[BackendDescription]) -> BTreeMap<ServiceName, GroupState> {
-        let mut group = GroupState::default();
+    pub fn groups(
+        &mut self,
+        list: &[BackendDescription],
+        synchronous_replicas: u32,
+    ) -> BTreeMap<ServiceName, GroupState> {
+        let mut group = GroupState {
+            synchronous_replicas,
+            ..GroupState::default()
+        };
         for description in list {
             let member = MemberState {
                 role: description.role,
@@ -117,7 +124,11 @@
 }
 
 /// The configuration of a revision.
-pub(crate) fn routing_table(revision: u64, content: u64) -> Arc<RoutingTable> {
+pub(crate) fn routing_table(
+    revision: u64,
+    content: u64,
+    synchronous_replicas: u32,
+) -> Arc<RoutingTable> {
     let route = |consistency| {
         Arc::new(Route {
             service: service(),
@@ -142,7 +153,7 @@
     routes.insert(revision_route(content), route(Consistency::Primary));
     let limits = ServiceLimits {
         connections: CONNECTION_LIMIT,
-        synchronous_replicas: 0,
+        synchronous_replicas,
     };
     Arc::new(RoutingTable {
         revision: Revision(revision),
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -80,11 +80,13 @@
     Drain,
     /// An older configuration is put in force over a newer one.
     Configuration,
+    /// Replicas are asked but not held before a promotion.
+    Hold,
 }
 
 impl BrokenVariant {
     /// All variants.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Floor,
         Self::LeaderProof,
         Self::Promise,
@@ -94,6 +96,7 @@
         Self::Token,
         Self::Drain,
         Self::Configuration,
+        Self::Hold,
     ];
 }
 
@@ -116,6 +119,8 @@
     pub writes_in_twenty: u32,
     /// How long callers act.
     pub length: Duration,
+    /// Replicas that must have received a commit before it is acknowledged.
+    pub synchronous_replicas: u32,
     /// A deliberate damage.
     pub broken: Option<BrokenVariant>,
 }
@@ -133,6 +138,7 @@
             sessions: 24,
             writes_in_twenty: 5,
             length: Duration::from_secs(20),
+            synchronous_replicas: 0,
             broken: None,
         }
     }
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -55,6 +55,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Question {
     Status,
+    Hold,
     Resume,
 }
 
@@ -71,6 +72,7 @@
     CommandAt(usize, Link, BackendId, BackendCommand),
     CloseAt(Link, BackendId),
     RecordAt(usize, u64, RecordVersion, stairward_failover::DutyRecord),
+    AwaitReplicas(Link, crate::database::Entry, Duration, Box<Happening>),
     AskPeerAt(usize, u64, usize, Time),
     AskAt(usize, u64, BackendId, Question),
     PromoteAt(
@@ -261,6 +263,9 @@
             Happening::RecordAt(node, life, version, record) => {
                 self.record_at(node, life, version, record);
             }
+            Happening::AwaitReplicas(link, entry, delay, reply) => {
+                self.wait_for_replicas(link, entry, delay, *reply);
+            }
             Happening::AskPeerAt(node, life, peer, asked_at) => {
                 self.ask_peer_at(node, life, peer, asked_at);
             }
@@ -590,7 +595,39 @@
             reply: outcome.reply,
         };
         let reply = Happening::Engine(node, link.life, Box::new(reply));
-        self.queue.plan(delay, reply);
+        match outcome.committed {
+            Some(entry) if self.options.synchronous_replicas > 0 => {
+                self.wait_for_replicas(link, entry, delay, reply);
+            }
+            _ => self.queue.plan(delay, reply),
+        }
+    }
+
+    /// The answer to a commit comes once enough replicas have received it. Until then the connection says
+    /// nothing, and if the commit is lost it never does.
+    fn wait_for_replicas(
+        &mut self,
+        link: Link,
+        entry: crate::database::Entry,
+        delay: Duration,
+        reply: Happening,
+    ) {
+        let replicas = self.options.synchronous_replicas;
+        if self.group.is_received(&entry, replicas) {
+            return self.queue.plan(delay, reply);
+        }
+        let is_over = self.stalled.contains(&link)
+            || !self
+                .group
+                .databases
+                .values()
+                .any(|database| database.log.contains(&entry));
+        if is_over {
+            self.stalled.insert(link);
+            return;
+        }
+        let waits = Happening::AwaitReplicas(link, entry, delay, Box::new(reply));
+        self.queue.plan(REPLICATION_TICK, waits);
     }
 
     /// A single statement, or the first of a transaction, must not reach a back end that has been leaving
@@ -628,10 +665,20 @@
     }
 
     fn ask_at(&mut self, node: usize, life: u64, backend: &BackendId, question: Question) {
-        if !self.is_running(node, life) || question == Question::Resume {
+        if !self.is_running(node, life) {
             return;
         }
         let reaches = self.reaches(node, backend);
+        if let Some(database) = self.group.databases.get_mut(backend)
+            && reaches
+            && database.is_alive
+            && question != Question::Status
+        {
+            database.is_held = question == Question::Hold && database.role == BackendRole::Replica;
+        }
+        if question == Question::Resume {
+            return;
+        }
         let status = self
             .group
             .databases
@@ -683,6 +730,10 @@
         }
         self.promotions += 1;
         let rolled_back = self.group.promote(backend);
+        if self.options.synchronous_replicas > 0 {
+            let now = self.now();
+            self.checker.check_kept(now, &rolled_back);
+        }
         self.checker.rolled_back(&rolled_back);
         let ids: Vec<_> = self.group.databases.keys().cloned().collect();
         for id in ids {
@@ -728,13 +779,13 @@
         } else {
             revision
         };
-        let table = routing_table(revision, content);
+        let table = routing_table(revision, content, self.options.synchronous_replicas);
         self.tell_engine(node, life, Event::Configured(table));
         let list: Vec<_> = self.group.listed.values().cloned().collect();
         self.tell_engine(node, life, Event::Backends(list.clone()));
         let nodes = u32::try_from(self.nodes.len()).unwrap_or(1);
         self.tell_engine(node, life, Event::Nodes(nodes));
-        let groups = self.nodes[node].groups(&list);
+        let groups = self.nodes[node].groups(&list, self.options.synchronous_replicas);
         self.tell_duty(node, life, DutyEvent::Nodes(nodes));
         self.tell_duty(node, life, DutyEvent::Groups(groups));
         let own = node_name(node);
@@ -777,11 +828,22 @@
                     self.push_to_all();
                 }
             }
-            DutyEffect::Ask(backend) | DutyEffect::Hold(backend, _) => {
+            DutyEffect::Ask(backend) => {
                 let delay = self.delay(index, &backend) * 3;
                 let ask = Happening::AskAt(index, life, backend, Question::Status);
                 self.queue.plan(delay, ask);
             }
+            DutyEffect::Hold(backend, _) => {
+                let is_broken = self.options.broken == Some(BrokenVariant::Hold);
+                let question = if is_broken {
+                    Question::Status
+                } else {
+                    Question::Hold
+                };
+                let delay = self.delay(index, &backend) * 3;
+                let ask = Happening::AskAt(index, life, backend, question);
+                self.queue.plan(delay, ask);
+            }
             DutyEffect::Resume(backend) => {
                 let resume = Happening::AskAt(index, life, backend, Question::Resume);
                 self.queue.plan(STORE_DELAY, resume);
@@ -1059,6 +1121,7 @@
         };
         database.is_alive = true;
         database.is_silent = false;
+        database.is_held = false;
         database.leaving_since = None;
         if Some(database.term) < newest {
             database.role = BackendRole::Replica;
--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -36,6 +36,19 @@
     assert!(promotions > 20, "{promotions} promotions in all");
 }
 
+#[test]
+fn synchronous_commits_are_kept_under_all_kinds_of_faults() {
+    let mut promotions = 0;
+    for seed in SEEDS {
+        let report = assert_holds(&Options {
+            synchronous_replicas: 1,
+            ..Options::new(seed)
+        });
+        promotions += report.promotions;
+    }
+    assert!(promotions > 20, "{promotions} promotions in all");
+}
+
 #[test]
 fn everything_holds_under_each_kind_of_fault() {
     for kind in FaultKind::ALL {
@@ -84,6 +97,12 @@
             FaultKind::StoreCut,
         ],
         BrokenVariant::Drain => vec![FaultKind::PrimaryLeaves],
+        // The chosen replica must miss what another receives between the question and the promotion.
+        BrokenVariant::Hold => vec![
+            FaultKind::PrimaryLeaves,
+            FaultKind::ReplicaDeaf,
+            FaultKind::ReplicaDeaf,
+        ],
         BrokenVariant::Token => vec![FaultKind::PrimaryCrash],
         _ => FaultKind::ALL.to_vec(),
     }
@@ -99,6 +118,7 @@
         BrokenVariant::Token => Invariant::OneDecision,
         BrokenVariant::Drain => Invariant::Leaving,
         BrokenVariant::Configuration => Invariant::Configuration,
+        BrokenVariant::Hold => Invariant::Kept,
     }
 }
 
@@ -108,14 +128,22 @@
         broken: Some(variant),
         faults: faults_for(variant),
         strikes: 12,
+        synchronous_replicas: u32::from(variant == BrokenVariant::Hold),
         ..Options::new(seed)
     };
-    if variant != BrokenVariant::LeaderProof {
+    let is_rare = matches!(variant, BrokenVariant::LeaderProof | BrokenVariant::Hold);
+    if !is_rare {
         return options;
     }
-    Options {
+    let options = Options {
         strikes: 30,
         longest_pause: 900,
+        ..options
+    };
+    if variant == BrokenVariant::Hold {
+        return options;
+    }
+    Options {
         // The first write on a node tells it who leads.
         writes_in_twenty: 1,
         ..options
