Keep a forwarded session's transaction and configuration in step with its holder

Causes: a statement answered too late left its transaction open at the holder, and the session's next one ran inside it, and took its answer; a holder that was cut from the store answered by an older configuration than the session's node had; the refusal for that also met statements of open transactions. Mended: the holder forgets a session whose statement timed out or whose transaction failed; it refuses what comes under a newer configuration than its own, but goes on with what it has open; a transaction that it does not know is lost. Six tests, each failed first.

--- a/crates/stairward-engine/src/relay.rs
+++ b/crates/stairward-engine/src/relay.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairward_types::{Freshness, GroupId, NodeId, ResultCode, ServiceName, Time};
+use stairward_types::{Freshness, GroupId, NodeId, ResultCode, Revision, ServiceName, Time};
 
 use crate::engine::Engine;
 use crate::event::{Decision, Effect};
@@ -29,6 +29,8 @@
 pub struct Forwarded {
     /// The database that the session asked for.
     pub database: GroupId,
+    /// The revision of the configuration in force where the session is.
+    pub revision: Revision,
     /// The session's values.
     pub values: BTreeMap<String, String>,
     /// What the statement runs that was prepared.
@@ -83,6 +85,8 @@
 
     /// Forwards the session's request to the holder of its transaction, or to the next one in rank.
     pub(crate) fn forward(&mut self, now: Time, id: SessionId) {
+        let revision = self.table.as_ref().map(|table| table.revision);
+        let revision = revision.unwrap_or_default();
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
@@ -112,6 +116,7 @@
         };
         let forwarded = Forwarded {
             database: session.database.clone(),
+            revision,
             values: session.values.clone(),
             prepared,
             commit: session.commits.get(service).copied(),
@@ -137,10 +142,20 @@
             .table
             .as_ref()
             .and_then(|table| table.routes.get(&forwarded.database).cloned());
-        let Some(route) = route else {
-            let code = match self.table {
-                None => ResultCode::NotReady,
-                Some(_) => ResultCode::UnknownDatabase,
+        let is_in_transaction = self
+            .sessions
+            .get(&id)
+            .is_some_and(|session| session.status() != TransactionStatus::Idle);
+        let is_older = !is_in_transaction
+            && self
+                .table
+                .as_ref()
+                .is_none_or(|table| table.revision < forwarded.revision);
+        let Some(route) = route.filter(|_| !is_older) else {
+            let code = if is_older {
+                ResultCode::NotReady
+            } else {
+                ResultCode::UnknownDatabase
             };
             return self.answer_unknown(id, code);
         };
@@ -203,6 +218,10 @@
             self.record(now, id, None, Decision::Retried);
             return self.forward(now, id);
         }
+        if is_refused_by_holder(&response) {
+            self.leave_holder(id, holder);
+            return self.lose_transaction(now, id);
+        }
         let is_success = matches!(response.result, ResponseResult::Completed { .. });
         let may_have_written = matches!(need, Need::Write | Need::Commit);
         if let (true, true, Some(position)) = (is_success, may_have_written, response.position) {
@@ -210,6 +229,9 @@
         }
         session.follow_relayed(holder, route, need, response.status);
         let status = session.status();
+        if status == TransactionStatus::Failed {
+            self.leave_holder(id, holder);
+        }
         self.finish(now, id, Response { status, ..response });
     }
 
@@ -247,6 +269,14 @@
         }
     }
 
+    /// A holder's part of a session is over: what it may still do for it counts no more.
+    pub(crate) fn leave_holder(&mut self, id: SessionId, holder: NodeId) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.holders.remove(&holder);
+        }
+        self.close_forwarded(id, &[holder].into());
+    }
+
     /// Tells the holders that a session has ended.
     pub(crate) fn close_forwarded(&mut self, id: SessionId, holders: &BTreeSet<NodeId>) {
         for holder in holders {
@@ -263,7 +293,10 @@
     matches!(
         response.result,
         ResponseResult::Refused {
-            code: ResultCode::NotReady | ResultCode::NotOwner | ResultCode::ProxyStopping,
+            code: ResultCode::NotReady
+                | ResultCode::NotOwner
+                | ResultCode::ProxyStopping
+                | ResultCode::UnknownDatabase,
             ..
         }
     )
--- a/crates/stairward-engine/src/requests.rs
+++ b/crates/stairward-engine/src/requests.rs
@@ -349,6 +349,9 @@
         let is_sent = request.attempts > 0;
         let connections: Vec<_> = request.unanswered.iter().copied().collect();
         let need = request.need;
+        if let Stage::Forwarded(holder) = request.stage {
+            self.leave_holder(id, holder);
+        }
         for connection in connections {
             self.close_connection(connection);
         }
--- a/crates/stairward-engine/tests/relays.rs
+++ b/crates/stairward-engine/tests/relays.rs
@@ -8,7 +8,7 @@
     Event, Forwarded, PreparedStatement, Response, ResponseResult, SessionId, Statement,
     StatementKind, TransactionStatus, holder_count,
 };
-use stairward_types::{AccessClass, Freshness, GroupId, NodeId, ResultCode};
+use stairward_types::{AccessClass, Freshness, GroupId, NodeId, ResultCode, Revision};
 use support::{LEADER_READS, OWN_READS, World, at, done, service};
 
 const FIRST: NodeId = NodeId(7);
@@ -174,6 +174,7 @@
     let session = SessionId(1_000);
     let forwarded = Forwarded {
         database: GroupId::new(LEADER_READS).unwrap(),
+        revision: Revision(1),
         values: BTreeMap::from([("lang".to_owned(), "sk".to_owned())]),
         prepared: Some(PreparedStatement {
             access: AccessClass::Write,
@@ -206,3 +207,131 @@
     assert_eq!(holder_count(50), 16);
     assert_eq!(holder_count(2), 1);
 }
+
+/// A statement that its holder answered too late left a transaction open there, and the session's next
+/// statement ran inside it.
+#[test]
+fn a_holder_that_did_not_answer_in_time_forgets_the_session() {
+    for kind in [
+        StatementKind::Begin { read_only: false },
+        StatementKind::Read,
+    ] {
+        let mut world = edge();
+        let session = world.open(LEADER_READS);
+        world.say(session, kind);
+        world.pass(support::TIMEOUT);
+        world.response();
+        assert_eq!(world.closed_forwarded, [(FIRST, session)]);
+    }
+}
+
+/// The holder kept the session failed, and refused all that came after the caller had rolled back.
+#[test]
+fn a_transaction_that_failed_at_its_holder_is_over_there() {
+    let mut world = edge();
+    let session = world.open(LEADER_READS);
+    world.say(session, StatementKind::Begin { read_only: false });
+    world.holder_answers(completed(TransactionStatus::Open, at(1, 1)));
+    world.response();
+    world.say(session, StatementKind::Write);
+    world.holder_answers(completed(TransactionStatus::Failed, at(1, 1)));
+    world.response();
+    assert_eq!(world.closed_forwarded, [(FIRST, session)]);
+}
+
+/// A holder that was cut from the store answered by an older configuration than the session's own node had in
+/// force.
+#[test]
+fn a_holder_with_an_older_configuration_takes_nothing() {
+    let mut world = World::new();
+    let forwarded = Forwarded {
+        database: GroupId::new(LEADER_READS).unwrap(),
+        revision: Revision(2),
+        values: BTreeMap::new(),
+        prepared: None,
+        commit: None,
+        statement: Statement {
+            id: "x1".to_owned(),
+            kind: StatementKind::Write,
+            text: "w".to_owned(),
+        },
+    };
+    world.tell(Event::Forwarded {
+        session: SessionId(1_000),
+        forwarded: Box::new(forwarded),
+    });
+    assert_eq!(world.refusal(), ResultCode::NotReady);
+    assert!(world.sent.is_empty());
+}
+
+#[test]
+fn a_refusal_that_is_the_holders_own_sends_the_statement_to_the_next() {
+    for code in [ResultCode::NotReady, ResultCode::UnknownDatabase] {
+        let mut world = edge();
+        let session = world.open(LEADER_READS);
+        world.say(session, StatementKind::Write);
+        let refused = ResponseResult::Refused {
+            code,
+            retry_after: None,
+        };
+        world.holder_answers(Response {
+            result: refused,
+            ..completed(TransactionStatus::Idle, at(1, 1))
+        });
+        assert_eq!(world.forwarded.last().unwrap().0, SECOND);
+    }
+}
+
+/// A configuration that reached the session's node first made the holder refuse a statement of a transaction
+/// that it had open; the next one ran inside it.
+#[test]
+fn a_holder_goes_on_with_a_transaction_whatever_the_configuration() {
+    let mut world = World::new();
+    let forwarded = |revision, kind| Forwarded {
+        database: GroupId::new(LEADER_READS).unwrap(),
+        revision: Revision(revision),
+        values: BTreeMap::new(),
+        prepared: None,
+        commit: None,
+        statement: Statement {
+            id: "x1".to_owned(),
+            kind,
+            text: "w".to_owned(),
+        },
+    };
+    let session = SessionId(1_000);
+    let begin = StatementKind::Begin { read_only: false };
+    world.tell(Event::Forwarded {
+        session,
+        forwarded: Box::new(forwarded(1, begin)),
+    });
+    world.answer(done(TransactionStatus::Open, at(1, 1)));
+    world.response();
+    world.tell(Event::Forwarded {
+        session,
+        forwarded: Box::new(forwarded(2, StatementKind::Write)),
+    });
+    world.answer(done(TransactionStatus::Open, at(1, 1)));
+    assert_eq!(world.response().status, TransactionStatus::Open);
+}
+
+#[test]
+fn a_transaction_that_its_holder_does_not_know_is_lost_and_closed_there() {
+    let mut world = edge();
+    let session = world.open(LEADER_READS);
+    world.say(session, StatementKind::Begin { read_only: false });
+    world.holder_answers(completed(TransactionStatus::Open, at(1, 1)));
+    world.response();
+    world.say(session, StatementKind::Write);
+    let refused = ResponseResult::Refused {
+        code: ResultCode::NotReady,
+        retry_after: None,
+    };
+    world.holder_answers(Response {
+        result: refused,
+        ..completed(TransactionStatus::Idle, at(1, 1))
+    });
+    let response = world.response();
+    assert_eq!(response.status, TransactionStatus::Failed);
+    assert_eq!(world.closed_forwarded, [(FIRST, session)]);
+}
--- a/crates/stairward-protocol/src/neighbour.rs
+++ b/crates/stairward-protocol/src/neighbour.rs
@@ -25,6 +25,8 @@
     pub request: u64,
     /// The database that the session asked for.
     pub database: Text,
+    /// The revision of the configuration in force at the sender.
+    pub revision: u64,
     /// How long the sender waits for an answer, in milliseconds.
     pub time_left_milliseconds: u32,
     /// The session's newest commit.
@@ -102,6 +104,7 @@
         session: u64,
         request: u64,
         database: &str,
+        revision: u64,
         time_left_milliseconds: u32,
         commit: OptionalFreshness,
         prepared_access: u8,
@@ -114,6 +117,7 @@
             session,
             request,
             database: Text::new(database),
+            revision,
             time_left_milliseconds,
             commit,
             value_count: 0,
--- a/crates/stairward-protocol/tests/neighbour.rs
+++ b/crates/stairward-protocol/tests/neighbour.rs
@@ -14,6 +14,7 @@
         7,
         9,
         "reader-core",
+        12,
         800,
         position,
         2,
--- a/crates/stairward-runtime/src/neighbour_messages.rs
+++ b/crates/stairward-runtime/src/neighbour_messages.rs
@@ -12,7 +12,7 @@
     ForwardedAnswer, ForwardedStatement, SessionValue, StatementTag,
 };
 use stairward_protocol::{ByteString, OptionalFreshness};
-use stairward_types::{AccessClass, Freshness, GroupId, ResultCode};
+use stairward_types::{AccessClass, Freshness, GroupId, ResultCode, Revision};
 
 /// How an answer ends, by number.
 const COMPLETED: u8 = 0;
@@ -88,6 +88,7 @@
         session,
         request,
         forwarded.database.as_str(),
+        forwarded.revision.0,
         milliseconds(time_left),
         OptionalFreshness::from(forwarded.commit),
         access,
@@ -126,6 +127,7 @@
     };
     Some(Forwarded {
         database: GroupId::new(message.database.as_str()).ok()?,
+        revision: Revision(message.revision),
         values,
         prepared: access.map(|access| PreparedStatement { access, shape }),
         commit: Option::<Freshness>::from(message.commit),
