--- a/crates/stairward-engine/src/relay.rs
+++ b/crates/stairward-engine/src/relay.rs
@@ -31,6 +31,8 @@
     pub database: GroupId,
     /// The revision of the configuration in force where the session is.
     pub revision: Revision,
+    /// Whether the session has a transaction open at the holder.
+    pub in_transaction: bool,
     /// The session's values.
     pub values: BTreeMap<String, String>,
     /// What the statement runs that was prepared.
@@ -117,6 +119,7 @@
         let forwarded = Forwarded {
             database: session.database.clone(),
             revision,
+            in_transaction: bound.is_some(),
             values: session.values.clone(),
             prepared,
             commit: session.commits.get(service).copied(),
@@ -146,6 +149,13 @@
             .sessions
             .get(&id)
             .is_some_and(|session| session.status() != TransactionStatus::Idle);
+        if is_in_transaction && !forwarded.in_transaction {
+            // What its node has given up is over here too.
+            self.session_closed(now, id);
+        }
+        if forwarded.in_transaction && !is_in_transaction {
+            return self.answer_unknown(id, ResultCode::NotReady);
+        }
         let is_older = !is_in_transaction
             && self
                 .table
--- a/crates/stairward-engine/tests/relays.rs
+++ b/crates/stairward-engine/tests/relays.rs
@@ -175,6 +175,7 @@
     let forwarded = Forwarded {
         database: GroupId::new(LEADER_READS).unwrap(),
         revision: Revision(1),
+        in_transaction: false,
         values: BTreeMap::from([("lang".to_owned(), "sk".to_owned())]),
         prepared: Some(PreparedStatement {
             access: AccessClass::Write,
@@ -247,6 +248,7 @@
     let forwarded = Forwarded {
         database: GroupId::new(LEADER_READS).unwrap(),
         revision: Revision(2),
+        in_transaction: false,
         values: BTreeMap::new(),
         prepared: None,
         commit: None,
@@ -290,6 +292,7 @@
     let forwarded = |revision, kind| Forwarded {
         database: GroupId::new(LEADER_READS).unwrap(),
         revision: Revision(revision),
+        in_transaction: kind == StatementKind::Write,
         values: BTreeMap::new(),
         prepared: None,
         commit: None,
@@ -335,3 +338,42 @@
     assert_eq!(response.status, TransactionStatus::Failed);
     assert_eq!(world.closed_forwarded, [(FIRST, session)]);
 }
+
+/// Whatever went wrong between the two nodes: a statement by itself never runs in a transaction that the
+/// holder still has open, and one of a transaction never outside it.
+#[test]
+fn a_holder_and_its_guest_agree_on_the_transaction_or_nothing_runs() {
+    let mut world = World::new();
+    let session = SessionId(1_000);
+    let tell = |world: &mut World, in_transaction, kind| {
+        let forwarded = Forwarded {
+            database: GroupId::new(LEADER_READS).unwrap(),
+            revision: Revision(1),
+            in_transaction,
+            values: BTreeMap::new(),
+            prepared: None,
+            commit: None,
+            statement: Statement {
+                id: "x1".to_owned(),
+                kind,
+                text: "w".to_owned(),
+            },
+        };
+        world.tell(Event::Forwarded {
+            session,
+            forwarded: Box::new(forwarded),
+        });
+    };
+    tell(&mut world, true, StatementKind::Write);
+    assert_eq!(world.refusal(), ResultCode::NotReady);
+    tell(&mut world, false, StatementKind::Begin { read_only: false });
+    let begin = world.answer(done(TransactionStatus::Open, at(1, 1)));
+    world.response();
+    tell(&mut world, false, StatementKind::Write);
+    assert_eq!(
+        world.sent[0].command,
+        stairward_engine::BackendCommand::Rollback
+    );
+    assert_eq!(world.sent[0].connection, begin.connection);
+    assert_ne!(world.sent[1].connection, begin.connection);
+}
--- a/crates/stairward-protocol/src/neighbour.rs
+++ b/crates/stairward-protocol/src/neighbour.rs
@@ -27,6 +27,8 @@
     pub database: Text,
     /// The revision of the configuration in force at the sender.
     pub revision: u64,
+    /// 1 when the session has a transaction open at the receiver, else 0.
+    pub in_transaction: u8,
     /// How long the sender waits for an answer, in milliseconds.
     pub time_left_milliseconds: u32,
     /// The session's newest commit.
@@ -105,6 +107,7 @@
         request: u64,
         database: &str,
         revision: u64,
+        in_transaction: bool,
         time_left_milliseconds: u32,
         commit: OptionalFreshness,
         prepared_access: u8,
@@ -118,6 +121,7 @@
             request,
             database: Text::new(database),
             revision,
+            in_transaction: u8::from(in_transaction),
             time_left_milliseconds,
             commit,
             value_count: 0,
--- a/crates/stairward-protocol/tests/neighbour.rs
+++ b/crates/stairward-protocol/tests/neighbour.rs
@@ -15,6 +15,7 @@
         9,
         "reader-core",
         12,
+        true,
         800,
         position,
         2,
--- a/crates/stairward-runtime/src/membership.rs
+++ b/crates/stairward-runtime/src/membership.rs
@@ -22,6 +22,8 @@
 
 /// Time between the starts of two probes. Losses of nodes only change shares here, so it need not be short.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest time between two lookings at the view, so that many changes at once cost little.
+const VIEW_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause between two tellings of the number of nodes, so that a larger one is forgotten in time.
 const COUNT_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -71,6 +73,7 @@
         let mut buffer = [0; MAXIMUM_DATAGRAM_BYTES + 1];
         let mut told_count = now;
         let mut has_announced = false;
+        let mut has_changed = false;
         loop {
             let pause = swim.next_deadline().since(self.now());
             let event = tokio::select! {
@@ -88,7 +91,6 @@
             if self.is_stopping() && !std::mem::replace(&mut has_announced, true) {
                 effects.extend(swim.handle(now, Event::LeaveAnnounced, &mut random));
             }
-            let mut has_changed = false;
             for effect in effects {
                 match effect {
                     Effect::Send { to, packet } => {
@@ -102,7 +104,10 @@
                     Effect::PeerDigest { .. } | Effect::TermArrived(_) => {}
                 }
             }
-            if has_changed || now.since(told_count) >= COUNT_INTERVAL {
+            let since_told = now.since(told_count);
+            let is_due = has_changed && since_told >= VIEW_INTERVAL;
+            if is_due || since_told >= COUNT_INTERVAL {
+                has_changed = false;
                 told_count = now;
                 self.set_members(swim.view().cloned().collect());
             }
@@ -121,9 +126,12 @@
     /// Takes the membership view in.
     fn set_members(self: &Rc<Self>, members: Vec<Profile>) {
         let count = members.iter().filter(|member| !member.leaving).count();
+        let has_changed = *self.members.borrow() != members;
         *self.members.borrow_mut() = members;
         self.set_nodes(u32::try_from(count).unwrap_or(1));
-        self.update_holders();
+        if has_changed {
+            self.update_holders();
+        }
     }
 
     /// Works out which services' connections only other nodes hold.
--- a/crates/stairward-runtime/src/neighbour_messages.rs
+++ b/crates/stairward-runtime/src/neighbour_messages.rs
@@ -89,6 +89,7 @@
         request,
         forwarded.database.as_str(),
         forwarded.revision.0,
+        forwarded.in_transaction,
         milliseconds(time_left),
         OptionalFreshness::from(forwarded.commit),
         access,
@@ -128,6 +129,7 @@
     Some(Forwarded {
         database: GroupId::new(message.database.as_str()).ok()?,
         revision: Revision(message.revision),
+        in_transaction: message.in_transaction != 0,
         values,
         prepared: access.map(|access| PreparedStatement { access, shape }),
         commit: Option::<Freshness>::from(message.commit),
