Simulate forwarded sessions

Two of four nodes hold the connections, the others forward; links, lost holders and guests as the runtime has them.

--- /dev/null
+++ b/crates/stairward-simulation/src/guests.rs
@@ -0,0 +1,148 @@
+//! Sessions whose statements other nodes run: the links between nodes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use stairward_engine::{Event, Forwarded, Response, SessionId, holder_count};
+use stairward_types::{NodeId, ServiceName};
+
+use crate::group::service;
+use crate::world::{FAR_DELAY, Happening, World};
+
+/// Numbers of guests begin here, above all callers' sessions.
+const FIRST_GUEST: u64 = 1 << 40;
+
+/// A node in one of its lives.
+type NodeLife = (usize, u64);
+
+/// A session at the node that its caller is connected to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Origin {
+    node: NodeLife,
+    session: SessionId,
+}
+
+/// Sessions that run elsewhere than where their callers are connected.
+#[derive(Debug, Default)]
+pub(crate) struct Guests {
+    by_origin: BTreeMap<(NodeLife, Origin), SessionId>,
+    by_own: BTreeMap<SessionId, (Origin, NodeLife, u64)>,
+    last: u64,
+}
+
+impl World {
+    /// The holders that a node must forward to; none where it holds connections itself.
+    pub(crate) fn holders_for(&self, node: usize) -> BTreeMap<ServiceName, Vec<NodeId>> {
+        let count = usize::try_from(holder_count(self.options.connections)).unwrap_or(1);
+        if self.nodes.len() <= count || node < count {
+            return BTreeMap::new();
+        }
+        let holders = (0..count).map(|holder| NodeId(u64::try_from(holder).unwrap_or(0)));
+        BTreeMap::from([(service(), holders.collect())])
+    }
+
+    pub(crate) fn forward(
+        &mut self,
+        node: usize,
+        life: u64,
+        holder: NodeId,
+        session: SessionId,
+        request: u64,
+        forwarded: Forwarded,
+    ) {
+        let place = usize::try_from(holder.0).unwrap_or(0);
+        let holder_life = self.nodes[place].life;
+        if !self.nodes[place].is_running {
+            let lost = Happening::Engine(node, life, Box::new(Event::HolderLost(holder)));
+            return self.queue.plan(FAR_DELAY, lost);
+        }
+        let origin = Origin {
+            node: (node, life),
+            session,
+        };
+        let key = ((place, holder_life), origin);
+        let known = self.guests.by_origin.get(&key).copied();
+        let own = known.unwrap_or_else(|| {
+            self.guests.last += 1;
+            SessionId(FIRST_GUEST + self.guests.last)
+        });
+        self.guests.by_origin.insert(key, own);
+        self.guests
+            .by_own
+            .insert(own, (origin, (place, holder_life), request));
+        let event = Event::Forwarded {
+            session: own,
+            forwarded: Box::new(forwarded),
+        };
+        let event = Happening::Engine(place, holder_life, Box::new(event));
+        self.queue.plan(FAR_DELAY, event);
+    }
+
+    /// Sends an answer to the node that its session is at; gives it back when it is a caller's.
+    pub(crate) fn answer_guest(&mut self, own: SessionId, response: Response) -> Option<Response> {
+        if own.0 < FIRST_GUEST {
+            return Some(response);
+        }
+        let (origin, (holder, _), request) = self.guests.by_own.get(&own).copied()?;
+        let event = Event::ForwardAnswered {
+            holder: NodeId(u64::try_from(holder).unwrap_or(0)),
+            session: origin.session,
+            request,
+            response,
+        };
+        let (node, life) = origin.node;
+        let event = Happening::Engine(node, life, Box::new(event));
+        self.queue.plan(FAR_DELAY, event);
+        None
+    }
+
+    pub(crate) fn close_forwarded(
+        &mut self,
+        node: usize,
+        life: u64,
+        holder: NodeId,
+        session: SessionId,
+    ) {
+        let place = usize::try_from(holder.0).unwrap_or(0);
+        let holder_life = self.nodes[place].life;
+        let origin = Origin {
+            node: (node, life),
+            session,
+        };
+        let own = self
+            .guests
+            .by_origin
+            .remove(&((place, holder_life), origin));
+        if let Some(own) = own {
+            self.close_guest(own, (place, holder_life), FAR_DELAY);
+        }
+    }
+
+    fn close_guest(&mut self, own: SessionId, holder: NodeLife, delay: Duration) {
+        self.guests.by_own.remove(&own);
+        let closed = Event::SessionClosed { session: own };
+        let closed = Happening::Engine(holder.0, holder.1, Box::new(closed));
+        self.queue.plan(delay, closed);
+    }
+
+    /// A node's process has ended: its guests are lost, and what it had forwarded is undone.
+    pub(crate) fn links_lost(&mut self, node: usize, life: u64) {
+        let lost = |(holder, origin): &(NodeLife, Origin)| {
+            *holder == (node, life) || origin.node == (node, life)
+        };
+        let keys: Vec<_> = self.guests.by_origin.keys().copied().filter(lost).collect();
+        for key in keys {
+            let Some(own) = self.guests.by_origin.remove(&key) else {
+                continue;
+            };
+            let (holder, _) = key;
+            self.close_guest(own, holder, FAR_DELAY);
+        }
+        let gone = NodeId(u64::try_from(node).unwrap_or(0));
+        for other in 0..self.nodes.len() {
+            let other_life = self.nodes[other].life;
+            let event = Happening::Engine(other, other_life, Box::new(Event::HolderLost(gone)));
+            self.queue.plan(FAR_DELAY, event);
+        }
+    }
+}
--- a/crates/stairward-simulation/src/lib.rs
+++ b/crates/stairward-simulation/src/lib.rs
@@ -12,6 +12,7 @@
 mod database;
 mod faults;
 mod group;
+mod guests;
 mod nodes;
 mod options;
 mod queue;
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -127,6 +127,7 @@
 pub(crate) fn routing_table(
     revision: u64,
     content: u64,
+    connections: u32,
     synchronous_replicas: u32,
 ) -> Arc<RoutingTable> {
     let route = |consistency| {
@@ -152,7 +153,7 @@
         .collect();
     routes.insert(revision_route(content), route(Consistency::Primary));
     let limits = ServiceLimits {
-        connections: CONNECTION_LIMIT,
+        connections,
         synchronous_replicas,
     };
     Arc::new(RoutingTable {
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -119,6 +119,8 @@
     pub writes_in_twenty: u32,
     /// How long callers act.
     pub length: Duration,
+    /// Connections to each back end that nodes are told they may hold together. Few make some nodes forward.
+    pub connections: u32,
     /// Replicas that must have received a commit before it is acknowledged.
     pub synchronous_replicas: u32,
     /// A deliberate damage.
@@ -138,6 +140,7 @@
             sessions: 24,
             writes_in_twenty: 5,
             length: Duration::from_secs(20),
+            connections: 40,
             synchronous_replicas: 0,
             broken: None,
         }
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -118,6 +118,7 @@
     pub store: Store,
     pub checker: Checker,
     pub callers: Vec<Caller>,
+    pub guests: crate::guests::Guests,
     /// Pairs of node and database that don't reach each other.
     pub cuts: BTreeSet<(usize, BackendId)>,
     /// Connections that say nothing any more.
@@ -165,6 +166,7 @@
             },
             checker: Checker::new(STALENESS),
             callers: callers.collect(),
+            guests: crate::guests::Guests::default(),
             cuts: BTreeSet::new(),
             stalled: BTreeSet::new(),
             answer_loss_percent: 0,
--- a/crates/stairward-simulation/src/world_callers.rs
+++ b/crates/stairward-simulation/src/world_callers.rs
@@ -135,6 +135,7 @@
     pub(crate) fn kill_node(&mut self, index: usize) {
         self.nodes[index].is_running = false;
         let life = self.nodes[index].life;
+        self.links_lost(index, life);
         for database in self.group.databases.values_mut() {
             database.connections.retain(|link, _| link.life != life);
         }
--- a/crates/stairward-simulation/src/world_nodes.rs
+++ b/crates/stairward-simulation/src/world_nodes.rs
@@ -70,9 +70,17 @@
             Effect::AcceptSession { .. }
             | Effect::Record(_)
             | Effect::Measured(_)
-            | Effect::Forward { .. }
-            | Effect::CloseForwarded { .. }
             | Effect::Stopped => {}
+            Effect::Forward {
+                holder,
+                session,
+                request,
+                forwarded,
+                ..
+            } => self.forward(index, life, holder, session, request, forwarded),
+            Effect::CloseForwarded { holder, session } => {
+                self.close_forwarded(index, life, holder, session);
+            }
             Effect::AskPosition { .. } => {
                 let asked_at = self.now();
                 let peer = (index + 1) % self.nodes.len();
@@ -86,6 +94,9 @@
                 }
             }
             Effect::Respond { session, response } => {
+                let Some(response) = self.answer_guest(session, response) else {
+                    return;
+                };
                 if let Some(caller) = self.caller_of(session) {
                     let response = self.damage_response(response);
                     let hears = Happening::CallerHears(caller, session.0, Box::new(response));
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -47,12 +47,19 @@
         } else {
             revision
         };
-        let table = routing_table(revision, content, self.options.synchronous_replicas);
+        let table = routing_table(
+            revision,
+            content,
+            self.options.connections,
+            self.options.synchronous_replicas,
+        );
         self.tell_engine(node, life, Event::Configured(table));
         let list: Vec<_> = self.group.listed.values().cloned().collect();
         self.tell_engine(node, life, Event::Backends(list.clone()));
         let nodes = u32::try_from(self.nodes.len()).unwrap_or(1);
         self.tell_engine(node, life, Event::Nodes(nodes));
+        let holders = self.holders_for(node);
+        self.tell_engine(node, life, Event::Holders(holders));
         let groups = self.nodes[node].groups(&list, self.options.synchronous_replicas);
         self.tell_duty(node, life, DutyEvent::Nodes(nodes));
         self.tell_duty(node, life, DutyEvent::Groups(groups));
--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -49,6 +49,20 @@
     assert!(promotions > 20, "{promotions} promotions in all");
 }
 
+/// Connections for which two of four nodes are holders.
+const TWO_HOLDERS: u32 = 8;
+
+#[test]
+fn everything_holds_where_half_of_the_nodes_forward() {
+    for seed in SEEDS {
+        let report = assert_holds(&Options {
+            connections: TWO_HOLDERS,
+            ..Options::new(seed)
+        });
+        assert!(report.succeeded > report.failed, "seed {seed}: {report:?}");
+    }
+}
+
 #[test]
 fn everything_holds_under_each_kind_of_fault() {
     for kind in FaultKind::ALL {
