Say once which primary is missing and how the engine answers by itself; drop fields that nobody reads

The duty's view of missing primaries stood in the runtime and in the simulation; it is one pure piece of the failover crate now. No behaviour changed.

--- a/crates/stairward-engine/src/requests.rs
+++ b/crates/stairward-engine/src/requests.rs
@@ -245,12 +245,7 @@
         let Some(session) = self.sessions.get(&id) else {
             return;
         };
-        let response = Response {
-            rows: Vec::new(),
-            result,
-            status: session.status(),
-            position: None,
-        };
+        let response = session.own_response(result);
         self.finish(now, id, response);
     }
 
--- a/crates/stairward-engine/src/session.rs
+++ b/crates/stairward-engine/src/session.rs
@@ -6,7 +6,7 @@
 use stairward_types::{BackendId, Freshness, GroupId, NodeId, ServiceName, Time};
 
 use crate::identifiers::{ConnectionId, RequestNumber};
-use crate::reply::TransactionStatus;
+use crate::reply::{Response, ResponseResult, TransactionStatus};
 use crate::settings::Route;
 use crate::statement::{PreparedStatement, Statement};
 
@@ -48,6 +48,16 @@
         }
     }
 
+    /// An answer of the engine's own.
+    pub fn own_response(&self, result: ResponseResult) -> Response {
+        Response {
+            rows: Vec::new(),
+            result,
+            status: self.status(),
+            position: None,
+        }
+    }
+
     /// Whether nothing is under way, so that the session may be closed.
     pub fn is_at_rest(&self) -> bool {
         self.request.is_none() && self.queue.is_empty() && self.status() == TransactionStatus::Idle
--- a/crates/stairward-engine/src/settings.rs
+++ b/crates/stairward-engine/src/settings.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairward_types::{BackendId, BackendRole, GroupId, Revision, ServiceName, Term, ZoneName};
+use stairward_types::{BackendId, BackendRole, GroupId, Revision, ServiceName, ZoneName};
 
 /// What a read on a route must see.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -85,16 +85,12 @@
     pub address: SocketAddr,
     /// Where it runs.
     pub zone: ZoneName,
-    /// Statements it runs at once.
-    pub slots: u32,
     /// Whether it is about to end.
     pub is_leaving: bool,
     /// Its role as it sees itself.
     pub role: BackendRole,
     /// Grows with every change of the description.
     pub revision: Revision,
-    /// Its term, where discovery tells it.
-    pub term: Option<Term>,
 }
 
 /// How far away a zone is.
--- a/crates/stairward-engine/src/statements.rs
+++ b/crates/stairward-engine/src/statements.rs
@@ -8,7 +8,7 @@
 use crate::engine::Engine;
 use crate::event::{BackendCommand, Effect};
 use crate::identifiers::SessionId;
-use crate::reply::{Response, ResponseResult};
+use crate::reply::ResponseResult;
 use crate::session::{Need, OpenTransaction, Request, Session, Stage, Transaction, WaitReason};
 use crate::settings::{Consistency, Route};
 use crate::statement::{Statement, StatementKind};
@@ -153,12 +153,7 @@
         let Some(session) = self.sessions.get(&id) else {
             return;
         };
-        let response = Response {
-            rows: Vec::new(),
-            result,
-            status: session.status(),
-            position: None,
-        };
+        let response = session.own_response(result);
         self.effects.push(Effect::Respond {
             session: id,
             response,
--- a/crates/stairward-engine/tests/relays.rs
+++ b/crates/stairward-engine/tests/relays.rs
@@ -13,6 +13,8 @@
 
 const FIRST: NodeId = NodeId(7);
 const SECOND: NodeId = NodeId(8);
+/// A session of another node, by its number here.
+const GUEST: SessionId = SessionId(1_000);
 
 /// A world in which two other nodes hold the service's connections.
 fn edge() -> World {
@@ -34,7 +36,32 @@
     }
 }
 
+/// A statement as another node forwards it.
+fn forwarded(revision: u64, in_transaction: bool, kind: StatementKind) -> Forwarded {
+    Forwarded {
+        database: GroupId::new(LEADER_READS).unwrap(),
+        revision: Revision(revision),
+        in_transaction,
+        values: BTreeMap::new(),
+        prepared: None,
+        commit: None,
+        statement: Statement {
+            id: "x1".to_owned(),
+            kind,
+            text: "w".to_owned(),
+        },
+    }
+}
+
 impl World {
+    /// Another node forwards a statement of its only session here.
+    fn take_forwarded(&mut self, forwarded: Forwarded) {
+        self.tell(Event::Forwarded {
+            session: GUEST,
+            forwarded: Box::new(forwarded),
+        });
+    }
+
     /// Answers the statement that was forwarded last.
     fn holder_answers(&mut self, response: Response) -> Forwarded {
         let (holder, session, request, forwarded) = self.forwarded.pop().unwrap();
@@ -171,29 +198,17 @@
     let mut world = World::new();
     let holders = BTreeMap::from([(service(), vec![FIRST])]);
     world.tell(Event::Holders(holders));
-    let session = SessionId(1_000);
-    let forwarded = Forwarded {
-        database: GroupId::new(LEADER_READS).unwrap(),
-        revision: Revision(1),
-        in_transaction: false,
+    let execute = StatementKind::Execute {
+        name: "s1".to_owned(),
+        arguments: "a".to_owned(),
+    };
+    world.take_forwarded(Forwarded {
         values: BTreeMap::from([("lang".to_owned(), "sk".to_owned())]),
         prepared: Some(PreparedStatement {
             access: AccessClass::Write,
             shape: "q1".to_owned(),
         }),
-        commit: None,
-        statement: Statement {
-            id: "x1".to_owned(),
-            kind: StatementKind::Execute {
-                name: "s1".to_owned(),
-                arguments: "a".to_owned(),
-            },
-            text: String::new(),
-        },
-    };
-    world.tell(Event::Forwarded {
-        session,
-        forwarded: Box::new(forwarded),
+        ..forwarded(1, false, execute)
     });
     for position in 1..=3 {
         world.answer(done(TransactionStatus::Idle, at(1, position)));
@@ -245,23 +260,7 @@
 #[test]
 fn a_holder_with_an_older_configuration_takes_nothing() {
     let mut world = World::new();
-    let forwarded = Forwarded {
-        database: GroupId::new(LEADER_READS).unwrap(),
-        revision: Revision(2),
-        in_transaction: false,
-        values: BTreeMap::new(),
-        prepared: None,
-        commit: None,
-        statement: Statement {
-            id: "x1".to_owned(),
-            kind: StatementKind::Write,
-            text: "w".to_owned(),
-        },
-    };
-    world.tell(Event::Forwarded {
-        session: SessionId(1_000),
-        forwarded: Box::new(forwarded),
-    });
+    world.take_forwarded(forwarded(2, false, StatementKind::Write));
     assert_eq!(world.refusal(), ResultCode::NotReady);
     assert!(world.sent.is_empty());
 }
@@ -289,31 +288,11 @@
 #[test]
 fn a_holder_goes_on_with_a_transaction_whatever_the_configuration() {
     let mut world = World::new();
-    let forwarded = |revision, kind| Forwarded {
-        database: GroupId::new(LEADER_READS).unwrap(),
-        revision: Revision(revision),
-        in_transaction: kind == StatementKind::Write,
-        values: BTreeMap::new(),
-        prepared: None,
-        commit: None,
-        statement: Statement {
-            id: "x1".to_owned(),
-            kind,
-            text: "w".to_owned(),
-        },
-    };
-    let session = SessionId(1_000);
     let begin = StatementKind::Begin { read_only: false };
-    world.tell(Event::Forwarded {
-        session,
-        forwarded: Box::new(forwarded(1, begin)),
-    });
+    world.take_forwarded(forwarded(1, false, begin));
     world.answer(done(TransactionStatus::Open, at(1, 1)));
     world.response();
-    world.tell(Event::Forwarded {
-        session,
-        forwarded: Box::new(forwarded(2, StatementKind::Write)),
-    });
+    world.take_forwarded(forwarded(2, true, StatementKind::Write));
     world.answer(done(TransactionStatus::Open, at(1, 1)));
     assert_eq!(world.response().status, TransactionStatus::Open);
 }
@@ -344,32 +323,16 @@
 #[test]
 fn a_holder_and_its_guest_agree_on_the_transaction_or_nothing_runs() {
     let mut world = World::new();
-    let session = SessionId(1_000);
-    let tell = |world: &mut World, in_transaction, kind| {
-        let forwarded = Forwarded {
-            database: GroupId::new(LEADER_READS).unwrap(),
-            revision: Revision(1),
-            in_transaction,
-            values: BTreeMap::new(),
-            prepared: None,
-            commit: None,
-            statement: Statement {
-                id: "x1".to_owned(),
-                kind,
-                text: "w".to_owned(),
-            },
-        };
-        world.tell(Event::Forwarded {
-            session,
-            forwarded: Box::new(forwarded),
-        });
-    };
-    tell(&mut world, true, StatementKind::Write);
+    world.take_forwarded(forwarded(1, true, StatementKind::Write));
     assert_eq!(world.refusal(), ResultCode::NotReady);
-    tell(&mut world, false, StatementKind::Begin { read_only: false });
+    world.take_forwarded(forwarded(
+        1,
+        false,
+        StatementKind::Begin { read_only: false },
+    ));
     let begin = world.answer(done(TransactionStatus::Open, at(1, 1)));
     world.response();
-    tell(&mut world, false, StatementKind::Write);
+    world.take_forwarded(forwarded(1, false, StatementKind::Write));
     assert_eq!(
         world.sent[0].command,
         stairward_engine::BackendCommand::Rollback
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -55,11 +55,9 @@
         service: service(),
         address: ([127, 0, 0, 1], port).into(),
         zone: ZoneName::new(zone).unwrap(),
-        slots: 3,
         is_leaving: false,
         role,
         revision: Revision(revision),
-        term: None,
     }
 }
 
--- /dev/null
+++ b/crates/stairward-failover/src/leader_memory.rs
@@ -0,0 +1,41 @@
+//! Which member of each service last called itself primary.
+
+use std::collections::BTreeMap;
+
+use stairward_types::{BackendId, BackendRole, ServiceName};
+
+use crate::event::{GroupState, MemberState};
+
+/// Remembers primaries, so that one that discovery no longer lists stays known as missing until another
+/// member leads.
+#[derive(Debug, Default)]
+pub struct LeaderMemory {
+    last: BTreeMap<ServiceName, (BackendId, MemberState)>,
+}
+
+impl LeaderMemory {
+    /// Remembers the primaries of the listed members, and adds those that are missing.
+    pub fn keep_missing(&mut self, groups: &mut BTreeMap<ServiceName, GroupState>) {
+        for (service, group) in groups {
+            let primaries = group
+                .members
+                .iter()
+                .filter(|(_, member)| member.role == BackendRole::Primary);
+            if let Some((id, member)) = primaries.max_by_key(|(_, member)| member.revision) {
+                self.last
+                    .insert(service.clone(), (id.clone(), member.clone()));
+                continue;
+            }
+            let Some((id, member)) = self.last.get(service) else {
+                continue;
+            };
+            if !group.members.contains_key(id) {
+                let missing = MemberState {
+                    is_listed: false,
+                    ..member.clone()
+                };
+                group.members.insert(id.clone(), missing);
+            }
+        }
+    }
+}
--- a/crates/stairward-failover/src/lib.rs
+++ b/crates/stairward-failover/src/lib.rs
@@ -11,6 +11,7 @@
 mod duty;
 mod event;
 mod evidence;
+mod leader_memory;
 mod options;
 
 pub use duty::FailoverDuty;
@@ -18,4 +19,5 @@
     Action, DutyRecord, Effect, Event, FencingToken, GroupState, LeaderEvidence, MemberState,
     MemberStatus, PromotionOutcome, RecordVersion,
 };
+pub use leader_memory::LeaderMemory;
 pub use options::FailoverOptions;
--- a/crates/stairward-runtime/src/duty.rs
+++ b/crates/stairward-runtime/src/duty.rs
@@ -134,36 +134,7 @@
             };
             group.members.insert(description.id.clone(), member);
         }
-        self.keep_missing_leaders(&mut groups);
+        self.leader_memory.borrow_mut().keep_missing(&mut groups);
         self.tell_duty(Event::Groups(groups));
     }
-
-    /// A primary that discovery no longer lists stays known as missing until another member leads.
-    fn keep_missing_leaders(&self, groups: &mut BTreeMap<ServiceName, GroupState>) {
-        let mut leaders = self.last_leaders.borrow_mut();
-        for (service, group) in groups.iter_mut() {
-            let listed = group
-                .members
-                .iter()
-                .filter(|(_, member)| member.role == stairward_types::BackendRole::Primary)
-                .max_by_key(|(_, member)| member.revision)
-                .map(|(id, member)| (id.clone(), member.clone()));
-            match listed {
-                Some(leader) => {
-                    leaders.insert(service.clone(), leader);
-                }
-                None => {
-                    if let Some((id, member)) = leaders.get(service)
-                        && !group.members.contains_key(id)
-                    {
-                        let missing = MemberState {
-                            is_listed: false,
-                            ..member.clone()
-                        };
-                        group.members.insert(id.clone(), missing);
-                    }
-                }
-            }
-        }
-    }
 }
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -11,7 +11,7 @@
     BackendDescription, ConnectionId, Effect, Engine, EngineOptions, EngineStatistics, Event,
     Evidence, RoutingTable, SessionId,
 };
-use stairward_failover::{FailoverDuty, FailoverOptions, LeaderEvidence, MemberState};
+use stairward_failover::{FailoverDuty, FailoverOptions, LeaderEvidence, LeaderMemory};
 use stairward_membership::Profile;
 use stairward_types::{BackendId, Freshness, LogEvent, NodeId, ServiceName, Time};
 use tokio::sync::Notify;
@@ -49,8 +49,7 @@
     pub(crate) sessions: RefCell<BTreeMap<SessionId, Rc<Outgoing>>>,
     pub(crate) connections: RefCell<BTreeMap<ConnectionId, Rc<Outgoing>>>,
     pub(crate) backends: RefCell<BTreeMap<BackendId, BackendDescription>>,
-    /// The member of each service that last called itself primary.
-    pub(crate) last_leaders: RefCell<BTreeMap<ServiceName, (BackendId, MemberState)>>,
+    pub(crate) leader_memory: RefCell<LeaderMemory>,
     pub(crate) peer: PeerIdentity,
     /// The membership view.
     pub(crate) members: RefCell<Vec<Profile>>,
@@ -89,7 +88,7 @@
             sessions: RefCell::default(),
             connections: RefCell::default(),
             backends: RefCell::default(),
-            last_leaders: RefCell::default(),
+            leader_memory: RefCell::default(),
             peer: options.peer,
             members: RefCell::default(),
             holders: RefCell::default(),
--- a/crates/stairward-simulation/src/group.rs
+++ b/crates/stairward-simulation/src/group.rs
@@ -69,11 +69,9 @@
             service: service(),
             address: ([127, 0, 0, 1], 7_000 + number).into(),
             zone: ZoneName::new(format!("zone-{number}")).expect("a name"),
-            slots: 3,
             is_leaving: database.leaving_since.is_some(),
             role: database.role,
             revision: Revision(self.revision),
-            term: None,
         };
         self.listed.insert(id.clone(), description);
     }
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -8,8 +8,8 @@
     BackendDescription, ConnectionId, Consistency, Engine, EngineOptions, Route, RoutingTable,
     ServiceLimits, ZoneDistance,
 };
-use stairward_failover::{FailoverDuty, FailoverOptions, GroupState, MemberState};
-use stairward_types::{BackendId, BackendRole, GroupId, Revision, ServiceName, Time, ZoneName};
+use stairward_failover::{FailoverDuty, FailoverOptions, GroupState, LeaderMemory, MemberState};
+use stairward_types::{BackendId, GroupId, Revision, ServiceName, Time, ZoneName};
 
 use crate::callers::DATABASES;
 use crate::group::service;
@@ -32,7 +32,7 @@
     pub is_cut_from_store: bool,
     /// Since when it has been able to reach the store without a fault.
     pub in_touch_since: Time,
-    pub last_leader: Option<(BackendId, MemberState)>,
+    pub leader_memory: LeaderMemory,
     /// The newest configuration that it has had in force, by its content.
     pub newest_content: u64,
     pub timer_at: Time,
@@ -69,7 +69,7 @@
             connections: BTreeMap::new(),
             is_cut_from_store: false,
             in_touch_since: now,
-            last_leader: None,
+            leader_memory: LeaderMemory::default(),
             newest_content: 0,
             timer_at: Time::NEVER,
             duty_timer_at: Time::NEVER,
@@ -95,26 +95,9 @@
             };
             group.members.insert(description.id.clone(), member);
         }
-        let leader = group
-            .members
-            .iter()
-            .filter(|(_, member)| member.role == BackendRole::Primary)
-            .max_by_key(|(_, member)| member.revision);
-        match leader {
-            Some((id, member)) => self.last_leader = Some((id.clone(), member.clone())),
-            None => {
-                if let Some((id, member)) = &self.last_leader
-                    && !group.members.contains_key(id)
-                {
-                    let missing = MemberState {
-                        is_listed: false,
-                        ..member.clone()
-                    };
-                    group.members.insert(id.clone(), missing);
-                }
-            }
-        }
-        BTreeMap::from([(service(), group)])
+        let mut groups = BTreeMap::from([(service(), group)]);
+        self.leader_memory.keep_missing(&mut groups);
+        groups
     }
 }
 
