Few nodes of a region watch the store; the others hear of changes from them

Cause: every node watched the store for each of its three kinds of objects. Documents for starting peers are now serialised when a peer asks, not at each change. A watcher that the store doesn't answer follows others. Sites of up to three nodes a region read as before.

--- /dev/null
+++ b/crates/stairward-membership/src/feed/follower.rs
@@ -0,0 +1,256 @@
+//! One node's part in one feed: as a follower, and as a watcher with followers of its own.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use stairward_types::{Duration, NodeId, Revision, Time};
+
+use super::message::{Effect, Event, FeedContent, FollowerId};
+use super::parameters::FeedParameters;
+use super::ranking;
+use crate::configuration::PeerPlace;
+
+/// Pause before a watcher whose link ended is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+
+/// A watcher that this node follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// It was asked and has not answered yet.
+    Asked,
+    /// All that it tells from here on reaches this node in order.
+    InStep,
+    /// Its link ended at this moment.
+    Lost(Time),
+}
+
+/// Decides how one node follows one kind of the store's objects.
+#[derive(Debug, Clone)]
+pub struct Feed {
+    parameters: FeedParameters,
+    members: Vec<PeerPlace>,
+    is_watcher: bool,
+    is_reading: bool,
+    /// The revision held; none before the first content.
+    at: Option<Revision>,
+    /// When the store last confirmed to this node itself that what it holds is the newest.
+    confirmed_by_store: Option<Time>,
+    /// When a watcher's word last did.
+    confirmed_by_source: Option<Time>,
+    sources: BTreeMap<NodeId, Source>,
+    followers: BTreeSet<FollowerId>,
+}
+
+impl Feed {
+    /// A node that knows nothing yet. It reads the store until it knows of others.
+    #[must_use]
+    pub fn new(parameters: FeedParameters) -> Self {
+        Self {
+            parameters,
+            members: Vec::new(),
+            is_watcher: true,
+            is_reading: false,
+            at: None,
+            confirmed_by_store: None,
+            confirmed_by_source: None,
+            sources: BTreeMap::new(),
+            followers: BTreeSet::new(),
+        }
+    }
+
+    /// Takes an event into account and says what to do. `now` never goes back.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Members(members) => self.members_changed(members),
+            Event::StoreAnswered { at, content } => {
+                self.store_answered(now, at, content, &mut effects);
+            }
+            Event::SourceAnswered {
+                source,
+                at,
+                age,
+                content,
+            } => self.source_answered(now, source, at, age, content, &mut effects),
+            Event::SourceLost(source) => self.source_lost(now, source),
+            Event::FollowerAsked { follower, known } => {
+                self.follower_asked(now, follower, known, &mut effects);
+            }
+            Event::FollowerLeft(follower) => {
+                self.followers.remove(&follower);
+            }
+            Event::Tick => {}
+        }
+        self.choose_sources(now, &mut effects);
+        self.choose_reading(now, &mut effects);
+        effects
+    }
+
+    /// When [`Event::Tick`] is next due.
+    #[must_use]
+    pub fn next_wake(&self, now: Time) -> Option<Time> {
+        let reads_at = self
+            .confirmed_by_source
+            .map(|at| at + self.parameters.reads_after);
+        let follows_at = self
+            .confirmed_by_store
+            .map(|at| at + self.parameters.follows_after);
+        let asks = self.sources.values().filter_map(|source| match source {
+            Source::Lost(at) => Some(*at + ASK_AGAIN),
+            Source::Asked | Source::InStep => None,
+        });
+        // What has passed was dealt with when it passed.
+        let deadlines = reads_at.into_iter().chain(follows_at).chain(asks);
+        deadlines.filter(|at| *at > now).min()
+    }
+
+    /// Whether other nodes hear of changes from this one.
+    #[must_use]
+    pub fn has_followers(&self) -> bool {
+        !self.followers.is_empty()
+    }
+
+    /// Whether this node ranks as a watcher of the store.
+    #[must_use]
+    pub const fn is_watcher(&self) -> bool {
+        self.is_watcher
+    }
+
+    fn members_changed(&mut self, members: Vec<PeerPlace>) {
+        self.members = members;
+        let watchers = ranking::watchers(&self.parameters.region, &self.members);
+        self.is_watcher = watchers.is_empty() || watchers.contains(&self.parameters.node);
+    }
+
+    fn store_answered(
+        &mut self,
+        now: Time,
+        at: Revision,
+        content: FeedContent,
+        effects: &mut Vec<Effect>,
+    ) {
+        let (told, told_at) = match &content {
+            FeedContent::Whole(_) => (FeedContent::Whole(Vec::new()), self.at.max(Some(at))),
+            // Followers get every word of the store's, so that none is missing to those in step.
+            other => (other.clone(), Some(at)),
+        };
+        self.take(at, content, effects);
+        self.confirmed_by_store = Some(now);
+        let followers: Vec<_> = self.followers.iter().copied().collect();
+        if !followers.is_empty() {
+            effects.push(Effect::Tell {
+                followers,
+                at: told_at.unwrap_or(at),
+                age: Duration::ZERO,
+                content: told,
+            });
+        }
+    }
+
+    fn source_answered(
+        &mut self,
+        now: Time,
+        source: NodeId,
+        at: Revision,
+        age: Duration,
+        content: FeedContent,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !self.sources.contains_key(&source) {
+            return;
+        }
+        self.sources.insert(source, Source::InStep);
+        self.take(at, content, effects);
+        // A watcher that is behind confirms all the same: what it has not seen came later than its confirmation.
+        let confirmed = Time(now.0.saturating_sub(microseconds(age)));
+        self.confirmed_by_source = self.confirmed_by_source.max(Some(confirmed));
+    }
+
+    /// Takes over what is newer than what is held.
+    fn take(&mut self, at: Revision, content: FeedContent, effects: &mut Vec<Effect>) {
+        let is_newer = self.at.is_none_or(|held| at > held);
+        self.at = self.at.max(Some(at));
+        if is_newer && content != FeedContent::Unchanged {
+            effects.push(Effect::Take(content));
+        }
+    }
+
+    fn source_lost(&mut self, now: Time, source: NodeId) {
+        if let Some(known) = self.sources.get_mut(&source) {
+            *known = Source::Lost(now);
+        }
+    }
+
+    fn follower_asked(
+        &mut self,
+        now: Time,
+        follower: FollowerId,
+        known: Option<Revision>,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.followers.insert(follower);
+        let (Some(at), Some(confirmed)) = (self.at, self.confirmed_by_store) else {
+            // The first answer of the store is told to all followers.
+            return;
+        };
+        let content = if known.is_some_and(|known| known >= at) {
+            FeedContent::Unchanged
+        } else {
+            FeedContent::Whole(Vec::new())
+        };
+        effects.push(Effect::Tell {
+            followers: vec![follower],
+            at,
+            age: now.since(confirmed),
+            content,
+        });
+    }
+
+    /// A node that doesn't rank as a watcher follows some; so does a watcher that the store doesn't answer.
+    fn choose_sources(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let follows_after = self.parameters.follows_after;
+        let wanted = if self.is_watcher && is_fresh(now, self.confirmed_by_store, follows_after) {
+            Vec::new()
+        } else {
+            ranking::sources(self.parameters.node, &self.parameters.region, &self.members)
+        };
+        let unwanted: Vec<_> = self
+            .sources
+            .keys()
+            .copied()
+            .filter(|source| !wanted.contains(source))
+            .collect();
+        for source in unwanted {
+            self.sources.remove(&source);
+            effects.push(Effect::Unfollow(source));
+        }
+        for source in wanted {
+            let is_due = match self.sources.get(&source) {
+                None => true,
+                Some(Source::Lost(at)) => now.since(*at) >= ASK_AGAIN,
+                Some(Source::Asked | Source::InStep) => false,
+            };
+            if is_due {
+                self.sources.insert(source, Source::Asked);
+                let known = self.at;
+                effects.push(Effect::Follow { source, known });
+            }
+        }
+    }
+
+    fn choose_reading(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let reads_after = self.parameters.reads_after;
+        let wants = self.is_watcher || !is_fresh(now, self.confirmed_by_source, reads_after);
+        if wants != self.is_reading {
+            self.is_reading = wants;
+            effects.push(Effect::Read(wants));
+        }
+    }
+}
+
+fn is_fresh(now: Time, confirmed: Option<Time>, limit: Duration) -> bool {
+    confirmed.is_some_and(|at| now.since(at) < limit)
+}
+
+fn microseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/stairward-membership/src/feed/message.rs
@@ -0,0 +1,87 @@
+//! What goes into a feed's decisions and what comes out.
+
+use stairward_types::{Duration, NodeId, Revision};
+
+use crate::configuration::PeerPlace;
+
+/// A node that follows this one, by the link over which it asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FollowerId(pub u64);
+
+/// What an answer holds beside its revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FeedContent {
+    /// All objects.
+    Whole(Vec<u8>),
+    /// What has changed since the answerer's last word.
+    Changes(Vec<u8>),
+    /// Nothing has changed since the answerer's last word.
+    Unchanged,
+}
+
+/// Something that has happened.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// The membership view; this node is in it.
+    Members(Vec<PeerPlace>),
+    /// The store answered this node: its state at a revision.
+    StoreAnswered {
+        /// The revision.
+        at: Revision,
+        /// What came with it.
+        content: FeedContent,
+    },
+    /// A watcher that this node follows told of its state.
+    SourceAnswered {
+        /// The watcher.
+        source: NodeId,
+        /// The revision of its state.
+        at: Revision,
+        /// How long ago the store confirmed that state.
+        age: Duration,
+        /// What came with it.
+        content: FeedContent,
+    },
+    /// The link to a watcher has ended.
+    SourceLost(NodeId),
+    /// A node wants to follow this one.
+    FollowerAsked {
+        /// The node.
+        follower: FollowerId,
+        /// The revision that it holds; none where it holds nothing.
+        known: Option<Revision>,
+    },
+    /// A node no longer follows this one.
+    FollowerLeft(FollowerId),
+    /// A deadline has passed.
+    Tick,
+}
+
+/// Something to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Begin to read the store, or end it.
+    Read(bool),
+    /// Ask a watcher to be followed.
+    Follow {
+        /// The watcher.
+        source: NodeId,
+        /// The revision held here.
+        known: Option<Revision>,
+    },
+    /// Tell a watcher that it is no longer followed.
+    Unfollow(NodeId),
+    /// Take content over: replace all objects, or change some.
+    Take(FeedContent),
+    /// Tell followers of the state here. [`FeedContent::Whole`] comes empty and stands for all objects held.
+    Tell {
+        /// Whom to tell.
+        followers: Vec<FollowerId>,
+        /// The revision of the state.
+        at: Revision,
+        /// How long ago the store confirmed it.
+        age: Duration,
+        /// What to send along.
+        content: FeedContent,
+    },
+}
--- /dev/null
+++ b/crates/stairward-membership/src/feed/mod.rs
@@ -0,0 +1,19 @@
+//! Following objects of the metadata store through a few watchers.
+//!
+//! A *feed* is all objects of one kind, as the store holds them at a revision. In each region the members
+//! that rank first are its watchers: they watch the store and push what changes to their followers, together
+//! with word that nothing else has changed. Every other node follows two watchers, and reads the store itself
+//! only while neither has confirmed the feed for a while: watchers may be dead, cut off, or turned away by a
+//! store that serves others. In a region of a few nodes every node is a watcher.
+//!
+//! [`Feed`] makes the decisions of one node for one feed. It does no I/O, and the objects pass through it as
+//! opaque bytes.
+
+mod follower;
+mod message;
+mod parameters;
+mod ranking;
+
+pub use follower::Feed;
+pub use message::{Effect, Event, FeedContent, FollowerId};
+pub use parameters::FeedParameters;
--- /dev/null
+++ b/crates/stairward-membership/src/feed/parameters.rs
@@ -0,0 +1,24 @@
+//! What a feed is set up with.
+
+use stairward_types::{Duration, NodeId, RegionName};
+
+/// Watchers that each region has at the least, as far as it has members.
+pub(super) const FEWEST_WATCHERS: usize = 3;
+/// Members of a region for each of its watchers, beyond [`FEWEST_WATCHERS`].
+pub(super) const MEMBERS_PER_WATCHER: usize = 32;
+/// Watchers that a node follows, so that the loss of one delays nothing.
+pub(super) const SOURCES: usize = 2;
+
+/// How one node follows one feed.
+#[derive(Debug, Clone)]
+pub struct FeedParameters {
+    /// The node's own number.
+    pub node: NodeId,
+    /// The node's own region.
+    pub region: RegionName,
+    /// How long after the last word of its watchers a follower reads the store itself. It must be longer than a
+    /// watch of a watcher with followers lasts, and shorter than a change may take to be in force.
+    pub reads_after: Duration,
+    /// How long after the store's last answer a watcher follows others. It must be longer than any watch lasts.
+    pub follows_after: Duration,
+}
--- /dev/null
+++ b/crates/stairward-membership/src/feed/ranking.rs
@@ -0,0 +1,32 @@
+//! Which members of a region read the store, and which of these a node follows.
+
+use stairward_types::{NodeId, RegionName};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::parameters::{FEWEST_WATCHERS, MEMBERS_PER_WATCHER, SOURCES};
+use crate::configuration::{PeerPlace, ranked_watchers};
+
+/// The watchers of a region, best rank first.
+pub(super) fn watchers(region: &RegionName, members: &[PeerPlace]) -> Vec<NodeId> {
+    let of_region = members.iter().filter(|member| member.region == *region);
+    let wanted = of_region.count().div_ceil(MEMBERS_PER_WATCHER);
+    ranked_watchers(region, members, wanted.max(FEWEST_WATCHERS))
+}
+
+/// The watchers that a node follows: those of its region, and where these are too few, any other members.
+/// Each node ranks them for itself, so that followers spread evenly.
+pub(super) fn sources(node: NodeId, region: &RegionName, members: &[PeerPlace]) -> Vec<NodeId> {
+    let watchers = watchers(region, members);
+    let others = members
+        .iter()
+        .filter(|member| member.node != node && !member.leaving);
+    let mut ranked: Vec<_> = others
+        .map(|member| {
+            let score = xxh3_64_with_seed(&member.node.0.to_be_bytes(), node.0);
+            (!watchers.contains(&member.node), score, member.node)
+        })
+        .collect();
+    ranked.sort_unstable();
+    ranked.truncate(SOURCES);
+    ranked.into_iter().map(|(_, _, watcher)| watcher).collect()
+}
--- a/crates/stairward-membership/src/lib.rs
+++ b/crates/stairward-membership/src/lib.rs
@@ -10,6 +10,7 @@
 mod broadcast;
 mod config;
 pub mod configuration;
+pub mod feed;
 mod introduction;
 mod local_health;
 mod member;
--- /dev/null
+++ b/crates/stairward-membership/tests/feed.rs
@@ -0,0 +1,279 @@
+//! Feeds: a few members of a region read the store, the others hear of it from them.
+
+use std::collections::BTreeMap;
+
+use stairward_membership::configuration::PeerPlace;
+use stairward_membership::feed::{Effect, Event, Feed, FeedContent, FeedParameters, FollowerId};
+use stairward_types::{Duration, NodeId, RegionName, Revision, Time};
+
+const READS_AFTER: Duration = Duration::from_millis(2_000);
+const FOLLOWS_AFTER: Duration = Duration::from_millis(3_000);
+
+fn region(name: &str) -> RegionName {
+    RegionName::new(name).expect("a region's name")
+}
+
+fn members(count: u64) -> Vec<PeerPlace> {
+    let place = |number| PeerPlace {
+        node: NodeId(number),
+        region: region("north"),
+        leaving: false,
+    };
+    (1..=count).map(place).collect()
+}
+
+fn feed(node: u64) -> Feed {
+    Feed::new(FeedParameters {
+        node: NodeId(node),
+        region: region("north"),
+        reads_after: READS_AFTER,
+        follows_after: FOLLOWS_AFTER,
+    })
+}
+
+/// A feed of a node among so many, and what it did on hearing of them.
+fn feed_among(node: u64, count: u64) -> (Feed, Vec<Effect>) {
+    let mut feed = feed(node);
+    feed.handle(Time::ZERO, Event::Tick);
+    let effects = feed.handle(Time::ZERO, Event::Members(members(count)));
+    (feed, effects)
+}
+
+fn follower_among(count: u64) -> (Feed, Vec<NodeId>) {
+    for node in 1..=count {
+        let (feed, effects) = feed_among(node, count);
+        if !feed.is_watcher() {
+            let sources = effects.iter().filter_map(|effect| match effect {
+                Effect::Follow { source, .. } => Some(*source),
+                _ => None,
+            });
+            return (feed, sources.collect());
+        }
+    }
+    panic!("all are watchers");
+}
+
+fn changes(text: &str) -> FeedContent {
+    FeedContent::Changes(text.as_bytes().to_vec())
+}
+
+fn whole(text: &str) -> FeedContent {
+    FeedContent::Whole(text.as_bytes().to_vec())
+}
+
+fn from_source(source: NodeId, at: u64, age: u64, content: FeedContent) -> Event {
+    Event::SourceAnswered {
+        source,
+        at: Revision(at),
+        age: Duration::from_millis(age),
+        content,
+    }
+}
+
+fn from_store(at: u64, content: FeedContent) -> Event {
+    let at = Revision(at);
+    Event::StoreAnswered { at, content }
+}
+
+fn reads(effects: &[Effect]) -> Option<bool> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Read(is_reading) => Some(*is_reading),
+        _ => None,
+    })
+}
+
+fn taken(effects: &[Effect]) -> Vec<&FeedContent> {
+    let taken = effects.iter().filter_map(|effect| match effect {
+        Effect::Take(content) => Some(content),
+        _ => None,
+    });
+    taken.collect()
+}
+
+#[test]
+fn every_node_of_a_small_region_reads_the_store() {
+    for node in 1..=3 {
+        let mut feed = feed(node);
+        assert_eq!(reads(&feed.handle(Time::ZERO, Event::Tick)), Some(true));
+        let effects = feed.handle(Time::ZERO, Event::Members(members(3)));
+        assert_eq!(reads(&effects), None, "it goes on reading");
+        assert!(feed.is_watcher());
+    }
+}
+
+#[test]
+fn watchers_are_few_and_followers_spread_over_them() {
+    for (count, watchers) in [(24, 3), (400, 13), (700, 22)] {
+        let mut followed: BTreeMap<NodeId, usize> = BTreeMap::new();
+        let mut reading = 0;
+        for node in 1..=count {
+            let (feed, effects) = feed_among(node, count);
+            reading += usize::from(feed.is_watcher());
+            for effect in effects {
+                if let (false, Effect::Follow { source, .. }) = (feed.is_watcher(), effect) {
+                    *followed.entry(source).or_default() += 1;
+                }
+            }
+        }
+        assert_eq!(reading, watchers);
+        let most = followed.values().max().copied().unwrap_or_default();
+        assert!(followed.len() == watchers && most < 110, "{followed:?}");
+    }
+}
+
+#[test]
+fn a_follower_reads_until_a_watcher_confirms_and_no_longer() {
+    let (mut feed, sources) = follower_among(24);
+    assert_eq!(sources.len(), 2);
+    let answered = from_source(sources[0], 7, 100, whole("all"));
+    let effects = feed.handle(Time::from_millis(500), answered);
+    assert_eq!(taken(&effects), [&whole("all")]);
+    assert_eq!(reads(&effects), Some(false));
+}
+
+#[test]
+fn a_follower_whose_watchers_fall_silent_reads_the_store_in_time() {
+    let (mut feed, sources) = follower_among(24);
+    for source in &sources {
+        let answered = from_source(*source, 7, 0, whole("all"));
+        feed.handle(Time::from_millis(500), answered);
+    }
+    // One of the two goes on.
+    let confirmed = from_source(sources[1], 7, 0, FeedContent::Unchanged);
+    feed.handle(Time::from_millis(2_000), confirmed);
+    assert_eq!(
+        feed.next_wake(Time::from_millis(2_000)),
+        Some(Time::from_millis(4_000))
+    );
+    assert_eq!(
+        reads(&feed.handle(Time::from_millis(3_999), Event::Tick)),
+        None
+    );
+    assert_eq!(
+        reads(&feed.handle(Time::from_millis(4_000), Event::Tick)),
+        Some(true)
+    );
+}
+
+#[test]
+fn the_word_of_a_watcher_that_the_store_turned_away_is_no_confirmation() {
+    let (mut feed, sources) = follower_among(24);
+    for source in &sources {
+        let answered = from_source(*source, 7, 2_500, whole("all"));
+        let effects = feed.handle(Time::from_millis(3_000), answered);
+        assert_eq!(reads(&effects), None, "it goes on reading");
+    }
+}
+
+#[test]
+fn what_is_older_than_what_is_held_is_never_taken() {
+    let (mut feed, sources) = follower_among(24);
+    let now = Time::from_millis(500);
+    feed.handle(now, from_source(sources[0], 9, 0, whole("nine")));
+    for late in [
+        from_source(sources[1], 8, 0, whole("eight")),
+        from_source(sources[1], 9, 0, changes("nine")),
+        from_store(8, whole("eight")),
+    ] {
+        assert!(taken(&feed.handle(now, late)).is_empty());
+    }
+    let next = feed.handle(now, from_source(sources[1], 10, 0, changes("ten")));
+    assert_eq!(taken(&next), [&changes("ten")]);
+}
+
+#[test]
+fn a_watcher_passes_on_every_word_of_the_store_also_what_it_knew_already() {
+    let (mut feed, effects) = feed_among(1, 3);
+    assert!(
+        effects
+            .iter()
+            .all(|effect| !matches!(effect, Effect::Follow { .. }))
+            || feed.is_watcher()
+    );
+    let follower = FollowerId(1);
+    feed.handle(Time::ZERO, from_store(5, whole("five")));
+    let asked = Event::FollowerAsked {
+        follower,
+        known: None,
+    };
+    let effects = feed.handle(Time::from_millis(300), asked);
+    let told = Effect::Tell {
+        followers: vec![follower],
+        at: Revision(5),
+        age: Duration::from_millis(300),
+        content: whole(""),
+    };
+    assert_eq!(effects, [told]);
+    // The store falls silent, another watcher is faster, then the store's word comes.
+    let silent = Time::from_millis(3_000);
+    let effects = feed.handle(silent, Event::Tick);
+    let source = effects.iter().find_map(|effect| match effect {
+        Effect::Follow { source, .. } => Some(*source),
+        _ => None,
+    });
+    let source = source.expect("it follows others");
+    feed.handle(silent, from_source(source, 8, 0, whole("eight")));
+    let effects = feed.handle(silent, from_store(7, changes("seven")));
+    assert!(taken(&effects).is_empty());
+    let told = Effect::Tell {
+        followers: vec![follower],
+        at: Revision(7),
+        age: Duration::ZERO,
+        content: changes("seven"),
+    };
+    assert!(effects.contains(&told), "a follower in step would miss it");
+    assert!(effects.contains(&Effect::Unfollow(source)));
+}
+
+#[test]
+fn a_watcher_does_not_pass_on_what_it_heard_of_others() {
+    let (mut feed, _) = feed_among(1, 3);
+    let follower = FollowerId(1);
+    let effects = feed.handle(
+        Time::ZERO,
+        Event::FollowerAsked {
+            follower,
+            known: None,
+        },
+    );
+    assert!(effects.is_empty(), "it holds nothing yet");
+    feed.handle(Time::ZERO, from_store(5, whole("five")));
+    let silent = Time::from_millis(4_000);
+    let effects = feed.handle(silent, Event::Tick);
+    for effect in effects {
+        if let Effect::Follow { source, .. } = effect {
+            let confirmed = from_source(source, 5, 0, FeedContent::Unchanged);
+            let effects = feed.handle(silent, confirmed);
+            assert!(
+                effects.is_empty(),
+                "two nodes would confirm each other for ever"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_lost_watcher_is_asked_again_after_a_pause_and_with_what_is_held() {
+    let (mut feed, sources) = follower_among(24);
+    let now = Time::from_millis(500);
+    feed.handle(now, from_source(sources[0], 9, 0, whole("nine")));
+    assert!(feed.handle(now, Event::SourceLost(sources[0])).is_empty());
+    let later = feed.next_wake(now).expect("a deadline");
+    let effects = feed.handle(later, Event::Tick);
+    let again = Effect::Follow {
+        source: sources[0],
+        known: Some(Revision(9)),
+    };
+    assert_eq!(effects, [again]);
+}
+
+#[test]
+fn a_watcher_that_left_the_view_is_followed_no_more() {
+    let (mut feed, sources) = follower_among(24);
+    let mut view = members(24);
+    view.retain(|member| member.node != sources[0]);
+    let effects = feed.handle(Time::from_millis(600), Event::Members(view));
+    assert!(effects.contains(&Effect::Unfollow(sources[0])));
+    let late = from_source(sources[0], 9, 0, whole("nine"));
+    assert!(taken(&feed.handle(Time::from_millis(600), late)).is_empty());
+}
--- a/crates/stairward-protocol/src/neighbour.rs
+++ b/crates/stairward-protocol/src/neighbour.rs
@@ -163,6 +163,31 @@
     pub rows: Vec<ByteString>,
 }
 
+/// A reader's word of a feed: the objects of one kind that the metadata store holds.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct FeedStateMessage {
+    /// The feed.
+    pub name: Text,
+    /// The revision of the reader's state.
+    pub at: u64,
+    /// How long before this message the store confirmed it, in microseconds.
+    pub age_microseconds: u64,
+    /// What `content` is: [`Self::UNCHANGED`], [`Self::CHANGES`] or [`Self::WHOLE`].
+    pub kind: u8,
+    /// The content, compressed.
+    pub content: ByteString,
+}
+
+impl FeedStateMessage {
+    /// Nothing has changed since the reader's last word.
+    pub const UNCHANGED: u8 = 0;
+    /// What has changed since then.
+    pub const CHANGES: u8 = 1;
+    /// All objects.
+    pub const WHOLE: u8 = 2;
+}
+
 /// A message between two nodes.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big", id_type = "u8")]
@@ -207,6 +232,23 @@
         /// How long before this answer the leader was asked.
         age_microseconds: u64,
     },
+    /// Asks to be told of a feed's state, now and after each change or confirmation.
+    #[deku(id = "8")]
+    FollowFeed {
+        /// The feed.
+        name: Text,
+        /// The revision that the sender holds; 0 where it holds nothing.
+        known: u64,
+    },
+    /// The sender no longer follows a feed.
+    #[deku(id = "9")]
+    UnfollowFeed {
+        /// The feed.
+        name: Text,
+    },
+    /// A feed's state at a reader.
+    #[deku(id = "10")]
+    FeedState(FeedStateMessage),
     /// A session of the sender has ended.
     #[deku(id = "5")]
     CloseSession {
--- /dev/null
+++ b/crates/stairward-runtime/src/feeds.rs
@@ -0,0 +1,293 @@
+//! Driving the feeds: the store's objects by kind, read here or heard from watchers among the nodes.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use stairward_membership::configuration::PeerPlace;
+use stairward_membership::feed::{Effect, Event, Feed, FeedContent, FeedParameters, FollowerId};
+use stairward_protocol::Text;
+use stairward_protocol::neighbour::{FeedStateMessage, NeighbourMessage};
+use stairward_types::{LogEvent, NodeId, Revision, Time};
+use tokio::sync::{Notify, watch};
+
+use crate::compression::{compress, decompress};
+use crate::neighbours::frame;
+use crate::node::Node;
+use crate::socket::Outgoing;
+use crate::wire::Wire;
+
+/// How often deadlines are looked at when none is known.
+const IDLE_PAUSE: Duration = Duration::from_secs(1);
+
+/// The objects of one feed, in the form that the embedder gives them.
+pub trait FeedObjects {
+    /// Replaces all objects, or changes some.
+    fn take(&self, content: &FeedContent);
+    /// All objects; empty while there are none.
+    fn whole(&self) -> Vec<u8>;
+}
+
+/// A feed and what belongs to it.
+struct OpenFeed {
+    feed: RefCell<Feed>,
+    objects: Rc<dyn FeedObjects>,
+    reading: watch::Sender<bool>,
+}
+
+/// The feeds of a node, and the links over which other nodes follow them.
+#[derive(Default)]
+pub(crate) struct Feeds {
+    by_name: RefCell<BTreeMap<&'static str, Rc<OpenFeed>>>,
+    follower_links: RefCell<BTreeMap<FollowerId, Rc<Outgoing>>>,
+    rescheduled: Notify,
+}
+
+impl Feeds {
+    fn get(&self, name: &str) -> Option<Rc<OpenFeed>> {
+        self.by_name.borrow().get(name).cloned()
+    }
+
+    fn all(&self) -> Vec<(&'static str, Rc<OpenFeed>)> {
+        let feeds = self.by_name.borrow();
+        feeds
+            .iter()
+            .map(|(name, feed)| (*name, Rc::clone(feed)))
+            .collect()
+    }
+
+    /// All objects of a feed; none where it isn't followed here.
+    pub(crate) fn whole(&self, name: &str) -> Option<Vec<u8>> {
+        self.get(name).map(|feed| feed.objects.whole())
+    }
+
+    fn next_wake(&self, now: Time) -> Option<Time> {
+        let feeds = self.by_name.borrow();
+        let deadlines = feeds.values();
+        deadlines
+            .filter_map(|feed| feed.feed.borrow().next_wake(now))
+            .min()
+    }
+}
+
+impl<W: Wire> Node<W> {
+    /// Opens a feed. What is returned says whether this node is to read the store for it.
+    ///
+    /// A follower reads the store itself `reads_after` the last word of its watchers; a watcher follows others
+    /// `follows_after` the store's last answer.
+    pub fn open_feed(
+        self: &Rc<Self>,
+        name: &'static str,
+        reads_after: Duration,
+        follows_after: Duration,
+        objects: Rc<dyn FeedObjects>,
+    ) -> watch::Receiver<bool> {
+        let (reading, is_reading) = watch::channel(false);
+        let parameters = FeedParameters {
+            node: self.peer.node,
+            region: self.peer.region.clone(),
+            reads_after,
+            follows_after,
+        };
+        let feed = Rc::new(OpenFeed {
+            feed: RefCell::new(Feed::new(parameters)),
+            objects,
+            reading,
+        });
+        self.feeds.by_name.borrow_mut().insert(name, feed);
+        self.feed_event(name, Event::Tick);
+        is_reading
+    }
+
+    /// The store answered for a feed: its state at a revision, and what came with it.
+    pub fn store_answered(self: &Rc<Self>, name: &'static str, at: Revision, content: FeedContent) {
+        self.feed_event(name, Event::StoreAnswered { at, content });
+    }
+
+    /// Takes over what a peer last read, until the store or a watcher answers.
+    pub fn take_word_of_peer(&self, name: &str, content: Vec<u8>) {
+        if let Some(feed) = self.feeds.get(name) {
+            feed.objects.take(&FeedContent::Whole(content));
+        }
+    }
+
+    /// Whether other nodes hear of a feed's changes from this one.
+    #[must_use]
+    pub fn has_followers(&self, name: &str) -> bool {
+        let feed = self.feeds.get(name);
+        feed.is_some_and(|feed| feed.feed.borrow().has_followers())
+    }
+
+    /// Wakes the feeds when something is due. Runs for ever.
+    pub async fn run_feeds(self: Rc<Self>) {
+        loop {
+            let now = self.now();
+            let wake_at = self.feeds.next_wake(now);
+            let pause = wake_at.map_or(IDLE_PAUSE, |at| at.since(now));
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.feeds.rescheduled.notified() => continue,
+            }
+            for (name, _) in self.feeds.all() {
+                self.feed_event(name, Event::Tick);
+            }
+        }
+    }
+
+    /// Tells the feeds of the membership view.
+    pub(crate) fn tell_feeds_of_members(self: &Rc<Self>) {
+        let places: Vec<_> = {
+            let members = self.members.borrow();
+            let places = members.iter().map(|member| PeerPlace {
+                node: member.node,
+                region: member.region.clone(),
+                leaving: member.leaving,
+            });
+            places.collect()
+        };
+        for (name, _) in self.feeds.all() {
+            self.feed_event(name, Event::Members(places.clone()));
+        }
+    }
+
+    /// A link over which watchers may have been followed has ended.
+    pub(crate) fn source_lost(self: &Rc<Self>, source: NodeId) {
+        for (name, _) in self.feeds.all() {
+            self.feed_event(name, Event::SourceLost(source));
+        }
+        self.feeds.rescheduled.notify_one();
+    }
+
+    /// Another node wants to follow a feed over its link.
+    pub(crate) fn follower_asked(
+        self: &Rc<Self>,
+        link: u64,
+        outgoing: &Rc<Outgoing>,
+        name: &Text,
+        known: u64,
+    ) {
+        let follower = FollowerId(link);
+        let mut links = self.feeds.follower_links.borrow_mut();
+        links.insert(follower, Rc::clone(outgoing));
+        drop(links);
+        let known = (known > 0).then_some(Revision(known));
+        self.feed_event(name.as_str(), Event::FollowerAsked { follower, known });
+    }
+
+    /// Another node no longer follows a feed.
+    pub(crate) fn follower_left(self: &Rc<Self>, link: u64, name: &Text) {
+        self.feed_event(name.as_str(), Event::FollowerLeft(FollowerId(link)));
+    }
+
+    /// The link of another node has ended.
+    pub(crate) fn follower_link_lost(self: &Rc<Self>, link: u64) {
+        let follower = FollowerId(link);
+        let removed = self.feeds.follower_links.borrow_mut().remove(&follower);
+        if removed.is_some() {
+            for (name, _) in self.feeds.all() {
+                self.feed_event(name, Event::FollowerLeft(follower));
+            }
+        }
+    }
+
+    /// A watcher told of its state.
+    pub(crate) fn source_answered(self: &Rc<Self>, source: NodeId, message: FeedStateMessage) {
+        let Some(content) = content_of(message.kind, &message.content.bytes) else {
+            tracing::warn!(
+                event = LogEvent::ConfigurationRefused.number(),
+                source = source.0
+            );
+            return;
+        };
+        let answered = Event::SourceAnswered {
+            source,
+            at: Revision(message.at),
+            age: Duration::from_micros(message.age_microseconds),
+            content,
+        };
+        self.feed_event(message.name.as_str(), answered);
+    }
+
+    fn feed_event(self: &Rc<Self>, name: &str, event: Event) {
+        let Some(open) = self.feeds.get(name) else {
+            return;
+        };
+        let now = self.now();
+        let effects = open.feed.borrow_mut().handle(now, event);
+        for effect in effects {
+            self.carry_out_feed(name, &open, effect);
+        }
+    }
+
+    fn carry_out_feed(self: &Rc<Self>, name: &str, open: &OpenFeed, effect: Effect) {
+        match effect {
+            Effect::Read(is_reading) => {
+                let event = if is_reading {
+                    LogEvent::WatcherStarted
+                } else {
+                    LogEvent::WatcherStopped
+                };
+                tracing::info!(event = event.number(), feed = name);
+                open.reading.send_replace(is_reading);
+            }
+            Effect::Follow { source, known } => {
+                let message = NeighbourMessage::FollowFeed {
+                    name: Text::new(name),
+                    known: known.map_or(0, |revision| revision.0),
+                };
+                self.tell_neighbour(source, &message);
+            }
+            Effect::Unfollow(source) => {
+                if self.links.borrow().contains_key(&source) {
+                    let name = Text::new(name);
+                    self.tell_neighbour(source, &NeighbourMessage::UnfollowFeed { name });
+                }
+            }
+            Effect::Take(content) => open.objects.take(&content),
+            Effect::Tell {
+                followers,
+                at,
+                age,
+                content,
+            } => self.tell_followers(name, open, &followers, at, age, &content),
+        }
+    }
+
+    fn tell_followers(
+        self: &Rc<Self>,
+        name: &str,
+        open: &OpenFeed,
+        followers: &[FollowerId],
+        at: Revision,
+        age: Duration,
+        content: &FeedContent,
+    ) {
+        let (kind, content) = match content {
+            FeedContent::Unchanged => (FeedStateMessage::UNCHANGED, Vec::new()),
+            FeedContent::Changes(bytes) => (FeedStateMessage::CHANGES, compress(bytes)),
+            FeedContent::Whole(_) => (FeedStateMessage::WHOLE, compress(&open.objects.whole())),
+        };
+        let bytes = frame(&NeighbourMessage::FeedState(FeedStateMessage {
+            name: Text::new(name),
+            at: at.0,
+            age_microseconds: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
+            kind,
+            content: content.into(),
+        }));
+        let links = self.feeds.follower_links.borrow();
+        for outgoing in followers.iter().filter_map(|follower| links.get(follower)) {
+            // A link that has failed ends in its watcher.
+            let _ = outgoing.send(&bytes);
+        }
+    }
+}
+
+fn content_of(kind: u8, bytes: &[u8]) -> Option<FeedContent> {
+    Some(match kind {
+        FeedStateMessage::UNCHANGED => FeedContent::Unchanged,
+        FeedStateMessage::CHANGES => FeedContent::Changes(decompress(bytes)?),
+        FeedStateMessage::WHOLE => FeedContent::Whole(decompress(bytes)?),
+        _ => return None,
+    })
+}
--- a/crates/stairward-runtime/src/lib.rs
+++ b/crates/stairward-runtime/src/lib.rs
@@ -8,8 +8,10 @@
 
 mod backends;
 mod callers;
+mod compression;
 mod coordination;
 mod duty;
+mod feeds;
 pub mod figures;
 mod health;
 mod log;
@@ -22,8 +24,10 @@
 mod wire;
 
 pub use coordination::{Coordination, CoordinationFuture, RecordWrite};
+pub use feeds::FeedObjects;
 pub use health::{HealthService, Readiness};
 pub use membership::PeerIdentity;
 pub use neighbours::ask_for_document;
 pub use node::{Node, NodeOptions};
+pub use stairward_membership::feed::FeedContent;
 pub use wire::{CallerMessage, MemberQuestion, Wire, WireError};
--- a/crates/stairward-runtime/src/membership.rs
+++ b/crates/stairward-runtime/src/membership.rs
@@ -131,6 +131,7 @@
         self.set_nodes(u32::try_from(count).unwrap_or(1));
         if has_changed {
             self.update_holders();
+            self.tell_feeds_of_members();
         }
     }
 
--- a/crates/stairward-runtime/src/neighbours.rs
+++ b/crates/stairward-runtime/src/neighbours.rs
@@ -1,5 +1,5 @@
 //! Links between nodes: statements forwarded to holders of connections, and documents for a node that
-//! can't read the store.
+//! can't read the store or leaves that to others.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,6 +16,7 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::compression::{compress, decompress};
 use crate::neighbour_messages::{answer_message, forwarded_of, response_of, statement_message};
 use crate::node::Node;
 use crate::socket::Outgoing;
@@ -76,7 +77,7 @@
     }
 }
 
-fn frame(message: &NeighbourMessage) -> BytesMut {
+pub(crate) fn frame(message: &NeighbourMessage) -> BytesMut {
     let mut bytes = BytesMut::new();
     // Only a message over the limit can't be encoded, and none is made that long.
     let _ = encode_frame(message, &mut bytes);
@@ -108,7 +109,7 @@
             outgoing.send(&frame(&question)).ok()?;
             match reader.next().await? {
                 NeighbourMessage::Document { content, .. } if !content.bytes.is_empty() => {
-                    Some(content.bytes)
+                    decompress(&content.bytes)
                 }
                 _ => None,
             }
@@ -122,11 +123,6 @@
 }
 
 impl<W: Wire> Node<W> {
-    /// Keeps a document as last read from the store, for peers that can't read it.
-    pub fn keep_document(&self, name: &str, content: Vec<u8>) {
-        self.documents.borrow_mut().insert(name.to_owned(), content);
-    }
-
     /// Accepts links of other nodes. Runs for ever.
     pub async fn accept_neighbours(self: Rc<Self>, listener: TcpListener) {
         loop {
@@ -156,8 +152,12 @@
         while let Some(message) = reader.next().await {
             match message {
                 NeighbourMessage::AskDocument { name } => {
-                    let documents = self.documents.borrow();
-                    let content = documents.get(name.as_str()).cloned().unwrap_or_default();
+                    let whole = self.feeds.whole(name.as_str()).unwrap_or_default();
+                    let content = if whole.is_empty() {
+                        whole
+                    } else {
+                        compress(&whole)
+                    };
                     let answer = NeighbourMessage::Document {
                         name,
                         content: content.into(),
@@ -186,12 +186,18 @@
                         break;
                     }
                 }
+                NeighbourMessage::FollowFeed { name, known } => {
+                    self.follower_asked(link, &outgoing, &name, known);
+                }
+                NeighbourMessage::UnfollowFeed { name } => self.follower_left(link, &name),
                 NeighbourMessage::Document { .. }
+                | NeighbourMessage::FeedState(_)
                 | NeighbourMessage::Position { .. }
                 | NeighbourMessage::Answer(_) => break,
             }
         }
         self.close_guests_of(link);
+        self.follower_link_lost(link);
     }
 
     /// The own number of another node's session, with its request under way.
@@ -266,7 +272,7 @@
         forwarded: Forwarded,
     ) {
         if let Some(message) = statement_message(session.0, request, time_left, forwarded) {
-            self.tell_holder(holder, &NeighbourMessage::Forward(message));
+            self.tell_neighbour(holder, &NeighbourMessage::Forward(message));
         }
     }
 
@@ -274,11 +280,11 @@
     pub(crate) fn close_forwarded(self: &Rc<Self>, holder: NodeId, session: SessionId) {
         if self.links.borrow().contains_key(&holder) {
             let message = NeighbourMessage::CloseSession { session: session.0 };
-            self.tell_holder(holder, &message);
+            self.tell_neighbour(holder, &message);
         }
     }
 
-    fn tell_holder(self: &Rc<Self>, holder: NodeId, message: &NeighbourMessage) {
+    pub(crate) fn tell_neighbour(self: &Rc<Self>, holder: NodeId, message: &NeighbourMessage) {
         let bytes = frame(message);
         let node = Rc::clone(self);
         let mut links = self.links.borrow_mut();
@@ -339,6 +345,7 @@
                     let asked_at = Time(asked_at_microseconds);
                     self.take_position(&service, position.into(), asked_at, age);
                 }
+                NeighbourMessage::FeedState(message) => self.source_answered(holder, message),
                 _ => break,
             }
         }
@@ -357,7 +364,7 @@
             asked_at_microseconds: self.now().0,
         };
         for peer in others.sample(&mut rand::rng(), PEERS_ASKED) {
-            self.tell_holder(*peer, &message);
+            self.tell_neighbour(*peer, &message);
         }
     }
 
@@ -400,6 +407,7 @@
             }
             tracing::warn!(event = LogEvent::PeerLost.number(), holder = holder.0);
             self.handle(Event::HolderLost(holder));
+            self.source_lost(holder);
         }
     }
 }
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 
 use crate::coordination::Coordination;
+use crate::feeds::Feeds;
 use crate::figures;
 use crate::health::Readiness;
 use crate::log::DecisionLog;
@@ -57,7 +58,7 @@
     pub(crate) holders: RefCell<BTreeMap<ServiceName, Vec<NodeId>>>,
     pub(crate) links: RefCell<BTreeMap<NodeId, Link>>,
     pub(crate) guests: RefCell<Guests>,
-    pub(crate) documents: RefCell<BTreeMap<String, Vec<u8>>>,
+    pub(crate) feeds: Feeds,
     pub(crate) log: DecisionLog,
     last_session: Cell<u64>,
     rescheduled: Notify,
@@ -94,7 +95,7 @@
             holders: RefCell::default(),
             links: RefCell::default(),
             guests: RefCell::default(),
-            documents: RefCell::default(),
+            feeds: Feeds::default(),
             log: DecisionLog::default(),
             last_session: Cell::new(0),
             rescheduled: Notify::new(),
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -121,9 +121,9 @@
     StoreUnreachable = 602, Warn;
     /// The platform's store answers again.
     StoreReachable = 603, Info;
-    /// This node has begun to watch the store for its region.
+    /// This node has begun to read the store: it ranks as a watcher, or its watchers don't confirm what it holds.
     WatcherStarted = 604, Info;
-    /// This node has stopped watching the store.
+    /// This node has stopped reading the store; it hears of changes from watchers.
     WatcherStopped = 605, Info;
     /// An operator's edit was accepted.
     EditAccepted = 606, Info;
