A holder without a sign of life loses its repeatable work to the next

Change: the engine watches what each holder owes. One that owes an answer for 150 ms and has said nothing since is asked for a sign of life; without one within 200 ms it is silent: reads and starts of transactions go to the next holder, writes stay (they are sent once), new work goes to others, and it is asked every 500 ms until heard. A link that could never be made says that nothing was sent on it, so that a write, too, goes to the next holder instead of ending unknown. New log events 303 and 304. A check changed: a_holder_that_did_not_answer_in_time_forgets_the_session asserted that the first holder alone is told, of a holder silent for the whole timeout. Its successor asserts the same of a holder that gives signs of life, and of silent ones that both that were asked are told. Ruled out: a shorter timeout on links (cuts slow nodes); the membership view (2 s and more, by design).

--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -10,6 +10,7 @@
 use crate::connection::Connection;
 use crate::event::{Effect, Event, Evidence};
 use crate::group::Group;
+use crate::holder_watch::HolderWatch;
 use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
 use crate::node_count::NodeCount;
 use crate::relay::holder_count;
@@ -63,6 +64,7 @@
     pub(crate) nodes: NodeCount,
     /// Services held by other nodes only.
     pub(crate) holders: BTreeMap<ServiceName, Vec<NodeId>>,
+    pub(crate) holder_watches: BTreeMap<NodeId, HolderWatch>,
     pub(crate) stop: Option<Stop>,
     is_reviewing: bool,
     last_connection: u64,
@@ -86,6 +88,7 @@
             effects: Vec::new(),
             nodes: NodeCount::default(),
             holders: BTreeMap::new(),
+            holder_watches: BTreeMap::new(),
             stop: None,
             is_reviewing: false,
             last_connection: 0,
@@ -166,7 +169,9 @@
                 asked_at,
                 age,
             } => self.take_peer_position(&service, freshness, asked_at, age),
+            Event::HolderHeard(holder) => self.holder_heard(now, holder),
             Event::HolderLost(holder) => self.holder_lost(now, holder),
+            Event::HolderUnreachable(holder) => self.holder_unreachable(now, holder),
             Event::StopRequested => self.begin_stop(now),
             Event::Tick => {}
         }
@@ -182,6 +187,7 @@
                     self.transaction_rested(now, session, number);
                 }
                 Timer::Silence(connection) => self.check_silence(now, connection),
+                Timer::Holder(holder) => self.check_holder(now, holder),
                 Timer::TryWaiting(service) => {
                     self.changed.insert(service);
                 }
--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -121,8 +121,12 @@
         /// How old the peer's knowledge was when it answered, by its own clock.
         age: Duration,
     },
-    /// A node that statements were forwarded to can't be reached any more.
+    /// A node that statements were forwarded to gave a sign of life.
+    HolderHeard(NodeId),
+    /// The connection to a node that statements were forwarded to has ended.
     HolderLost(NodeId),
+    /// A node that statements were to be forwarded to can't be reached: none of them was sent.
+    HolderUnreachable(NodeId),
     /// The process is to stop.
     StopRequested,
     /// Time has passed; see [`crate::Engine::next_wake`].
@@ -316,6 +320,18 @@
         /// The statement.
         forwarded: Forwarded,
     },
+    /// Ask a node that statements were forwarded to for a sign of life.
+    AskHolder {
+        /// The node.
+        holder: NodeId,
+    },
+    /// A node that statements were forwarded to gives no sign of life, or gives one again.
+    HolderObserved {
+        /// The node.
+        holder: NodeId,
+        /// Whether it gives none.
+        is_silent: bool,
+    },
     /// Tell a node that a session has ended whose statements were forwarded to it.
     CloseForwarded {
         /// The node.
--- /dev/null
+++ b/crates/stairward-engine/src/holder_watch.rs
@@ -0,0 +1,184 @@
+//! Watching the holders that statements are forwarded to: one that says nothing is asked for a sign of life, and
+//! without one its work goes elsewhere, long before its connection or the membership view gives it up.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use stairward_types::{NodeId, Time};
+
+use crate::engine::Engine;
+use crate::event::{Decision, Effect};
+use crate::identifiers::SessionId;
+use crate::session::{Stage, Transaction};
+use crate::timers::Timer;
+
+/// A holder that owes an answer for this long and has said nothing meanwhile is asked for a sign of life.
+const SILENCE: Duration = Duration::from_millis(150);
+/// How long the sign may take: a few round trips between regions, and a slow node's turn.
+const SIGN_PATIENCE: Duration = Duration::from_millis(200);
+/// Pause between two questions to a holder that has given no sign.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+
+/// What is known of a holder.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct HolderWatch {
+    /// Requests that it owes an answer, by when they were forwarded.
+    owed: BTreeSet<(Time, SessionId)>,
+    heard_at: Time,
+    asked_at: Option<Time>,
+    /// Whether it gave no sign of life when asked, and nothing since.
+    pub is_silent: bool,
+    timer_at: Option<Time>,
+}
+
+impl Engine {
+    /// A request was forwarded to a holder.
+    pub(crate) fn watch_holder(&mut self, now: Time, holder: NodeId, session: SessionId) {
+        let watch = self.holder_watches.entry(holder).or_default();
+        watch.owed.insert((now, session));
+        if watch.timer_at.is_none() {
+            self.set_holder_timer(holder, now + SILENCE);
+        }
+    }
+
+    /// A holder gave a sign of life.
+    pub(crate) fn holder_heard(&mut self, now: Time, holder: NodeId) {
+        let Some(watch) = self.holder_watches.get_mut(&holder) else {
+            return;
+        };
+        watch.heard_at = now;
+        watch.asked_at = None;
+        if std::mem::replace(&mut watch.is_silent, false) {
+            self.effects.push(Effect::HolderObserved {
+                holder,
+                is_silent: false,
+            });
+        }
+    }
+
+    /// A session's request is no longer owed by a holder.
+    pub(crate) fn holder_settled(&mut self, holder: NodeId, session: SessionId) {
+        let Some(watch) = self.holder_watches.get_mut(&holder) else {
+            return;
+        };
+        watch.owed.retain(|(_, owed)| *owed != session);
+        if watch.owed.is_empty()
+            && !watch.is_silent
+            && let Some(at) = watch.timer_at.take()
+        {
+            self.timers.cancel(at, Timer::Holder(holder));
+        }
+    }
+
+    /// A holder's connection has ended: it owes nothing any more, and is asked again only if it was silent.
+    pub(crate) fn forget_owed(&mut self, holder: NodeId) {
+        if let Some(watch) = self.holder_watches.get_mut(&holder) {
+            watch.owed.clear();
+        }
+    }
+
+    fn set_holder_timer(&mut self, holder: NodeId, at: Time) {
+        if let Some(watch) = self.holder_watches.get_mut(&holder) {
+            watch.timer_at = Some(at);
+            self.timers.set(at, Timer::Holder(holder));
+        }
+    }
+
+    /// Looks at a holder that owed something a while ago.
+    pub(crate) fn check_holder(&mut self, now: Time, holder: NodeId) {
+        let is_ranked = self.holders.values().any(|ranked| ranked.contains(&holder));
+        let Some(watch) = self.holder_watches.get_mut(&holder) else {
+            return;
+        };
+        watch.timer_at = None;
+        if !is_ranked && (watch.is_silent || watch.owed.is_empty()) {
+            self.holder_watches.remove(&holder);
+            return;
+        }
+        let oldest = watch.owed.first().map(|(at, _)| *at);
+        let quiet_since = oldest.map(|at| at.max(watch.heard_at));
+        match (watch.is_silent, quiet_since, watch.asked_at) {
+            (false, None, _) => {}
+            (false, Some(since), None) if now < since + SILENCE => {
+                self.set_holder_timer(holder, since + SILENCE);
+            }
+            (false, Some(_), Some(asked)) if now >= asked + SIGN_PATIENCE => {
+                self.hold_for_silent(now, holder);
+                self.move_work_of(now, holder);
+            }
+            (is_silent, _, _) => {
+                watch.asked_at = Some(now);
+                self.effects.push(Effect::AskHolder { holder });
+                let pause = if is_silent { ASK_AGAIN } else { SIGN_PATIENCE };
+                self.set_holder_timer(holder, now + pause);
+            }
+        }
+    }
+
+    /// Forwards to others what a silent holder owes and may be run twice. What may not stays with it: its answer
+    /// may still come.
+    fn move_work_of(&mut self, now: Time, holder: NodeId) {
+        let owed = self.holder_watches.get(&holder).map(|watch| &watch.owed);
+        let sessions: Vec<SessionId> = owed.into_iter().flatten().map(|(_, id)| *id).collect();
+        for id in sessions {
+            let Some(session) = self.sessions.get(&id) else {
+                continue;
+            };
+            let request = session.request.as_ref();
+            let is_owed = request.is_some_and(|request| {
+                request.stage == Stage::Forwarded(holder) && request.need.is_repeatable()
+            });
+            if is_owed {
+                self.record(now, id, None, Decision::Retried);
+                self.leave_holder(id, holder);
+                self.forward(now, id);
+            }
+        }
+    }
+
+    /// A holder was never reached: what was meant for it has provably not been sent.
+    pub(crate) fn holder_unreachable(&mut self, now: Time, holder: NodeId) {
+        let sessions: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| {
+                let request = session.request.as_ref();
+                let is_waiting = request.is_some_and(|r| r.stage == Stage::Forwarded(holder));
+                let is_bound =
+                    matches!(&session.transaction, Transaction::Relayed(t) if t.holder == holder);
+                is_waiting && !is_bound
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in sessions {
+            if let Some(session) = self.sessions.get_mut(&id) {
+                session.holders.remove(&holder);
+                if let Some(request) = &mut session.request {
+                    request.attempts = request.attempts.saturating_sub(1);
+                }
+            }
+            self.record(now, id, None, Decision::Retried);
+            self.forward(now, id);
+        }
+        self.holder_lost(now, holder);
+        self.hold_for_silent(now, holder);
+    }
+
+    /// Takes a holder for silent until it gives a sign of life.
+    fn hold_for_silent(&mut self, now: Time, holder: NodeId) {
+        if !self.holders.values().any(|ranked| ranked.contains(&holder)) {
+            return;
+        }
+        let watch = self.holder_watches.entry(holder).or_default();
+        let was_silent = std::mem::replace(&mut watch.is_silent, true);
+        if watch.timer_at.is_none() {
+            self.set_holder_timer(holder, now + ASK_AGAIN);
+        }
+        if !was_silent {
+            self.effects.push(Effect::HolderObserved {
+                holder,
+                is_silent: true,
+            });
+        }
+    }
+}
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -12,6 +12,7 @@
 mod engine;
 mod event;
 mod group;
+mod holder_watch;
 mod identifiers;
 mod lost_connections;
 mod node_count;
--- a/crates/stairward-engine/src/relay.rs
+++ b/crates/stairward-engine/src/relay.rs
@@ -101,9 +101,13 @@
             _ => None,
         };
         let ranked = self.holders.get(service).map_or(&[][..], Vec::as_slice);
+        let watches = &self.holder_watches;
+        let is_silent = |holder: &NodeId| watches.get(holder).is_some_and(|watch| watch.is_silent);
+        // A silent one is better than none.
         let next = ranked
             .iter()
-            .find(|holder| !request.tried_holders.contains(holder))
+            .filter(|holder| !request.tried_holders.contains(holder))
+            .min_by_key(|holder| is_silent(holder))
             .filter(|_| request.tried_holders.len() < MOST_HOLDERS);
         let Some(holder) = bound.or(next.copied()) else {
             return self.refuse(now, id, ResultCode::NotOwner, Some(RETRY_NO_HOLDER));
@@ -137,6 +141,7 @@
             time_left: request.deadline.since(now),
             forwarded,
         });
+        self.watch_holder(now, holder, id);
     }
 
     /// A statement comes from another node, for a session that it numbers anew here.
@@ -212,7 +217,8 @@
         number: u64,
         response: Response,
     ) {
-        let Some(session) = self.sessions.get_mut(&id) else {
+        self.holder_heard(now, holder);
+        let Some(session) = self.sessions.get(&id) else {
             return;
         };
         let Some(request) = &session.request else {
@@ -223,6 +229,7 @@
         }
         let need = request.need;
         let route = Arc::clone(&request.route);
+        self.holder_settled(holder, id);
         let starts_nothing = !matches!(need, Need::InTransaction { .. } | Need::Commit);
         if starts_nothing && is_refused_by_holder(&response) {
             self.record(now, id, None, Decision::Retried);
@@ -234,6 +241,9 @@
         }
         let is_success = matches!(response.result, ResponseResult::Completed { .. });
         let may_have_written = matches!(need, Need::Write | Need::Commit);
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
         if let (true, true, Some(position)) = (is_success, may_have_written, response.position) {
             session.commits.insert(route.service.clone(), position);
         }
@@ -245,8 +255,9 @@
         self.finish(now, id, Response { status, ..response });
     }
 
-    /// A holder can't be reached any more: what it had is lost.
+    /// The connection to a holder has ended: what it had is lost.
     pub(crate) fn holder_lost(&mut self, now: Time, holder: NodeId) {
+        self.forget_owed(holder);
         let concerned: Vec<SessionId> = self
             .sessions
             .iter()
@@ -290,6 +301,7 @@
     /// Tells the holders that a session has ended.
     pub(crate) fn close_forwarded(&mut self, id: SessionId, holders: &BTreeSet<NodeId>) {
         for holder in holders {
+            self.holder_settled(*holder, id);
             self.effects.push(Effect::CloseForwarded {
                 holder: *holder,
                 session: id,
--- a/crates/stairward-engine/src/timers.rs
+++ b/crates/stairward-engine/src/timers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use stairward_types::{ServiceName, Time};
+use stairward_types::{NodeId, ServiceName, Time};
 
 use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
 
@@ -19,6 +19,8 @@
     TransactionIdle(SessionId, RequestNumber),
     /// A connection is looked at for commands without an answer.
     Silence(ConnectionId),
+    /// A holder that owes an answer is looked at.
+    Holder(NodeId),
     /// Requests that wait for a service are tried again.
     TryWaiting(ServiceName),
     /// Leaving and lost back ends are looked at.
--- a/crates/stairward-engine/tests/relays.rs
+++ b/crates/stairward-engine/tests/relays.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use stairward_engine::{
     Event, Forwarded, PreparedStatement, Response, ResponseResult, SessionId, Statement,
@@ -232,12 +233,25 @@
         StatementKind::Begin { read_only: false },
         StatementKind::Read,
     ] {
+        // It gives signs of life, so that nobody else is asked.
+        let mut world = edge();
+        let session = world.open(LEADER_READS);
+        world.say(session, kind.clone());
+        let end = world.now + support::TIMEOUT;
+        while world.now < end {
+            world.tell(Event::HolderHeard(FIRST));
+            world.pass(Duration::from_millis(50));
+        }
+        world.response();
+        assert_eq!(world.closed_forwarded, [(FIRST, session)]);
+        // It gives none, nor does the next.
         let mut world = edge();
         let session = world.open(LEADER_READS);
         world.say(session, kind);
         world.pass(support::TIMEOUT);
         world.response();
-        assert_eq!(world.closed_forwarded, [(FIRST, session)]);
+        let both = [(FIRST, session), (SECOND, session)];
+        assert_eq!(world.closed_forwarded, both);
     }
 }
 
@@ -340,3 +354,83 @@
     assert_eq!(world.sent[0].connection, begin.connection);
     assert_ne!(world.sent[1].connection, begin.connection);
 }
+
+/// Longer than a holder may stay without a sign of life.
+const LONG_SILENCE: Duration = Duration::from_millis(400);
+
+#[test]
+fn a_holder_without_a_sign_of_life_loses_reads_to_the_next_and_keeps_writes() {
+    let mut world = edge();
+    let reader = world.open(LEADER_READS);
+    let writer = world.open(LEADER_READS);
+    world.say(reader, StatementKind::Read);
+    world.say(writer, StatementKind::Write);
+    assert_eq!(world.forwarded.len(), 2);
+    world.pass(LONG_SILENCE);
+    assert_eq!(world.asked_holders, [FIRST]);
+    assert_eq!(world.forwarded.len(), 3, "a write is sent once");
+    let (holder, session, ..) = world.forwarded[2];
+    assert_eq!((holder, session), (SECOND, reader));
+    assert!(world.closed_forwarded.contains(&(FIRST, reader)));
+    // Its late answer to the write counts, and new work goes to it again.
+    let (holder, session, request, _) = world.forwarded[1].clone();
+    world.tell(Event::ForwardAnswered {
+        holder,
+        session,
+        request,
+        response: completed(TransactionStatus::Idle, at(1, 1)),
+    });
+    assert_eq!(world.response().position, Some(at(1, 1)));
+    world.say(writer, StatementKind::Write);
+    assert_eq!(world.forwarded.last().unwrap().0, FIRST);
+}
+
+#[test]
+fn a_holder_that_gives_a_sign_of_life_keeps_its_work() {
+    let mut world = edge();
+    let reader = world.open(LEADER_READS);
+    world.say(reader, StatementKind::Read);
+    for _ in 0..3 {
+        world.pass(Duration::from_millis(200));
+        world.tell(Event::HolderHeard(FIRST));
+    }
+    assert_eq!(world.forwarded.len(), 1);
+    assert!(world.asked_holders.len() >= 2, "{:?}", world.asked_holders);
+}
+
+#[test]
+fn a_silent_holder_gets_no_new_work_and_is_asked_until_it_is_heard() {
+    let mut world = edge();
+    let reader = world.open(LEADER_READS);
+    world.say(reader, StatementKind::Read);
+    world.pass(LONG_SILENCE);
+    world.holder_answers(completed(TransactionStatus::Idle, at(1, 1)));
+    world.response();
+    world.say(reader, StatementKind::Write);
+    assert_eq!(world.forwarded.last().unwrap().0, SECOND);
+    world.holder_answers(completed(TransactionStatus::Idle, at(1, 1)));
+    world.response();
+    let asked = world.asked_holders.len();
+    world.pass(Duration::from_secs(2));
+    assert!(world.asked_holders.len() >= asked + 3);
+    world.tell(Event::HolderHeard(FIRST));
+    world.say(reader, StatementKind::Write);
+    assert_eq!(world.forwarded.last().unwrap().0, FIRST);
+}
+
+#[test]
+fn what_was_never_sent_to_a_holder_goes_to_the_next_whatever_it_is() {
+    let mut world = edge();
+    let session = world.open(LEADER_READS);
+    world.say(session, StatementKind::Write);
+    world.tell(Event::HolderUnreachable(FIRST));
+    assert_eq!(world.forwarded.last().unwrap().0, SECOND);
+    world.holder_answers(completed(TransactionStatus::Idle, at(1, 1)));
+    assert_eq!(world.response().position, Some(at(1, 1)));
+    world.say(session, StatementKind::Write);
+    assert_eq!(
+        world.forwarded.last().unwrap().0,
+        SECOND,
+        "the first is silent"
+    );
+}
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -132,6 +132,7 @@
     pub opened: Vec<(ConnectionId, BackendId)>,
     pub forwarded: Vec<(NodeId, SessionId, u64, Forwarded)>,
     pub asked_peers: Vec<ServiceName>,
+    pub asked_holders: Vec<NodeId>,
     pub closed_forwarded: Vec<(NodeId, SessionId)>,
     pub observed: Vec<(BackendId, Evidence)>,
     pub is_stopped: bool,
@@ -162,6 +163,7 @@
             opened: Vec::new(),
             forwarded: Vec::new(),
             asked_peers: Vec::new(),
+            asked_holders: Vec::new(),
             closed_forwarded: Vec::new(),
             observed: Vec::new(),
             is_stopped: false,
@@ -222,8 +224,12 @@
                 Effect::CloseForwarded { holder, session } => {
                     self.closed_forwarded.push((holder, session));
                 }
+                Effect::AskHolder { holder } => self.asked_holders.push(holder),
                 Effect::AskPosition { service } => self.asked_peers.push(service),
-                Effect::AcceptSession { .. } | Effect::Record(_) | Effect::Measured(_) => {}
+                Effect::AcceptSession { .. }
+                | Effect::HolderObserved { .. }
+                | Effect::Record(_)
+                | Effect::Measured(_) => {}
             }
         }
         if self.opens {
--- a/crates/stairward-protocol/src/neighbour.rs
+++ b/crates/stairward-protocol/src/neighbour.rs
@@ -163,13 +163,13 @@
     pub rows: Vec<ByteString>,
 }
 
-/// A reader's word of a feed: the objects of one kind that the metadata store holds.
+/// A watcher's word of a feed: the objects of one kind that the metadata store holds.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub struct FeedStateMessage {
     /// The feed.
     pub name: Text,
-    /// The revision of the reader's state.
+    /// The revision of the watcher's state.
     pub at: u64,
     /// How long before this message the store confirmed it, in microseconds.
     pub age_microseconds: u64,
@@ -180,7 +180,7 @@
 }
 
 impl FeedStateMessage {
-    /// Nothing has changed since the reader's last word.
+    /// Nothing has changed since the watcher's last word.
     pub const UNCHANGED: u8 = 0;
     /// What has changed since then.
     pub const CHANGES: u8 = 1;
@@ -246,7 +246,13 @@
         /// The feed.
         name: Text,
     },
-    /// A feed's state at a reader.
+    /// Asks for a sign of life.
+    #[deku(id = "11")]
+    AskAlive,
+    /// The sign of life.
+    #[deku(id = "12")]
+    Alive,
+    /// A feed's state at a watcher.
     #[deku(id = "10")]
     FeedState(FeedStateMessage),
     /// A session of the sender has ended.
--- a/crates/stairward-runtime/src/log.rs
+++ b/crates/stairward-runtime/src/log.rs
@@ -5,7 +5,7 @@
 
 use stairward_engine::{Decision, RequestRecord};
 use stairward_failover::Action;
-use stairward_types::{LogEvent, OutcomeClass, ServiceName, Time};
+use stairward_types::{LogEvent, NodeId, OutcomeClass, ServiceName, Time};
 
 /// Lines of one kind a second; the rest are counted and the count is told with the next line.
 const LINES_A_SECOND: u32 = 100;
@@ -95,6 +95,19 @@
         }
     }
 
+    /// A holder gives no sign of life, or gives one again.
+    pub fn holder(&self, now: Time, holder: NodeId, is_silent: bool) {
+        let event = if is_silent {
+            LogEvent::HolderSilent
+        } else {
+            LogEvent::HolderHeard
+        };
+        if let Some(left_out) = self.admit(now, event) {
+            let (number, name) = (event.number(), event.name());
+            tracing::info!(event = number, name, holder = holder.0, left_out);
+        }
+    }
+
     /// A change of what is believed of a back end.
     pub fn backend(&self, now: Time, event: LogEvent, backend: &str) {
         if let Some(left_out) = self.admit(now, event) {
--- a/crates/stairward-runtime/src/neighbours.rs
+++ b/crates/stairward-runtime/src/neighbours.rs
@@ -190,7 +190,13 @@
                     self.follower_asked(link, &outgoing, &name, known);
                 }
                 NeighbourMessage::UnfollowFeed { name } => self.follower_left(link, &name),
+                NeighbourMessage::AskAlive => {
+                    if outgoing.send(&frame(&NeighbourMessage::Alive)).is_err() {
+                        break;
+                    }
+                }
                 NeighbourMessage::Document { .. }
+                | NeighbourMessage::Alive
                 | NeighbourMessage::FeedState(_)
                 | NeighbourMessage::Position { .. }
                 | NeighbourMessage::Answer(_) => break,
@@ -345,6 +351,7 @@
                     let asked_at = Time(asked_at_microseconds);
                     self.take_position(&service, position.into(), asked_at, age);
                 }
+                NeighbourMessage::Alive => self.handle(Event::HolderHeard(holder)),
                 NeighbourMessage::FeedState(message) => self.source_answered(holder, message),
                 _ => break,
             }
@@ -402,11 +409,14 @@
     fn link_lost(self: &Rc<Self>, holder: NodeId) {
         let link = self.links.borrow_mut().remove(&holder);
         if let Some(link) = link {
-            if let Link::Open(outgoing) = link {
-                outgoing.close();
-            }
             tracing::warn!(event = LogEvent::PeerLost.number(), holder = holder.0);
-            self.handle(Event::HolderLost(holder));
+            match link {
+                Link::Open(outgoing) => {
+                    outgoing.close();
+                    self.handle(Event::HolderLost(holder));
+                }
+                Link::Opening(_) => self.handle(Event::HolderUnreachable(holder)),
+            }
             self.source_lost(holder);
         }
     }
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -13,6 +13,7 @@
 };
 use stairward_failover::{FailoverDuty, FailoverOptions, LeaderEvidence, LeaderMemory};
 use stairward_membership::Profile;
+use stairward_protocol::neighbour::NeighbourMessage;
 use stairward_types::{BackendId, Freshness, LogEvent, NodeId, ServiceName, Time};
 use tokio::sync::Notify;
 
@@ -251,6 +252,10 @@
                 time_left,
                 forwarded,
             } => self.forward(holder, session, request, time_left, forwarded),
+            Effect::AskHolder { holder } => {
+                self.tell_neighbour(holder, &NeighbourMessage::AskAlive);
+            }
+            Effect::HolderObserved { holder, is_silent } => self.log.holder(now, holder, is_silent),
             Effect::AskPosition { service } => self.ask_peers_for_position(&service),
             Effect::CloseForwarded { holder, session } => self.close_forwarded(holder, session),
             Effect::RefuseSession { session, code } => {
--- a/crates/stairward-simulation/src/guests.rs
+++ b/crates/stairward-simulation/src/guests.rs
@@ -3,12 +3,15 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rand::RngExt as _;
 use stairward_engine::{Event, Forwarded, Response, SessionId, holder_count};
 use stairward_types::{NodeId, ServiceName};
 
 use crate::group::service;
 use crate::world::{FAR_DELAY, Happening, World};
 
+/// One in so many signs of life is lost.
+const SIGNS_LOST_ONE_IN: u32 = 3;
 /// Numbers of guests begin here, above all callers' sessions.
 const FIRST_GUEST: u64 = 1 << 40;
 
@@ -118,6 +121,20 @@
         }
     }
 
+    /// Asks a holder for a sign of life, which is lost now and then.
+    pub(crate) fn ask_holder(&mut self, node: usize, life: u64, holder: NodeId) {
+        let place = usize::try_from(holder.0).unwrap_or(0);
+        let event = if self.nodes[place].is_running {
+            Event::HolderHeard(holder)
+        } else {
+            Event::HolderUnreachable(holder)
+        };
+        if self.random.random_range(0..SIGNS_LOST_ONE_IN) > 0 {
+            let sign = Happening::Engine(node, life, Box::new(event));
+            self.queue.plan(FAR_DELAY * 2, sign);
+        }
+    }
+
     fn close_guest(&mut self, own: SessionId, holder: NodeLife, delay: Duration) {
         self.guests.by_own.remove(&own);
         let closed = Event::SessionClosed { session: own };
--- a/crates/stairward-simulation/src/world_nodes.rs
+++ b/crates/stairward-simulation/src/world_nodes.rs
@@ -70,7 +70,9 @@
             Effect::AcceptSession { .. }
             | Effect::Record(_)
             | Effect::Measured(_)
+            | Effect::HolderObserved { .. }
             | Effect::Stopped => {}
+            Effect::AskHolder { holder } => self.ask_holder(index, life, holder),
             Effect::Forward {
                 holder,
                 session,
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -74,6 +74,10 @@
     PeerLost = 301, Warn;
     /// Another node failed to prove that it belongs to this cluster.
     PeerRefused = 302, Warn;
+    /// A node that owes answers to forwarded statements gives no sign of life; others get what may be sent again.
+    HolderSilent = 303, Warn;
+    /// A silent node gave a sign of life again.
+    HolderHeard = 304, Info;
 
     /// This node has become owner of a back end.
     OwnershipTaken = 400, Info;
