A read asks for no more of the log than its staleness demands

Cause: the floor of a bounded or own read was the newest proved position of the leader, which under writes is a few milliseconds old, while reads may be 1.5 to 2.5 s old. A proof of a later term ends all earlier ones. A new test fails first (the floor was the newer position). Ruled out: too few connections (refusals were the databases' own, 'shed'); the hold before a refusal.

--- a/crates/stairward-engine/src/group.rs
+++ b/crates/stairward-engine/src/group.rs
@@ -5,23 +5,15 @@
 
 use stairward_types::{BackendId, Freshness, Revision, Term, Time};
 
-/// A position that the leader was proved to have had.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Proof {
-    /// The position.
-    pub freshness: Freshness,
-    /// When the question was sent that the leader answered with it. Every commit acknowledged before
-    /// this moment lies at or before the position.
-    pub asked_at: Time,
-}
+use crate::proofs::{Proof, Proofs};
 
 /// A service's back ends together.
 #[derive(Debug, Default)]
 pub(crate) struct Group {
     /// Its back ends.
     pub members: BTreeSet<BackendId>,
-    /// The newest proof of the leader's position.
-    pub proof: Option<Proof>,
+    /// Proofs of the leader's position.
+    pub proofs: Proofs,
     /// The newest term seen in any answer.
     pub newest_term: Term,
     /// Back ends that said they don't lead, with the revision of the description that they denied.
@@ -33,20 +25,15 @@
 }
 
 impl Group {
-    /// Takes a proof in, unless a newer one is known.
+    /// Takes a proof in.
     pub fn prove(&mut self, proof: Proof) {
         self.newest_term = self.newest_term.max(proof.freshness.term);
-        let is_newer = self.proof.is_none_or(|known| {
-            let known_key = (known.freshness.term, known.asked_at);
-            (proof.freshness.term, proof.asked_at) > known_key
-        });
-        if is_newer {
-            self.proof = Some(proof);
-        }
+        self.proofs.take(proof);
     }
 
     /// What a log must hold for a read that may miss commits acknowledged less than `staleness` before
-    /// `start`, and none up to `own`. None when it is not known freshly enough.
+    /// `start`, and none up to `own`. None when it is not known freshly enough. Of the proofs young enough the
+    /// oldest counts, so that copies that lag less than the staleness may answer.
     ///
     /// A floor of an earlier term than the proof's may name a position that was rolled back; the
     /// leader's position in the later term covers all of it that was kept.
@@ -56,9 +43,8 @@
         staleness: Duration,
         own: Option<Freshness>,
     ) -> Option<Freshness> {
-        let proof = self
-            .proof
-            .filter(|proof| proof.asked_at + staleness >= start)?;
+        let oldest_allowed = start.since(Time::ZERO + staleness);
+        let proof = self.proofs.oldest_since(Time::ZERO + oldest_allowed)?;
         let Some(own) = own else {
             return Some(proof.freshness);
         };
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -17,6 +17,7 @@
 mod lost_connections;
 mod node_count;
 mod probes;
+mod proofs;
 mod relay;
 mod replies;
 mod reply;
--- a/crates/stairward-engine/src/probes.rs
+++ b/crates/stairward-engine/src/probes.rs
@@ -9,7 +9,7 @@
 use crate::connection::User;
 use crate::engine::Engine;
 use crate::event::{BackendCommand, Effect};
-use crate::group::Proof;
+use crate::proofs::Proof;
 
 /// The part of the allowed staleness after which a proof is renewed ahead of need, in percent.
 const RENEWAL_AGE_PERCENT: u32 = 40;
@@ -32,7 +32,7 @@
             return;
         };
         let renewal_age = staleness * RENEWAL_AGE_PERCENT / 100;
-        let is_fresh = group.proof.is_some_and(|proof| {
+        let is_fresh = group.proofs.newest().is_some_and(|proof| {
             now.since(proof.asked_at) < renewal_age && proof.freshness.term >= group.newest_term
         });
         if is_fresh {
@@ -91,7 +91,7 @@
         now: Time,
         service: &ServiceName,
     ) -> Option<(Freshness, Duration)> {
-        let proof = self.groups.get(service)?.proof?;
+        let proof = self.groups.get(service)?.proofs.newest()?;
         Some((proof.freshness, now.since(proof.asked_at)))
     }
 
--- a/crates/stairward-engine/src/requests.rs
+++ b/crates/stairward-engine/src/requests.rs
@@ -260,7 +260,10 @@
             return;
         };
         let service = &request.route.service;
-        let proof = self.groups.get(service).and_then(|group| group.proof);
+        let proof = self
+            .groups
+            .get(service)
+            .and_then(|group| group.proofs.newest());
         let record = RequestRecord {
             id: request.statement.id.clone(),
             service: Some(service.clone()),
--- a/crates/stairward-engine/tests/reads.rs
+++ b/crates/stairward-engine/tests/reads.rs
@@ -63,6 +63,39 @@
     );
 }
 
+/// A copy that lags less than the allowed staleness could serve no read while writes went on.
+#[test]
+fn a_read_asks_for_no_more_of_the_log_than_its_staleness_demands() {
+    let mut world = World::new();
+    world.prove(at(1, 7));
+    world.pass(STALENESS / 2);
+    world.prove(at(1, 9));
+    let session = world.open(BOUNDED);
+    world.say(session, StatementKind::Read);
+    assert_eq!(floor(&world.sent[0].command), Some(at(1, 7)));
+    world.answer(done(IDLE, at(1, 7)));
+    world.response();
+    world.pass(STALENESS / 2 + Duration::from_millis(1));
+    world.say(session, StatementKind::Read);
+    let read = world.sent.iter().find(|sent| is_run(&sent.command));
+    assert_eq!(floor(&read.unwrap().command), Some(at(1, 9)));
+}
+
+#[test]
+fn a_position_of_a_lost_term_is_no_floor_however_young() {
+    let mut world = World::new();
+    world.prove(at(1, 90));
+    world.pass(STALENESS / 4);
+    let mut backends = usual_backends();
+    backends[0] = describe(PRIMARY, BackendRole::Replica, 10);
+    backends[1] = describe(NEAR_REPLICA, BackendRole::Primary, 11);
+    world.tell(Event::Backends(backends));
+    world.prove(at(2, 80));
+    let session = world.open(BOUNDED);
+    world.say(session, StatementKind::Read);
+    assert_eq!(floor(&world.sent[0].command), Some(at(2, 80)));
+}
+
 #[test]
 fn without_a_proof_the_read_is_refused_as_not_run() {
     let mut world = World::new();
