--- a/crates/stairward-failover/src/event.rs
+++ b/crates/stairward-failover/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use stairward_types::{BackendId, BackendRole, Freshness, ServiceName};
+use stairward_types::{BackendId, BackendRole, Freshness, Revision, ServiceName};
 
 /// The version of the duty's record in the store; 0 where there is none yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
@@ -45,6 +45,19 @@
     pub revision: u64,
 }
 
+impl MemberState {
+    /// A member that discovery lists.
+    #[must_use]
+    pub const fn listed(role: BackendRole, is_leaving: bool, revision: Revision) -> Self {
+        Self {
+            role,
+            is_leaving,
+            is_listed: true,
+            revision: revision.0,
+        }
+    }
+}
+
 /// A service's members.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct GroupState {
--- a/crates/stairward-runtime/src/duty.rs
+++ b/crates/stairward-runtime/src/duty.rs
@@ -126,12 +126,8 @@
             let Some(group) = groups.get_mut(&description.service) else {
                 continue;
             };
-            let member = MemberState {
-                role: description.role,
-                is_leaving: description.is_leaving,
-                is_listed: true,
-                revision: description.revision.0,
-            };
+            let (role, is_leaving) = (description.role, description.is_leaving);
+            let member = MemberState::listed(role, is_leaving, description.revision);
             group.members.insert(description.id.clone(), member);
         }
         self.leader_memory.borrow_mut().keep_missing(&mut groups);
--- a/crates/stairward-runtime/src/feeds.rs
+++ b/crates/stairward-runtime/src/feeds.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::compression::{compress, decompress};
-use crate::neighbours::frame;
+use crate::neighbour_link::frame;
 use crate::node::Node;
 use crate::socket::Outgoing;
 use crate::wire::Wire;
--- a/crates/stairward-runtime/src/neighbours.rs
+++ b/crates/stairward-runtime/src/neighbours.rs
@@ -2,7 +2,6 @@
 //! can't read the store or leaves that to others.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,26 +9,19 @@
 use rand::seq::IndexedRandom as _;
 use stairward_engine::{Event, Forwarded, Response, SessionId};
 use stairward_protocol::neighbour::NeighbourMessage;
-use stairward_protocol::{OptionalFreshness, Text, decode_frame, encode_frame};
+use stairward_protocol::{OptionalFreshness, Text};
 use stairward_types::{Freshness, LogEvent, NodeId, ServiceName, Time};
-use tokio::io::AsyncReadExt as _;
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::compression::{compress, decompress};
+use crate::compression::compress;
+use crate::neighbour_link::{MessageReader, connect, frame};
 use crate::neighbour_messages::{answer_message, forwarded_of, response_of, statement_message};
 use crate::node::Node;
 use crate::socket::Outgoing;
 use crate::wire::Wire;
 
-/// How long a link may take to be made.
-const LINK_PATIENCE: Duration = Duration::from_millis(500);
-/// How long a peer may take to answer with a document.
-const DOCUMENT_PATIENCE: Duration = Duration::from_millis(800);
 /// Peers asked at once for a position.
 const PEERS_ASKED: usize = 2;
-/// Room made for reading at once.
-const READ_SIZE: usize = 8 * 1024;
 /// Pause after a link could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -56,72 +48,6 @@
     last_link: u64,
 }
 
-/// A connection from or to another node, read message by message.
-struct MessageReader {
-    reading: OwnedReadHalf,
-    buffer: BytesMut,
-}
-
-impl MessageReader {
-    /// The next message; none when the connection has ended or breaks the protocol.
-    async fn next(&mut self) -> Option<NeighbourMessage> {
-        loop {
-            if let Some(message) = decode_frame(&mut self.buffer).ok()? {
-                return Some(message);
-            }
-            self.buffer.reserve(READ_SIZE);
-            if self.reading.read_buf(&mut self.buffer).await.ok()? == 0 {
-                return None;
-            }
-        }
-    }
-}
-
-pub(crate) fn frame(message: &NeighbourMessage) -> BytesMut {
-    let mut bytes = BytesMut::new();
-    // Only a message over the limit can't be encoded, and none is made that long.
-    let _ = encode_frame(message, &mut bytes);
-    bytes
-}
-
-async fn connect(address: SocketAddr) -> Option<(MessageReader, Rc<Outgoing>)> {
-    let connecting = TcpStream::connect(address);
-    let stream = tokio::time::timeout(LINK_PATIENCE, connecting)
-        .await
-        .ok()?
-        .ok()?;
-    let (reading, outgoing) = Outgoing::split(stream);
-    let reader = MessageReader {
-        reading,
-        buffer: BytesMut::new(),
-    };
-    Some((reader, outgoing))
-}
-
-/// Asks peers, one after the other, for a document that the store holds.
-pub async fn ask_for_document(peers: &[SocketAddr], name: &str) -> Option<Vec<u8>> {
-    for peer in peers {
-        let asking = async {
-            let (mut reader, outgoing) = connect(*peer).await?;
-            let question = NeighbourMessage::AskDocument {
-                name: Text::new(name),
-            };
-            outgoing.send(&frame(&question)).ok()?;
-            match reader.next().await? {
-                NeighbourMessage::Document { content, .. } if !content.bytes.is_empty() => {
-                    decompress(&content.bytes)
-                }
-                _ => None,
-            }
-        };
-        let answer = tokio::time::timeout(DOCUMENT_PATIENCE, asking).await;
-        if let Ok(Some(content)) = answer {
-            return Some(content);
-        }
-    }
-    None
-}
-
 impl<W: Wire> Node<W> {
     /// Accepts links of other nodes. Runs for ever.
     pub async fn accept_neighbours(self: Rc<Self>, listener: TcpListener) {
@@ -145,10 +71,7 @@
             guests.last_link
         };
         let (reading, outgoing) = Outgoing::split(stream);
-        let mut reader = MessageReader {
-            reading,
-            buffer: BytesMut::new(),
-        };
+        let mut reader = MessageReader::new(reading);
         while let Some(message) = reader.next().await {
             match message {
                 NeighbourMessage::AskDocument { name } => {
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -87,12 +87,8 @@
             ..GroupState::default()
         };
         for description in list {
-            let member = MemberState {
-                role: description.role,
-                is_leaving: description.is_leaving,
-                is_listed: true,
-                revision: description.revision.0,
-            };
+            let (role, is_leaving) = (description.role, description.is_leaving);
+            let member = MemberState::listed(role, is_leaving, description.revision);
             group.members.insert(description.id.clone(), member);
         }
         let mut groups = BTreeMap::from([(service(), group)]);
