--- a/crates/stairward-membership/src/feed/follower.rs
+++ b/crates/stairward-membership/src/feed/follower.rs
@@ -27,7 +27,8 @@
 #[derive(Debug, Clone)]
 pub struct Feed {
     parameters: FeedParameters,
-    members: Vec<PeerPlace>,
+    /// The watchers that this node follows when it needs to.
+    wanted_sources: Vec<NodeId>,
     is_watcher: bool,
     is_reading: bool,
     /// The revision held; none before the first content.
@@ -46,7 +47,7 @@
     pub fn new(parameters: FeedParameters) -> Self {
         Self {
             parameters,
-            members: Vec::new(),
+            wanted_sources: Vec::new(),
             is_watcher: true,
             is_reading: false,
             at: None,
@@ -61,7 +62,7 @@
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
         match event {
-            Event::Members(members) => self.members_changed(members),
+            Event::Members(members) => self.members_changed(&members),
             Event::StoreAnswered { at, content } => {
                 self.store_answered(now, at, content, &mut effects);
             }
@@ -115,10 +116,11 @@
         self.is_watcher
     }
 
-    fn members_changed(&mut self, members: Vec<PeerPlace>) {
-        self.members = members;
-        let watchers = ranking::watchers(&self.parameters.region, &self.members);
-        self.is_watcher = watchers.is_empty() || watchers.contains(&self.parameters.node);
+    fn members_changed(&mut self, members: &[PeerPlace]) {
+        let (node, region) = (self.parameters.node, &self.parameters.region);
+        let watchers = ranking::watchers(region, members);
+        self.is_watcher = watchers.is_empty() || watchers.contains(&node);
+        self.wanted_sources = ranking::sources(node, region, members);
     }
 
     fn store_answered(
@@ -211,7 +213,7 @@
         let wanted = if self.is_watcher && is_fresh(now, self.confirmed_by_store, follows_after) {
             Vec::new()
         } else {
-            ranking::sources(self.parameters.node, &self.parameters.region, &self.members)
+            self.wanted_sources.clone()
         };
         let unwanted: Vec<_> = self
             .sources
