--- a/crates/stairward-runtime/src/feeds.rs
+++ b/crates/stairward-runtime/src/feeds.rs
@@ -1,6 +1,6 @@
 //! Driving the feeds: the store's objects by kind, read here or heard from watchers among the nodes.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +18,9 @@
 use crate::socket::Outgoing;
 use crate::wire::Wire;
 
+/// Shortest pause between two showings of a feed's objects: in a fleet that starts, hundreds change one by one.
+/// A change after a quiet time is shown at once.
+pub const SHOW_PAUSE: Duration = Duration::from_millis(100);
 /// How often deadlines are looked at when none is known.
 const IDLE_PAUSE: Duration = Duration::from_secs(1);
 
@@ -25,6 +28,8 @@
 pub trait FeedObjects {
     /// Replaces all objects, or changes some.
     fn take(&self, content: &FeedContent);
+    /// Acts on the objects as they are. Called after `take`, once for all that came within [`SHOW_PAUSE`].
+    fn show(&self);
     /// All objects; empty while there are none.
     fn whole(&self) -> Vec<u8>;
 }
@@ -34,6 +39,8 @@
     feed: RefCell<Feed>,
     objects: Rc<dyn FeedObjects>,
     reading: watch::Sender<bool>,
+    /// When the objects were last shown, or will be.
+    shown_at: Cell<Option<Time>>,
 }
 
 /// The feeds of a node, and the links over which other nodes follow them.
@@ -94,6 +101,7 @@
             feed: RefCell::new(Feed::new(parameters)),
             objects,
             reading,
+            shown_at: Cell::new(None),
         });
         self.feeds.by_name.borrow_mut().insert(name, feed);
         self.feed_event(name, Event::Tick);
@@ -109,6 +117,7 @@
     pub fn take_word_of_peer(&self, name: &str, content: Vec<u8>) {
         if let Some(feed) = self.feeds.get(name) {
             feed.objects.take(&FeedContent::Whole(content));
+            feed.objects.show();
         }
     }
 
@@ -220,7 +229,29 @@
         }
     }
 
-    fn carry_out_feed(self: &Rc<Self>, name: &str, open: &OpenFeed, effect: Effect) {
+    /// Shows a feed's objects at once, or with what else comes until the pause is over.
+    fn show(&self, open: &Rc<OpenFeed>) {
+        let now = self.now();
+        match open.shown_at.get() {
+            // It waits already.
+            Some(at) if at > now => {}
+            Some(at) if now.since(at) < SHOW_PAUSE => {
+                let due = at + SHOW_PAUSE;
+                open.shown_at.set(Some(due));
+                let open = Rc::clone(open);
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(due.since(now)).await;
+                    open.objects.show();
+                });
+            }
+            _ => {
+                open.shown_at.set(Some(now));
+                open.objects.show();
+            }
+        }
+    }
+
+    fn carry_out_feed(self: &Rc<Self>, name: &str, open: &Rc<OpenFeed>, effect: Effect) {
         match effect {
             Effect::Read(is_reading) => {
                 let event = if is_reading {
@@ -244,7 +275,10 @@
                     self.tell_neighbour(source, &NeighbourMessage::UnfollowFeed { name });
                 }
             }
-            Effect::Take(content) => open.objects.take(&content),
+            Effect::Take(content) => {
+                open.objects.take(&content);
+                self.show(open);
+            }
             Effect::Tell {
                 followers,
                 at,
