Simulation: a lost link loses its guests, and a holder that does not run is silent

Traced by printing what was forwarded and answered: a node had planned the word that its holder was gone; the holder came back in a new life; a write forwarded to it meanwhile ran, the late word then ended that write at its sender but not at the holder, and all later answers were one off. Real links can't do that: when one ends, both sides close what went over it (close_guests_of). Change: the word closes the guests of that link, as a link does; a holder that doesn't run gives no sign of life (it was said to be unreachable, with what was forwarded unsent, which the simulation can't know).

--- a/crates/stairward-simulation/src/guests.rs
+++ b/crates/stairward-simulation/src/guests.rs
@@ -56,8 +56,9 @@
         let place = usize::try_from(holder.0).unwrap_or(0);
         let holder_life = self.nodes[place].life;
         if !self.nodes[place].is_running {
-            let lost = Happening::Engine(node, life, Box::new(Event::HolderLost(holder)));
-            return self.queue.plan(FAR_DELAY, lost);
+            return self
+                .queue
+                .plan(FAR_DELAY, Happening::LinkLost(node, life, holder));
         }
         let origin = Origin {
             node: (node, life),
@@ -124,17 +125,25 @@
     /// Asks a holder for a sign of life, which is lost now and then.
     pub(crate) fn ask_holder(&mut self, node: usize, life: u64, holder: NodeId) {
         let place = usize::try_from(holder.0).unwrap_or(0);
-        let event = if self.nodes[place].is_running {
-            Event::HolderHeard(holder)
-        } else {
-            Event::HolderUnreachable(holder)
-        };
-        if self.random.random_range(0..SIGNS_LOST_ONE_IN) > 0 {
+        // One that does not run is silent; that its connection has ended is told by `links_lost`.
+        if self.nodes[place].is_running && self.random.random_range(0..SIGNS_LOST_ONE_IN) > 0 {
+            let event = Event::HolderHeard(holder);
             let sign = Happening::Engine(node, life, Box::new(event));
             self.queue.plan(FAR_DELAY * 2, sign);
         }
     }
 
+    fn close_guests(&mut self, is_lost: impl Fn(&(NodeLife, Origin)) -> bool) {
+        let keys = self.guests.by_origin.keys().copied();
+        let lost: Vec<_> = keys.filter(is_lost).collect();
+        for key in lost {
+            if let Some(own) = self.guests.by_origin.remove(&key) {
+                let (holder, _) = key;
+                self.close_guest(own, holder, FAR_DELAY);
+            }
+        }
+    }
+
     fn close_guest(&mut self, own: SessionId, holder: NodeLife, delay: Duration) {
         self.guests.by_own.remove(&own);
         let closed = Event::SessionClosed { session: own };
@@ -142,24 +151,26 @@
         self.queue.plan(delay, closed);
     }
 
+    /// A node finds that its link to another has ended: what it had forwarded there is undone, also what the other
+    /// one, back in a new life, took since.
+    pub(crate) fn link_lost(&mut self, node: usize, life: u64, holder: NodeId) {
+        let place = usize::try_from(holder.0).unwrap_or(0);
+        self.close_guests(|(held_by, origin)| held_by.0 == place && origin.node == (node, life));
+        if self.is_running(node, life) {
+            self.tell_engine(node, life, Event::HolderLost(holder));
+        }
+    }
+
     /// A node's process has ended: its guests are lost, and what it had forwarded is undone.
     pub(crate) fn links_lost(&mut self, node: usize, life: u64) {
-        let lost = |(holder, origin): &(NodeLife, Origin)| {
+        self.close_guests(|(holder, origin)| {
             *holder == (node, life) || origin.node == (node, life)
-        };
-        let keys: Vec<_> = self.guests.by_origin.keys().copied().filter(lost).collect();
-        for key in keys {
-            let Some(own) = self.guests.by_origin.remove(&key) else {
-                continue;
-            };
-            let (holder, _) = key;
-            self.close_guest(own, holder, FAR_DELAY);
-        }
+        });
         let gone = NodeId(u64::try_from(node).unwrap_or(0));
         for other in 0..self.nodes.len() {
             let other_life = self.nodes[other].life;
-            let event = Happening::Engine(other, other_life, Box::new(Event::HolderLost(gone)));
-            self.queue.plan(FAR_DELAY, event);
+            let lost = Happening::LinkLost(other, other_life, gone);
+            self.queue.plan(FAR_DELAY, lost);
         }
     }
 }
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -7,7 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use stairward_engine::{BackendCommand, ConnectionId, Event, Response};
 use stairward_failover::{Event as DutyEvent, RecordVersion};
-use stairward_types::{BackendId, Time};
+use stairward_types::{BackendId, NodeId, Time};
 
 use crate::callers::Caller;
 use crate::checker::{Checker, Invariant, Violation};
@@ -69,6 +69,8 @@
     RecordAt(usize, u64, RecordVersion, stairward_failover::DutyRecord),
     AwaitReplicas(Link, crate::database::Entry, Duration, Box<Happening>),
     AskPeerAt(usize, u64, usize, Time),
+    /// A node finds that its link to another has ended.
+    LinkLost(usize, u64, NodeId),
     AskAt(usize, u64, BackendId, Question),
     PromoteAt(
         usize,
@@ -266,6 +268,7 @@
             Happening::AskPeerAt(node, life, peer, asked_at) => {
                 self.ask_peer_at(node, life, peer, asked_at);
             }
+            Happening::LinkLost(node, life, holder) => self.link_lost(node, life, holder),
             Happening::AskAt(node, life, backend, question) => {
                 self.ask_at(node, life, &backend, question);
             }
