A few nodes try to take the failover duty at once, more the longer none has

Change: by hash three nodes, on average, try at once, and twice as many with each 200 ms; up to three nodes all try at once as before. A new test: of 400 nodes one to eight at once, all within 2 s.

--- a/crates/stairward-failover/src/duty.rs
+++ b/crates/stairward-failover/src/duty.rs
@@ -11,6 +11,7 @@
 };
 use crate::evidence::EvidenceLedger;
 use crate::options::FailoverOptions;
+use crate::turn::turn;
 
 /// Why a primary is to be replaced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,6 +52,8 @@
     /// The service whose claim is being written.
     writing: Option<ServiceName>,
     attempts: BTreeMap<ServiceName, Attempt>,
+    /// Since when there has been a reason to replace a primary.
+    triggered_since: BTreeMap<ServiceName, Time>,
     /// No new attempt begins before this.
     pauses: BTreeMap<ServiceName, Time>,
     /// Since when a primary has been missing or leading nobody.
@@ -72,6 +75,7 @@
             record_learnt: Time::ZERO,
             writing: None,
             attempts: BTreeMap::new(),
+            triggered_since: BTreeMap::new(),
             pauses: BTreeMap::new(),
             missing_since: BTreeMap::new(),
             effects: Vec::new(),
@@ -222,8 +226,13 @@
             return;
         }
         let Some(trigger) = self.trigger(now, service) else {
+            self.triggered_since.remove(service);
             return;
         };
+        let since = *self.triggered_since.entry(service.clone()).or_insert(now);
+        if now < since + turn(&self.options.node, service, self.nodes) {
+            return;
+        }
         if self.is_held_by_another(now) || self.version.is_none() {
             return;
         }
--- a/crates/stairward-failover/src/lib.rs
+++ b/crates/stairward-failover/src/lib.rs
@@ -13,6 +13,7 @@
 mod evidence;
 mod leader_memory;
 mod options;
+mod turn;
 
 pub use duty::FailoverDuty;
 pub use event::{
--- a/crates/stairward-failover/tests/duty.rs
+++ b/crates/stairward-failover/tests/duty.rs
@@ -412,3 +412,31 @@
     node.pass(400);
     assert_eq!(node.promotions(), [(backend(OLD), FencingToken(9))]);
 }
+
+/// In a fleet all nodes wrote the record at once, and all but one were refused.
+#[test]
+fn few_of_many_nodes_try_at_once_and_more_with_time() {
+    let tries_after = |milliseconds: u64| {
+        let tries = (0..400).filter(|number| {
+            let mut node = Node::new(&format!("node-{number}"));
+            node.tell(Event::Nodes(400));
+            node.tell(Event::Evidence(backend(OLD), LeaderEvidence::Refused));
+            let end = node.now + Duration::from_millis(milliseconds);
+            while node.now < end {
+                node.now = node.now + Duration::from_millis(50);
+                node.tell(Event::Tick);
+            }
+            let wrote = |effect: &Effect| matches!(effect, Effect::WriteRecord(..));
+            node.effects.iter().any(wrote)
+        });
+        tries.count()
+    };
+    assert!((1..=8).contains(&tries_after(0)), "{}", tries_after(0));
+    let soon = tries_after(500);
+    assert!((4..=30).contains(&soon), "{soon}");
+    assert_eq!(
+        tries_after(2_000),
+        400,
+        "if nobody gets it, everybody tries"
+    );
+}
