--- a/crates/stairward-engine/src/choice.rs
+++ b/crates/stairward-engine/src/choice.rs
@@ -182,7 +182,7 @@
 
     /// Opens a connection to a back end if its limits allow.
     pub(crate) fn open_connection(&mut self, now: Time, id: &BackendId) {
-        let Some(backend) = self.backends.get(id).filter(|_| self.nodes.is_known()) else {
+        let Some(backend) = self.backends.get(id) else {
             return;
         };
         let service = backend.description.service.clone();
--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -110,10 +110,10 @@
         self.timers.next()
     }
 
-    /// Whether sessions can be served: a configuration and the number of nodes are known and no stop is under way.
+    /// Whether sessions can be served: a configuration is known and no stop is under way.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.table.is_some() && self.nodes.is_known() && self.stop.is_none()
+        self.table.is_some() && self.stop.is_none()
     }
 
     /// The configuration in force.
@@ -152,7 +152,7 @@
             Event::ConnectionLost { connection } => self.connection_lost(now, connection),
             Event::Configured(table) => self.configure(now, table),
             Event::Backends(list) => self.take_backends(now, list),
-            Event::Nodes(nodes) => self.note_nodes(now, nodes),
+            Event::Nodes(nodes) => self.nodes.note(now, nodes),
             Event::Holders(holders) => self.set_holders(holders),
             Event::Forwarded { session, forwarded } => {
                 self.take_forwarded(now, session, *forwarded);
@@ -214,15 +214,6 @@
         });
     }
 
-    fn note_nodes(&mut self, now: Time, nodes: u32) {
-        let was_known = self.nodes.is_known();
-        self.nodes.note(now, nodes);
-        if !was_known {
-            self.changed.extend(self.groups.keys().cloned());
-            self.warm_up(now);
-        }
-    }
-
     fn configure(&mut self, now: Time, table: Arc<RoutingTable>) {
         let is_newer = self
             .table
--- a/crates/stairward-engine/src/node_count.rs
+++ b/crates/stairward-engine/src/node_count.rs
@@ -15,28 +15,19 @@
 #[derive(Debug)]
 pub(crate) struct NodeCount {
     seen: Vec<(Time, u32)>,
-    is_known: bool,
 }
 
 impl Default for NodeCount {
     fn default() -> Self {
         Self {
             seen: vec![(Time::ZERO, ASSUMED_AT_START)],
-            is_known: false,
         }
     }
 }
 
 impl NodeCount {
-    /// Whether the number has been told at all. Until then a node can't know whether it holds connections, and
-    /// opens none: a fleet that starts at once would fill every back end with connections that few nodes keep.
-    pub const fn is_known(&self) -> bool {
-        self.is_known
-    }
-
     /// Notes how many nodes there are at the moment.
     pub fn note(&mut self, now: Time, nodes: u32) {
-        self.is_known = true;
         self.seen.retain(|(at, _)| now.since(*at) < MEMORY);
         // A count is of no further use once a later one is as large.
         self.seen.retain(|(_, seen)| *seen > nodes);
--- a/crates/stairward-runtime/src/membership.rs
+++ b/crates/stairward-runtime/src/membership.rs
@@ -14,7 +14,7 @@
 };
 use stairward_protocol::ClusterKey;
 use stairward_protocol::datagram::MAXIMUM_DATAGRAM_BYTES;
-use stairward_types::{Incarnation, LogEvent, NodeId, RegionName, ServiceName, Time, ZoneName};
+use stairward_types::{Incarnation, LogEvent, NodeId, RegionName, ServiceName, ZoneName};
 use tokio::net::UdpSocket;
 
 use crate::node::Node;
@@ -27,46 +27,6 @@
 /// Pause between two tellings of the number of nodes, so that a larger one is forgotten in time.
 const COUNT_INTERVAL: Duration = Duration::from_secs(5);
 
-/// A node that has just started takes its view for whole when it has not changed for this long, or when
-/// [`LONGEST_SETTLING`] has passed.
-const SETTLED_AFTER: Duration = Duration::from_millis(150);
-const LONGEST_SETTLING: Duration = Duration::from_secs(1);
-
-/// When a node that has just started may act on its view.
-#[derive(Debug, Clone, Copy)]
-struct Settling {
-    started: Time,
-    changed: Time,
-    is_over: bool,
-}
-
-impl Settling {
-    const fn new(now: Time) -> Self {
-        Self {
-            started: now,
-            changed: now,
-            is_over: false,
-        }
-    }
-
-    /// When it is over, unless the view changes again.
-    fn ends(&self) -> Time {
-        (self.changed + SETTLED_AFTER).min(self.started + LONGEST_SETTLING)
-    }
-
-    /// How long until it is over; none when it is.
-    fn remaining(&self, now: Time) -> Option<Duration> {
-        (!self.is_over).then(|| self.ends().since(now))
-    }
-
-    /// Whether it ends at this moment.
-    fn ends_now(&mut self, now: Time) -> bool {
-        let ends = !self.is_over && now >= self.ends();
-        self.is_over |= ends;
-        ends
-    }
-}
-
 /// Who a node is among its peers.
 #[derive(Debug, Clone)]
 pub struct PeerIdentity {
@@ -112,15 +72,10 @@
         let mut swim = SwimMember::new(profile, &identity.seeds, config, now, &mut random);
         let mut buffer = [0; MAXIMUM_DATAGRAM_BYTES + 1];
         let mut told_count = now;
-        let mut settling = Settling::new(now);
         let mut has_announced = false;
         let mut has_changed = false;
         loop {
-            let now = self.now();
-            let pause = swim.next_deadline().since(now);
-            let pause = settling
-                .remaining(now)
-                .map_or(pause, |left| left.min(pause));
+            let pause = swim.next_deadline().since(self.now());
             let event = tokio::select! {
                 received = socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => match decode(&buffer[..length], &identity.key) {
@@ -144,17 +99,14 @@
                             let _ = socket.try_send_to(&bytes, to);
                         }
                     }
-                    Effect::ViewChanged => {
-                        has_changed = true;
-                        settling.changed = now;
-                    }
+                    Effect::ViewChanged => has_changed = true,
                     Effect::MemberChanged { node, change } => self.log_member(node, change),
                     Effect::PeerDigest { .. } | Effect::TermArrived(_) => {}
                 }
             }
             let since_told = now.since(told_count);
-            let is_due = settling.is_over && has_changed && since_told >= VIEW_INTERVAL;
-            if is_due || since_told >= COUNT_INTERVAL || settling.ends_now(now) {
+            let is_due = has_changed && since_told >= VIEW_INTERVAL;
+            if is_due || since_told >= COUNT_INTERVAL {
                 has_changed = false;
                 told_count = now;
                 self.set_members(swim.view().cloned().collect());
