A holder that is back is asked for a sign of life before it counts as silent

Cause, found on reading the change once more: the moment of the question to a holder outlived its lost connection and its settled requests, so that a holder in a new life was taken for silent 150 ms after the first statement, without being asked. Change: the question counts no longer when the holder's connection has ended or it owes nothing. A new test fails first (one question instead of two). Ruled out: an answer that was overlooked; every answer and sign of life clears the question.

--- a/crates/stairward-engine/src/holder_watch.rs
+++ b/crates/stairward-engine/src/holder_watch.rs
@@ -62,10 +62,11 @@
             return;
         };
         watch.owed.retain(|(_, owed)| *owed != session);
-        if watch.owed.is_empty()
-            && !watch.is_silent
-            && let Some(at) = watch.timer_at.take()
-        {
+        if !watch.owed.is_empty() || watch.is_silent {
+            return;
+        }
+        watch.asked_at = None;
+        if let Some(at) = watch.timer_at.take() {
             self.timers.cancel(at, Timer::Holder(holder));
         }
     }
@@ -74,6 +75,7 @@
     pub(crate) fn forget_owed(&mut self, holder: NodeId) {
         if let Some(watch) = self.holder_watches.get_mut(&holder) {
             watch.owed.clear();
+            watch.asked_at = None;
         }
     }
 
--- a/crates/stairward-engine/tests/relays.rs
+++ b/crates/stairward-engine/tests/relays.rs
@@ -434,3 +434,21 @@
         "the first is silent"
     );
 }
+
+/// The question to a holder's earlier life counted against its next one, which was never asked.
+#[test]
+fn a_holder_that_is_back_is_asked_before_it_counts_as_silent() {
+    let mut world = edge();
+    let reader = world.open(LEADER_READS);
+    world.say(reader, StatementKind::Write);
+    world.pass(Duration::from_millis(200));
+    assert_eq!(world.asked_holders, [FIRST]);
+    world.tell(Event::HolderLost(FIRST));
+    world.refusal();
+    world.pass(Duration::from_secs(2));
+    let (asked, forwarded) = (world.asked_holders.len(), world.forwarded.len());
+    world.say(reader, StatementKind::Read);
+    world.pass(Duration::from_millis(160));
+    assert_eq!(world.asked_holders.len(), asked + 1);
+    assert_eq!(world.forwarded.len(), forwarded + 1, "it keeps its work");
+}
