--- a/crates/stairward-engine/src/backend.rs
+++ b/crates/stairward-engine/src/backend.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use stairward_types::{Freshness, Time};
+use stairward_types::{Freshness, Term, Time};
 
 use crate::identifiers::ConnectionId;
 use crate::settings::{BackendDescription, ZoneDistance};
@@ -50,6 +50,8 @@
     pub answered_at: Option<Time>,
     /// How far its log had come when it last answered.
     pub position: Option<Freshness>,
+    /// The newest term that it was seen to follow.
+    pub term: Term,
     /// No connection is opened before this.
     pub open_after: Time,
     lagging_until: Time,
@@ -70,6 +72,7 @@
             is_silent: false,
             answered_at: None,
             position: None,
+            term: Term::default(),
             open_after: Time::ZERO,
             lagging_until: Time::ZERO,
             busy_until: Time::ZERO,
@@ -160,8 +163,9 @@
     /// Notes that it answered. Returns whether it had been silent.
     pub fn answered(&mut self, now: Time, position: Option<Freshness>) -> bool {
         self.answered_at = Some(now);
-        if position.is_some() {
+        if let Some(known) = position {
             self.position = position;
+            self.term = self.term.max(known.term);
         }
         std::mem::take(&mut self.is_silent)
     }
--- a/crates/stairward-engine/src/choice.rs
+++ b/crates/stairward-engine/src/choice.rs
@@ -80,6 +80,10 @@
             .backends
             .get(&leader)
             .is_some_and(|leader| leader.is_silent);
+        self.keep_lead_confirmed(now, service, &leader);
+        if self.is_lead_revoked(service, &leader) {
+            return Choice::Wait(WaitReason::NoLeader);
+        }
         if is_silent {
             // What is sent there now would most likely end unknown. A probe shows when it is back.
             self.keep_proof_fresh(now, service, Duration::ZERO);
@@ -152,6 +156,18 @@
         now: Time,
         id: &BackendId,
         values: &BTreeMap<String, String>,
+    ) -> Option<ConnectionId> {
+        let best = self.best_idle_connection(id, values);
+        if best.is_none() {
+            self.open_connection(now, id);
+        }
+        best
+    }
+
+    fn best_idle_connection(
+        &self,
+        id: &BackendId,
+        values: &BTreeMap<String, String>,
     ) -> Option<ConnectionId> {
         let backend = self.backends.get(id)?;
         let idle = backend.connections.iter().filter_map(|connection| {
@@ -160,11 +176,7 @@
                 .is_idle()
                 .then(|| (state.setup_cost(values), *connection))
         });
-        let best = idle.min().map(|(_, connection)| connection);
-        if best.is_none() {
-            self.open_connection(now, id);
-        }
-        best
+        idle.min().map(|(_, connection)| connection)
     }
 
     fn is_opening_soon(&self, now: Time, id: &BackendId) -> bool {
--- /dev/null
+++ b/crates/stairward-engine/src/confirmation.rs
@@ -0,0 +1,556 @@
+//! Keeping the lead of each service confirmed by its replicas, and withholding what a leader answers until
+//! its lead is. [`crate::lead`] says what a replica's word proves.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use stairward_types::{BackendId, BackendRole, MemberStatus, ResultCode, ServiceName, Term, Time};
+
+use crate::connection::{SentStep, Step, User};
+use crate::engine::Engine;
+use crate::event::{BackendCommand, Effect, LeadChange};
+use crate::group::Group;
+use crate::identifiers::ConnectionId;
+use crate::lead::Word;
+use crate::reply::BackendReply;
+use crate::session::Need;
+use crate::timers::Timer;
+
+/// The part of the lease after which a confirmation is renewed.
+const RENEWAL_DIVISOR: u32 = 2;
+/// The part of the lease after which a question without an answer is asked elsewhere.
+const PATIENCE_DIVISOR: u32 = 5;
+/// The part of the lease after which a question that came to nothing is asked again.
+const RETRY_DIVISOR: u32 = 20;
+
+impl Engine {
+    /// Whether what a leader answers now may be believed.
+    pub(crate) fn is_lead_confirmed(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        leader: &BackendId,
+    ) -> bool {
+        let Some(lease) = self.options.leadership_lease else {
+            return true;
+        };
+        let (Some(group), Some(backend)) = (self.groups.get(service), self.backends.get(leader))
+        else {
+            return false;
+        };
+        let is_alone = || self.other_members(group, leader).is_empty();
+        backend.term >= group.newest_term
+            && (group.lead.is_confirmed(now, backend.term, lease) || is_alone())
+    }
+
+    /// Whether a later term than a leader's may have begun.
+    pub(crate) fn is_lead_revoked(&self, service: &ServiceName, leader: &BackendId) -> bool {
+        let (Some(group), Some(backend)) = (self.groups.get(service), self.backends.get(leader))
+        else {
+            return false;
+        };
+        let is_outdated = group.newest_term > backend.term;
+        self.options.leadership_lease.is_some()
+            && (is_outdated || group.lead.is_revoked(backend.term))
+    }
+
+    /// The members besides a leader that may be promoted. One that is no longer listed can't be, unless the
+    /// leader is not listed either: then discovery itself may be behind.
+    fn other_members(&self, group: &Group, leader: &BackendId) -> BTreeSet<BackendId> {
+        let is_listed =
+            |id: &BackendId| self.backends.get(id).is_some_and(|member| member.is_listed);
+        let is_any_allowed = !is_listed(leader);
+        let others = group.members.iter().filter(|id| *id != leader);
+        others
+            .filter(|id| is_any_allowed || is_listed(id))
+            .cloned()
+            .collect()
+    }
+
+    /// Asks replicas for their word when the last one grows old.
+    pub(crate) fn keep_lead_confirmed(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        leader: &BackendId,
+    ) {
+        let Some(lease) = self.options.leadership_lease else {
+            return;
+        };
+        let (Some(group), Some(backend)) = (self.groups.get(service), self.backends.get(leader))
+        else {
+            return;
+        };
+        if group
+            .lead
+            .is_confirmed(now, backend.term, lease / RENEWAL_DIVISOR)
+        {
+            return;
+        }
+        self.ask_leader_for_term(now, service, leader);
+        if !self.ask_source(now, service) {
+            self.ask_members(now, service, leader);
+        }
+    }
+
+    /// One that was just promoted may be known by its term as a replica only.
+    fn ask_leader_for_term(&mut self, now: Time, service: &ServiceName, leader: &BackendId) {
+        let (Some(lease), Some(group)) = (self.options.leadership_lease, self.groups.get(service))
+        else {
+            return;
+        };
+        let is_due = self.is_lead_revoked(service, leader)
+            && !group.lead.is_asking(now, leader, lease / PATIENCE_DIVISOR)
+            && !group.lead.has_word(now, leader, lease / RETRY_DIVISOR);
+        if is_due {
+            self.ask_member(now, service, leader);
+        }
+    }
+
+    /// Asks the node of the own region that knows most likely, where there is one; returns whether that may
+    /// be enough.
+    fn ask_source(&mut self, now: Time, service: &ServiceName) -> bool {
+        let (Some(lease), Some(source)) = (
+            self.options.leadership_lease,
+            self.lead_sources.get(service).copied(),
+        ) else {
+            return false;
+        };
+        let Some(group) = self.groups.get_mut(service) else {
+            return false;
+        };
+        let pause = lease / RETRY_DIVISOR;
+        let may_be_enough =
+            group
+                .lead
+                .may_ask_source(now, lease / RENEWAL_DIVISOR, lease / PATIENCE_DIVISOR);
+        if may_be_enough && group.lead.ask_source(now, pause) {
+            let service = service.clone();
+            let holder = source;
+            self.effects.push(Effect::AskLead { holder, service });
+        }
+        if may_be_enough {
+            self.ask_again_soon(now, service);
+        }
+        may_be_enough
+    }
+
+    /// Another node of the region asks for what is known of a lead: it is kept known from now on.
+    pub(crate) fn lead_asked(&mut self, now: Time, service: &ServiceName) {
+        let Some(lease) = self.options.leadership_lease else {
+            return;
+        };
+        let Some(leader) = self.leader(now, service) else {
+            return;
+        };
+        let term = self
+            .backends
+            .get(&leader)
+            .map_or(Term::default(), |leader| leader.term);
+        let is_young = self.groups.get(service).is_some_and(|group| {
+            let age = lease / RENEWAL_DIVISOR;
+            group.lead.is_confirmed(now, term, age)
+        });
+        if !is_young {
+            self.ask_members(now, service, &leader);
+        }
+    }
+
+    /// Another node of the region said what it knows of a lead, from `age` before it was asked.
+    pub(crate) fn take_peer_lead(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        possible: Term,
+        asked_at: Time,
+        age: Duration,
+    ) {
+        if age > asked_at.since(Time::ZERO) {
+            // From before this node's clock began: it can't be dated here.
+            return;
+        }
+        if let Some(group) = self.groups.get_mut(service) {
+            group.lead.take_known(possible, asked_at - age);
+        }
+        self.lead_changed(now, service);
+    }
+
+    /// What is known of a service's lead: the newest term that may have begun, and how long ago that was
+    /// asked.
+    #[must_use]
+    pub fn known_lead(&self, now: Time, service: &ServiceName) -> Option<(Term, Duration)> {
+        let (possible, asked_at) = self.groups.get(service)?.lead.known()?;
+        Some((possible, now.since(asked_at)))
+    }
+
+    /// Asks the members of a group themselves.
+    fn ask_members(&mut self, now: Time, service: &ServiceName, leader: &BackendId) {
+        let Some(lease) = self.options.leadership_lease else {
+            return;
+        };
+        let (Some(group), Some(backend)) = (self.groups.get(service), self.backends.get(leader))
+        else {
+            return;
+        };
+        let (lead, term) = (&group.lead, backend.term);
+        let is_linked = lead.is_confirmed(now, term, lease);
+        if is_linked {
+            self.ask_one(now, service, leader);
+        } else {
+            self.ask_all(now, service, leader);
+        }
+    }
+
+    /// Asks the best of the other members, unless one is being asked.
+    fn ask_one(&mut self, now: Time, service: &ServiceName, leader: &BackendId) {
+        let Some(lease) = self.options.leadership_lease else {
+            return;
+        };
+        let others = self.others_by_cost(now, service, leader);
+        let Some(group) = self.groups.get(service) else {
+            return;
+        };
+        let patience = lease / PATIENCE_DIVISOR;
+        let is_awaited = |id: &BackendId| group.lead.is_awaited(now, id, patience);
+        if others.iter().any(is_awaited) {
+            return;
+        }
+        let due: Vec<_> = others
+            .into_iter()
+            .filter(|id| !group.lead.is_asking(now, id, patience))
+            .collect();
+        if !due.iter().any(|id| self.ask_member(now, service, id)) {
+            self.ask_again_soon(now, service);
+        }
+    }
+
+    /// Asks all other members whose words are not young.
+    fn ask_all(&mut self, now: Time, service: &ServiceName, leader: &BackendId) {
+        let Some(lease) = self.options.leadership_lease else {
+            return;
+        };
+        let mut is_any_missing = false;
+        for id in self.others_by_cost(now, service, leader) {
+            let Some(group) = self.groups.get(service) else {
+                return;
+            };
+            // While a later term is awaited, the next word may tell that it has begun, or never will.
+            let pause = lease / RETRY_DIVISOR;
+            let is_due = !group.lead.has_word(now, &id, pause)
+                && !group.lead.is_asking(now, &id, lease / PATIENCE_DIVISOR);
+            is_any_missing |= is_due && !self.ask_member(now, service, &id);
+        }
+        if is_any_missing {
+            self.ask_again_soon(now, service);
+        }
+    }
+
+    /// Asks a member for its status; returns whether there was a connection for it. One is opened if not.
+    fn ask_member(&mut self, now: Time, service: &ServiceName, id: &BackendId) -> bool {
+        let Some(connection) = self.connection_to(now, id, &BTreeMap::new()) else {
+            return false;
+        };
+        if let Some(group) = self.groups.get_mut(service) {
+            group.lead.ask(now, id);
+        }
+        self.use_connection(connection, User::Question);
+        self.send(now, connection, BackendCommand::AskStatus);
+        if let Some(lease) = self.options.leadership_lease {
+            let late = now + lease / PATIENCE_DIVISOR;
+            self.timers.set(late, Timer::Lead(service.clone()));
+        }
+        true
+    }
+
+    fn ask_again_soon(&mut self, now: Time, service: &ServiceName) {
+        if let Some(lease) = self.options.leadership_lease {
+            let soon = now + lease / RETRY_DIVISOR;
+            self.timers.set(soon, Timer::Lead(service.clone()));
+        }
+    }
+
+    /// The other members, best first: those that answer and owe no word, nearest first.
+    fn others_by_cost(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        leader: &BackendId,
+    ) -> Vec<BackendId> {
+        let Some(group) = self.groups.get(service) else {
+            return Vec::new();
+        };
+        let mut others: Vec<_> = self
+            .other_members(group, leader)
+            .into_iter()
+            .filter_map(|id| {
+                let backend = self.backends.get(&id)?;
+                let owes_word = group.lead.owes_word(&id);
+                Some((
+                    !backend.is_healthy(),
+                    owes_word,
+                    backend.cost(now, None),
+                    id,
+                ))
+            })
+            .collect();
+        others.sort();
+        others.into_iter().map(|(_, _, _, id)| id).collect()
+    }
+
+    /// A member that was asked for its status answered.
+    pub(crate) fn take_status_reply(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        sent_at: Time,
+        reply: &BackendReply,
+    ) {
+        let Some(connection) = self.connections.get(&id) else {
+            return;
+        };
+        let (backend, service) = (connection.backend.clone(), connection.service.clone());
+        match reply.member {
+            Some(status) => self.take_member_status(now, &service, &backend, sent_at, status),
+            None => {
+                if let Some(backend) = self.backends.get_mut(&backend) {
+                    backend.was_busy(now);
+                }
+                self.question_failed(now, &service, &backend);
+            }
+        }
+        self.free_connection(now, id);
+    }
+
+    fn take_member_status(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        id: &BackendId,
+        asked_at: Time,
+        status: MemberStatus,
+    ) {
+        if let Some(group) = self.groups.get_mut(service) {
+            group.newest_term = group.newest_term.max(status.term);
+        }
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.term = backend.term.max(status.term);
+        }
+        let word = Word {
+            awaited: status.awaited_term(),
+            asked_at,
+            can_be_held: status.role == BackendRole::Replica,
+        };
+        self.take_word(now, service, id, word);
+    }
+
+    /// A back end at whose address nothing listens can't have been promoted.
+    pub(crate) fn take_refusal(&mut self, now: Time, service: &ServiceName, id: &BackendId) {
+        let word = Word {
+            awaited: Term::default(),
+            asked_at: now,
+            can_be_held: false,
+        };
+        self.take_word(now, service, id, word);
+    }
+
+    fn take_word(&mut self, now: Time, service: &ServiceName, id: &BackendId, word: Word) {
+        let Some(lease) = self.options.leadership_lease else {
+            return;
+        };
+        let leader = self.leader(now, service);
+        let Some(group) = self.groups.get(service) else {
+            return;
+        };
+        let others = leader
+            .as_ref()
+            .map(|leader| self.other_members(group, leader))
+            .unwrap_or_default();
+        if let Some(group) = self.groups.get_mut(service) {
+            group.lead.take(now, lease, id, word, &others);
+        }
+        self.lead_changed(now, service);
+    }
+
+    /// More is known of a lead.
+    fn lead_changed(&mut self, now: Time, service: &ServiceName) {
+        self.changed.insert(service.clone());
+        self.tell_lead(now, service);
+        self.review_withheld(now, service);
+    }
+
+    /// A question for a status came to nothing.
+    pub(crate) fn question_failed(&mut self, now: Time, service: &ServiceName, id: &BackendId) {
+        // The others are asked at the next chance, this one again once its question would be late.
+        if let Some(group) = self.groups.get_mut(service) {
+            group.lead.question_failed(now, id);
+        }
+        self.ask_again_soon(now, service);
+    }
+
+    /// It is time to ask again, if somebody waits for it.
+    pub(crate) fn lead_due(&mut self, now: Time, service: &ServiceName) {
+        self.review_withheld(now, service);
+        let is_withholding = !self.withheld(service).is_empty();
+        if is_withholding {
+            self.tell_lead(now, service);
+        }
+        let is_waited_for = is_withholding
+            || self
+                .waiting
+                .get(service)
+                .is_some_and(|queue| !queue.is_empty());
+        if let Some(leader) = self.leader(now, service)
+            && is_waited_for
+        {
+            self.keep_lead_confirmed(now, service, &leader);
+        }
+    }
+
+    /// Whether an answer to a command must wait until the lead of the one that gave it is confirmed.
+    fn must_withhold(
+        &self,
+        now: Time,
+        id: ConnectionId,
+        step: &Step,
+        reply: &BackendReply,
+    ) -> bool {
+        let Some(connection) = self.connections.get(&id) else {
+            return false;
+        };
+        let is_proof = match step {
+            Step::Begin { read_only } => !read_only,
+            Step::Statement => self.is_commit(id),
+            _ => false,
+        };
+        let has_user = connection.user != Some(User::Nobody);
+        is_proof
+            && has_user
+            && reply.result.is_ok()
+            && !self.is_lead_confirmed(now, &connection.service, &connection.backend)
+    }
+
+    /// Whether the statement on a connection, if it succeeds, keeps a write.
+    fn is_commit(&self, id: ConnectionId) -> bool {
+        let Some((session, request)) = self.request_on(id) else {
+            return false;
+        };
+        match request.need {
+            Need::Write => true,
+            Need::Commit => self
+                .sessions
+                .get(&session)
+                .is_some_and(|session| session.has_written()),
+            _ => false,
+        }
+    }
+
+    /// Withholds an answer that can't be believed yet; gives it back when it can.
+    pub(crate) fn withhold(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        sent: SentStep,
+        reply: BackendReply,
+    ) -> Option<(SentStep, BackendReply)> {
+        if !self.must_withhold(now, id, &sent.step, &reply) {
+            return Some((sent, reply));
+        }
+        let connection = self.connections.get_mut(&id)?;
+        let (service, leader) = (connection.service.clone(), connection.backend.clone());
+        connection.withheld = Some((sent, reply));
+        self.keep_lead_confirmed(now, &service, &leader);
+        self.ask_again_soon(now, &service);
+        None
+    }
+
+    fn withheld(&self, service: &ServiceName) -> Vec<ConnectionId> {
+        let Some(group) = self.groups.get(service) else {
+            return Vec::new();
+        };
+        let members = group.members.iter().filter_map(|id| self.backends.get(id));
+        let connections = members.flat_map(|backend| backend.connections.iter().copied());
+        let is_withholding = |id: &ConnectionId| {
+            let connection = self.connections.get(id);
+            connection.is_some_and(|connection| connection.withheld.is_some())
+        };
+        connections.filter(is_withholding).collect()
+    }
+
+    /// Lets go of withheld answers whose leader is confirmed, and ends those whose leader was replaced.
+    fn review_withheld(&mut self, now: Time, service: &ServiceName) {
+        for id in self.withheld(service) {
+            let Some(connection) = self.connections.get_mut(&id) else {
+                continue;
+            };
+            let leader = connection.backend.clone();
+            let is_abandoned = connection.user == Some(User::Nobody);
+            if is_abandoned || self.is_lead_confirmed(now, service, &leader) {
+                let connection = self.connections.get_mut(&id);
+                let withheld = connection.and_then(|connection| connection.withheld.take());
+                if let Some((sent, reply)) = withheld {
+                    self.believe_reply(now, id, sent, reply);
+                }
+            } else if self.is_replaced(service, &leader) {
+                self.disown(now, id);
+            }
+        }
+    }
+
+    /// Whether a later term than a leader's has begun.
+    fn is_replaced(&self, service: &ServiceName, leader: &BackendId) -> bool {
+        let (Some(group), Some(backend)) = (self.groups.get(service), self.backends.get(leader))
+        else {
+            return true;
+        };
+        group.newest_term > backend.term
+    }
+
+    /// The answer withheld on a connection is a replaced leader's: whether it is kept is not known.
+    fn disown(&mut self, now: Time, id: ConnectionId) {
+        if let Some((session, request)) = self.request_on(id) {
+            match request.need {
+                Need::Write => self.leave_unknown(now, session, ResultCode::FenceNotProved),
+                Need::Commit => self.lose_commit(now, session, ResultCode::FenceNotProved),
+                _ => {}
+            }
+        }
+        self.drop_connection(now, id);
+    }
+
+    /// Tells of a change in what is believed of a service's lead.
+    fn tell_lead(&mut self, now: Time, service: &ServiceName) {
+        let Some(lease) = self.options.leadership_lease else {
+            return;
+        };
+        let Some(leader) = self.leader(now, service) else {
+            return;
+        };
+        let (Some(group), Some(backend)) =
+            (self.groups.get_mut(service), self.backends.get(&leader))
+        else {
+            return;
+        };
+        let was_told = group.lead.told;
+        let change = if group.lead.is_revoked(backend.term) {
+            LeadChange::Revoked
+        } else if group.lead.is_confirmed(now, backend.term, lease) {
+            LeadChange::Confirmed
+        } else {
+            LeadChange::Lapsed
+        };
+        group.lead.told = Some(change);
+        let is_usual = was_told.is_none() && change == LeadChange::Confirmed;
+        if was_told == Some(change) || is_usual {
+            return;
+        }
+        let known = group.lead.known();
+        self.effects.push(Effect::LeadObserved {
+            service: service.clone(),
+            leader,
+            change,
+            term: backend.term,
+            awaited: known.map(|(possible, _)| possible),
+            age: known.map(|(_, asked_at)| now.since(asked_at)),
+        });
+    }
+}
--- a/crates/stairward-engine/src/connection.rs
+++ b/crates/stairward-engine/src/connection.rs
@@ -6,6 +6,7 @@
 
 use crate::event::BackendCommand;
 use crate::identifiers::{RequestNumber, SessionId};
+use crate::reply::BackendReply;
 use crate::statement::PreparedStatement;
 
 /// Who uses a connection.
@@ -15,6 +16,8 @@
     Session(SessionId, RequestNumber),
     /// The engine, to learn the leader's position.
     Probe,
+    /// The engine, to learn what the back end says of itself.
+    Question,
     /// Nobody any more: what was sent is waited for and its answer dropped.
     Nobody,
 }
@@ -28,6 +31,7 @@
     Begin { read_only: bool },
     Rollback,
     Statement,
+    Status,
 }
 
 /// A command without an answer yet.
@@ -50,6 +54,8 @@
     pub prepared: BTreeSet<PreparedStatement>,
     /// Commands without an answer, oldest first.
     pub sent: VecDeque<SentStep>,
+    /// An answer that can't be believed before its leader is confirmed, and what it answers.
+    pub withheld: Option<(SentStep, BackendReply)>,
     /// Who uses it; none while it is idle.
     pub user: Option<User>,
     /// Whether a transaction is open on it.
@@ -71,6 +77,7 @@
             values: BTreeMap::new(),
             prepared: BTreeSet::new(),
             sent: VecDeque::new(),
+            withheld: None,
             user: None,
             in_transaction: false,
             is_leader_transaction: false,
@@ -142,7 +149,7 @@
             Step::Prepare(prepared) => {
                 self.prepared.insert(prepared);
             }
-            Step::Begin { .. } | Step::Rollback | Step::Statement => {}
+            Step::Begin { .. } | Step::Rollback | Step::Statement | Step::Status => {}
         }
     }
 }
@@ -160,6 +167,7 @@
             read_only: *read_only,
         },
         BackendCommand::Rollback => Step::Rollback,
+        BackendCommand::AskStatus => Step::Status,
         BackendCommand::Run { .. } | BackendCommand::Execute { .. } => Step::Statement,
     }
 }
--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -64,6 +64,8 @@
     pub(crate) nodes: NodeCount,
     /// Services held by other nodes only.
     pub(crate) holders: BTreeMap<ServiceName, Vec<NodeId>>,
+    /// Which node of the region is asked first about each service's lead; none where this node asks itself.
+    pub(crate) lead_sources: BTreeMap<ServiceName, NodeId>,
     pub(crate) holder_watches: BTreeMap<NodeId, HolderWatch>,
     pub(crate) stop: Option<Stop>,
     is_reviewing: bool,
@@ -88,6 +90,7 @@
             effects: Vec::new(),
             nodes: NodeCount::default(),
             holders: BTreeMap::new(),
+            lead_sources: BTreeMap::new(),
             holder_watches: BTreeMap::new(),
             stop: None,
             is_reviewing: false,
@@ -169,6 +172,14 @@
                 asked_at,
                 age,
             } => self.take_peer_position(&service, freshness, asked_at, age),
+            Event::LeadSources(sources) => self.lead_sources = sources,
+            Event::LeadAsked(service) => self.lead_asked(now, &service),
+            Event::PeerLead {
+                service,
+                possible,
+                asked_at,
+                age,
+            } => self.take_peer_lead(now, &service, possible, asked_at, age),
             Event::HolderHeard(holder) => self.holder_heard(now, holder),
             Event::HolderLost(holder) => self.holder_lost(now, holder),
             Event::HolderUnreachable(holder) => self.holder_unreachable(now, holder),
@@ -191,6 +202,7 @@
                 Timer::TryWaiting(service) => {
                     self.changed.insert(service);
                 }
+                Timer::Lead(service) => self.lead_due(now, &service),
                 Timer::Backends => self.review_backends(now),
                 Timer::Stop => self.continue_stop(now),
             }
--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -7,7 +7,7 @@
 
 use stairward_types::{
     AccessClass, BackendId, BackendRole, Freshness, GroupId, NodeId, OutcomeClass, ResultCode,
-    ServiceName, Time,
+    ServiceName, Term, Time,
 };
 
 use crate::identifiers::{ConnectionId, SessionId};
@@ -121,6 +121,21 @@
         /// How old the peer's knowledge was when it answered, by its own clock.
         age: Duration,
     },
+    /// The services about whose lead another node of the region is asked first, and that node.
+    LeadSources(BTreeMap<ServiceName, NodeId>),
+    /// Another node asks for what is known of a service's lead; see [`crate::Engine::known_lead`].
+    LeadAsked(ServiceName),
+    /// Another node said what it knows of a service's lead.
+    PeerLead {
+        /// The service.
+        service: ServiceName,
+        /// The newest term that may have begun.
+        possible: Term,
+        /// When this node asked.
+        asked_at: Time,
+        /// How old the other's knowledge was when it answered, by its own clock.
+        age: Duration,
+    },
     /// A node that statements were forwarded to gave a sign of life.
     HolderHeard(NodeId),
     /// The connection to a node that statements were forwarded to has ended.
@@ -156,6 +171,8 @@
     },
     /// Undo the transaction.
     Rollback,
+    /// Say what it is, for [`BackendReply::member`].
+    AskStatus,
     /// Run a caller's statement, its text unchanged.
     Run {
         /// The caller's id.
@@ -191,6 +208,17 @@
     NotLeader,
 }
 
+/// What a node believes of a service's lead.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeadChange {
+    /// A replica confirmed the leader.
+    Confirmed,
+    /// A replica waits for a later term than the leader's.
+    Revoked,
+    /// The last confirmation has grown too old.
+    Lapsed,
+}
+
 /// Where to open a connection.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OpenTarget {
@@ -302,6 +330,28 @@
         /// What was shown.
         evidence: Evidence,
     },
+    /// Ask another node what it knows of a service's lead.
+    AskLead {
+        /// The node.
+        holder: NodeId,
+        /// The service.
+        service: ServiceName,
+    },
+    /// What this node believes of a service's lead has changed.
+    LeadObserved {
+        /// The service.
+        service: ServiceName,
+        /// The leader.
+        leader: BackendId,
+        /// What is believed now.
+        change: LeadChange,
+        /// The leader's term.
+        term: Term,
+        /// The newest term that the replica asked last follows or waits for.
+        awaited: Option<Term>,
+        /// How long ago that replica was asked.
+        age: Option<Duration>,
+    },
     /// Ask peers how far the leader's log had come.
     AskPosition {
         /// The service.
--- a/crates/stairward-engine/src/group.rs
+++ b/crates/stairward-engine/src/group.rs
@@ -5,6 +5,7 @@
 
 use stairward_types::{BackendId, Freshness, Revision, Term, Time};
 
+use crate::lead::Lead;
 use crate::proofs::{Proof, Proofs};
 
 /// A service's back ends together.
@@ -18,6 +19,8 @@
     pub newest_term: Term,
     /// Back ends that said they don't lead, with the revision of the description that they denied.
     pub denied: BTreeMap<BackendId, Revision>,
+    /// What is known of its lead.
+    pub lead: Lead,
     /// When peers were last asked for a newer proof.
     pub asked_peers_at: Option<Time>,
     /// When the last probe of the leader's position was begun; none when it has ended.
--- /dev/null
+++ b/crates/stairward-engine/src/lead.rs
@@ -0,0 +1,192 @@
+//! What a node knows of a service's lead, where an old leader may go on after another was promoted.
+//!
+//! Whoever replaces a leader that can't be asked to step down first puts all replicas on hold for the next
+//! term, and then waits one lease. The holds end when the promotion takes effect. So
+//!
+//! * two words of replicas, the second heard less than a lease after the first was asked for, can't lie on
+//!   both sides of such a promotion: if neither speaks of a later term, none was begun between them;
+//! * a word that speaks of a later term says that this term may begin at any time from then on;
+//! * words of *all* other members, each asked for less than a lease ago, tell all there is to know.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use stairward_types::{BackendId, Term, Time};
+
+use crate::event::LeadChange;
+
+/// A member's word on which term it follows or waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Word {
+    /// The newest term that it follows or waits for.
+    pub awaited: Term,
+    /// When it was asked.
+    pub asked_at: Time,
+    /// Whether it can be put on hold, as a replica can.
+    pub can_be_held: bool,
+}
+
+/// A question to a member that has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Question {
+    asked_at: Time,
+    /// Whether the member refused it, or its connection was lost.
+    has_failed: bool,
+}
+
+/// What is known of a service's lead.
+#[derive(Debug, Default)]
+pub(crate) struct Lead {
+    /// The newest term that may have begun; none when that is not known.
+    possible: Option<Term>,
+    /// When the word was asked for by which `possible` was last known.
+    known_at: Time,
+    /// Each member's last word.
+    words: BTreeMap<BackendId, Word>,
+    /// Members that owe a word.
+    asking: BTreeMap<BackendId, Question>,
+    /// Since when another node has been asked without coming to know enough.
+    source_tried_since: Option<Time>,
+    /// When it was last asked.
+    source_asked_at: Option<Time>,
+    /// What was last told of it.
+    pub told: Option<LeadChange>,
+}
+
+impl Lead {
+    /// Takes a member's word in, heard now. `others` are the members besides the leader that may be promoted.
+    pub fn take(
+        &mut self,
+        now: Time,
+        lease: Duration,
+        member: &BackendId,
+        word: Word,
+        others: &BTreeSet<BackendId>,
+    ) {
+        self.asking.remove(member);
+        let known = self.words.get(member);
+        if known.is_some_and(|known| known.asked_at > word.asked_at) {
+            return;
+        }
+        self.words.insert(member.clone(), word);
+        let is_linked = now < self.known_at + lease;
+        self.possible = self.possible.filter(|_| is_linked);
+        if let Some(possible) = self.possible
+            && word.can_be_held
+            && others.contains(member)
+        {
+            self.possible = Some(possible.max(word.awaited));
+            self.known_at = self.known_at.max(word.asked_at);
+        }
+        self.take_all_words(now, lease, others);
+    }
+
+    /// All other members' words together, if each is young enough.
+    fn take_all_words(&mut self, now: Time, lease: Duration, others: &BTreeSet<BackendId>) {
+        let mut awaited = Term::default();
+        let mut asked_at = now;
+        for other in others {
+            match self.words.get(other) {
+                Some(word) if now < word.asked_at + lease => {
+                    awaited = awaited.max(word.awaited);
+                    asked_at = asked_at.min(word.asked_at);
+                }
+                _ => return,
+            }
+        }
+        let tells_more = self.possible.is_none_or(|possible| awaited < possible);
+        if tells_more || asked_at > self.known_at {
+            self.possible = Some(awaited);
+            self.known_at = asked_at;
+        }
+    }
+
+    /// Whether a later term than this may have begun, as far as is known.
+    pub fn is_revoked(&self, term: Term) -> bool {
+        self.possible.is_some_and(|possible| possible > term)
+    }
+
+    /// Whether no later term than this can have begun, by words that were asked for less than `age` ago.
+    pub fn is_confirmed(&self, now: Time, term: Term, age: Duration) -> bool {
+        let is_young = now < self.known_at + age;
+        is_young && self.possible.is_some_and(|possible| possible <= term)
+    }
+
+    /// The newest term that may have begun, and when that was asked.
+    pub fn known(&self) -> Option<(Term, Time)> {
+        self.possible.map(|possible| (possible, self.known_at))
+    }
+
+    /// Takes in what another node knows, if it was asked later than what is known here.
+    pub fn take_known(&mut self, possible: Term, asked_at: Time) {
+        if asked_at > self.known_at || self.possible.is_none() {
+            self.possible = Some(possible);
+            self.known_at = asked_at;
+        }
+    }
+
+    /// Whether asking another node may still be enough: it is, unless that has led to nothing for `patience`.
+    pub fn may_ask_source(&mut self, now: Time, young: Duration, patience: Duration) -> bool {
+        let is_young = now < self.known_at + young;
+        if is_young {
+            self.source_tried_since = None;
+        }
+        let since = *self.source_tried_since.get_or_insert(now);
+        // A try of long ago is over: this is another one.
+        if now >= since + patience * 2 {
+            self.source_tried_since = Some(now);
+            return true;
+        }
+        now < since + patience
+    }
+
+    /// Notes that another node is asked; returns false when that was done less than `pause` ago.
+    pub fn ask_source(&mut self, now: Time, pause: Duration) -> bool {
+        let is_due = self.source_asked_at.is_none_or(|at| now >= at + pause);
+        if is_due {
+            self.source_asked_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Notes that a member was asked.
+    pub fn ask(&mut self, now: Time, member: &BackendId) {
+        let question = Question {
+            asked_at: now,
+            has_failed: false,
+        };
+        self.asking.insert(member.clone(), question);
+    }
+
+    /// Notes that a question came to nothing.
+    pub fn question_failed(&mut self, now: Time, member: &BackendId) {
+        if let Some(question) = self.asking.get_mut(member) {
+            question.asked_at = now;
+            question.has_failed = true;
+        }
+    }
+
+    /// Whether a member was asked less than `patience` ago and has not answered; a question that came to
+    /// nothing counts, too.
+    pub fn is_asking(&self, now: Time, member: &BackendId, patience: Duration) -> bool {
+        let question = self.asking.get(member);
+        question.is_some_and(|question| now < question.asked_at + patience)
+    }
+
+    /// Whether a member was asked less than `patience` ago and may yet answer.
+    pub fn is_awaited(&self, now: Time, member: &BackendId, patience: Duration) -> bool {
+        let question = self.asking.get(member);
+        question.is_some_and(|question| !question.has_failed && now < question.asked_at + patience)
+    }
+
+    /// Whether the last question to a member came to nothing so far.
+    pub fn owes_word(&self, member: &BackendId) -> bool {
+        self.asking.contains_key(member)
+    }
+
+    /// Whether a member's word was asked for less than `age` ago.
+    pub fn has_word(&self, now: Time, member: &BackendId, age: Duration) -> bool {
+        let word = self.words.get(member);
+        word.is_some_and(|word| now < word.asked_at + age)
+    }
+}
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -8,12 +8,14 @@
 
 mod backend;
 mod choice;
+mod confirmation;
 mod connection;
 mod engine;
 mod event;
 mod group;
 mod holder_watch;
 mod identifiers;
+mod lead;
 mod lost_connections;
 mod node_count;
 mod probes;
@@ -32,8 +34,8 @@
 
 pub use engine::{Engine, EngineStatistics};
 pub use event::{
-    BackendCommand, Decision, Effect, Event, Evidence, OpenFailure, OpenTarget, RequestMeasure,
-    RequestRecord,
+    BackendCommand, Decision, Effect, Event, Evidence, LeadChange, OpenFailure, OpenTarget,
+    RequestMeasure, RequestRecord,
 };
 pub use identifiers::{ConnectionId, SessionId};
 pub use relay::{Forwarded, holder_count};
--- a/crates/stairward-engine/src/lost_connections.rs
+++ b/crates/stairward-engine/src/lost_connections.rs
@@ -71,6 +71,10 @@
                 let service = connection.service.clone();
                 self.probe_ended(&service);
             }
+            Some(User::Question) => {
+                let (service, backend) = (connection.service.clone(), connection.backend.clone());
+                self.question_failed(now, &service, &backend);
+            }
             Some(User::Nobody) | None => {}
         }
     }
--- a/crates/stairward-engine/src/probes.rs
+++ b/crates/stairward-engine/src/probes.rs
@@ -100,6 +100,10 @@
         let Some(leader) = self.leader(now, service) else {
             return false;
         };
+        self.keep_lead_confirmed(now, service, &leader);
+        if self.is_lead_revoked(service, &leader) {
+            return false;
+        }
         let Some(connection) = self.connection_to(now, &leader, &BTreeMap::new()) else {
             return false;
         };
--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -50,7 +50,10 @@
             }
         }
         match failure {
-            OpenFailure::Refused => self.observe(&backend_id, Evidence::Refused),
+            OpenFailure::Refused => {
+                self.observe(&backend_id, Evidence::Refused);
+                self.take_refusal(now, &service, &backend_id);
+            }
             OpenFailure::Silent => self.observe(&backend_id, Evidence::Silent),
             OpenFailure::WrongBackend => {
                 // Another one answers there: what discovery told is over.
@@ -93,18 +96,32 @@
         };
         let backend_id = connection.backend.clone();
         self.backend_answered(now, &backend_id, reply.position);
+        if sent.step == Step::Statement
+            && let Some(backend) = self.backends.get_mut(&backend_id)
+        {
+            backend.in_flight = backend.in_flight.saturating_sub(1);
+        }
+        if let Some((sent, reply)) = self.withhold(now, id, sent, reply) {
+            self.believe_reply(now, id, sent, reply);
+        }
+    }
+
+    /// Takes in an answer that may be believed.
+    pub(crate) fn believe_reply(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        sent: SentStep,
+        reply: BackendReply,
+    ) {
         match sent.step {
             Step::Reset | Step::SetValue { .. } | Step::Prepare(_) => {
                 self.take_setup_reply(now, id, sent, &reply);
             }
             Step::Begin { read_only } => self.take_begin_reply(now, id, read_only, sent.at, reply),
             Step::Rollback => self.take_rollback_reply(now, id, &reply),
-            Step::Statement => {
-                if let Some(backend) = self.backends.get_mut(&backend_id) {
-                    backend.in_flight = backend.in_flight.saturating_sub(1);
-                }
-                self.take_statement_reply(now, id, sent.at, reply);
-            }
+            Step::Status => self.take_status_reply(now, id, sent.at, &reply),
+            Step::Statement => self.take_statement_reply(now, id, sent.at, reply),
         }
     }
 
@@ -138,13 +155,12 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        let service = connection.service.clone();
         match reply.result {
             Ok(_) => {
                 connection.in_transaction = true;
                 connection.is_leader_transaction = !read_only;
                 if !read_only {
-                    self.prove(&service, reply.position, sent_at);
+                    self.prove(now, id, reply.position, sent_at);
                 }
                 self.proceed(now, id);
             }
@@ -155,13 +171,16 @@
         }
     }
 
-    fn prove(
-        &mut self,
-        service: &stairward_types::ServiceName,
-        position: Option<Freshness>,
-        asked_at: Time,
-    ) {
-        let (Some(freshness), Some(group)) = (position, self.groups.get_mut(service)) else {
+    /// Takes the position in an answer of a leader for a proof, if its lead is confirmed.
+    fn prove(&mut self, now: Time, id: ConnectionId, position: Option<Freshness>, asked_at: Time) {
+        let Some(connection) = self.connections.get(&id) else {
+            return;
+        };
+        let (service, leader) = (connection.service.clone(), connection.backend.clone());
+        if !self.is_lead_confirmed(now, &service, &leader) {
+            return;
+        }
+        let (Some(freshness), Some(group)) = (position, self.groups.get_mut(&service)) else {
             return;
         };
         group.prove(Proof {
@@ -169,11 +188,11 @@
             asked_at,
         });
         group.probing_since = None;
-        self.changed.insert(service.clone());
+        self.changed.insert(service);
     }
 
     /// The request that uses a connection, if it is still the session's request.
-    fn request_on(&self, id: ConnectionId) -> Option<(SessionId, &Request)> {
+    pub(crate) fn request_on(&self, id: ConnectionId) -> Option<(SessionId, &Request)> {
         let connection = self.connections.get(&id)?;
         let Some(User::Session(session, number)) = connection.user else {
             return None;
@@ -355,6 +374,7 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
+        connection.withheld = None;
         if connection.in_transaction {
             let is_undoing = connection
                 .sent
@@ -444,7 +464,7 @@
                 return self.try_elsewhere(now, session, id, Some(&error));
             }
         } else if need == Need::Write {
-            self.committed(session, id, reply.position, sent_at);
+            self.committed(now, session, id, reply.position, sent_at);
         }
         self.abandon_others(session, id);
         self.free_connection(now, id);
@@ -454,6 +474,7 @@
     /// A write was acknowledged by the leader: the session must see it from now on.
     fn committed(
         &mut self,
+        now: Time,
         session: SessionId,
         id: ConnectionId,
         position: Option<Freshness>,
@@ -463,9 +484,9 @@
             return;
         };
         if let (Some(position), Some(session)) = (position, self.sessions.get_mut(&session)) {
-            session.commits.insert(service.clone(), position);
+            session.commits.insert(service, position);
         }
-        self.prove(&service, position, sent_at);
+        self.prove(now, id, position, sent_at);
     }
 
     fn pass_on(
@@ -502,10 +523,7 @@
         self.abandon_others(session_id, id);
         if reply.status == TransactionStatus::Open {
             if reply.result.is_ok() && self.is_leader_transaction(id) {
-                let service = self.connections.get(&id).map(|c| c.service.clone());
-                if let Some(service) = service {
-                    self.prove(&service, reply.position, sent_at);
-                }
+                self.prove(now, id, reply.position, sent_at);
             }
             return self.pass_on(now, session_id, reply, TransactionStatus::Open);
         }
@@ -544,7 +562,7 @@
             session.transaction = Transaction::None;
         }
         match &reply.result {
-            Ok(_) if wrote => self.committed(session_id, id, reply.position, sent_at),
+            Ok(_) if wrote => self.committed(now, session_id, id, reply.position, sent_at),
             Ok(_) => {}
             Err(error) => self.note_refusal(now, id, error.code),
         }
--- a/crates/stairward-engine/src/reply.rs
+++ b/crates/stairward-engine/src/reply.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use stairward_types::{Freshness, ResultCode};
+use stairward_types::{Freshness, MemberStatus, ResultCode};
 
 /// Where a connection or session stands with regard to a transaction.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -74,6 +74,8 @@
     pub status: TransactionStatus,
     /// How far the back end's log had come.
     pub position: Option<Freshness>,
+    /// What the back end says of itself, where it was asked for that.
+    pub member: Option<MemberStatus>,
 }
 
 /// How a request ended for its caller.
--- a/crates/stairward-engine/src/requests.rs
+++ b/crates/stairward-engine/src/requests.rs
@@ -45,6 +45,10 @@
         {
             backend.in_flight += 1;
         }
+        if step == crate::connection::Step::Rollback {
+            // Whatever was answered before is undone.
+            connection.withheld = None;
+        }
         connection.sent.push_back(SentStep { step, at: now });
         if !std::mem::replace(&mut connection.is_watched, true) {
             self.timers.set(now + SILENCE, Timer::Silence(id));
--- a/crates/stairward-engine/src/settings.rs
+++ b/crates/stairward-engine/src/settings.rs
@@ -111,6 +111,9 @@
     pub distances: BTreeMap<ZoneName, ZoneDistance>,
     /// How long after a back end began to leave new work may still be sent to it.
     pub leaving_limit: Duration,
+    /// How long a leader's lead counts as confirmed after a replica was asked. None where a leader that was
+    /// replaced accepts nothing any more, so that its own word is enough.
+    pub leadership_lease: Option<Duration>,
     /// From a planned stop's start to the process's end.
     pub stop_grace: Duration,
     /// Statements one session may have waiting behind the one that runs.
@@ -135,6 +138,7 @@
         Self {
             distances: BTreeMap::new(),
             leaving_limit: Duration::from_secs(4),
+            leadership_lease: None,
             stop_grace: Duration::from_secs(6),
             session_queue_limit: 32,
             waiting_limit: 256,
--- a/crates/stairward-engine/src/timers.rs
+++ b/crates/stairward-engine/src/timers.rs
@@ -21,6 +21,8 @@
     Silence(ConnectionId),
     /// A holder that owes an answer is looked at.
     Holder(NodeId),
+    /// A service's lead is to be confirmed again, if somebody waits for that.
+    Lead(ServiceName),
     /// Requests that wait for a service are tried again.
     TryWaiting(ServiceName),
     /// Leaving and lost back ends are looked at.
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -8,9 +8,9 @@
 
 use stairward_engine::{
     BackendCommand, BackendDescription, BackendError, BackendErrorCode, BackendReply, ConnectionId,
-    Consistency, Effect, Engine, EngineOptions, Event, Evidence, Forwarded, OpenFailure, Response,
-    ResponseResult, Route, RoutingTable, ServiceLimits, SessionId, Statement, StatementKind,
-    TransactionStatus, ZoneDistance,
+    Consistency, Effect, Engine, EngineOptions, Event, Evidence, Forwarded, LeadChange,
+    OpenFailure, Response, ResponseResult, Route, RoutingTable, ServiceLimits, SessionId,
+    Statement, StatementKind, TransactionStatus, ZoneDistance,
 };
 use stairward_types::{
     BackendId, BackendRole, Freshness, GroupId, LogPosition, NodeId, ResultCode, Revision,
@@ -120,6 +120,15 @@
     pub command: BackendCommand,
 }
 
+fn engine_options() -> EngineOptions {
+    let near = ZoneName::new("zone-a").unwrap();
+    let far = ZoneName::new("zone-b").unwrap();
+    EngineOptions {
+        distances: BTreeMap::from([(near, ZoneDistance::Same), (far, ZoneDistance::Remote)]),
+        ..EngineOptions::default()
+    }
+}
+
 /// The engine and what it wanted done.
 pub struct World {
     pub engine: Engine,
@@ -133,6 +142,8 @@
     pub forwarded: Vec<(NodeId, SessionId, u64, Forwarded)>,
     pub asked_peers: Vec<ServiceName>,
     pub asked_holders: Vec<NodeId>,
+    pub asked_leads: Vec<(NodeId, ServiceName)>,
+    pub lead_changes: Vec<LeadChange>,
     pub closed_forwarded: Vec<(NodeId, SessionId)>,
     pub observed: Vec<(BackendId, Evidence)>,
     pub is_stopped: bool,
@@ -144,16 +155,15 @@
 }
 
 impl World {
+    /// How engines are set up.
+    pub fn engine_options(&self) -> EngineOptions {
+        engine_options()
+    }
+
     /// An engine that knows nothing.
     pub fn empty() -> Self {
-        let near = ZoneName::new("zone-a").unwrap();
-        let far = ZoneName::new("zone-b").unwrap();
-        let options = EngineOptions {
-            distances: BTreeMap::from([(near, ZoneDistance::Same), (far, ZoneDistance::Remote)]),
-            ..EngineOptions::default()
-        };
         Self {
-            engine: Engine::new(options),
+            engine: Engine::new(engine_options()),
             now: Time::from_millis(1_000),
             sent: Vec::new(),
             responses: Vec::new(),
@@ -164,6 +174,8 @@
             forwarded: Vec::new(),
             asked_peers: Vec::new(),
             asked_holders: Vec::new(),
+            asked_leads: Vec::new(),
+            lead_changes: Vec::new(),
             closed_forwarded: Vec::new(),
             observed: Vec::new(),
             is_stopped: false,
@@ -226,6 +238,8 @@
                 }
                 Effect::AskHolder { holder } => self.asked_holders.push(holder),
                 Effect::AskPosition { service } => self.asked_peers.push(service),
+                Effect::AskLead { holder, service } => self.asked_leads.push((holder, service)),
+                Effect::LeadObserved { change, .. } => self.lead_changes.push(change),
                 Effect::AcceptSession { .. }
                 | Effect::HolderObserved { .. }
                 | Effect::Record(_)
@@ -345,6 +359,7 @@
         result: Ok("signed".to_owned()),
         status,
         position: Some(position),
+        member: None,
     }
 }
 
@@ -357,5 +372,6 @@
         }),
         status,
         position: None,
+        member: None,
     }
 }
--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use stairward_types::{BackendId, BackendRole, Freshness, Term, Time};
+use stairward_types::{BackendId, BackendRole, Freshness, MemberStatus, Term, Time};
 
-use crate::event::{FencingToken, GroupState, MemberStatus};
+use crate::ending::Ending;
+use crate::event::{FencingToken, GroupState};
 
 /// How far an attempt has come.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,6 +16,8 @@
     Claiming,
     /// Members are asked.
     Asking,
+    /// The old primary's lead is being ended.
+    Ending,
     /// The promotion is under way.
     Promoting,
     /// The promotion was accepted; the new primary is waited for.
@@ -34,12 +37,18 @@
     /// While it is queued: not claimed before this.
     pub not_before: Time,
     pub token: Option<FencingToken>,
+    /// When the record was written, for the present token.
+    pub claimed_at: Time,
+    /// The end of the old primary's lead, once that is under way.
+    pub ending: Option<Ending>,
     /// Members that were asked and have not answered.
     pub asked: BTreeSet<BackendId>,
     pub answers: BTreeMap<BackendId, MemberStatus>,
     /// Replicas that may be on hold.
     pub held: BTreeSet<BackendId>,
     pub target: Option<BackendId>,
+    /// Whether the target led already when it was chosen, so that its lead shows nothing.
+    pub target_led: bool,
     /// Whether an earlier promotion had no answer, so that it may still be carried out. A decision with a
     /// higher token must be answered before this attempt may end.
     pub must_fence: bool,
@@ -61,10 +70,13 @@
             since: now,
             not_before: now,
             token: None,
+            claimed_at: now,
+            ending: None,
             asked: BTreeSet::new(),
             answers: BTreeMap::new(),
             held: BTreeSet::new(),
             target: None,
+            target_led: false,
             must_fence: false,
         }
     }
@@ -82,12 +94,7 @@
         let Some(status) = self.answers.get(old) else {
             return false;
         };
-        let newest = self
-            .answers
-            .values()
-            .map(|status| status.received.term)
-            .max();
-        status.role == BackendRole::Primary && newest <= Some(status.received.term)
+        status.role == BackendRole::Primary && status.term >= self.newest_term()
     }
 
     /// A member other than the old one that already leads.
@@ -98,9 +105,7 @@
             .filter(|(id, _)| Some(*id) != self.old.as_ref());
         let newest = self.newest_term();
         others
-            .find(|(_, status)| {
-                status.role == BackendRole::Primary && status.received.term >= newest
-            })
+            .find(|(_, status)| status.role == BackendRole::Primary && status.term >= newest)
             .map(|(id, _)| id)
     }
 
@@ -110,11 +115,32 @@
         self.other_leader().or(old)
     }
 
+    /// The newest term that any member follows.
     pub fn newest_term(&self) -> Term {
-        let terms = self.answers.values().map(|status| status.received.term);
+        let terms = self.answers.values().map(|status| status.term);
         terms.max().unwrap_or_default()
     }
 
+    /// A term above any that members follow or wait for.
+    pub fn next_term(&self) -> Term {
+        let terms = self.answers.values().map(MemberStatus::awaited_term);
+        Term(terms.max().unwrap_or_default().0 + 1)
+    }
+
+    /// Whether no other member than the old one can lead: each that is listed says that it follows, and no
+    /// earlier promotion is without an answer.
+    pub fn is_old_sole_leader(&self, group: &GroupState) -> bool {
+        let others = group
+            .members
+            .iter()
+            .filter(|(id, member)| Some(*id) != self.old.as_ref() && member.is_listed);
+        let mut answers = others.map(|(id, _)| self.answers.get(id));
+        let follows = |status: Option<&MemberStatus>| {
+            status.is_some_and(|status| status.role == BackendRole::Replica)
+        };
+        !self.must_fence && answers.all(follows)
+    }
+
     /// Whether every replica that can be asked has answered.
     pub fn is_asked_out(&self) -> bool {
         let waits_for_replica = self.asked.iter().any(|id| Some(id) != self.old.as_ref());
--- a/crates/stairward-failover/src/duty.rs
+++ b/crates/stairward-failover/src/duty.rs
@@ -2,12 +2,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use stairward_types::{BackendId, BackendRole, Freshness, ServiceName, Term, Time};
+use stairward_types::{
+    BackendId, BackendRole, Freshness, MemberStatus, NodeId, ServiceName, Term, Time,
+};
 
 use crate::attempt::{Attempt, Stage};
+use crate::ending::{EndProof, Ending};
 use crate::event::{
-    Action, DutyRecord, Effect, Event, FencingToken, GroupState, LeaderEvidence, MemberStatus,
-    PromotionOutcome, RecordVersion,
+    Action, DutyRecord, Effect, Event, FencingToken, GroupState, LeaderEvidence, PromotionOutcome,
+    Reach, RecordVersion, Via,
 };
 use crate::evidence::EvidenceLedger;
 use crate::options::FailoverOptions;
@@ -21,6 +24,7 @@
     Leaving,
     Missing,
     Leaderless,
+    Held,
 }
 
 impl Trigger {
@@ -31,6 +35,7 @@
             Self::Leaving => "the primary is leaving",
             Self::Missing => "discovery no longer lists the primary",
             Self::Leaderless => "no member calls itself primary",
+            Self::Held => "replicas wait for a later term that does not begin",
         }
     }
 
@@ -45,6 +50,8 @@
     options: FailoverOptions,
     groups: BTreeMap<ServiceName, GroupState>,
     nodes: u32,
+    /// Nodes that may pass questions on to members.
+    peers: Vec<NodeId>,
     evidence: EvidenceLedger,
     version: Option<RecordVersion>,
     record: Option<DutyRecord>,
@@ -58,6 +65,8 @@
     pauses: BTreeMap<ServiceName, Time>,
     /// Since when a primary has been missing or leading nobody.
     missing_since: BTreeMap<ServiceName, Time>,
+    /// Since when replicas have waited for a later term than their leader's.
+    revoked_since: BTreeMap<ServiceName, Time>,
     effects: Vec<Effect>,
 }
 
@@ -69,6 +78,7 @@
             options,
             groups: BTreeMap::new(),
             nodes: 1,
+            peers: Vec::new(),
             evidence: EvidenceLedger::default(),
             version: None,
             record: None,
@@ -78,6 +88,7 @@
             triggered_since: BTreeMap::new(),
             pauses: BTreeMap::new(),
             missing_since: BTreeMap::new(),
+            revoked_since: BTreeMap::new(),
             effects: Vec::new(),
         }
     }
@@ -97,6 +108,7 @@
     pub fn next_wake(&self, now: Time) -> Option<Time> {
         let is_idle = self.attempts.is_empty()
             && self.missing_since.is_empty()
+            && self.revoked_since.is_empty()
             && self
                 .groups
                 .keys()
@@ -112,12 +124,15 @@
                     .retain(|service, _| self.groups.contains_key(service));
             }
             Event::Nodes(nodes) => self.nodes = nodes.max(1),
+            Event::Peers(peers) => self.peers = peers,
             Event::Evidence(backend, evidence) => self.note_evidence(backend, evidence),
+            Event::Lead(service, is_revoked) => self.note_lead(now, service, is_revoked),
             Event::Suspicions(others) => self.evidence.set_others(others),
             Event::Record(version, record) => self.learn_record(now, version, record),
             Event::RecordWritten(version) => self.record_written(now, version),
             Event::RecordFailed => self.record_failed(now),
             Event::Status(backend, status) => self.take_status(&backend, status),
+            Event::Reached(backend, via, reach) => self.take_reach(now, &backend, &via, reach),
             Event::Promotion(service, token, outcome) => {
                 self.promotion_ended(now, &service, token, outcome);
             }
@@ -132,6 +147,14 @@
         }
     }
 
+    fn note_lead(&mut self, now: Time, service: ServiceName, is_revoked: bool) {
+        if is_revoked {
+            self.revoked_since.entry(service).or_insert(now);
+        } else {
+            self.revoked_since.remove(&service);
+        }
+    }
+
     fn learn_record(&mut self, now: Time, version: RecordVersion, record: Option<DutyRecord>) {
         if self.version.is_some_and(|known| known >= version) {
             return;
@@ -179,7 +202,13 @@
         if member.is_leaving && member.is_listed {
             return Some(Trigger::Leaving);
         }
-        is_missing_long.then_some(Trigger::Missing)
+        if is_missing_long {
+            return Some(Trigger::Missing);
+        }
+        let revoked_since = self.revoked_since.get(service);
+        let is_revoked_long =
+            revoked_since.is_some_and(|since| now >= *since + self.options.missing_patience);
+        is_revoked_long.then_some(Trigger::Held)
     }
 
     fn suspicion_quorum(&self) -> usize {
@@ -216,6 +245,7 @@
             Some(Stage::Queued) => self.review_queued(now, service),
             Some(Stage::Claiming) => self.review_claim(now, service),
             Some(Stage::Asking) => self.review_asking(now, service),
+            Some(Stage::Ending) => self.review_ending(now, service),
             Some(Stage::Promoting) => self.review_promotion(now, service),
             Some(Stage::Settling) => self.review_settling(now, service),
         }
@@ -294,6 +324,8 @@
             return self.give_up(now, &service, "the claim took too long");
         }
         attempt.token = Some(FencingToken(version.0));
+        attempt.claimed_at = now;
+        attempt.ending = None;
         attempt.enter(Stage::Asking, now);
         self.ask_members(&service);
     }
@@ -334,6 +366,13 @@
             if attempt.stage == Stage::Asking {
                 attempt.asked.insert(id.clone());
             }
+            if let Some(ending) = &mut attempt.ending {
+                ending.ask_replica(id.clone(), &[Via::Direct]);
+                let ways = vec![Via::Direct];
+                self.effects
+                    .push(Effect::HoldBy(id.clone(), ending.term, ways));
+                continue;
+            }
             self.effects.push(Effect::Hold(id.clone(), term));
         }
     }
@@ -387,7 +426,8 @@
 
     fn take_status(&mut self, backend: &BackendId, status: Option<MemberStatus>) {
         for attempt in self.attempts.values_mut() {
-            if attempt.stage != Stage::Asking || !attempt.asked.remove(backend) {
+            let is_asked = matches!(attempt.stage, Stage::Asking | Stage::Ending);
+            if !is_asked || !attempt.asked.remove(backend) {
                 continue;
             }
             if let Some(status) = status {
@@ -397,6 +437,7 @@
     }
 
     fn review_asking(&mut self, now: Time, service: &ServiceName) {
+        self.take_holds_over(service);
         let (Some(attempt), Some(group)) = (self.attempts.get(service), self.groups.get(service))
         else {
             return;
@@ -416,8 +457,7 @@
         if attempt.must_fence
             && let Some(leader) = attempt.present_leader().cloned()
         {
-            // Promoting the one that leads changes nothing, but keeps the older call from taking effect.
-            return self.promote(now, service, leader, None);
+            return self.fence_off(now, service, leader);
         }
         if let Some(leader) = attempt.other_leader().cloned() {
             self.evidence.forget(&leader);
@@ -429,6 +469,9 @@
             }
             return self.give_up(now, service, "the primary answers that it leads");
         }
+        if self.options.leadership_lease.is_some() {
+            return self.begin_ending(now, service);
+        }
         if group.synchronous_replicas > 0 {
             if attempt.held.is_empty() {
                 return self.hold_replicas(now, service);
@@ -443,6 +486,256 @@
         self.promote(now, service, chosen.target, chosen.received);
     }
 
+    /// Replicas that an earlier attempt left on hold are this one's to let go, once its own decision is answered:
+    /// a promotion of that attempt may still be carried out.
+    fn take_holds_over(&mut self, service: &ServiceName) {
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return;
+        };
+        let left: Vec<_> = attempt
+            .answers
+            .iter()
+            .filter(|(id, status)| status.held > Term(0) && !attempt.held.contains(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        attempt.must_fence |= !left.is_empty();
+        attempt.held.extend(left);
+    }
+
+    /// Has the old primary give way, before another is promoted.
+    fn begin_ending(&mut self, now: Time, service: &ServiceName) {
+        let is_synchronous = self
+            .groups
+            .get(service)
+            .is_some_and(|group| group.synchronous_replicas > 0);
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return;
+        };
+        let (old, token, term) = (attempt.old.clone(), attempt.token, attempt.next_term());
+        let mut ending = Ending::new(old.clone(), term, now);
+        let ways = vec![Via::Direct];
+        if old.is_some() {
+            ending.ask_old(&ways);
+        }
+        attempt.ending = Some(ending);
+        attempt.asked.clear();
+        attempt.enter(Stage::Ending, now);
+        let began = Action::Ending {
+            old: old.clone(),
+            token,
+            term,
+            ways: ways.len(),
+        };
+        self.log(service, began);
+        let must_hold = old.is_none() || is_synchronous;
+        if let Some(old) = old {
+            self.effects.push(Effect::StepDown(old, term, ways));
+        }
+        if must_hold {
+            self.hold_for_ending(now, service);
+        }
+    }
+
+    /// Puts the replicas on hold, so that no node can confirm the old primary any more.
+    fn hold_for_ending(&mut self, now: Time, service: &ServiceName) {
+        let (Some(group), Some(attempt)) =
+            (self.groups.get(service), self.attempts.get_mut(service))
+        else {
+            return;
+        };
+        let Some(ending) = &mut attempt.ending else {
+            return;
+        };
+        ending.holding_since = Some(now);
+        let mut replicas = 0;
+        let term = ending.term;
+        for (id, member) in &group.members {
+            // The old primary too: it may follow another one by now.
+            if !member.is_listed {
+                continue;
+            }
+            let ways = vec![Via::Direct];
+            ending.ask_replica(id.clone(), &ways);
+            attempt.held.insert(id.clone());
+            replicas += 1;
+            self.effects.push(Effect::HoldBy(id.clone(), term, ways));
+        }
+        self.log(service, Action::Holding { replicas, term });
+    }
+
+    fn take_reach(&mut self, now: Time, backend: &BackendId, via: &Via, reach: Reach) {
+        for attempt in self.attempts.values_mut() {
+            let Some(ending) = &mut attempt.ending else {
+                continue;
+            };
+            ending.take(now, backend, via.clone(), reach);
+            if let Some(status) = reach.answer() {
+                attempt.answers.insert(backend.clone(), status);
+            }
+        }
+    }
+
+    fn review_ending(&mut self, now: Time, service: &ServiceName) {
+        let lease = self.options.leadership_lease.unwrap_or_default();
+        let Some(attempt) = self.attempts.get(service) else {
+            return;
+        };
+        let Some(ending) = &attempt.ending else {
+            return;
+        };
+        if now.since(attempt.claimed_at) > self.options.lease * 3 / 4 {
+            // The node may have been paused: another may hold the duty by now.
+            return self.give_up(now, service, "the old primary's lead was not ended in time");
+        }
+        if let Some(leader) = attempt.other_leader().cloned() {
+            return if attempt.must_fence {
+                self.fence_off(now, service, leader);
+            } else {
+                self.give_up(now, service, "another member leads already");
+            };
+        }
+        let is_sole = self
+            .groups
+            .get(service)
+            .is_some_and(|group| attempt.is_old_sole_leader(group));
+        let Some(proof) = ending.proof(now, lease, is_sole) else {
+            return self.press_ending(now, service);
+        };
+        let is_certain = match proof {
+            EndProof::SteppedDown(status) => self.has_caught_up(now, service, status.received),
+            EndProof::Lapsed | EndProof::Unknown => self.are_holds_verified(now, service),
+        };
+        if is_certain {
+            self.ended(now, service, proof);
+        }
+    }
+
+    /// The old primary's lead is not over yet: others are asked to help, or replicas put on hold.
+    fn press_ending(&mut self, now: Time, service: &ServiceName) {
+        let patience = self.options.step_down_patience;
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return;
+        };
+        let Some(ending) = &mut attempt.ending else {
+            return;
+        };
+        let peers: Vec<Via> = self.peers.iter().copied().map(Via::Peer).collect();
+        let term = ending.term;
+        if let Some(old) = &attempt.old
+            && !peers.is_empty()
+            && ending.old_needs_peers(now, patience / 2)
+        {
+            ending.ask_old(&peers);
+            self.effects
+                .push(Effect::StepDown(old.clone(), term, peers.clone()));
+        }
+        for replica in ending.replicas_that_need_peers(now, patience) {
+            ending.ask_replica(replica.clone(), &peers);
+            if !peers.is_empty() {
+                self.effects
+                    .push(Effect::HoldBy(replica, term, peers.clone()));
+            }
+        }
+        let has_waited = now >= ending.began() + patience || ending.is_old_unreachable();
+        if ending.holding_since.is_none() && has_waited {
+            self.hold_for_ending(now, service);
+        }
+    }
+
+    /// Whether all members that were put on hold still are: a promotion of an earlier attempt, carried out
+    /// late, would have let them go. Asks them; where one is not, the ending begins anew.
+    fn are_holds_verified(&mut self, now: Time, service: &ServiceName) -> bool {
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return false;
+        };
+        let Some(ending) = &mut attempt.ending else {
+            return false;
+        };
+        let held = ending.held().clone();
+        let Some(since) = ending.verifying_since else {
+            ending.verifying_since = Some(now);
+            attempt.asked = held.clone();
+            for member in held {
+                self.effects.push(Effect::Ask(member));
+            }
+            return false;
+        };
+        if attempt.asked.is_empty() {
+            let term = ending.term;
+            let is_held = |id| {
+                attempt
+                    .answers
+                    .get(id)
+                    .is_some_and(|status| status.held >= term)
+            };
+            if held.iter().all(is_held) {
+                return true;
+            }
+        } else if now < since + self.options.ask_patience {
+            return false;
+        }
+        self.begin_ending(now, service);
+        false
+    }
+
+    /// Whether a replica has received all that an old primary's log had when it stepped down, or there is no
+    /// use in waiting for that any longer. Asks them where that is not known.
+    fn has_caught_up(&mut self, now: Time, service: &ServiceName, all: Freshness) -> bool {
+        let patience = self.options.catch_up_patience;
+        let (Some(group), Some(attempt)) =
+            (self.groups.get(service), self.attempts.get_mut(service))
+        else {
+            return false;
+        };
+        let chosen = attempt.choose(group).and_then(|chosen| chosen.received);
+        let has_all = chosen.is_some_and(|received| received.covers(all));
+        let Some(ending) = &mut attempt.ending else {
+            return false;
+        };
+        let since = ending.stepped_down().map_or(now, |(_, at)| at);
+        if has_all || now >= since + patience {
+            return true;
+        }
+        if !std::mem::replace(&mut ending.is_catching_up, true) {
+            for (id, member) in &group.members {
+                if Some(id) != attempt.old.as_ref() && member.is_listed {
+                    attempt.asked.insert(id.clone());
+                    self.effects.push(Effect::AskReceived(id.clone(), all));
+                }
+            }
+        }
+        false
+    }
+
+    /// The old primary's lead is over: the best replica is promoted.
+    fn ended(&mut self, now: Time, service: &ServiceName, proof: EndProof) {
+        let (Some(group), Some(attempt)) = (self.groups.get(service), self.attempts.get(service))
+        else {
+            return;
+        };
+        if group.synchronous_replicas > 0 && !attempt.covers_acknowledged(group) {
+            return self.give_up(now, service, "an acknowledged commit might be missed");
+        }
+        let Some(chosen) = attempt.choose(group) else {
+            return self.give_up(now, service, "no replica answered");
+        };
+        let old_had = match proof {
+            EndProof::SteppedDown(status) => Some(status.received.position.0),
+            EndProof::Lapsed | EndProof::Unknown => None,
+        };
+        let received = chosen.received.map(|received| received.position.0);
+        let began = attempt.ending.as_ref().map_or(now, Ending::began);
+        let ended = Action::Ended {
+            proof,
+            after: now.since(began),
+            behind: old_had
+                .zip(received)
+                .map(|(old, new)| old.saturating_sub(new)),
+        };
+        self.log(service, ended);
+        self.promote(now, service, chosen.target, chosen.received);
+    }
+
     fn promote(
         &mut self,
         now: Time,
@@ -470,12 +763,21 @@
             .push(Effect::Promote(service.clone(), target, token));
     }
 
+    /// Promotes the one that leads, which changes nothing, but keeps older calls from taking effect.
+    fn fence_off(&mut self, now: Time, service: &ServiceName, leader: BackendId) {
+        if let Some(attempt) = self.attempts.get_mut(service) {
+            attempt.target_led = true;
+        }
+        self.promote(now, service, leader, None);
+    }
+
     fn review_promotion(&mut self, now: Time, service: &ServiceName) {
-        let is_late = self
-            .attempts
-            .get(service)
-            .is_some_and(|attempt| now.since(attempt.since) > self.options.call_patience);
-        if is_late || self.target_leads(service) {
+        let Some(attempt) = self.attempts.get(service) else {
+            return;
+        };
+        let is_late = now.since(attempt.since) > self.options.call_patience;
+        let has_taken_effect = !attempt.target_led && self.target_leads(service);
+        if is_late || has_taken_effect {
             self.promotion_unknown(now, service);
         }
     }
@@ -530,11 +832,13 @@
     }
 
     fn review_settling(&mut self, now: Time, service: &ServiceName) {
-        let is_over = self
-            .attempts
-            .get(service)
-            .is_some_and(|attempt| now.since(attempt.since) > self.options.settle_patience);
-        if self.target_leads(service) || is_over {
+        let Some(attempt) = self.attempts.get(service) else {
+            return;
+        };
+        let is_over = now.since(attempt.since) > self.options.settle_patience;
+        // An earlier promotion that was accepted just before this one still takes its time to take effect.
+        let may_end_early = !attempt.must_fence;
+        if is_over || (may_end_early && self.target_leads(service)) {
             self.resume_held(service);
             let attempt = self.attempts.remove(service);
             if let Some(old) = attempt.and_then(|attempt| attempt.old) {
@@ -565,7 +869,14 @@
             attempt.not_before = now + self.options.pause;
             return self.log(service, Action::GaveUp { reason });
         }
-        self.resume_held(service);
+        // Only whoever has the duty lets replicas go: another one may have put them on hold since. And they stay
+        // on hold where a promotion may still be carried out: that tells the next holder.
+        let may_resume = self.attempts.get(service).is_some_and(|attempt| {
+            !attempt.must_fence && now.since(attempt.claimed_at) <= self.options.lease * 3 / 4
+        });
+        if may_resume && !is_held_by_another {
+            self.resume_held(service);
+        }
         self.attempts.remove(service);
         self.pauses
             .insert(service.clone(), now + self.options.pause);
--- a/crates/stairward-failover/src/event.rs
+++ b/crates/stairward-failover/src/event.rs
@@ -2,7 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use stairward_types::{BackendId, BackendRole, Freshness, Revision, ServiceName};
+use std::time::Duration;
+
+use stairward_types::{
+    BackendId, BackendRole, Freshness, MemberStatus, NodeId, Revision, ServiceName, Term,
+};
+
+use crate::ending::EndProof;
 
 /// The version of the duty's record in the store; 0 where there is none yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
@@ -67,15 +73,6 @@
     pub synchronous_replicas: u32,
 }
 
-/// What a member says of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct MemberStatus {
-    /// Its role.
-    pub role: BackendRole,
-    /// How much of the log it has received.
-    pub received: Freshness,
-}
-
 /// How a promotion ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PromotionOutcome {
@@ -89,6 +86,39 @@
     Unknown,
 }
 
+/// The way by which a member was asked.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Via {
+    /// By this node.
+    Direct,
+    /// By another node, which passes the question on.
+    Peer(NodeId),
+}
+
+/// What came of a question to a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// It answered.
+    Answered(MemberStatus),
+    /// It led until it was asked to give way, and no longer does.
+    GaveWay(MemberStatus),
+    /// Nothing listens at its address.
+    Refused,
+    /// It gave no answer in time, or whoever was to ask it did not.
+    Silent,
+}
+
+impl Reach {
+    /// The answer, if there is one.
+    #[must_use]
+    pub const fn answer(self) -> Option<MemberStatus> {
+        match self {
+            Self::Answered(status) | Self::GaveWay(status) => Some(status),
+            Self::Refused | Self::Silent => None,
+        }
+    }
+}
+
 /// What the duty hears.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -96,8 +126,12 @@
     Groups(BTreeMap<ServiceName, GroupState>),
     /// How many nodes there are.
     Nodes(u32),
+    /// Nodes that may pass questions on to members, whole.
+    Peers(Vec<NodeId>),
     /// Use of a back end showed something.
     Evidence(BackendId, LeaderEvidence),
+    /// Whether replicas of a service wait for a later term than its leader's.
+    Lead(ServiceName, bool),
     /// Which back ends each other node finds silent.
     Suspicions(BTreeMap<String, BTreeSet<BackendId>>),
     /// The record, as a watch or an answer shows it.
@@ -106,8 +140,10 @@
     RecordWritten(RecordVersion),
     /// The record was not written, or that is not known.
     RecordFailed,
-    /// A member answered, or did not.
+    /// A member that was asked for its status, or put on hold, answered, or did not.
     Status(BackendId, Option<MemberStatus>),
+    /// What came of asking a member to step down or to hold, by one way.
+    Reached(BackendId, Via, Reach),
     /// A promotion was answered, or was not.
     Promotion(ServiceName, FencingToken, PromotionOutcome),
     /// Time has passed; see [`crate::FailoverDuty::next_wake`].
@@ -138,6 +174,33 @@
         /// Members that answered.
         answers: usize,
     },
+    /// The old primary is to give way.
+    Ending {
+        /// The old primary; none where none is known.
+        old: Option<BackendId>,
+        /// The claim's token.
+        token: Option<FencingToken>,
+        /// The term that it must give way to.
+        term: Term,
+        /// Ways by which it is asked.
+        ways: usize,
+    },
+    /// Replicas are put on hold, since the old primary did not step down.
+    Holding {
+        /// The replicas.
+        replicas: usize,
+        /// The term.
+        term: Term,
+    },
+    /// The old primary's lead is over.
+    Ended {
+        /// What proves it.
+        proof: EndProof,
+        /// How long that took.
+        after: Duration,
+        /// Commits that its log has and the chosen replica's lacks, where both are known.
+        behind: Option<u64>,
+    },
     /// A promotion was answered, or was not.
     Answered {
         /// The decision's token.
@@ -157,10 +220,19 @@
     Report(BTreeSet<BackendId>),
     /// Ask a member for its status.
     Ask(BackendId),
+    /// Ask a member for its status until it has received this, or for as long as it makes sense; answered with
+    /// [`Event::Status`] once.
+    AskReceived(BackendId, Freshness),
     /// Keep a replica from receiving in any term below this one, and ask it for its status.
-    Hold(BackendId, stairward_types::Term),
+    Hold(BackendId, Term),
     /// Let a replica receive again.
     Resume(BackendId),
+    /// Ask a primary to give way to this term, by each of these ways; each is answered with
+    /// [`Event::Reached`].
+    StepDown(BackendId, Term, Vec<Via>),
+    /// Keep a replica from receiving in any term below this one, by each of these ways; each is answered with
+    /// [`Event::Reached`].
+    HoldBy(BackendId, Term, Vec<Via>),
     /// Promote a back end.
     Promote(ServiceName, BackendId, FencingToken),
     /// A step for the log.
--- a/crates/stairward-failover/src/lib.rs
+++ b/crates/stairward-failover/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod attempt;
 mod duty;
+mod ending;
 mod event;
 mod evidence;
 mod leader_memory;
@@ -16,9 +17,11 @@
 mod turn;
 
 pub use duty::FailoverDuty;
+pub use ending::EndProof;
 pub use event::{
     Action, DutyRecord, Effect, Event, FencingToken, GroupState, LeaderEvidence, MemberState,
-    MemberStatus, PromotionOutcome, RecordVersion,
+    PromotionOutcome, Reach, RecordVersion, Via,
 };
 pub use leader_memory::LeaderMemory;
-pub use options::FailoverOptions;
+pub use options::{FailoverOptions, LEADERSHIP_LEASE};
+pub use stairward_types::MemberStatus;
--- a/crates/stairward-failover/src/options.rs
+++ b/crates/stairward-failover/src/options.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+/// The usual lease of a confirmed leader. A shorter one costs more questions to replicas, a longer one
+/// a longer gap where an old leader can't be reached.
+pub const LEADERSHIP_LEASE: Duration = Duration::from_millis(1_000);
+
 /// Times and limits of the duty.
 #[derive(Debug, Clone)]
 pub struct FailoverOptions {
@@ -19,6 +23,13 @@
     pub missing_patience: Duration,
     /// Pause after an attempt that came to nothing.
     pub pause: Duration,
+    /// How long nodes go on with a leader after a replica last told them that no hold stands. None where an
+    /// old leader's databases end its lead in the moment of the promotion: it then needs no ending.
+    pub leadership_lease: Option<Duration>,
+    /// How long the old leader is given to step down before replicas are put on hold.
+    pub step_down_patience: Duration,
+    /// How long a replica is given to receive the last of a log whose leader has stepped down.
+    pub catch_up_patience: Duration,
     /// The share of the nodes, in percent, that must find a primary silent before it is replaced.
     pub suspicion_percent: u32,
 }
@@ -35,6 +46,9 @@
             settle_patience: Duration::from_millis(3_000),
             missing_patience: Duration::from_millis(1_500),
             pause: Duration::from_millis(300),
+            leadership_lease: None,
+            step_down_patience: Duration::from_millis(150),
+            catch_up_patience: Duration::from_millis(400),
             suspicion_percent: 30,
         }
     }
--- a/crates/stairward-failover/tests/duty.rs
+++ b/crates/stairward-failover/tests/duty.rs
@@ -45,7 +45,9 @@
 fn status(role: BackendRole, term: u64, number: u64) -> Option<MemberStatus> {
     Some(MemberStatus {
         role,
+        term: Term(term),
         received: Freshness::new(Term(term), LogPosition(number)),
+        held: Term(0),
     })
 }
 
--- /dev/null
+++ b/crates/stairward-failover/tests/ending.rs
@@ -0,0 +1,352 @@
+//! Ending an old primary's lead before another leads: by its own word, or by holds and the time that nodes go
+//! on; and what becomes of answers that are lost, late, or by another member than was meant.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use stairward_failover::{
+    Action, Effect, EndProof, Event, FailoverDuty, FailoverOptions, FencingToken, GroupState,
+    LeaderEvidence, MemberState, MemberStatus, PromotionOutcome, Reach, RecordVersion, Via,
+};
+use stairward_types::{
+    BackendId, BackendRole, Freshness, LogPosition, NodeId, ServiceName, Term, Time,
+};
+
+const OLD: &str = "db-1";
+const NEXT: &str = "db-2";
+const OTHER: &str = "db-3";
+const LEASE: Duration = Duration::from_millis(1_000);
+const PEER: NodeId = NodeId(7);
+
+fn backend(name: &str) -> BackendId {
+    BackendId::new(name).unwrap()
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("core").unwrap()
+}
+
+fn group(is_old_leaving: bool) -> GroupState {
+    let member = |role, is_leaving| MemberState {
+        role,
+        is_leaving,
+        is_listed: true,
+        revision: 1,
+    };
+    GroupState {
+        members: BTreeMap::from([
+            (backend(OLD), member(BackendRole::Primary, is_old_leaving)),
+            (backend(NEXT), member(BackendRole::Replica, false)),
+            (backend(OTHER), member(BackendRole::Replica, false)),
+        ]),
+        synchronous_replicas: 0,
+    }
+}
+
+fn status(role: BackendRole, term: u64, number: u64, held: u64) -> MemberStatus {
+    MemberStatus {
+        role,
+        term: Term(term),
+        received: Freshness::new(Term(term), LogPosition(number)),
+        held: Term(held),
+    }
+}
+
+fn replica(number: u64) -> MemberStatus {
+    status(BackendRole::Replica, 1, number, 0)
+}
+
+fn held(number: u64) -> MemberStatus {
+    status(BackendRole::Replica, 1, number, 2)
+}
+
+/// One node's duty in an attempt, with what it wanted done.
+struct Attempt {
+    duty: FailoverDuty,
+    now: Time,
+    effects: Vec<Effect>,
+}
+
+impl Attempt {
+    /// The duty has claimed the right to act and asked the members, which are yet to answer.
+    fn claimed(is_planned: bool) -> Self {
+        let options = FailoverOptions {
+            leadership_lease: Some(LEASE),
+            ..FailoverOptions::new("a")
+        };
+        let mut attempt = Self {
+            duty: FailoverDuty::new(options),
+            now: Time::from_millis(60_000),
+            effects: Vec::new(),
+        };
+        attempt.tell(Event::Nodes(3));
+        attempt.tell(Event::Peers(vec![PEER]));
+        attempt.tell(Event::Record(RecordVersion(0), None));
+        let groups = BTreeMap::from([(service(), group(is_planned))]);
+        attempt.tell(Event::Groups(groups));
+        if !is_planned {
+            attempt.tell(Event::Evidence(backend(OLD), LeaderEvidence::Refused));
+        }
+        attempt.tell(Event::RecordWritten(RecordVersion(4)));
+        attempt
+    }
+
+    /// A planned attempt whose old primary leads up to position 60; the replicas have less.
+    fn planned() -> Self {
+        let mut attempt = Self::claimed(true);
+        attempt.answer(OLD, status(BackendRole::Primary, 1, 60, 0));
+        attempt.answer_replicas();
+        attempt
+    }
+
+    /// An attempt whose old primary gives no answer.
+    fn unplanned() -> Self {
+        let mut attempt = Self::claimed(false);
+        attempt.answer_replicas();
+        attempt
+    }
+
+    fn answer_replicas(&mut self) {
+        self.answer(NEXT, replica(50));
+        self.answer(OTHER, replica(40));
+    }
+
+    fn tell(&mut self, event: Event) {
+        let effects = self.duty.handle(self.now, event);
+        self.effects.extend(effects);
+    }
+
+    fn answer(&mut self, name: &str, status: MemberStatus) {
+        self.tell(Event::Status(backend(name), Some(status)));
+    }
+
+    fn reach(&mut self, name: &str, via: Via, reach: Reach) {
+        self.tell(Event::Reached(backend(name), via, reach));
+    }
+
+    fn pass(&mut self, milliseconds: u64) {
+        for _ in 0..milliseconds / 10 {
+            self.now = self.now + Duration::from_millis(10);
+            self.tell(Event::Tick);
+        }
+    }
+
+    fn wants(&self, wanted: impl Fn(&Effect) -> bool) -> bool {
+        self.effects.iter().any(wanted)
+    }
+
+    fn asks_to_step_down(&self, by: &Via) -> bool {
+        self.wants(|effect| matches!(effect, Effect::StepDown(id, Term(2), ways) if *id == backend(OLD) && ways.contains(by)))
+    }
+
+    fn holds(&self, name: &str) -> bool {
+        self.wants(
+            |effect| matches!(effect, Effect::HoldBy(id, Term(2), _) if *id == backend(name)),
+        )
+    }
+
+    fn promotions(&self) -> Vec<BackendId> {
+        let promotion = |effect: &Effect| match effect {
+            Effect::Promote(_, target, _) => Some(target.clone()),
+            _ => None,
+        };
+        self.effects.iter().filter_map(promotion).collect()
+    }
+
+    fn resumes(&self) -> usize {
+        let is_resume = |effect: &&Effect| matches!(effect, Effect::Resume(_));
+        self.effects.iter().filter(is_resume).count()
+    }
+
+    fn proof(&self) -> Option<EndProof> {
+        self.effects.iter().find_map(|effect| match effect {
+            Effect::Log(_, Action::Ended { proof, .. }) => Some(*proof),
+            _ => None,
+        })
+    }
+
+    /// Both replicas say that they are on hold.
+    fn hold_both(&mut self) {
+        self.reach(NEXT, Via::Direct, Reach::Answered(held(50)));
+        self.reach(OTHER, Via::Direct, Reach::Answered(held(40)));
+        self.reach(OLD, Via::Direct, Reach::Silent);
+        self.reach(OLD, Via::Peer(PEER), Reach::Silent);
+    }
+}
+
+#[test]
+fn a_planned_replacement_ends_the_old_log_and_waits_until_it_is_received() {
+    let mut attempt = Attempt::planned();
+    assert!(attempt.asks_to_step_down(&Via::Direct));
+    assert!(attempt.promotions().is_empty(), "the old one still leads");
+    attempt.reach(OLD, Via::Direct, Reach::GaveWay(replica(63)));
+    assert!(
+        attempt.promotions().is_empty(),
+        "three commits are not received yet"
+    );
+    let asked = Effect::AskReceived(backend(NEXT), replica(63).received);
+    assert!(attempt.effects.contains(&asked), "{:?}", attempt.effects);
+    attempt.answer(NEXT, replica(63));
+    assert_eq!(attempt.promotions(), [backend(NEXT)]);
+    assert!(!attempt.holds(NEXT), "a held replica would receive nothing");
+}
+
+#[test]
+fn a_replica_that_does_not_receive_the_end_of_the_log_is_not_waited_for_for_ever() {
+    let mut attempt = Attempt::planned();
+    attempt.reach(OLD, Via::Direct, Reach::GaveWay(replica(63)));
+    attempt.pass(500);
+    assert_eq!(attempt.promotions(), [backend(NEXT)]);
+    let behind = attempt.effects.iter().find_map(|effect| match effect {
+        Effect::Log(_, Action::Ended { behind, .. }) => *behind,
+        _ => None,
+    });
+    assert_eq!(behind, Some(13), "what is lost is told");
+}
+
+#[test]
+fn whoever_reaches_the_old_primary_passes_the_question_on() {
+    let mut attempt = Attempt::planned();
+    attempt.pass(100);
+    assert!(attempt.asks_to_step_down(&Via::Peer(PEER)));
+    attempt.reach(OLD, Via::Peer(PEER), Reach::GaveWay(replica(50)));
+    assert_eq!(attempt.promotions(), [backend(NEXT)]);
+}
+
+#[test]
+fn an_old_primary_that_nobody_reaches_is_replaced_once_the_nodes_confirmations_have_lapsed() {
+    let mut attempt = Attempt::unplanned();
+    attempt.pass(600);
+    assert!(attempt.holds(NEXT) && attempt.holds(OTHER));
+    attempt.hold_both();
+    attempt.pass(950);
+    assert!(attempt.promotions().is_empty(), "a node may still go on");
+    attempt.pass(150);
+    assert!(
+        attempt.promotions().is_empty(),
+        "whether they are still held is not known"
+    );
+    attempt.answer(NEXT, held(50));
+    attempt.answer(OTHER, held(40));
+    attempt.pass(20);
+    assert_eq!(attempt.promotions(), [backend(NEXT)]);
+    assert_eq!(attempt.proof(), Some(EndProof::Lapsed));
+}
+
+/// Its process may be back before the promotion takes effect.
+#[test]
+fn that_nothing_listens_at_the_old_address_ends_no_lead() {
+    let mut attempt = Attempt::unplanned();
+    attempt.pass(400);
+    attempt.reach(OLD, Via::Direct, Reach::Refused);
+    attempt.reach(OLD, Via::Peer(PEER), Reach::Refused);
+    attempt.pass(100);
+    assert!(attempt.holds(NEXT));
+    assert!(attempt.promotions().is_empty());
+}
+
+#[test]
+fn holds_that_were_let_go_by_a_late_promotion_are_noticed() {
+    let mut attempt = Attempt::unplanned();
+    attempt.pass(600);
+    attempt.hold_both();
+    attempt.pass(1_100);
+    attempt.answer(NEXT, held(50));
+    attempt.answer(OTHER, replica(40));
+    attempt.pass(100);
+    assert!(attempt.promotions().is_empty());
+}
+
+/// A step-down whose answer was lost leaves a replica, which says nothing of who leads now.
+#[test]
+fn a_member_that_already_follows_proves_no_end() {
+    let mut attempt = Attempt::planned();
+    attempt.reach(OLD, Via::Direct, Reach::Answered(replica(60)));
+    attempt.pass(100);
+    assert!(attempt.promotions().is_empty());
+    attempt.pass(200);
+    assert!(attempt.holds(NEXT), "the other way is taken");
+}
+
+/// Another may lead a later term where a member does not answer.
+#[test]
+fn a_step_down_is_enough_only_where_all_others_say_that_they_follow() {
+    let mut attempt = Attempt::claimed(true);
+    attempt.answer(OLD, status(BackendRole::Primary, 1, 60, 0));
+    attempt.answer(NEXT, replica(60));
+    attempt.pass(400);
+    attempt.reach(OLD, Via::Direct, Reach::GaveWay(replica(60)));
+    assert!(attempt.promotions().is_empty());
+}
+
+#[test]
+fn a_member_found_to_lead_a_later_term_ends_the_attempt() {
+    let mut attempt = Attempt::unplanned();
+    attempt.pass(600);
+    let leads = status(BackendRole::Primary, 2, 70, 0);
+    attempt.reach(OTHER, Via::Direct, Reach::Answered(leads));
+    attempt.pass(2_000);
+    assert!(attempt.promotions().is_empty());
+}
+
+#[test]
+fn an_attempt_that_takes_too_long_lets_nobody_go_and_promotes_nobody() {
+    let mut attempt = Attempt::unplanned();
+    attempt.pass(600);
+    attempt.hold_both();
+    attempt.now = attempt.now + Duration::from_secs(4);
+    attempt.answer(NEXT, held(50));
+    attempt.pass(100);
+    assert!(attempt.promotions().is_empty());
+    assert_eq!(
+        attempt.resumes(),
+        0,
+        "another may have put them on hold since"
+    );
+}
+
+#[test]
+fn replicas_stay_on_hold_while_a_promotion_without_an_answer_may_be_carried_out() {
+    let mut attempt = Attempt::unplanned();
+    attempt.pass(600);
+    attempt.hold_both();
+    attempt.pass(1_100);
+    attempt.answer(NEXT, held(50));
+    attempt.answer(OTHER, held(40));
+    attempt.pass(20);
+    let unknown = PromotionOutcome::Unknown;
+    attempt.tell(Event::Promotion(service(), FencingToken(4), unknown));
+    let record = stairward_failover::DutyRecord {
+        holder: "b".to_owned(),
+        service: service(),
+    };
+    attempt.tell(Event::Record(RecordVersion(9), Some(record)));
+    attempt.tell(Event::RecordFailed);
+    attempt.pass(500);
+    assert_eq!(attempt.resumes(), 0);
+}
+
+/// The holder that put them on hold is gone.
+#[test]
+fn replicas_that_wait_for_a_term_that_does_not_begin_are_let_go() {
+    let mut attempt = Attempt::claimed(true);
+    attempt.tell(Event::Groups(BTreeMap::from([(service(), group(false))])));
+    attempt.pass(3_500);
+    attempt.effects.clear();
+    attempt.tell(Event::Lead(service(), true));
+    attempt.pass(1_600);
+    attempt.tell(Event::RecordWritten(RecordVersion(8)));
+    attempt.answer(OLD, status(BackendRole::Primary, 1, 60, 0));
+    attempt.answer(NEXT, held(50));
+    attempt.answer(OTHER, held(50));
+    attempt.pass(400);
+    assert_eq!(
+        attempt.promotions(),
+        [backend(OLD)],
+        "which changes nothing but fences older calls off"
+    );
+    let accepted = PromotionOutcome::Accepted;
+    attempt.tell(Event::Promotion(service(), FencingToken(8), accepted));
+    attempt.pass(3_100);
+    assert_eq!(attempt.resumes(), 2);
+}
--- a/crates/stairward-protocol/src/neighbour.rs
+++ b/crates/stairward-protocol/src/neighbour.rs
@@ -188,6 +188,58 @@
     pub const WHOLE: u8 = 2;
 }
 
+/// A question to a member of a group, to be passed on.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct MemberQuestionMessage {
+    /// The service.
+    pub service: Text,
+    /// The member's id.
+    pub backend: Text,
+    /// The member's IPv4 address and port.
+    pub address: [u8; 4],
+    /// The port.
+    pub port: u16,
+    /// What is asked: [`Self::STEP_DOWN`] or [`Self::HOLD`].
+    pub question: u8,
+    /// The term that it is asked with.
+    pub term: u64,
+}
+
+impl MemberQuestionMessage {
+    /// Give way to the term.
+    pub const STEP_DOWN: u8 = 0;
+    /// Don't receive in any term below this one.
+    pub const HOLD: u8 = 1;
+}
+
+/// What came of a question that was passed on.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct MemberReachMessage {
+    /// [`Self::SILENT`], [`Self::REFUSED`], [`Self::PRIMARY`], [`Self::REPLICA`] or [`Self::GAVE_WAY`].
+    pub kind: u8,
+    /// The newest term that the member knows.
+    pub term: u64,
+    /// How much of the log it has received.
+    pub received: OptionalFreshness,
+    /// Below which term it does not receive.
+    pub held: u64,
+}
+
+impl MemberReachMessage {
+    /// The member gave no answer.
+    pub const SILENT: u8 = 0;
+    /// Nothing listens at its address.
+    pub const REFUSED: u8 = 1;
+    /// It answered as primary.
+    pub const PRIMARY: u8 = 2;
+    /// It answered as replica.
+    pub const REPLICA: u8 = 3;
+    /// It led until it was asked, and answered as replica.
+    pub const GAVE_WAY: u8 = 4;
+}
+
 /// A message between two nodes.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big", id_type = "u8")]
@@ -252,6 +304,32 @@
     /// The sign of life.
     #[deku(id = "12")]
     Alive,
+    /// Asks what is known of a service's lead.
+    #[deku(id = "15")]
+    AskLead {
+        /// The service.
+        service: Text,
+        /// The sender's own moment; the answer carries it back.
+        asked_at_microseconds: u64,
+    },
+    /// What is known of it.
+    #[deku(id = "16")]
+    Lead {
+        /// The service.
+        service: Text,
+        /// From the question.
+        asked_at_microseconds: u64,
+        /// The newest term that may have begun.
+        possible_term: u64,
+        /// How long before this answer the members were asked.
+        age_microseconds: u64,
+    },
+    /// Asks to pass a question on to a member of a group. One such question is asked on a link, which then ends.
+    #[deku(id = "13")]
+    AskMember(MemberQuestionMessage),
+    /// What came of it.
+    #[deku(id = "14")]
+    MemberReach(MemberReachMessage),
     /// A feed's state at a watcher.
     #[deku(id = "10")]
     FeedState(FeedStateMessage),
--- a/crates/stairward-runtime/src/duty.rs
+++ b/crates/stairward-runtime/src/duty.rs
@@ -7,13 +7,12 @@
 
 use stairward_engine::OpenTarget;
 use stairward_failover::{
-    DutyRecord, Effect, Event, GroupState, LeaderEvidence, MemberState, RecordVersion,
+    DutyRecord, Effect, Event, GroupState, LeaderEvidence, MemberState, Reach, RecordVersion, Via,
 };
 use stairward_types::{BackendId, ServiceName};
 
 use crate::coordination::RecordWrite;
 use crate::figures;
-use crate::members::ask_member;
 use crate::node::Node;
 use crate::wire::{MemberQuestion, Wire};
 
@@ -74,6 +73,15 @@
             Effect::Ask(backend) => self.question(backend, MemberQuestion::Status),
             Effect::Hold(backend, term) => self.question(backend, MemberQuestion::Hold(term)),
             Effect::Resume(backend) => self.question(backend, MemberQuestion::Resume),
+            Effect::AskReceived(backend, all) => {
+                self.question(backend, MemberQuestion::Received(all));
+            }
+            Effect::StepDown(backend, term, ways) => {
+                self.reach_for(&backend, MemberQuestion::StepDown(term), ways);
+            }
+            Effect::HoldBy(backend, term, ways) => {
+                self.reach_for(&backend, MemberQuestion::Hold(term), ways);
+            }
             Effect::Promote(service, backend, token) => {
                 let promoting = self.coordination.promote(service.clone(), backend, token);
                 tokio::task::spawn_local(async move {
@@ -88,20 +96,25 @@
         }
     }
 
+    fn target(&self, backend: &BackendId) -> Option<OpenTarget> {
+        let backends = self.backends.borrow();
+        let remembered = self.last_described.borrow();
+        let description = backends
+            .get(backend)
+            .or_else(|| remembered.get(backend).map(|(description, _)| description))?;
+        Some(OpenTarget {
+            backend: backend.clone(),
+            service: description.service.clone(),
+            address: description.address,
+        })
+    }
+
     fn question(self: &Rc<Self>, backend: BackendId, question: MemberQuestion) {
-        let target = self
-            .backends
-            .borrow()
-            .get(&backend)
-            .map(|description| OpenTarget {
-                backend: backend.clone(),
-                service: description.service.clone(),
-                address: description.address,
-            });
+        let target = self.target(&backend);
         let node = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let status = match target {
-                Some(target) => ask_member::<W>(target, question).await,
+                Some(target) => node.ask_member(target, question).await.answer(),
                 None => None,
             };
             if status.is_some() {
@@ -112,6 +125,26 @@
         });
     }
 
+    /// Asks a member by each of these ways.
+    fn reach_for(self: &Rc<Self>, backend: &BackendId, question: MemberQuestion, ways: Vec<Via>) {
+        let target = self.target(backend);
+        for via in ways {
+            let node = Rc::clone(self);
+            let (backend, target) = (backend.clone(), target.clone());
+            tokio::task::spawn_local(async move {
+                let reach = match (target, &via) {
+                    (None, _) => Reach::Silent,
+                    (Some(target), Via::Direct) => node.ask_member(target, question).await,
+                    (Some(target), Via::Peer(peer)) => {
+                        node.ask_through_peer(*peer, &target, question).await
+                    }
+                };
+                node.log.reach(node.now(), &backend, &via, reach);
+                node.tell_duty(Event::Reached(backend, via, reach));
+            });
+        }
+    }
+
     /// Tells the duty of services, members and their state.
     pub(crate) fn tell_duty_of_groups(self: &Rc<Self>) {
         let Some(table) = self.routing_table() else {
--- a/crates/stairward-runtime/src/figures.rs
+++ b/crates/stairward-runtime/src/figures.rs
@@ -80,6 +80,9 @@
         Action::Began { .. } => "began",
         Action::GaveUp { .. } => "given_up",
         Action::Chose { .. } => "decided",
+        Action::Ending { .. } => "ending",
+        Action::Holding { .. } => "holding",
+        Action::Ended { .. } => "ended",
         Action::Answered { .. } => "answered",
     };
     metrics::counter!(FAILOVER_STEPS, "step" => step).increment(1);
--- a/crates/stairward-runtime/src/lib.rs
+++ b/crates/stairward-runtime/src/lib.rs
@@ -21,6 +21,7 @@
 mod neighbour_messages;
 mod neighbours;
 mod node;
+mod relayed_questions;
 mod socket;
 mod wire;
 
--- a/crates/stairward-runtime/src/log.rs
+++ b/crates/stairward-runtime/src/log.rs
@@ -3,9 +3,11 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
-use stairward_engine::{Decision, RequestRecord};
-use stairward_failover::Action;
-use stairward_types::{LogEvent, NodeId, OutcomeClass, ServiceName, Time};
+use stairward_engine::{Decision, LeadChange, RequestRecord};
+use stairward_failover::{Action, Reach, Via};
+use stairward_types::{
+    BackendId, Duration, LogEvent, NodeId, OutcomeClass, ServiceName, Term, Time,
+};
 
 /// Lines of one kind a second; the rest are counted and the count is told with the next line.
 const LINES_A_SECOND: u32 = 100;
@@ -17,6 +19,16 @@
     left_out: u64,
 }
 
+/// A change of what is believed of a service's lead, as the engine tells it.
+pub(crate) struct LeadLine<'a> {
+    pub service: &'a ServiceName,
+    pub leader: &'a BackendId,
+    pub change: LeadChange,
+    pub term: Term,
+    pub awaited: Option<Term>,
+    pub age: Option<Duration>,
+}
+
 /// Writes log lines.
 #[derive(Debug, Default)]
 pub(crate) struct DecisionLog {
@@ -64,10 +76,7 @@
             name = event.name(),
             request = record.id,
             service = record.service.as_ref().map(ServiceName::as_str),
-            backend = record
-                .backend
-                .as_ref()
-                .map(stairward_types::BackendId::as_str),
+            backend = record.backend.as_ref().map(BackendId::as_str),
             code,
             attempts = record.attempts,
             age_ms = record.age.as_millis(),
@@ -82,6 +91,9 @@
             Action::Began { .. } => LogEvent::FailoverBegan,
             Action::GaveUp { .. } => LogEvent::FailoverGivenUp,
             Action::Chose { .. } => LogEvent::PromotionDecided,
+            Action::Ending { .. } => LogEvent::StepDownAsked,
+            Action::Holding { .. } => LogEvent::ReplicasHeld,
+            Action::Ended { .. } => LogEvent::LeadEnded,
             Action::Answered { .. } => LogEvent::PromotionAnswered,
         };
         if let Some(left_out) = self.admit(now, event) {
@@ -108,6 +120,37 @@
         }
     }
 
+    /// A change of what is believed of a service's lead.
+    pub fn lead(&self, now: Time, lead: &LeadLine<'_>) {
+        let event = match lead.change {
+            LeadChange::Confirmed => LogEvent::LeadConfirmed,
+            LeadChange::Revoked => LogEvent::LeadRevoked,
+            LeadChange::Lapsed => LogEvent::LeaseLapsed,
+        };
+        if let Some(left_out) = self.admit(now, event) {
+            tracing::info!(
+                event = event.number(),
+                name = event.name(),
+                service = lead.service.as_str(),
+                backend = lead.leader.as_str(),
+                term = lead.term.0,
+                awaited_term = lead.awaited.map(|term| term.0),
+                confirmed_age_ms = lead.age.map(|age| age.as_millis()),
+                left_out
+            );
+        }
+    }
+
+    /// What came of asking a member to step down or to hold.
+    pub fn reach(&self, now: Time, backend: &BackendId, via: &Via, reach: Reach) {
+        let event = LogEvent::MemberAsked;
+        if let Some(left_out) = self.admit(now, event) {
+            let (number, name) = (event.number(), event.name());
+            let backend = backend.as_str();
+            tracing::info!(event = number, name, backend, left_out, "{via:?} {reach:?}");
+        }
+    }
+
     /// A change of what is believed of a back end.
     pub fn backend(&self, now: Time, event: LogEvent, backend: &str) {
         if let Some(left_out) = self.admit(now, event) {
--- a/crates/stairward-runtime/src/membership.rs
+++ b/crates/stairward-runtime/src/membership.rs
@@ -130,6 +130,7 @@
         *self.members.borrow_mut() = members;
         self.set_nodes(u32::try_from(count).unwrap_or(1));
         if has_changed {
+            self.choose_question_peers();
             self.update_holders();
             self.tell_feeds_of_members();
         }
@@ -141,22 +142,38 @@
             return;
         };
         let mut elsewhere: BTreeMap<ServiceName, Vec<NodeId>> = BTreeMap::new();
+        let mut sources: BTreeMap<ServiceName, NodeId> = BTreeMap::new();
         {
             let members = self.members.borrow();
             for (service, limits) in &table.services {
                 let count = usize::try_from(holder_count(limits.connections)).unwrap_or(1);
                 let holders = rank_holders(members.iter().map(candidate), service, count);
+                if let Some(source) = self.lead_source(&members, &holders) {
+                    sources.insert(service.clone(), source);
+                }
                 if members.len() > count && !holders.contains(&self.peer.node) {
                     elsewhere.insert(service.clone(), self.by_nearness(&members, holders));
                 }
             }
         }
+        self.handle(stairward_engine::Event::LeadSources(sources));
         if *self.holders.borrow() != elsewhere {
             self.holders.borrow_mut().clone_from(&elsewhere);
             self.handle(stairward_engine::Event::Holders(elsewhere));
         }
     }
 
+    /// The first holder of the own region, unless that is this node: the one that asks members about the lead
+    /// for all others of the region.
+    fn lead_source(&self, members: &[Profile], holders: &[NodeId]) -> Option<NodeId> {
+        let is_near = |node: &&NodeId| {
+            let member = members.iter().find(|member| member.node == **node);
+            member.is_some_and(|member| member.region == self.peer.region)
+        };
+        let first = holders.iter().find(is_near).copied();
+        first.filter(|node| *node != self.peer.node)
+    }
+
     /// Holders of the own zone first, then of the own region; each node begins elsewhere among them.
     fn by_nearness(&self, members: &[Profile], holders: Vec<NodeId>) -> Vec<NodeId> {
         let distance = |node: &NodeId| {
--- a/crates/stairward-runtime/src/neighbours.rs
+++ b/crates/stairward-runtime/src/neighbours.rs
@@ -10,7 +10,7 @@
 use stairward_engine::{Event, Forwarded, Response, SessionId};
 use stairward_protocol::neighbour::NeighbourMessage;
 use stairward_protocol::{OptionalFreshness, Text};
-use stairward_types::{Freshness, LogEvent, NodeId, ServiceName, Time};
+use stairward_types::{Freshness, LogEvent, NodeId, ServiceName, Term, Time};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::compression::compress;
@@ -118,7 +118,28 @@
                         break;
                     }
                 }
+                NeighbourMessage::AskLead {
+                    service,
+                    asked_at_microseconds,
+                } => {
+                    let answer = self.lead_answer(service, asked_at_microseconds);
+                    if let Some(answer) = answer
+                        && outgoing.send(&frame(&answer)).is_err()
+                    {
+                        break;
+                    }
+                }
+                NeighbourMessage::AskMember(question) => {
+                    let Some(answer) = self.ask_for_peer(&question).await else {
+                        break;
+                    };
+                    if outgoing.send(&frame(&answer)).is_err() {
+                        break;
+                    }
+                }
                 NeighbourMessage::Document { .. }
+                | NeighbourMessage::Lead { .. }
+                | NeighbourMessage::MemberReach(_)
                 | NeighbourMessage::Alive
                 | NeighbourMessage::FeedState(_)
                 | NeighbourMessage::Position { .. }
@@ -274,6 +295,21 @@
                     let asked_at = Time(asked_at_microseconds);
                     self.take_position(&service, position.into(), asked_at, age);
                 }
+                NeighbourMessage::Lead {
+                    service,
+                    asked_at_microseconds,
+                    possible_term,
+                    age_microseconds,
+                } => {
+                    if let Ok(service) = ServiceName::new(service.as_str()) {
+                        self.handle(Event::PeerLead {
+                            service,
+                            possible: Term(possible_term),
+                            asked_at: Time(asked_at_microseconds),
+                            age: Duration::from_micros(age_microseconds),
+                        });
+                    }
+                }
                 NeighbourMessage::Alive => self.handle(Event::HolderHeard(holder)),
                 NeighbourMessage::FeedState(message) => self.source_answered(holder, message),
                 _ => break,
@@ -311,6 +347,32 @@
         }
     }
 
+    /// Asks another node what it knows of a service's lead.
+    pub(crate) fn ask_lead(self: &Rc<Self>, holder: NodeId, service: &ServiceName) {
+        let message = NeighbourMessage::AskLead {
+            service: Text::new(service.as_str()),
+            asked_at_microseconds: self.now().0,
+        };
+        self.tell_neighbour(holder, &message);
+    }
+
+    /// What is known of a lead; none where nothing is. It is kept known from now on.
+    fn lead_answer(
+        self: &Rc<Self>,
+        service: Text,
+        asked_at_microseconds: u64,
+    ) -> Option<NeighbourMessage> {
+        let name = ServiceName::new(service.as_str()).ok()?;
+        self.handle(Event::LeadAsked(name.clone()));
+        let (possible, age) = self.known_lead(&name)?;
+        Some(NeighbourMessage::Lead {
+            service,
+            asked_at_microseconds,
+            possible_term: possible.0,
+            age_microseconds: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
+        })
+    }
+
     fn take_position(
         self: &Rc<Self>,
         service: &Text,
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -9,30 +9,37 @@
 use bytes::BytesMut;
 use stairward_engine::{
     BackendDescription, ConnectionId, Effect, Engine, EngineOptions, EngineStatistics, Event,
-    Evidence, RoutingTable, SessionId,
+    Evidence, LeadChange, RoutingTable, SessionId,
 };
 use stairward_failover::{FailoverDuty, FailoverOptions, LeaderEvidence, LeaderMemory};
 use stairward_membership::Profile;
 use stairward_protocol::neighbour::NeighbourMessage;
-use stairward_types::{BackendId, Freshness, LogEvent, NodeId, ServiceName, Time};
+use stairward_types::{BackendId, Freshness, LogEvent, NodeId, ServiceName, Term, Time};
 use tokio::sync::Notify;
 
 use crate::coordination::Coordination;
 use crate::feeds::Feeds;
 use crate::figures;
 use crate::health::Readiness;
-use crate::log::DecisionLog;
+use crate::log::{DecisionLog, LeadLine};
+use crate::members::KeptConnections;
 use crate::membership::PeerIdentity;
 use crate::neighbours::{Guests, Link};
 use crate::socket::Outgoing;
 use crate::wire::Wire;
 
+/// How long a back end that discovery no longer lists is remembered.
+const REMEMBERED_FOR: Duration = Duration::from_secs(60);
+
 /// How a node is set up.
 pub struct NodeOptions {
     /// For the engine.
     pub engine: EngineOptions,
     /// For the failover duty.
     pub failover: FailoverOptions,
+    /// How long a leader counts as confirmed after a replica was asked, and how long whoever replaces it waits
+    /// therefore. None where a leader that was replaced accepts nothing any more.
+    pub leadership_lease: Option<Duration>,
     /// The store and the promotion call.
     pub coordination: Rc<dyn Coordination>,
     /// Who the node is among its peers.
@@ -51,6 +58,9 @@
     pub(crate) sessions: RefCell<BTreeMap<SessionId, Rc<Outgoing>>>,
     pub(crate) connections: RefCell<BTreeMap<ConnectionId, Rc<Outgoing>>>,
     pub(crate) backends: RefCell<BTreeMap<BackendId, BackendDescription>>,
+    /// Back ends that are or were listed lately, and when: one that discovery has lost may still have to be
+    /// asked.
+    pub(crate) last_described: RefCell<BTreeMap<BackendId, (BackendDescription, Time)>>,
     pub(crate) leader_memory: RefCell<LeaderMemory>,
     pub(crate) peer: PeerIdentity,
     /// The membership view.
@@ -59,6 +69,7 @@
     pub(crate) holders: RefCell<BTreeMap<ServiceName, Vec<NodeId>>>,
     pub(crate) links: RefCell<BTreeMap<NodeId, Link>>,
     pub(crate) guests: RefCell<Guests>,
+    pub(crate) kept: RefCell<KeptConnections>,
     pub(crate) feeds: Feeds,
     pub(crate) log: DecisionLog,
     last_session: Cell<u64>,
@@ -81,21 +92,31 @@
     /// A node that knows nothing yet.
     #[must_use]
     pub fn new(options: NodeOptions) -> Rc<Self> {
+        let engine = EngineOptions {
+            leadership_lease: options.leadership_lease,
+            ..options.engine
+        };
+        let failover = FailoverOptions {
+            leadership_lease: options.leadership_lease,
+            ..options.failover
+        };
         Rc::new(Self {
-            engine: RefCell::new(Engine::new(options.engine)),
-            duty: RefCell::new(FailoverDuty::new(options.failover)),
+            engine: RefCell::new(Engine::new(engine)),
+            duty: RefCell::new(FailoverDuty::new(failover)),
             coordination: options.coordination,
             readiness: options.readiness,
             started: Instant::now(),
             sessions: RefCell::default(),
             connections: RefCell::default(),
             backends: RefCell::default(),
+            last_described: RefCell::default(),
             leader_memory: RefCell::default(),
             peer: options.peer,
             members: RefCell::default(),
             holders: RefCell::default(),
             links: RefCell::default(),
             guests: RefCell::default(),
+            kept: RefCell::default(),
             feeds: Feeds::default(),
             log: DecisionLog::default(),
             last_session: Cell::new(0),
@@ -129,6 +150,7 @@
 
     /// Takes discovery's whole present list in.
     pub fn set_backends(self: &Rc<Self>, list: Vec<BackendDescription>) {
+        self.remember_descriptions(&list);
         let known = list
             .iter()
             .map(|description| (description.id.clone(), description.clone()));
@@ -137,6 +159,15 @@
         self.tell_duty_of_groups();
     }
 
+    fn remember_descriptions(&self, list: &[BackendDescription]) {
+        let now = self.now();
+        let mut described = self.last_described.borrow_mut();
+        for description in list {
+            described.insert(description.id.clone(), (description.clone(), now));
+        }
+        described.retain(|_, (_, listed_at)| now.since(*listed_at) < REMEMBERED_FOR);
+    }
+
     /// How many nodes share the back ends.
     pub(crate) fn set_nodes(self: &Rc<Self>, nodes: u32) {
         self.handle(Event::Nodes(nodes));
@@ -177,6 +208,12 @@
         self.engine.borrow().proved_position(now, service)
     }
 
+    /// What is known of a service's lead: the newest term that may have begun, and the age of that.
+    pub(crate) fn known_lead(&self, service: &ServiceName) -> Option<(Term, Duration)> {
+        let now = self.now();
+        self.engine.borrow().known_lead(now, service)
+    }
+
     /// Figures for metrics.
     #[must_use]
     pub fn statistics(&self) -> EngineStatistics {
@@ -256,6 +293,27 @@
                 self.tell_neighbour(holder, &NeighbourMessage::AskAlive);
             }
             Effect::HolderObserved { holder, is_silent } => self.log.holder(now, holder, is_silent),
+            Effect::LeadObserved {
+                service,
+                leader,
+                change,
+                term,
+                awaited,
+                age,
+            } => {
+                let lead = LeadLine {
+                    service: &service,
+                    leader: &leader,
+                    change,
+                    term,
+                    awaited,
+                    age,
+                };
+                self.log.lead(now, &lead);
+                let is_revoked = change == LeadChange::Revoked;
+                self.tell_duty(stairward_failover::Event::Lead(service, is_revoked));
+            }
+            Effect::AskLead { holder, service } => self.ask_lead(holder, &service),
             Effect::AskPosition { service } => self.ask_peers_for_position(&service),
             Effect::CloseForwarded { holder, session } => self.close_forwarded(holder, session),
             Effect::RefuseSession { session, code } => {
--- /dev/null
+++ b/crates/stairward-runtime/src/relayed_questions.rs
@@ -0,0 +1,160 @@
+//! Questions to members of a group that another node passes on, for a node that has no answer itself.
+
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom as _;
+use stairward_engine::OpenTarget;
+use stairward_failover::{MemberStatus, Reach};
+use stairward_protocol::neighbour::{MemberQuestionMessage, MemberReachMessage, NeighbourMessage};
+use stairward_protocol::{OptionalFreshness, Text};
+use stairward_types::{BackendId, BackendRole, Freshness, NodeId, ServiceName, Term};
+
+use crate::neighbour_link::{connect, frame};
+use crate::node::Node;
+use crate::wire::{MemberQuestion, Wire};
+
+/// How long a peer may take to pass a question on and to answer.
+const RELAY_PATIENCE: Duration = Duration::from_millis(1_000);
+/// Peers that are asked to pass a question on: enough that a cut of some of the nodes leaves one that reaches
+/// the member.
+const PEERS_ASKED: usize = 8;
+
+impl<W: Wire> Node<W> {
+    /// Chooses anew the peers that may pass questions on, and tells the duty.
+    pub(crate) fn choose_question_peers(self: &Rc<Self>) {
+        let peers: Vec<NodeId> = {
+            let members = self.members.borrow();
+            let others = members
+                .iter()
+                .map(|member| member.node)
+                .filter(|node| *node != self.peer.node);
+            others.sample(&mut rand::rng(), PEERS_ASKED)
+        };
+        self.tell_duty(stairward_failover::Event::Peers(peers));
+    }
+
+    /// Has a peer ask a member.
+    pub(crate) async fn ask_through_peer(
+        self: &Rc<Self>,
+        peer: NodeId,
+        target: &OpenTarget,
+        question: MemberQuestion,
+    ) -> Reach {
+        let address = {
+            let members = self.members.borrow();
+            let member = members.iter().find(|member| member.node == peer);
+            member.map(|member| member.address)
+        };
+        let (Some(address), Some(message)) = (address, question_message(target, question)) else {
+            return Reach::Silent;
+        };
+        let asking = async {
+            let (mut reader, outgoing) = connect(address).await?;
+            let question = NeighbourMessage::AskMember(message);
+            outgoing.send(&frame(&question)).ok()?;
+            match reader.next().await? {
+                NeighbourMessage::MemberReach(reach) => Some(reach_of(&reach)),
+                _ => None,
+            }
+        };
+        tokio::time::timeout(RELAY_PATIENCE, asking)
+            .await
+            .ok()
+            .flatten()
+            .unwrap_or(Reach::Silent)
+    }
+
+    /// Asks a member for a peer; none when the question is not understood.
+    pub(crate) async fn ask_for_peer(
+        self: &Rc<Self>,
+        message: &MemberQuestionMessage,
+    ) -> Option<NeighbourMessage> {
+        let (target, question) = question_of(message)?;
+        let reach = self.ask_member(target, question).await;
+        Some(NeighbourMessage::MemberReach(reach_message(reach)))
+    }
+}
+
+/// A question as a message; none for one that is not passed on.
+fn question_message(
+    target: &OpenTarget,
+    question: MemberQuestion,
+) -> Option<MemberQuestionMessage> {
+    let (question, term) = match question {
+        MemberQuestion::StepDown(term) => (MemberQuestionMessage::STEP_DOWN, term),
+        MemberQuestion::Hold(term) => (MemberQuestionMessage::HOLD, term),
+        MemberQuestion::Status | MemberQuestion::Received(_) | MemberQuestion::Resume => {
+            return None;
+        }
+    };
+    let IpAddr::V4(ip) = target.address.ip() else {
+        return None;
+    };
+    Some(MemberQuestionMessage {
+        service: Text::new(target.service.as_str()),
+        backend: Text::new(target.backend.as_str()),
+        address: ip.octets(),
+        port: target.address.port(),
+        question,
+        term: term.0,
+    })
+}
+
+fn question_of(message: &MemberQuestionMessage) -> Option<(OpenTarget, MemberQuestion)> {
+    let term = Term(message.term);
+    let question = match message.question {
+        MemberQuestionMessage::STEP_DOWN => MemberQuestion::StepDown(term),
+        MemberQuestionMessage::HOLD => MemberQuestion::Hold(term),
+        _ => return None,
+    };
+    let target = OpenTarget {
+        backend: BackendId::new(message.backend.as_str()).ok()?,
+        service: ServiceName::new(message.service.as_str()).ok()?,
+        address: SocketAddr::from((message.address, message.port)),
+    };
+    Some((target, question))
+}
+
+fn reach_message(reach: Reach) -> MemberReachMessage {
+    let (kind, status) = match reach {
+        Reach::Silent => (MemberReachMessage::SILENT, None),
+        Reach::Refused => (MemberReachMessage::REFUSED, None),
+        Reach::GaveWay(status) => (MemberReachMessage::GAVE_WAY, Some(status)),
+        Reach::Answered(status) => match status.role {
+            BackendRole::Primary => (MemberReachMessage::PRIMARY, Some(status)),
+            BackendRole::Replica => (MemberReachMessage::REPLICA, Some(status)),
+        },
+    };
+    MemberReachMessage {
+        kind,
+        term: status.map_or(0, |status| status.term.0),
+        received: OptionalFreshness::from(status.map(|status| status.received)),
+        held: status.map_or(0, |status| status.held.0),
+    }
+}
+
+/// A message as what came of a question. What is not understood counts as no answer.
+fn reach_of(message: &MemberReachMessage) -> Reach {
+    let role = match message.kind {
+        MemberReachMessage::REFUSED => return Reach::Refused,
+        MemberReachMessage::PRIMARY => BackendRole::Primary,
+        MemberReachMessage::REPLICA | MemberReachMessage::GAVE_WAY => BackendRole::Replica,
+        _ => return Reach::Silent,
+    };
+    let Some(received) = Option::<Freshness>::from(message.received) else {
+        return Reach::Silent;
+    };
+    let status = MemberStatus {
+        role,
+        term: Term(message.term),
+        received,
+        held: Term(message.held),
+    };
+    if message.kind == MemberReachMessage::GAVE_WAY {
+        Reach::GaveWay(status)
+    } else {
+        Reach::Answered(status)
+    }
+}
--- a/crates/stairward-runtime/src/wire.rs
+++ b/crates/stairward-runtime/src/wire.rs
@@ -6,7 +6,6 @@
 use stairward_engine::{
     BackendCommand, BackendReply, OpenFailure, OpenTarget, Response, Statement,
 };
-use stairward_failover::MemberStatus;
 use stairward_types::{Freshness, ResultCode, Term};
 
 /// A message of a caller.
@@ -50,6 +49,10 @@
 pub enum MemberQuestion {
     /// What it says of itself.
     Status,
+    /// What it says of itself once it has received this.
+    Received(Freshness),
+    /// Give way to this term, if it leads a lower one, and say what it has received.
+    StepDown(Term),
     /// Stop receiving in terms below this one, and say what it has received.
     Hold(Term),
     /// Receive again.
@@ -91,7 +94,8 @@
     /// Sends a command to a back end.
     fn encode_command(command: &BackendCommand, out: &mut BytesMut);
 
-    /// Takes the answer to the oldest command without one.
+    /// Takes the answer to the oldest command or question without one. An answer to a question carries
+    /// [`BackendReply::member`].
     ///
     /// # Errors
     /// When the bytes are not the protocol.
@@ -102,7 +106,4 @@
 
     /// Asks a member.
     fn encode_question(question: MemberQuestion, out: &mut BytesMut);
-
-    /// What an answer to a question says; none when it says nothing.
-    fn member_status(reply: &BackendReply) -> Option<MemberStatus>;
 }
--- /dev/null
+++ b/crates/stairward-simulation/examples/run_seed.rs
@@ -0,0 +1,40 @@
+//! Runs seeds of the simulation where old primaries go on, and prints what struck, what the duty decided and
+//! the first violations of each that has any. `cargo run --release --example run_seed -- FROM TO [close]`; with
+//! `close`, faults strike close upon each other.
+
+use stairward_simulation::{FaultKind, Options, simulate};
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let number = |place: usize| {
+        let text = arguments.get(place);
+        text.and_then(|text| text.parse().ok()).unwrap_or(1)
+    };
+    let is_close = arguments.iter().any(|argument| argument == "close");
+    let (mut violations, mut promotions, mut lost) = (0, 0, 0);
+    for seed in number(0)..=number(1) {
+        let mut options = Options {
+            old_primaries_go_on: true,
+            ..Options::new(seed)
+        };
+        if is_close {
+            options.faults = FaultKind::ALL.to_vec();
+            options.strikes = 14;
+            options.longest_pause = 1_500;
+        }
+        let report = simulate(&options);
+        promotions += report.promotions;
+        lost += report.acknowledged_then_lost;
+        if !report.violations.is_empty() {
+            violations += report.violations.len();
+            let first: Vec<_> = report.violations.iter().take(2).collect();
+            println!(
+                "seed {seed}: {:#?}\n{:#?}\n{first:#?}",
+                report.strikes, report.decisions
+            );
+        }
+    }
+    println!(
+        "{violations} violations, {promotions} promotions, {lost} acknowledged commits rolled back"
+    );
+}
--- a/crates/stairward-simulation/src/checker.rs
+++ b/crates/stairward-simulation/src/checker.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use stairward_types::Time;
+use stairward_types::{Term, Time};
 
 use crate::database::{Database, Entry, Ran};
 
@@ -20,6 +20,8 @@
     Unasked,
     /// Statements run in their own transaction, under their own session's values.
     OwnTransaction,
+    /// No write is acknowledged that the old primary committed after another had taken over.
+    OneLeader,
     /// Where replicas are synchronous, a promotion loses no acknowledged commit.
     Kept,
     /// One decision a fencing token.
@@ -91,6 +93,12 @@
     acknowledged: Vec<Acknowledged>,
     promised: BTreeSet<u64>,
     decisions: BTreeMap<u64, String>,
+    /// When each write was committed, by its statement's id.
+    committed_at: BTreeMap<String, (Time, Entry)>,
+    /// When each term began.
+    terms: BTreeMap<Term, Time>,
+    /// Acknowledged commits that a promotion rolled back.
+    pub acknowledged_then_lost: u64,
     /// What was violated so far.
     pub violations: Vec<Violation>,
     /// How often each invariant was checked.
@@ -107,6 +115,9 @@
             acknowledged: Vec::new(),
             promised: BTreeSet::new(),
             decisions: BTreeMap::new(),
+            committed_at: BTreeMap::new(),
+            terms: BTreeMap::new(),
+            acknowledged_then_lost: 0,
             violations: Vec::new(),
             checked: BTreeMap::new(),
         }
@@ -211,6 +222,7 @@
     /// A commit took effect.
     pub fn committed(&mut self, now: Time, entry: &Entry) {
         for id in &entry.writes {
+            self.committed_at.insert(id.clone(), (now, entry.clone()));
             self.count(Invariant::Once);
             let commits = self.commits.entry(id.clone()).or_default();
             commits.push(entry.clone());
@@ -235,9 +247,37 @@
         }
     }
 
+    /// A term has begun.
+    pub fn term_began(&mut self, now: Time, term: Term) {
+        self.terms.insert(term, now);
+    }
+
+    /// A write that is acknowledged was not committed at an old primary after another had taken over.
+    fn check_one_leader(&mut self, now: Time, writes: &[String]) {
+        for id in writes {
+            let Some((at, entry)) = self.committed_at.get(id).cloned() else {
+                continue;
+            };
+            self.count(Invariant::OneLeader);
+            let mut later = self.terms.range(Term(entry.at.term.0 + 1)..);
+            if let Some((term, began)) = later.find(|(_, began)| **began < at) {
+                let text = format!(
+                    "{id}, committed at {at:?} as {:?}, is acknowledged after term {term} began at {began:?}",
+                    entry.at
+                );
+                self.violate(now, Invariant::OneLeader, text);
+            }
+        }
+    }
+
     /// A promotion rolled commits back: they no longer count.
     pub fn rolled_back(&mut self, entries: &[Entry]) {
         for entry in entries {
+            let lost = self
+                .acknowledged
+                .iter()
+                .filter(|write| write.entry == *entry);
+            self.acknowledged_then_lost += u64::try_from(lost.count()).unwrap_or(0);
             self.acknowledged.retain(|write| write.entry != *entry);
             for id in &entry.writes {
                 if let Some(commits) = self.commits.get_mut(id) {
@@ -249,6 +289,7 @@
 
     /// A caller was told that a write is kept.
     pub fn acknowledged(&mut self, now: Time, session: u64, writes: &[String]) {
+        self.check_one_leader(now, writes);
         let entry = writes
             .first()
             .and_then(|id| self.commits.get(id))
--- a/crates/stairward-simulation/src/database.rs
+++ b/crates/stairward-simulation/src/database.rs
@@ -6,7 +6,10 @@
     BackendCommand, BackendError, BackendErrorCode, BackendReply, PreparedStatement,
     TransactionStatus,
 };
-use stairward_types::{BackendId, BackendRole, Freshness, LogPosition, Term, Time};
+use stairward_types::{BackendId, BackendRole, Freshness, LogPosition, MemberStatus, Term, Time};
+
+/// The position of a log without an entry.
+const EMPTY_LOG: Freshness = Freshness::new(Term(1), LogPosition(0));
 
 /// A connection, unique in the world: the node's life and its own number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -103,8 +106,10 @@
     pub leaving_since: Option<Time>,
     /// Whether nothing passes between it and the other members.
     pub is_deaf: bool,
-    /// Whether it was told not to receive.
-    pub is_held: bool,
+    /// Below which term it was told not to receive; 0 where it receives.
+    pub held: Term,
+    /// Since when it, an old primary, has reached the new one.
+    pub reaches_successor_since: Option<Time>,
     /// How many times later than usual it applies.
     pub lag_factor: u32,
 }
@@ -124,21 +129,53 @@
             connection_limit,
             leaving_since: None,
             is_deaf: false,
-            is_held: false,
+            held: Term(0),
+            reaches_successor_since: None,
             lag_factor: 1,
         }
     }
 
-    /// How far it has applied the log.
+    /// How far it has applied the log, with the term of the last entry.
     pub fn position(&self) -> Freshness {
-        let number = u64::try_from(self.applied).unwrap_or_default();
-        Freshness::new(self.term, LogPosition(number))
+        self.log[..self.applied]
+            .last()
+            .map_or(EMPTY_LOG, |entry| entry.at)
+    }
+
+    /// What it says of itself.
+    #[must_use]
+    pub fn status(&self) -> MemberStatus {
+        MemberStatus {
+            role: self.role,
+            term: self.term,
+            received: self.log.last().map_or(EMPTY_LOG, |entry| entry.at),
+            held: self.held,
+        }
     }
 
-    /// How much of the log it has received.
-    pub fn received(&self) -> Freshness {
-        let number = u64::try_from(self.log.len()).unwrap_or_default();
-        Freshness::new(self.term, LogPosition(number))
+    /// Whether other members receive its log.
+    #[must_use]
+    pub const fn passes_log(&self) -> bool {
+        self.is_alive && !self.is_silent && !self.is_deaf
+    }
+
+    /// Is told not to receive in any term below this one.
+    pub fn hold(&mut self, term: Term) {
+        if self.role == BackendRole::Replica && term > self.term {
+            self.held = self.held.max(term);
+        }
+    }
+
+    /// Is told to receive again.
+    pub fn resume(&mut self) {
+        self.held = Term(0);
+    }
+
+    /// Is told to give way to a term.
+    pub fn step_down(&mut self, term: Term) {
+        if self.term < term {
+            self.role = BackendRole::Replica;
+        }
     }
 
     /// Whether the applied log holds a position.
@@ -153,7 +190,7 @@
             return false;
         }
         // A position of an earlier term may have been rolled back and its number used again.
-        self.log[number - 1].at.term <= floor.term
+        self.log[number - 1].at == floor
     }
 
     /// Runs a command on a connection.
@@ -202,6 +239,11 @@
                 state.transaction = None;
                 done(&state, position)
             }
+            BackendCommand::AskStatus => {
+                let mut outcome = done(&state, position);
+                outcome.reply.member = Some(self.status());
+                outcome
+            }
             BackendCommand::Run { id, text, floor } => {
                 self.run_text(&mut state, id, text, *floor, is_primary)
             }
@@ -358,6 +400,7 @@
             result: Ok("signed".to_owned()),
             status: status(state),
             position: Some(position),
+            member: None,
         },
         ran: None,
         committed: None,
@@ -374,6 +417,7 @@
             }),
             status,
             position: Some(position),
+            member: None,
         },
         ran: None,
         committed: None,
--- a/crates/stairward-simulation/src/faults.rs
+++ b/crates/stairward-simulation/src/faults.rs
@@ -190,7 +190,7 @@
         let node = self.some_node();
         let until = self.now() + length;
         self.nodes[node].frozen_until = until;
-        self.nodes[node].in_touch_since = until;
+        self.nodes[node].in_touch_since = self.nodes[node].in_touch_since.max(until);
     }
 
     fn cut_primary(&mut self, length: Duration) {
@@ -207,7 +207,7 @@
         let node = self.some_node();
         let until = self.now() + length;
         self.nodes[node].is_cut_from_store = true;
-        self.nodes[node].in_touch_since = until;
+        self.nodes[node].in_touch_since = self.nodes[node].in_touch_since.max(until);
         self.end_after(length, Ending::StoreHeals(node));
     }
 
--- a/crates/stairward-simulation/src/group.rs
+++ b/crates/stairward-simulation/src/group.rs
@@ -8,6 +8,9 @@
 
 use crate::database::{Database, Entry};
 
+/// How long an old primary goes on once it reaches the new one.
+const OLD_PRIMARY_GOES_ON: Duration = Duration::from_secs(1);
+
 /// The one service.
 pub const SERVICE: &str = "core";
 
@@ -22,6 +25,11 @@
     pub revision: u64,
     /// The highest fencing token seen.
     pub fence: u64,
+    /// Whether an old primary goes on after another was promoted, until it steps down or has reached the
+    /// new one for a while.
+    pub old_primaries_go_on: bool,
+    /// The database that leads the newest term, or led it and has stepped down: the others receive from it.
+    source: BackendId,
     applied_at: BTreeMap<BackendId, Vec<(Time, usize)>>,
 }
 
@@ -48,6 +56,8 @@
             listed: BTreeMap::new(),
             revision: 0,
             fence: 0,
+            old_primaries_go_on: false,
+            source: BackendId::new("db-1").expect("a name"),
             applied_at: BTreeMap::new(),
         };
         let ids: Vec<_> = group.databases.keys().cloned().collect();
@@ -96,7 +106,8 @@
             .map(|database| &database.id)
     }
 
-    /// A database leads the next term with what it has received; the others follow it.
+    /// A database leads the next term with what it has received; the others follow it. Returns what they had
+    /// beyond that.
     pub fn promote(&mut self, id: &BackendId) -> Vec<Entry> {
         let newest = self.databases.values().map(|database| database.term).max();
         self.applied_at.clear();
@@ -108,28 +119,56 @@
         leader.term = term;
         leader.applied = leader.log.len();
         let kept = leader.log.clone();
+        self.source = id.clone();
         let mut rolled_back = Vec::new();
         for (other_id, other) in &mut self.databases {
-            other.is_held = false;
+            other.resume();
             if other_id == id {
                 continue;
             }
+            let is_old_primary = other.role == BackendRole::Primary;
+            if is_old_primary && self.old_primaries_go_on && other.is_alive {
+                other.reaches_successor_since = None;
+                rolled_back.extend(surplus(&other.log, &kept).iter().cloned());
+                continue;
+            }
             other.role = BackendRole::Replica;
-            if other.is_alive {
+            if other.is_alive && !self.old_primaries_go_on {
                 other.term = term;
             }
-            let same = other
-                .log
-                .iter()
-                .zip(&kept)
-                .take_while(|(theirs, ours)| theirs == ours)
-                .count();
+            let same = other.log.len() - surplus(&other.log, &kept).len();
             rolled_back.extend(other.log.split_off(same));
             other.applied = other.applied.min(other.log.len());
         }
         rolled_back
     }
 
+    /// Old primaries that have reached the new one for a while follow it. Returns what they had beyond it.
+    pub fn join_old_primaries(&mut self, now: Time) -> Vec<Entry> {
+        let Some(leader) = self.databases.get(&self.source) else {
+            return Vec::new();
+        };
+        let (term, kept, leads) = (leader.term, leader.log.clone(), leader.passes_log());
+        let mut rolled_back = Vec::new();
+        for database in self.databases.values_mut() {
+            if database.role != BackendRole::Primary || database.term >= term {
+                continue;
+            }
+            if !leads || !database.passes_log() {
+                database.reaches_successor_since = None;
+                continue;
+            }
+            let since = *database.reaches_successor_since.get_or_insert(now);
+            if now >= since + OLD_PRIMARY_GOES_ON {
+                database.role = BackendRole::Replica;
+                let same = database.log.len() - surplus(&database.log, &kept).len();
+                rolled_back.extend(database.log.split_off(same));
+                database.applied = database.applied.min(database.log.len());
+            }
+        }
+        rolled_back
+    }
+
     /// Whether a commit is on as many replicas as it must be before it is acknowledged.
     #[must_use]
     pub fn is_received(&self, entry: &Entry, replicas: u32) -> bool {
@@ -141,22 +180,26 @@
         holding >= usize::try_from(replicas).unwrap_or(usize::MAX)
     }
 
-    /// Replicas receive what the primary has, and apply it after `lag` times their own factor.
+    /// Replicas receive what the primary has, and apply it after `lag` times their own factor. The log of a
+    /// primary that has stepped down is received to its end.
     pub fn replicate(&mut self, now: Time, lag: Duration) {
-        let Some(primary) = self.primary().cloned() else {
+        let source = self.source.clone();
+        let Some(leader) = self.databases.remove(&source) else {
             return;
         };
-        let Some(leader) = self.databases.remove(&primary) else {
-            return;
-        };
-        let leads = leader.is_alive && !leader.is_silent && !leader.is_deaf;
+        let leads = leader.passes_log();
         for (id, database) in &mut self.databases {
-            if !database.is_alive {
+            if !database.is_alive || database.role == BackendRole::Primary {
                 continue;
             }
-            if leads && !database.is_deaf && !database.is_silent && !database.is_held {
+            if leads && !database.is_deaf && !database.is_silent && database.held <= leader.term {
                 database.term = leader.term;
-                if database.log.len() != leader.log.len() {
+                if database.log.len() != leader.log.len()
+                    || database.log.last() != leader.log.last()
+                {
+                    // One that led before may have more than the present leader.
+                    let same = database.log.len() - surplus(&database.log, &leader.log).len();
+                    database.applied = database.applied.min(same);
                     database.log.clone_from(&leader.log);
                 }
             }
@@ -170,6 +213,16 @@
                 history.drain(..due);
             }
         }
-        self.databases.insert(primary, leader);
+        self.databases.insert(source, leader);
     }
 }
+
+/// What a log has beyond its common beginning with another.
+fn surplus<'a>(log: &'a [Entry], kept: &[Entry]) -> &'a [Entry] {
+    let same = log
+        .iter()
+        .zip(kept)
+        .take_while(|(theirs, ours)| theirs == ours)
+        .count();
+    &log[same..]
+}
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -8,11 +8,14 @@
     BackendDescription, ConnectionId, Consistency, Engine, EngineOptions, Route, RoutingTable,
     ServiceLimits, ZoneDistance,
 };
-use stairward_failover::{FailoverDuty, FailoverOptions, GroupState, LeaderMemory, MemberState};
+use stairward_failover::{
+    FailoverDuty, FailoverOptions, GroupState, LEADERSHIP_LEASE, LeaderMemory, MemberState,
+};
 use stairward_types::{BackendId, GroupId, Revision, ServiceName, Time, ZoneName};
 
 use crate::callers::DATABASES;
 use crate::group::service;
+use crate::options::{BrokenVariant, Options};
 
 /// How old a bounded read may be.
 pub(crate) const STALENESS: Duration = Duration::from_millis(1_000);
@@ -39,13 +42,38 @@
     pub duty_timer_at: Time,
 }
 
+/// How long a leader counts as confirmed, and how long whoever replaces it waits therefore.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Leases {
+    pub engine: Option<Duration>,
+    pub failover: Option<Duration>,
+}
+
+impl Leases {
+    /// What nodes of a run work by.
+    pub fn of(options: &Options) -> Self {
+        let usual = options.old_primaries_go_on.then_some(LEADERSHIP_LEASE);
+        let mut leases = Self {
+            engine: usual,
+            failover: usual,
+        };
+        match options.broken {
+            Some(BrokenVariant::NoWait) => leases.failover = usual.map(|lease| lease / 100),
+            Some(BrokenVariant::LongLease) => leases.engine = usual.map(|lease| lease * 5),
+            Some(BrokenVariant::Withhold) => leases.engine = None,
+            _ => {}
+        }
+        leases
+    }
+}
+
 /// A node's name.
 pub(crate) fn node_name(index: usize) -> String {
     format!("node-{index}")
 }
 
 impl Node {
-    pub fn start(index: usize, life: u64, now: Time) -> Self {
+    pub fn start(index: usize, life: u64, now: Time, leases: Leases) -> Self {
         let zone = |number: usize| ZoneName::new(format!("zone-{number}")).expect("a name");
         let own = index % 3 + 1;
         let distances = (1..=3).map(|number| {
@@ -58,11 +86,16 @@
         });
         let options = EngineOptions {
             distances: distances.collect(),
+            leadership_lease: leases.engine,
             ..EngineOptions::default()
         };
+        let failover = FailoverOptions {
+            leadership_lease: leases.failover,
+            ..FailoverOptions::new(node_name(index))
+        };
         Self {
             engine: Engine::new(options),
-            duty: FailoverDuty::new(FailoverOptions::new(node_name(index))),
+            duty: FailoverDuty::new(failover),
             life,
             is_running: true,
             frozen_until: Time::ZERO,
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -82,11 +82,21 @@
     Configuration,
     /// Replicas are asked but not held before a promotion.
     Hold,
+    /// An old primary is taken to have stepped down without being asked.
+    StepDown,
+    /// Nodes don't hear that replicas are on hold.
+    Revocation,
+    /// Whoever promotes does not wait until the nodes' confirmations have lapsed.
+    NoWait,
+    /// Nodes take a confirmation to hold longer than whoever promotes waits.
+    LongLease,
+    /// What a leader answers is passed on without a confirmation.
+    Withhold,
 }
 
 impl BrokenVariant {
     /// All variants.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 15] = [
         Self::Floor,
         Self::LeaderProof,
         Self::Promise,
@@ -97,6 +107,11 @@
         Self::Drain,
         Self::Configuration,
         Self::Hold,
+        Self::StepDown,
+        Self::Revocation,
+        Self::NoWait,
+        Self::LongLease,
+        Self::Withhold,
     ];
 }
 
@@ -123,6 +138,8 @@
     pub connections: u32,
     /// Replicas that must have received a commit before it is acknowledged.
     pub synchronous_replicas: u32,
+    /// Whether an old primary goes on after another was promoted.
+    pub old_primaries_go_on: bool,
     /// A deliberate damage.
     pub broken: Option<BrokenVariant>,
 }
@@ -142,6 +159,7 @@
             length: Duration::from_secs(20),
             connections: 40,
             synchronous_replicas: 0,
+            old_primaries_go_on: false,
             broken: None,
         }
     }
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -6,14 +6,14 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use stairward_engine::{BackendCommand, ConnectionId, Event, Response};
-use stairward_failover::{Event as DutyEvent, RecordVersion};
-use stairward_types::{BackendId, NodeId, Time};
+use stairward_failover::{Event as DutyEvent, RecordVersion, Via};
+use stairward_types::{BackendId, Freshness, NodeId, Term, Time};
 
 use crate::callers::Caller;
 use crate::checker::{Checker, Invariant, Violation};
 use crate::database::Link;
 use crate::group::Group;
-use crate::nodes::{CONNECTION_LIMIT, Node, STALENESS};
+use crate::nodes::{CONNECTION_LIMIT, Leases, Node, STALENESS};
 use crate::options::Options;
 use crate::queue::Queue;
 use crate::store::Store;
@@ -50,7 +50,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Question {
     Status,
-    Hold,
+    Received(Freshness),
+    Hold(Term),
+    StepDown(Term),
     Resume,
 }
 
@@ -72,6 +74,9 @@
     /// A node finds that its link to another has ended.
     LinkLost(usize, u64, NodeId),
     AskAt(usize, u64, BackendId, Question),
+    /// A node asks a member to step down or to hold, by a way.
+    ReachAt(usize, u64, BackendId, Question, Via),
+    AskLeadAt(usize, u64, usize, Time),
     PromoteAt(
         usize,
         u64,
@@ -105,8 +110,12 @@
     pub failed: u64,
     /// Promotions carried out.
     pub promotions: u64,
+    /// Acknowledged commits that promotions rolled back.
+    pub acknowledged_then_lost: u64,
     /// What struck.
     pub strikes: Vec<String>,
+    /// Steps of the failover duty, and promotions that took effect.
+    pub decisions: Vec<String>,
     /// A number that any difference between two runs would change.
     pub fingerprint: u64,
 }
@@ -128,6 +137,7 @@
     pub answer_loss_percent: u32,
     pub promotions_are_late: bool,
     pub strikes: Vec<String>,
+    pub decisions: Vec<String>,
     pub strikes_left: u32,
     pub lives: u64,
     pub(crate) numbers: u64,
@@ -157,11 +167,13 @@
     fn new(options: Options) -> Self {
         let limit = usize::try_from(CONNECTION_LIMIT).unwrap_or(usize::MAX);
         let callers = (0..options.sessions).map(|number| Caller::new(u64::from(number)));
+        let mut group = Group::new(limit);
+        group.old_primaries_go_on = options.old_primaries_go_on;
         Self {
             random: ChaCha8Rng::seed_from_u64(options.seed),
             queue: Queue::new(),
             nodes: Vec::new(),
-            group: Group::new(limit),
+            group,
             store: Store {
                 configuration: 1,
                 ..Store::default()
@@ -174,6 +186,7 @@
             answer_loss_percent: 0,
             promotions_are_late: false,
             strikes: Vec::new(),
+            decisions: Vec::new(),
             strikes_left: options.strikes,
             lives: 0,
             numbers: 0,
@@ -190,8 +203,12 @@
     fn begin(&mut self) {
         for index in 0..usize::try_from(self.options.nodes).unwrap_or(1) {
             self.lives += 1;
-            self.nodes
-                .push(Node::start(index, self.lives, self.queue.now()));
+            self.nodes.push(Node::start(
+                index,
+                self.lives,
+                self.queue.now(),
+                Leases::of(&self.options),
+            ));
             self.queue
                 .plan(STORE_DELAY, Happening::PollStore(index, self.lives));
         }
@@ -223,7 +240,9 @@
             succeeded: self.succeeded,
             failed: self.failed,
             promotions: self.promotions,
+            acknowledged_then_lost: self.checker.acknowledged_then_lost,
             strikes: self.strikes,
+            decisions: self.decisions,
             fingerprint: self.fingerprint,
         }
     }
@@ -272,6 +291,12 @@
             Happening::AskAt(node, life, backend, question) => {
                 self.ask_at(node, life, &backend, question);
             }
+            Happening::ReachAt(node, life, backend, question, via) => {
+                self.reach_at(node, life, &backend, question, &via);
+            }
+            Happening::AskLeadAt(node, life, peer, asked_at) => {
+                self.ask_lead_at(node, life, peer, asked_at);
+            }
             Happening::PromoteAt(node, life, backend, token, is_answered) => {
                 self.promote_at(node, life, &backend, token, is_answered);
             }
--- a/crates/stairward-simulation/src/world_callers.rs
+++ b/crates/stairward-simulation/src/world_callers.rs
@@ -6,7 +6,7 @@
 
 use crate::callers::{Caller, DATABASES, Step};
 use crate::checker::Invariant;
-use crate::nodes::Node;
+use crate::nodes::{Leases, Node};
 use crate::world::{
     CALLER_DELAY, CALLER_PATIENCE, CONFIGURATION_LIMIT, CONTACT, Happening, STORE_DELAY, World,
 };
@@ -152,8 +152,10 @@
         self.lives += 1;
         let now = self.now();
         let cut = self.nodes[index].is_cut_from_store;
-        self.nodes[index] = Node::start(index, self.lives, now);
+        let in_touch_since = self.nodes[index].in_touch_since.max(now);
+        self.nodes[index] = Node::start(index, self.lives, now, Leases::of(&self.options));
         self.nodes[index].is_cut_from_store = cut;
+        self.nodes[index].in_touch_since = in_touch_since;
         self.queue
             .plan(STORE_DELAY, Happening::PollStore(index, self.lives));
     }
@@ -185,7 +187,7 @@
         };
         database.is_alive = true;
         database.is_silent = false;
-        database.is_held = false;
+        database.resume();
         database.leaving_since = None;
         if Some(database.term) < newest {
             database.role = BackendRole::Replica;
--- a/crates/stairward-simulation/src/world_databases.rs
+++ b/crates/stairward-simulation/src/world_databases.rs
@@ -4,15 +4,32 @@
 
 use rand::RngExt as _;
 use stairward_engine::{BackendCommand, ConnectionId, Event, OpenFailure};
-use stairward_failover::{Event as DutyEvent, MemberStatus};
+use stairward_failover::{Event as DutyEvent, MemberStatus, Reach, Via};
 use stairward_types::{BackendId, BackendRole, Time};
 
 use crate::checker::Invariant;
 use crate::database::Link;
+use crate::options::BrokenVariant;
 use crate::world::{
-    CONTACT, DRAIN_LIMIT, FAR_DELAY, Happening, Question, REPLICATION_TICK, USUAL_LAG, World,
+    CONTACT, DRAIN_LIMIT, FAR_DELAY, Happening, NEAR_DELAY, Question, REPLICATION_TICK, USUAL_LAG,
+    World,
 };
 
+/// How long a member that is not reached is waited for.
+const MEMBER_PATIENCE: Duration = Duration::from_millis(800);
+/// Pause before a member that has not received enough is looked at again, and looks on average.
+const ASK_AGAIN: Duration = Duration::from_millis(15);
+const RECEIVED_LOOKS: u32 = 20;
+
+/// What came of a question to a member that led before or did not.
+fn reach_of(led: bool, status: MemberStatus) -> Reach {
+    if led && status.role == BackendRole::Replica {
+        Reach::GaveWay(status)
+    } else {
+        Reach::Answered(status)
+    }
+}
+
 impl World {
     pub(crate) fn reaches(&self, node: usize, backend: &BackendId) -> bool {
         let is_cut = self.cuts.contains(&(node, backend.clone()));
@@ -105,9 +122,15 @@
         // Answers of one connection keep their order: those that take no slot are as slow as the rest.
         let work = if outcome.ran.is_some() { 8 } else { 0 };
         let delay = self.delay(node, backend) + Duration::from_millis(work);
+        let mut reply = outcome.reply;
+        if self.options.broken == Some(BrokenVariant::Revocation)
+            && let Some(member) = &mut reply.member
+        {
+            member.held = stairward_types::Term(0);
+        }
         let reply = Event::Reply {
             connection: link.connection,
-            reply: outcome.reply,
+            reply,
         };
         let reply = Happening::Engine(node, link.life, Box::new(reply));
         match outcome.committed {
@@ -182,6 +205,35 @@
         let now = self.now();
         self.queue.plan(REPLICATION_TICK, Happening::Replicate);
         self.group.replicate(now, USUAL_LAG);
+        let rolled_back = self.group.join_old_primaries(now);
+        self.checker.rolled_back(&rolled_back);
+    }
+
+    /// What a member answers to a question; none when it is not reached.
+    fn answer_to(
+        &mut self,
+        node: usize,
+        backend: &BackendId,
+        question: Question,
+    ) -> Option<MemberStatus> {
+        let reaches = self.reaches(node, backend);
+        let database = self.group.databases.get_mut(backend)?;
+        if !reaches || !database.is_alive {
+            return None;
+        }
+        match question {
+            Question::Status | Question::Received(_) => {}
+            Question::Hold(term) => database.hold(term),
+            Question::Resume => database.resume(),
+            Question::StepDown(term) => database.step_down(term),
+        }
+        let status = database.status();
+        if matches!(question, Question::StepDown(_)) && self.group.listed.contains_key(backend) {
+            // A change of role is told right away.
+            self.group.announce(backend);
+            self.push_to_all();
+        }
+        Some(status)
     }
 
     pub(crate) fn ask_at(
@@ -194,36 +246,97 @@
         if !self.is_running(node, life) {
             return;
         }
-        let reaches = self.reaches(node, backend);
-        if let Some(database) = self.group.databases.get_mut(backend)
-            && reaches
-            && database.is_alive
-            && question != Question::Status
-        {
-            database.is_held = question == Question::Hold && database.role == BackendRole::Replica;
-        }
+        let status = self.answer_to(node, backend, question);
         if question == Question::Resume {
             return;
         }
-        let status = self
-            .group
-            .databases
-            .get(backend)
-            .filter(|database| database.is_alive && reaches)
-            .map(|database| MemberStatus {
-                role: database.role,
-                received: database.received(),
-            });
-        let delay = if reaches {
+        if let (Question::Received(all), Some(status)) = (question, status)
+            && !status.received.covers(all)
+            && self.random.random_range(0..RECEIVED_LOOKS) > 0
+        {
+            let again = Happening::AskAt(node, life, backend.clone(), question);
+            return self.queue.plan(ASK_AGAIN, again);
+        }
+        let delay = if status.is_some() {
             self.delay(node, backend)
         } else {
-            Duration::from_millis(800)
+            MEMBER_PATIENCE
         };
         let event = DutyEvent::Status(backend.clone(), status);
         self.queue
             .plan(delay, Happening::Duty(node, life, Box::new(event)));
     }
 
+    /// A member is asked to step down or to hold, by the node itself or by a peer.
+    pub(crate) fn reach_at(
+        &mut self,
+        node: usize,
+        life: u64,
+        backend: &BackendId,
+        question: Question,
+        via: &Via,
+    ) {
+        if !self.is_running(node, life) {
+            return;
+        }
+        let asking = match via {
+            Via::Direct => node,
+            Via::Peer(peer) => usize::try_from(peer.0).unwrap_or(0),
+        };
+        let now = self.now();
+        let can_ask = self.nodes[asking].is_running && now >= self.nodes[asking].frozen_until;
+        let is_skipped = self.options.broken == Some(BrokenVariant::StepDown)
+            && matches!(question, Question::StepDown(_));
+        let is_alive = self.group.databases[backend].is_alive;
+        let reaches = can_ask && self.reaches(asking, backend);
+        let reach = if is_skipped {
+            let mut status = self.group.databases[backend].status();
+            status.role = BackendRole::Replica;
+            Reach::GaveWay(status)
+        } else if !reaches {
+            Reach::Silent
+        } else if !is_alive {
+            Reach::Refused
+        } else {
+            let led = self.group.databases[backend].role == BackendRole::Primary;
+            let status = self.answer_to(asking, backend, question);
+            let is_lost = self.random.random_range(0..100) < self.answer_loss_percent;
+            status
+                .filter(|_| !is_lost)
+                .map_or(Reach::Silent, |status| reach_of(led, status))
+        };
+        let delay = if reach == Reach::Silent {
+            MEMBER_PATIENCE
+        } else {
+            FAR_DELAY
+        };
+        let event = DutyEvent::Reached(backend.clone(), via.clone(), reach);
+        self.queue
+            .plan(delay, Happening::Duty(node, life, Box::new(event)));
+    }
+
+    /// A node is asked what it knows of the lead.
+    pub(crate) fn ask_lead_at(&mut self, node: usize, life: u64, peer: usize, asked_at: Time) {
+        let now = self.now();
+        let asked = &self.nodes[peer];
+        if !asked.is_running || now < asked.frozen_until {
+            return;
+        }
+        let service = crate::group::service();
+        let peer_life = asked.life;
+        self.tell_engine(peer, peer_life, Event::LeadAsked(service.clone()));
+        if let Some((possible, age)) = self.nodes[peer].engine.known_lead(now, &service) {
+            let event = Event::PeerLead {
+                service,
+                possible,
+                asked_at,
+                age,
+            };
+            let event = Happening::Engine(node, life, Box::new(event));
+            self.queue.plan(NEAR_DELAY, event);
+        }
+    }
+
     /// A peer says what it knows of the leader's position, and how old that is by its own clock.
     pub(crate) fn ask_peer_at(&mut self, node: usize, life: u64, peer: usize, asked_at: Time) {
         let now = self.now();
@@ -256,6 +369,11 @@
         }
         self.promotions += 1;
         let rolled_back = self.group.promote(backend);
+        let term = self.group.databases[backend].term;
+        let began = self.now();
+        self.checker.term_began(began, term);
+        self.decisions
+            .push(format!("{began:?} {backend} leads {term:?}"));
         if self.options.synchronous_replicas > 0 {
             let now = self.now();
             self.checker.check_kept(now, &rolled_back);
--- a/crates/stairward-simulation/src/world_nodes.rs
+++ b/crates/stairward-simulation/src/world_nodes.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use rand::RngExt as _;
-use stairward_engine::{BackendCommand, ConnectionId, Effect, Event, Evidence, Response};
+use stairward_engine::{
+    BackendCommand, ConnectionId, Effect, Event, Evidence, LeadChange, Response,
+};
 use stairward_failover::{Event as DutyEvent, LeaderEvidence};
 use stairward_types::BackendId;
 
@@ -83,6 +85,18 @@
             Effect::CloseForwarded { holder, session } => {
                 self.close_forwarded(index, life, holder, session);
             }
+            Effect::LeadObserved {
+                service, change, ..
+            } => {
+                let is_revoked = change == LeadChange::Revoked;
+                self.tell_duty(index, life, DutyEvent::Lead(service, is_revoked));
+            }
+            Effect::AskLead { holder, .. } => {
+                let asked_at = self.now();
+                let peer = usize::try_from(holder.0).unwrap_or(0);
+                let ask = Happening::AskLeadAt(index, life, peer, asked_at);
+                self.queue.plan(NEAR_DELAY, ask);
+            }
             Effect::AskPosition { .. } => {
                 let asked_at = self.now();
                 let peer = (index + 1) % self.nodes.len();
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -1,17 +1,23 @@
 //! The store and the promotion call, and the failover duty's effects on them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::RngExt as _;
 use stairward_engine::Event;
 use stairward_failover::{
-    Effect as DutyEffect, Event as DutyEvent, PromotionOutcome, RecordVersion,
+    Effect as DutyEffect, Event as DutyEvent, PromotionOutcome, RecordVersion, Via,
 };
-use stairward_types::BackendId;
+use stairward_types::{BackendId, NodeId, ServiceName};
 
 use crate::nodes::{node_name, routing_table};
 use crate::options::BrokenVariant;
-use crate::world::{Happening, PROMOTION_TIME, Question, STORE_DELAY, STORE_POLL, World};
+use crate::world::{
+    FAR_DELAY, Happening, PROMOTION_TIME, Question, STORE_DELAY, STORE_POLL, World,
+};
+
+/// Zones that nodes are spread over.
+const ZONES: usize = 3;
 
 impl World {
     pub(crate) fn store_reaches(&self, node: usize) -> bool {
@@ -60,6 +66,13 @@
         self.tell_engine(node, life, Event::Nodes(nodes));
         let holders = self.holders_for(node);
         self.tell_engine(node, life, Event::Holders(holders));
+        let sources = self.lead_sources_for(node);
+        self.tell_engine(node, life, Event::LeadSources(sources));
+        let peers: Vec<_> = (0..self.nodes.len())
+            .filter(|peer| *peer != node)
+            .map(|peer| NodeId(u64::try_from(peer).unwrap_or(0)))
+            .collect();
+        self.tell_duty(node, life, DutyEvent::Peers(peers));
         let groups = self.nodes[node].groups(&list, self.options.synchronous_replicas);
         self.tell_duty(node, life, DutyEvent::Nodes(nodes));
         self.tell_duty(node, life, DutyEvent::Groups(groups));
@@ -72,6 +85,17 @@
         self.tell_duty(node, life, DutyEvent::Record(version, record));
     }
 
+    /// The first node of a zone asks members about the lead for the others of its zone.
+    fn lead_sources_for(&self, node: usize) -> BTreeMap<ServiceName, NodeId> {
+        let source = node % ZONES;
+        let is_other = source != node;
+        let source = is_other.then(|| NodeId(u64::try_from(source).unwrap_or(0)));
+        source
+            .map(|source| (crate::group::service(), source))
+            .into_iter()
+            .collect()
+    }
+
     pub(crate) fn tell_duty(&mut self, index: usize, life: u64, event: DutyEvent) {
         if !self.is_running(index, life) {
             return;
@@ -108,23 +132,56 @@
                 let ask = Happening::AskAt(index, life, backend, Question::Status);
                 self.queue.plan(delay, ask);
             }
-            DutyEffect::Hold(backend, _) => {
+            DutyEffect::Hold(backend, term) => {
                 let is_broken = self.options.broken == Some(BrokenVariant::Hold);
                 let question = if is_broken {
                     Question::Status
                 } else {
-                    Question::Hold
+                    Question::Hold(term)
                 };
                 let delay = self.delay(index, &backend) * 3;
                 let ask = Happening::AskAt(index, life, backend, question);
                 self.queue.plan(delay, ask);
             }
+            DutyEffect::AskReceived(backend, all) => {
+                let delay = self.delay(index, &backend);
+                let ask = Happening::AskAt(index, life, backend, Question::Received(all));
+                self.queue.plan(delay, ask);
+            }
+            DutyEffect::StepDown(backend, term, ways) => {
+                self.reach_for(index, life, &backend, Question::StepDown(term), ways);
+            }
+            DutyEffect::HoldBy(backend, term, ways) => {
+                self.reach_for(index, life, &backend, Question::Hold(term), ways);
+            }
             DutyEffect::Resume(backend) => {
                 let resume = Happening::AskAt(index, life, backend, Question::Resume);
                 self.queue.plan(STORE_DELAY, resume);
             }
             DutyEffect::Promote(_, backend, token) => self.promote(index, life, backend, token),
-            DutyEffect::Log(..) => {}
+            DutyEffect::Log(_, action) => {
+                let now = self.now();
+                self.decisions
+                    .push(format!("{now:?} {}: {action:?}", node_name(index)));
+            }
+        }
+    }
+
+    fn reach_for(
+        &mut self,
+        index: usize,
+        life: u64,
+        backend: &BackendId,
+        question: Question,
+        ways: Vec<Via>,
+    ) {
+        for via in ways {
+            let delay = match &via {
+                Via::Direct => self.delay(index, backend) * 3,
+                Via::Peer(_) => FAR_DELAY * 4,
+            };
+            let reach = Happening::ReachAt(index, life, backend.clone(), question, via);
+            self.queue.plan(delay, reach);
         }
     }
 
--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -11,10 +11,11 @@
     let first: Vec<_> = report.violations.iter().take(3).collect();
     assert!(
         first.is_empty(),
-        "seed {}: {} violations, strikes {:#?}, first {first:#?}",
+        "seed {}: {} violations, strikes {:#?}, decisions {:#?}, first {first:#?}",
         options.seed,
         report.violations.len(),
-        report.strikes
+        report.strikes,
+        report.decisions
     );
     report
 }
@@ -63,6 +64,74 @@
     }
 }
 
+/// A run before databases whose old primaries go on after another was promoted.
+fn with_old_primaries(seed: u64) -> Options {
+    Options {
+        old_primaries_go_on: true,
+        ..Options::new(seed)
+    }
+}
+
+#[test]
+fn everything_holds_where_old_primaries_go_on() {
+    let mut promotions = 0;
+    for seed in SEEDS {
+        let report = assert_holds(&with_old_primaries(seed));
+        promotions += report.promotions;
+        assert!(report.succeeded > report.failed, "seed {seed}: {report:?}");
+    }
+    assert!(promotions > 20, "{promotions} promotions in all");
+}
+
+#[test]
+fn everything_holds_where_old_primaries_go_on_and_half_of_the_nodes_forward() {
+    for seed in SEEDS {
+        assert_holds(&Options {
+            connections: TWO_HOLDERS,
+            ..with_old_primaries(seed)
+        });
+    }
+}
+
+/// Cuts of one side, frozen nodes, and a store that is away, close upon each other.
+#[test]
+fn everything_holds_where_old_primaries_are_cut_off_at_bad_moments() {
+    for seed in SEEDS {
+        assert_holds(&Options {
+            faults: vec![
+                FaultKind::PrimaryCut,
+                FaultKind::PrimaryIsolated,
+                FaultKind::PrimaryDark,
+                FaultKind::PrimaryLeaves,
+                FaultKind::NodeFreeze,
+                FaultKind::StoreCut,
+                FaultKind::StoreDown,
+                FaultKind::LatePromotion,
+                FaultKind::AnswerLost,
+            ],
+            strikes: 14,
+            longest_pause: 1_500,
+            ..with_old_primaries(seed)
+        });
+    }
+}
+
+/// The old log is ended and received to its end before another leads.
+#[test]
+fn a_planned_replacement_loses_no_acknowledged_commit() {
+    let (mut promotions, mut lost) = (0, 0);
+    for seed in SEEDS {
+        let report = assert_holds(&Options {
+            faults: vec![FaultKind::PrimaryLeaves],
+            ..with_old_primaries(seed)
+        });
+        promotions += report.promotions;
+        lost += report.acknowledged_then_lost;
+    }
+    assert!(promotions > 20, "{promotions} promotions in all");
+    assert_eq!(lost, 0, "acknowledged commits were rolled back");
+}
+
 #[test]
 fn everything_holds_under_each_kind_of_fault() {
     for kind in FaultKind::ALL {
@@ -118,6 +187,18 @@
             FaultKind::ReplicaDeaf,
         ],
         BrokenVariant::Token => vec![FaultKind::PrimaryCrash],
+        BrokenVariant::StepDown => vec![FaultKind::PrimaryLeaves, FaultKind::StoreCut],
+        // An old primary must go on for some nodes that nobody can ask to end it.
+        BrokenVariant::Revocation
+        | BrokenVariant::NoWait
+        | BrokenVariant::LongLease
+        | BrokenVariant::Withhold => vec![
+            FaultKind::PrimaryCut,
+            FaultKind::PrimaryIsolated,
+            FaultKind::PrimaryDark,
+            FaultKind::ReplicaDeaf,
+            FaultKind::StoreCut,
+        ],
         _ => FaultKind::ALL.to_vec(),
     }
 }
@@ -133,6 +214,11 @@
         BrokenVariant::Drain => Invariant::Leaving,
         BrokenVariant::Configuration => Invariant::Configuration,
         BrokenVariant::Hold => Invariant::Kept,
+        BrokenVariant::StepDown
+        | BrokenVariant::Revocation
+        | BrokenVariant::NoWait
+        | BrokenVariant::LongLease
+        | BrokenVariant::Withhold => Invariant::OneLeader,
     }
 }
 
@@ -143,9 +229,18 @@
         faults: faults_for(variant),
         strikes: 12,
         synchronous_replicas: u32::from(variant == BrokenVariant::Hold),
+        old_primaries_go_on: caught_by(variant) == Invariant::OneLeader,
         ..Options::new(seed)
     };
-    let is_rare = matches!(variant, BrokenVariant::LeaderProof | BrokenVariant::Hold);
+    let is_rare = matches!(
+        variant,
+        BrokenVariant::LeaderProof
+            | BrokenVariant::Hold
+            | BrokenVariant::Revocation
+            | BrokenVariant::NoWait
+            | BrokenVariant::LongLease
+            | BrokenVariant::Withhold
+    );
     if !is_rare {
         return options;
     }
@@ -154,7 +249,7 @@
         longest_pause: 900,
         ..options
     };
-    if variant == BrokenVariant::Hold {
+    if variant != BrokenVariant::LeaderProof {
         return options;
     }
     Options {
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -105,6 +105,18 @@
     PromotionDecided = 411, Warn;
     /// A promotion was answered, or got no answer.
     PromotionAnswered = 412, Warn;
+    /// A primary that is to be replaced is asked to step down.
+    StepDownAsked = 413, Warn;
+    /// Replicas are put on hold, since the primary that is to be replaced did not step down.
+    ReplicasHeld = 414, Warn;
+    /// The lead of a primary that is to be replaced is over, with what proves it.
+    LeadEnded = 415, Warn;
+    /// What came of asking a member to step down or to hold.
+    MemberAsked = 416, Info;
+    /// A replica waits for a later term than the leader's: nothing is sent to the leader any more.
+    LeadRevoked = 417, Warn;
+    /// A replica confirms the leader again.
+    LeadConfirmed = 418, Info;
 
     /// A node was found or came back.
     MemberJoined = 500, Info;
--- a/crates/stairward-types/src/lib.rs
+++ b/crates/stairward-types/src/lib.rs
@@ -8,6 +8,7 @@
 mod event;
 mod freshness;
 mod identifier;
+mod member_status;
 mod result_code;
 mod time;
 
@@ -17,6 +18,7 @@
     BackendId, ChangeId, GroupId, Incarnation, InvalidName, NodeId, RegionName, Revision,
     ServiceName, StreamId, ZoneName,
 };
+pub use member_status::MemberStatus;
 pub use result_code::{OutcomeClass, ResultCode};
 pub use time::{Duration, Time};
 
