Silent back ends are told to peers, not to the store; lapsed entries are given time; promotions without an answer stay announced

Cause: on the grown sites each node wrote its own object in the store for each back end that fell silent or answered again, and every watcher was woken by each (calls to the store: the dearest price there). Entries that lapse together (the store was away) are given 2.5 s to come back before a missing primary is replaced.

--- a/crates/stairward-engine/src/lead.rs
+++ b/crates/stairward-engine/src/lead.rs
@@ -164,6 +164,9 @@
     /// A later term may begin from now on, led by one of these.
     pub fn revoke(&mut self, now: Time, lease: Duration, term: Term, others: &BTreeSet<BackendId>) {
         self.note_announced(now, lease, term, others);
+        if term == self.announced {
+            self.announced_until = now + lease * ATTEMPT_IN_LEASES;
+        }
         self.possible = self.possible.map(|possible| possible.max(term));
     }
 
--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -53,6 +53,8 @@
     pub target: Option<BackendId>,
     /// Whether the target led already when it was chosen, so that its lead shows nothing.
     pub target_led: bool,
+    /// When the nodes were last told that a term may begin.
+    pub announced_at: Time,
     /// Whether an earlier promotion had no answer, so that it may still be carried out. A decision with a
     /// higher token must be answered before this attempt may end.
     pub must_fence: bool,
@@ -83,6 +85,7 @@
             held: BTreeSet::new(),
             target: None,
             target_led: false,
+            announced_at: now,
             must_fence: false,
         }
     }
--- a/crates/stairward-failover/src/duty.rs
+++ b/crates/stairward-failover/src/duty.rs
@@ -55,6 +55,8 @@
     /// All other nodes that may use a leader.
     users: BTreeSet<NodeId>,
     evidence: EvidenceLedger,
+    /// When others were last told which back ends this node finds silent.
+    reported_at: Time,
     version: Option<RecordVersion>,
     record: Option<DutyRecord>,
     record_learnt: Time,
@@ -67,6 +69,8 @@
     pauses: BTreeMap<ServiceName, Time>,
     /// Since when a primary has been missing or leading nobody.
     missing_since: BTreeMap<ServiceName, Time>,
+    /// When entries last lapsed together.
+    lapsed_at: Option<Time>,
     /// Since when replicas have waited for a later term than their leader's.
     revoked_since: BTreeMap<ServiceName, Time>,
     effects: Vec<Effect>,
@@ -83,6 +87,7 @@
             peers: Vec::new(),
             users: BTreeSet::new(),
             evidence: EvidenceLedger::default(),
+            reported_at: Time::ZERO,
             version: None,
             record: None,
             record_learnt: Time::ZERO,
@@ -91,6 +96,7 @@
             triggered_since: BTreeMap::new(),
             pauses: BTreeMap::new(),
             missing_since: BTreeMap::new(),
+            lapsed_at: None,
             revoked_since: BTreeMap::new(),
             effects: Vec::new(),
         }
@@ -112,6 +118,7 @@
         let is_idle = self.attempts.is_empty()
             && self.missing_since.is_empty()
             && self.revoked_since.is_empty()
+            && self.evidence.silent().is_empty()
             && self
                 .groups
                 .keys()
@@ -122,6 +129,7 @@
     fn apply(&mut self, now: Time, event: Event) {
         match event {
             Event::Groups(groups) => {
+                self.note_lapse(now, &groups);
                 self.groups = groups;
                 self.attempts
                     .retain(|service, _| self.groups.contains_key(service));
@@ -135,9 +143,9 @@
                 user,
                 newest,
             } => self.user_revoked(now, &service, term, user, newest),
-            Event::Evidence(backend, evidence) => self.note_evidence(backend, evidence),
+            Event::Evidence(backend, evidence) => self.note_evidence(now, backend, evidence),
             Event::Lead(service, is_revoked) => self.note_lead(now, service, is_revoked),
-            Event::Suspicions(others) => self.evidence.set_others(others),
+            Event::Suspicion(node, silent) => self.evidence.note_other(now, node, silent),
             Event::Record(version, record) => self.learn_record(now, version, record),
             Event::RecordWritten(version) => self.record_written(now, version),
             Event::RecordFailed => self.record_failed(now),
@@ -146,14 +154,35 @@
             Event::Promotion(service, token, outcome) => {
                 self.promotion_ended(now, &service, token, outcome);
             }
-            Event::Tick => {}
+            Event::Tick => self.report_again(now),
         }
     }
 
-    fn note_evidence(&mut self, backend: BackendId, evidence: LeaderEvidence) {
+    fn note_evidence(&mut self, now: Time, backend: BackendId, evidence: LeaderEvidence) {
         if self.evidence.note(backend, evidence) {
-            let silent = self.evidence.silent().clone();
-            self.effects.push(Effect::Report(silent));
+            self.report(now);
+        }
+    }
+
+    fn report(&mut self, now: Time) {
+        self.reported_at = now;
+        let silent = self.evidence.silent().clone();
+        self.effects.push(Effect::Report(silent));
+    }
+
+    /// Others count a report for a while only.
+    fn report_again(&mut self, now: Time) {
+        let has_report = !self.evidence.silent().is_empty();
+        if has_report && now >= self.reported_at + REPORT_PAUSE {
+            self.report(now);
+        }
+    }
+
+    /// Entries that go together have lapsed: the store was away, and their members most likely are not.
+    fn note_lapse(&mut self, now: Time, groups: &BTreeMap<ServiceName, GroupState>) {
+        let (before, after) = (listed_members(&self.groups), listed_members(groups));
+        if before >= FEWEST_THAT_LAPSE && after * 2 <= before {
+            self.lapsed_at = Some(now);
         }
     }
 
@@ -197,8 +226,11 @@
     fn trigger(&self, now: Time, service: &ServiceName) -> Option<Trigger> {
         let group = self.groups.get(service)?;
         let missing_since = self.missing_since.get(service);
-        let is_missing_long =
-            missing_since.is_some_and(|since| now >= *since + self.options.missing_patience);
+        let has_returned = self
+            .lapsed_at
+            .is_none_or(|at| now >= at + self.options.return_patience);
+        let is_missing_long = has_returned
+            && missing_since.is_some_and(|since| now >= *since + self.options.missing_patience);
         let Some(leader) = Self::announced_leader(group) else {
             return is_missing_long.then_some(Trigger::Leaderless);
         };
@@ -206,7 +238,7 @@
         if self.evidence.is_refused(leader) {
             return Some(Trigger::Refused);
         }
-        if self.evidence.suspecting(leader) >= self.suspicion_quorum() {
+        if self.evidence.suspecting(now, leader) >= self.suspicion_quorum() {
             return Some(Trigger::Silent);
         }
         if member.is_leaving && member.is_listed {
@@ -246,6 +278,7 @@
     fn review(&mut self, now: Time, service: &ServiceName) {
         self.note_missing(now, service);
         self.hold_late_members(service);
+        self.announce_pending(now, service);
         match self
             .attempts
             .get(service)
@@ -261,6 +294,24 @@
         }
     }
 
+    /// While a promotion without an answer may still be carried out, no leader of a lower term is to be
+    /// believed, however long the store keeps this node from fencing it off.
+    fn announce_pending(&mut self, now: Time, service: &ServiceName) {
+        let Some(lease) = self.options.leadership_lease else {
+            return;
+        };
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return;
+        };
+        let term = attempt.known_term;
+        let is_due = attempt.must_fence && now >= attempt.announced_at + lease;
+        if is_due && term > Term::default() {
+            attempt.announced_at = now;
+            let revoke = Effect::Revoke(service.clone(), term, self.users.clone());
+            self.effects.push(revoke);
+        }
+    }
+
     fn maybe_begin(&mut self, now: Time, service: &ServiceName) {
         if self.pauses.get(service).is_some_and(|until| now < *until) {
             return;
@@ -842,9 +893,13 @@
             let old = attempt.old.clone();
             let held = std::mem::take(&mut attempt.held);
             let is_planned = attempt.is_planned;
+            let pending = attempt.ending.as_ref().map(|ending| ending.term);
+            let known_term = attempt.known_term.max(pending.unwrap_or_default());
             *attempt = Attempt::new(old, is_planned, now);
             attempt.held = held;
             attempt.must_fence = true;
+            // Its promotion may begin that term yet, so that the next one is above it.
+            attempt.known_term = known_term;
         }
         self.claim(now, service);
     }
@@ -965,3 +1020,12 @@
 const MOST_NEEDED: u32 = 3;
 /// How often the duty looks again while something is under way.
 const POLL: std::time::Duration = std::time::Duration::from_millis(50);
+/// How often a report that still holds is told again.
+const REPORT_PAUSE: std::time::Duration = std::time::Duration::from_secs(1);
+/// So many entries at the least must be listed for the loss of half of them to count as a lapse: a group's.
+const FEWEST_THAT_LAPSE: usize = 3;
+
+fn listed_members(groups: &BTreeMap<ServiceName, GroupState>) -> usize {
+    let members = groups.values().flat_map(|group| group.members.values());
+    members.filter(|member| member.is_listed).count()
+}
--- a/crates/stairward-failover/src/event.rs
+++ b/crates/stairward-failover/src/event.rs
@@ -145,8 +145,8 @@
     Evidence(BackendId, LeaderEvidence),
     /// Whether replicas of a service wait for a later term than its leader's.
     Lead(ServiceName, bool),
-    /// Which back ends each other node finds silent.
-    Suspicions(BTreeMap<String, BTreeSet<BackendId>>),
+    /// Which back ends another node finds silent, whole.
+    Suspicion(NodeId, BTreeSet<BackendId>),
     /// The record, as a watch or an answer shows it.
     Record(RecordVersion, Option<DutyRecord>),
     /// The record was written.
@@ -229,7 +229,7 @@
     /// Write the record if its version is still this one, and answer with [`Event::RecordWritten`],
     /// [`Event::Record`] and [`Event::RecordFailed`] or the latter alone.
     WriteRecord(RecordVersion, DutyRecord),
-    /// Tell the other nodes which back ends this node finds silent.
+    /// Tell some other nodes which back ends this node finds silent, whole.
     Report(BTreeSet<BackendId>),
     /// Ask a member for its status.
     Ask(BackendId),
--- a/crates/stairward-failover/src/evidence.rs
+++ b/crates/stairward-failover/src/evidence.rs
@@ -1,8 +1,9 @@
 //! What this node and others have found out about back ends by using them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
-use stairward_types::BackendId;
+use stairward_types::{BackendId, NodeId, Time};
 
 use crate::event::LeaderEvidence;
 
@@ -11,9 +12,19 @@
 pub(crate) struct EvidenceLedger {
     refused: BTreeSet<BackendId>,
     silent: BTreeSet<BackendId>,
-    others: BTreeMap<String, BTreeSet<BackendId>>,
+    others: BTreeMap<NodeId, OtherReport>,
 }
 
+/// What another node last said.
+#[derive(Debug)]
+struct OtherReport {
+    silent: BTreeSet<BackendId>,
+    heard_at: Time,
+}
+
+/// A report counts for this long; one that still holds is told again before.
+const REPORT_COUNTS_FOR: Duration = Duration::from_secs(3);
+
 impl EvidenceLedger {
     /// Takes this node's evidence in. Returns whether what others should be told has changed.
     pub fn note(&mut self, backend: BackendId, evidence: LeaderEvidence) -> bool {
@@ -30,8 +41,15 @@
         }
     }
 
-    pub fn set_others(&mut self, others: BTreeMap<String, BTreeSet<BackendId>>) {
-        self.others = others;
+    /// Takes another node's report in.
+    pub fn note_other(&mut self, now: Time, node: NodeId, silent: BTreeSet<BackendId>) {
+        self.others
+            .retain(|_, other| now < other.heard_at + REPORT_COUNTS_FOR);
+        let report = OtherReport {
+            silent,
+            heard_at: now,
+        };
+        self.others.insert(node, report);
     }
 
     /// Forgets what was found out about a back end.
@@ -49,14 +67,15 @@
     }
 
     /// How many nodes find a back end silent, when this one does; none otherwise.
-    pub fn suspecting(&self, backend: &BackendId) -> usize {
+    pub fn suspecting(&self, now: Time, backend: &BackendId) -> usize {
         if !self.silent.contains(backend) {
             return 0;
         }
         let others = self
             .others
             .values()
-            .filter(|silent| silent.contains(backend));
+            .filter(|other| now < other.heard_at + REPORT_COUNTS_FOR)
+            .filter(|other| other.silent.contains(backend));
         1 + others.count()
     }
 }
--- a/crates/stairward-failover/src/options.rs
+++ b/crates/stairward-failover/src/options.rs
@@ -21,6 +21,8 @@
     pub settle_patience: Duration,
     /// How long a primary's entry may be missing, or no member call itself primary, before it is replaced.
     pub missing_patience: Duration,
+    /// How long entries that lapsed together, as they do while the store is away, are given to come back.
+    pub return_patience: Duration,
     /// Pause after an attempt that came to nothing.
     pub pause: Duration,
     /// How long nodes go on with a leader after a replica last told them that no hold stands. None where an
@@ -45,6 +47,7 @@
             call_patience: Duration::from_millis(2_500),
             settle_patience: Duration::from_millis(3_000),
             missing_patience: Duration::from_millis(1_500),
+            return_patience: Duration::from_millis(2_500),
             pause: Duration::from_millis(300),
             leadership_lease: None,
             step_down_patience: Duration::from_millis(150),
--- a/crates/stairward-failover/tests/duty.rs
+++ b/crates/stairward-failover/tests/duty.rs
@@ -8,7 +8,9 @@
     Action, DutyRecord, Effect, Event, FailoverDuty, FailoverOptions, FencingToken, GroupState,
     LeaderEvidence, MemberState, MemberStatus, PromotionOutcome, RecordVersion,
 };
-use stairward_types::{BackendId, BackendRole, Freshness, LogPosition, ServiceName, Term, Time};
+use stairward_types::{
+    BackendId, BackendRole, Freshness, LogPosition, NodeId, ServiceName, Term, Time,
+};
 
 const OLD: &str = "db-1";
 const BEHIND: &str = "db-2";
@@ -152,22 +154,37 @@
     assert_eq!(node.claim(), None);
     let silent = BTreeSet::from([backend(OLD)]);
     assert!(node.effects.contains(&Effect::Report(silent.clone())));
-    node.tell(Event::Suspicions(BTreeMap::from([(
-        "b".to_owned(),
-        silent,
-    )])));
+    node.tell(Event::Suspicion(NodeId(2), silent));
     assert!(node.claim().is_some());
 }
 
+/// Whoever told it may have come to another conclusion since, or be gone.
+#[test]
+fn a_report_that_is_not_repeated_no_longer_counts() {
+    let mut node = Node::new("a");
+    let silent = BTreeSet::from([backend(OLD)]);
+    node.tell(Event::Suspicion(NodeId(2), silent.clone()));
+    node.pass(3_100);
+    node.see(LeaderEvidence::Silent);
+    assert_eq!(node.claim(), None);
+    let reports = |node: &Node| {
+        let report = Effect::Report(silent.clone());
+        node.effects
+            .iter()
+            .filter(|effect| **effect == report)
+            .count()
+    };
+    assert_eq!(reports(&node), 1);
+    node.pass(1_100);
+    assert_eq!(reports(&node), 2, "its own is repeated while it holds");
+}
+
 #[test]
 fn a_silent_primary_that_answers_after_all_stays() {
     let mut node = Node::new("a");
     node.see(LeaderEvidence::Silent);
     let silent = BTreeSet::from([backend(OLD)]);
-    node.tell(Event::Suspicions(BTreeMap::from([(
-        "b".to_owned(),
-        silent,
-    )])));
+    node.tell(Event::Suspicion(NodeId(2), silent));
     node.tell(Event::RecordWritten(RecordVersion(3)));
     node.answer_both();
     node.tell(Event::Status(
@@ -292,6 +309,26 @@
     assert!(node.claim().is_some());
 }
 
+/// While the store is away entries lapse, and are back within two seconds of its return.
+#[test]
+fn a_primary_whose_entry_lapsed_with_the_others_is_given_time_to_come_back() {
+    let mut node = Node::new("a");
+    let listed = |names: &[&str]| {
+        let mut group = usual_group();
+        for (id, member) in &mut group.members {
+            member.is_listed = names.contains(&id.as_str());
+        }
+        group
+    };
+    node.set_group(listed(&[]));
+    node.pass(100);
+    node.set_group(listed(&[BEHIND]));
+    node.pass(1_900);
+    assert_eq!(node.claim(), None);
+    node.pass(700);
+    assert!(node.claim().is_some(), "missing after that, it is gone");
+}
+
 #[test]
 fn synchronous_replicas_are_held_before_they_are_asked_and_released_afterwards() {
     let mut node = Node::new("a");
--- a/crates/stairward-protocol/src/neighbour.rs
+++ b/crates/stairward-protocol/src/neighbour.rs
@@ -313,6 +313,18 @@
         /// The term.
         term: u64,
     },
+    /// Tells which back ends the sender finds silent, whole.
+    #[deku(id = "20")]
+    Silent {
+        /// The sender.
+        node: u64,
+        /// How many back ends follow.
+        #[deku(update = "backends.len()")]
+        count: u16,
+        /// Their ids.
+        #[deku(count = "count")]
+        backends: Vec<Text>,
+    },
     /// Tells that no promotion that was told of is under way any more.
     #[deku(id = "19")]
     SettleLead {
--- a/crates/stairward-runtime/src/coordination.rs
+++ b/crates/stairward-runtime/src/coordination.rs
@@ -1,6 +1,5 @@
 //! What the failover duty needs of the world outside the node.
 
-use std::collections::BTreeSet;
 use std::future::Future;
 use std::pin::Pin;
 
@@ -30,9 +29,6 @@
         record: DutyRecord,
     ) -> CoordinationFuture<RecordWrite>;
 
-    /// Tells the other nodes which back ends this node finds silent.
-    fn report(&self, silent: BTreeSet<BackendId>);
-
     /// Promotes a back end.
     fn promote(
         &self,
--- a/crates/stairward-runtime/src/duty.rs
+++ b/crates/stairward-runtime/src/duty.rs
@@ -1,7 +1,7 @@
 //! Driving the failover duty: its events come from the engine's use of back ends, from discovery and from
 //! the store; its effects are questions, writes and promotions.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,11 +25,6 @@
         self.tell_duty(Event::Record(version, record));
     }
 
-    /// Which back ends each other node finds silent.
-    pub fn learn_suspicions(self: &Rc<Self>, others: BTreeMap<String, BTreeSet<BackendId>>) {
-        self.tell_duty(Event::Suspicions(others));
-    }
-
     /// Gives the duty an event and carries out what it decides.
     pub(crate) fn tell_duty(self: &Rc<Self>, event: Event) {
         let now = self.now();
@@ -69,7 +64,7 @@
                     }
                 });
             }
-            Effect::Report(silent) => self.coordination.report(silent),
+            Effect::Report(silent) => self.report_silent(&silent),
             Effect::Ask(backend) => self.question(backend, MemberQuestion::Status),
             Effect::Hold(backend, term) => self.question(backend, MemberQuestion::Hold(term)),
             Effect::Resume(backend) => self.question(backend, MemberQuestion::Resume),
--- a/crates/stairward-runtime/src/neighbours.rs
+++ b/crates/stairward-runtime/src/neighbours.rs
@@ -10,7 +10,7 @@
 use stairward_engine::{Event, Forwarded, Response, SessionId};
 use stairward_protocol::neighbour::NeighbourMessage;
 use stairward_protocol::{OptionalFreshness, Text};
-use stairward_types::{Freshness, LogEvent, NodeId, ServiceName, Term, Time};
+use stairward_types::{BackendId, Freshness, LogEvent, NodeId, ServiceName, Term, Time};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::compression::compress;
@@ -139,6 +139,14 @@
                         break;
                     }
                 }
+                NeighbourMessage::Silent { node, backends, .. } => {
+                    let ids = backends
+                        .iter()
+                        .filter_map(|id| BackendId::new(id.as_str()).ok());
+                    let silent = ids.collect();
+                    let suspicion = stairward_failover::Event::Suspicion(NodeId(node), silent);
+                    self.tell_duty(suspicion);
+                }
                 NeighbourMessage::SettleLead { service } => {
                     if let Ok(service) = ServiceName::new(service.as_str()) {
                         self.handle(Event::LeadSettled(service));
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -71,6 +71,8 @@
     pub(crate) links: RefCell<BTreeMap<NodeId, Link>>,
     pub(crate) guests: RefCell<Guests>,
     pub(crate) kept: RefCell<KeptConnections>,
+    /// The peers that pass questions on, and hear of silent back ends.
+    pub(crate) question_peers: RefCell<Vec<NodeId>>,
     /// Other nodes that live or lived a while ago.
     pub(crate) users: RefCell<BTreeMap<NodeId, User>>,
     pub(crate) feeds: Feeds,
@@ -120,6 +122,7 @@
             links: RefCell::default(),
             guests: RefCell::default(),
             kept: RefCell::default(),
+            question_peers: RefCell::default(),
             users: RefCell::default(),
             feeds: Feeds::default(),
             log: DecisionLog::default(),
--- a/crates/stairward-runtime/src/relayed_questions.rs
+++ b/crates/stairward-runtime/src/relayed_questions.rs
@@ -44,6 +44,7 @@
                 .filter(|node| *node != self.peer.node);
             others.sample(&mut rand::rng(), PEERS_ASKED)
         };
+        self.question_peers.borrow_mut().clone_from(&peers);
         self.tell_duty(stairward_failover::Event::Peers(peers));
     }
 
@@ -100,17 +101,38 @@
     /// Tells these nodes, and this one, that no promotion that they were told of is under way any more.
     pub(crate) fn settle(self: &Rc<Self>, service: &ServiceName, users: BTreeSet<NodeId>) {
         self.handle(Event::LeadSettled(service.clone()));
-        let message = frame(&NeighbourMessage::SettleLead {
-            service: Text::new(service.as_str()),
-        });
-        for user in users {
-            let address = self.users.borrow().get(&user).map(|user| user.address);
-            let (Some(address), message) = (address, message.clone()) else {
+        // A node that misses it believes the new leader a little later.
+        self.tell_once(
+            users,
+            &NeighbourMessage::SettleLead {
+                service: Text::new(service.as_str()),
+            },
+        );
+    }
+
+    /// Tells some other nodes which back ends this one finds silent.
+    pub(crate) fn report_silent(self: &Rc<Self>, silent: &BTreeSet<BackendId>) {
+        let backends: Vec<_> = silent.iter().map(|id| Text::new(id.as_str())).collect();
+        let message = NeighbourMessage::Silent {
+            node: self.peer.node.0,
+            count: u16::try_from(backends.len()).unwrap_or(u16::MAX),
+            backends,
+        };
+        // One that misses it hears of it again while it holds.
+        self.tell_once(self.question_peers.borrow().iter().copied(), &message);
+    }
+
+    /// Tells nodes something that needs no answer, each on a connection of its own.
+    fn tell_once(&self, nodes: impl IntoIterator<Item = NodeId>, message: &NeighbourMessage) {
+        let message = frame(message);
+        for node in nodes {
+            let address = self.users.borrow().get(&node).map(|user| user.address);
+            let Some(address) = address else {
                 continue;
             };
+            let message = message.clone();
             tokio::task::spawn_local(async move {
                 if let Some((_, outgoing)) = connect(address).await {
-                    // A node that misses it believes the new leader a little later.
                     let _ = outgoing.send(&message);
                     Self::pause(RELAY_PATIENCE).await;
                 }
--- a/crates/stairward-simulation/src/store.rs
+++ b/crates/stairward-simulation/src/store.rs
@@ -1,9 +1,7 @@
-//! The metadata store: the configuration, the duty's record and the nodes' reports.
-
-use std::collections::{BTreeMap, BTreeSet};
+//! The metadata store: the configuration and the duty's record.
 
 use stairward_failover::{DutyRecord, RecordVersion};
-use stairward_types::{BackendId, Time};
+use stairward_types::Time;
 
 /// The store.
 #[derive(Debug, Default)]
@@ -14,7 +12,6 @@
     pub loses_answers: bool,
     pub record_version: u64,
     pub record: Option<DutyRecord>,
-    pub reports: BTreeMap<String, BTreeSet<BackendId>>,
     /// The newest configuration's revision.
     pub configuration: u64,
     /// Whether the route for own reads exists in it.
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -78,10 +78,6 @@
         let groups = self.nodes[node].groups(&list, self.options.synchronous_replicas);
         self.tell_duty(node, life, DutyEvent::Nodes(nodes));
         self.tell_duty(node, life, DutyEvent::Groups(groups));
-        let own = node_name(node);
-        let mut others = self.store.reports.clone();
-        others.remove(&own);
-        self.tell_duty(node, life, DutyEvent::Suspicions(others));
         let version = RecordVersion(self.store.record_version);
         let record = self.store.record.clone();
         self.tell_duty(node, life, DutyEvent::Record(version, record));
@@ -124,9 +120,12 @@
                 self.queue.plan(STORE_DELAY, write);
             }
             DutyEffect::Report(silent) => {
-                if self.store_reaches(index) {
-                    self.store.reports.insert(node_name(index), silent);
-                    self.push_to_all();
+                let own = NodeId(u64::try_from(index).unwrap_or(0));
+                for peer in (0..self.nodes.len()).filter(|peer| *peer != index) {
+                    let event = DutyEvent::Suspicion(own, silent.clone());
+                    let life = self.nodes[peer].life;
+                    let told = Happening::Duty(peer, life, Box::new(event));
+                    self.queue.plan(FAR_DELAY * 3, told);
                 }
             }
             DutyEffect::Ask(backend) => {
@@ -195,7 +194,16 @@
         }
         let told_life = told.life;
         let service = crate::group::service();
-        self.tell_engine(place, told_life, Event::LeadRevoked(service.clone(), term));
+        match self.options.broken {
+            // Nobody is told, so that the wait alone must keep the old leader from being believed.
+            Some(BrokenVariant::NoWait | BrokenVariant::LongLease) => return,
+            // The node answers but goes on as before.
+            Some(BrokenVariant::Revocation) => {}
+            _ => {
+                let event = Event::LeadRevoked(service.clone(), term);
+                self.tell_engine(place, told_life, event);
+            }
+        }
         let newest = self.nodes[place].engine.newest_term(&service);
         let revoked = DutyEvent::Revoked {
             service,
