--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -31,6 +31,7 @@
 mod stopping;
 mod timers;
 mod waiting;
+mod withholding;
 
 pub use engine::{Engine, EngineStatistics};
 pub use event::{
--- /dev/null
+++ b/crates/stairward-failover/src/duty/asking.rs
@@ -0,0 +1,162 @@
+//! Asking the members of a group, before anything is done to them.
+
+use stairward_types::{BackendId, BackendRole, MemberStatus, ServiceName, Term, Time};
+
+use super::FailoverDuty;
+use crate::attempt::Stage;
+use crate::event::{Effect, Via};
+
+impl FailoverDuty {
+    /// A replica that comes while the others are on hold would let the old primary acknowledge again.
+    pub(super) fn hold_late_members(&mut self, service: &ServiceName) {
+        let (Some(group), Some(attempt)) =
+            (self.groups.get(service), self.attempts.get_mut(service))
+        else {
+            return;
+        };
+        if attempt.held.is_empty() {
+            return;
+        }
+        let term = Term(attempt.newest_term().0 + 1);
+        for (id, member) in &group.members {
+            let is_known = Some(id) == attempt.old.as_ref() || attempt.held.contains(id);
+            if is_known || member.role == BackendRole::Primary {
+                continue;
+            }
+            attempt.held.insert(id.clone());
+            if attempt.stage == Stage::Asking {
+                attempt.asked.insert(id.clone());
+            }
+            if let Some(ending) = &mut attempt.ending {
+                ending.ask_replica(id.clone(), &[Via::Direct]);
+                let ways = vec![Via::Direct];
+                self.effects
+                    .push(Effect::HoldBy(id.clone(), ending.term, ways));
+                continue;
+            }
+            self.effects.push(Effect::Hold(id.clone(), term));
+        }
+    }
+
+    pub(super) fn ask_members(&mut self, service: &ServiceName) {
+        let (Some(group), Some(attempt)) =
+            (self.groups.get(service), self.attempts.get_mut(service))
+        else {
+            return;
+        };
+        for (id, member) in &group.members {
+            if !member.is_listed && Some(id) != attempt.old.as_ref() {
+                continue;
+            }
+            attempt.asked.insert(id.clone());
+            self.effects.push(Effect::Ask(id.clone()));
+        }
+    }
+
+    /// Keeps the replicas from receiving, so that nothing more is acknowledged, and asks them again.
+    pub(super) fn hold_replicas(&mut self, now: Time, service: &ServiceName) {
+        let (Some(group), Some(attempt)) =
+            (self.groups.get(service), self.attempts.get_mut(service))
+        else {
+            return;
+        };
+        let term = Term(attempt.newest_term().0 + 1);
+        attempt.enter(Stage::Asking, now);
+        attempt.asked.clear();
+        for id in group.members.keys() {
+            if Some(id) == attempt.old.as_ref() {
+                continue;
+            }
+            attempt.answers.remove(id);
+            attempt.asked.insert(id.clone());
+            attempt.held.insert(id.clone());
+            self.effects.push(Effect::Hold(id.clone(), term));
+        }
+    }
+
+    pub(super) fn take_status(&mut self, backend: &BackendId, status: Option<MemberStatus>) {
+        for attempt in self.attempts.values_mut() {
+            let is_asked = matches!(attempt.stage, Stage::Asking | Stage::Ending);
+            if !is_asked || !attempt.asked.remove(backend) {
+                continue;
+            }
+            if let Some(status) = status {
+                attempt.answers.insert(backend.clone(), status);
+            }
+        }
+    }
+
+    pub(super) fn review_asking(&mut self, now: Time, service: &ServiceName) {
+        self.take_holds_over(service);
+        let (Some(attempt), Some(group)) = (self.attempts.get(service), self.groups.get(service))
+        else {
+            return;
+        };
+        let is_late = now.since(attempt.since) >= self.options.ask_patience;
+        // Where an old primary is ended before another leads, there is time for its answer later.
+        let old_patience = match self.options.leadership_lease {
+            Some(_) => self.options.step_down_patience,
+            None => self.options.ask_patience,
+        };
+        let old_may_live = attempt.old.as_ref().is_some_and(|old| {
+            !attempt.is_planned
+                && !self.evidence.is_refused(old)
+                && attempt.asked.contains(old)
+                && now.since(attempt.since) < old_patience
+        });
+        let is_complete = attempt.is_asked_out() && !old_may_live;
+        if !is_complete && !is_late {
+            return;
+        }
+        if now.since(attempt.since) > self.options.lease / 2 {
+            // The node may have been paused: another may hold the duty by now.
+            return self.give_up(now, service, "the answers are too old");
+        }
+        if attempt.must_fence
+            && let Some(leader) = attempt.present_leader().cloned()
+        {
+            return self.fence_off(now, service, leader);
+        }
+        if let Some(leader) = attempt.other_leader().cloned() {
+            self.evidence.forget(&leader);
+            return self.give_up(now, service, "another member leads already");
+        }
+        if !attempt.is_planned && attempt.old_still_leads() {
+            if let Some(old) = attempt.old.clone() {
+                self.evidence.forget(&old);
+            }
+            return self.give_up(now, service, "the primary answers that it leads");
+        }
+        if self.options.leadership_lease.is_some() {
+            return self.begin_ending(now, service);
+        }
+        if group.synchronous_replicas > 0 {
+            if attempt.held.is_empty() {
+                return self.hold_replicas(now, service);
+            }
+            if !attempt.covers_acknowledged(group) {
+                return self.give_up(now, service, "an acknowledged commit might be missed");
+            }
+        }
+        let Some(chosen) = attempt.choose(group) else {
+            return self.give_up(now, service, "no replica answered");
+        };
+        self.promote(now, service, chosen.target, chosen.received);
+    }
+
+    /// Replicas that an earlier attempt left on hold are this one's to let go, once its own decision is answered:
+    /// a promotion of that attempt may still be carried out.
+    pub(super) fn take_holds_over(&mut self, service: &ServiceName) {
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return;
+        };
+        let left: Vec<_> = attempt
+            .answers
+            .iter()
+            .filter(|(id, status)| status.held > Term(0) && !attempt.held.contains(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        attempt.must_fence |= !left.is_empty();
+        attempt.held.extend(left);
+    }
+}
--- /dev/null
+++ b/crates/stairward-failover/src/duty/claim.rs
@@ -0,0 +1,134 @@
+//! Taking the duty for a service: from the reason to the written record.
+
+use stairward_types::{ServiceName, Term, Time};
+
+use super::FailoverDuty;
+use crate::attempt::{Attempt, Stage};
+use crate::event::{Action, DutyRecord, Effect, FencingToken, RecordVersion};
+use crate::turn::turn;
+
+impl FailoverDuty {
+    pub(super) fn maybe_begin(&mut self, now: Time, service: &ServiceName) {
+        if self.pauses.get(service).is_some_and(|until| now < *until) {
+            return;
+        }
+        let Some(trigger) = self.trigger(now, service) else {
+            self.triggered_since.remove(service);
+            return;
+        };
+        let since = *self.triggered_since.entry(service.clone()).or_insert(now);
+        if now < since + turn(&self.options.node, service, self.nodes) {
+            return;
+        }
+        if self.is_held_by_another(now) || self.version.is_none() {
+            return;
+        }
+        let Some(group) = self.groups.get(service) else {
+            return;
+        };
+        let old = Self::announced_leader(group).cloned();
+        let can_be_replaced = group
+            .members
+            .iter()
+            .any(|(id, member)| Some(id) != old.as_ref() && member.is_listed && !member.is_leaving);
+        if !can_be_replaced {
+            return;
+        }
+        let attempt = Attempt::new(old, trigger.is_planned(), now);
+        self.attempts.insert(service.clone(), attempt);
+        let reason = trigger.reason();
+        self.log(service, Action::Began { reason });
+        self.claim(now, service);
+    }
+
+    /// Writes the record, one service at a time.
+    pub(super) fn claim(&mut self, now: Time, service: &ServiceName) {
+        if self.writing.is_some() {
+            return;
+        }
+        if self.is_held_by_another(now) {
+            return self.give_up(now, service, "another node holds the duty");
+        }
+        let Some(version) = self.version else {
+            return;
+        };
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return;
+        };
+        attempt.enter(Stage::Claiming, now);
+        attempt.token = None;
+        self.writing = Some(service.clone());
+        let record = DutyRecord {
+            holder: self.options.node.clone(),
+            service: service.clone(),
+        };
+        self.effects.push(Effect::WriteRecord(version, record));
+    }
+
+    pub(super) fn record_written(&mut self, now: Time, version: RecordVersion) {
+        let Some(service) = self.writing.take() else {
+            return;
+        };
+        let record = DutyRecord {
+            holder: self.options.node.clone(),
+            service: service.clone(),
+        };
+        self.learn_record(now, version, Some(record));
+        let Some(attempt) = self.attempts.get_mut(&service) else {
+            return;
+        };
+        if attempt.stage != Stage::Claiming || now.since(attempt.since) > self.options.lease / 2 {
+            return self.give_up(now, &service, "the claim took too long");
+        }
+        attempt.token = Some(FencingToken(version.0));
+        attempt.claimed_at = now;
+        attempt.ending = None;
+        attempt.enter(Stage::Asking, now);
+        self.ask_members(&service);
+    }
+
+    pub(super) fn record_failed(&mut self, now: Time) {
+        if let Some(service) = self.writing.take() {
+            self.give_up(now, &service, "the record could not be written");
+        }
+    }
+
+    pub(super) fn review_queued(&mut self, now: Time, service: &ServiceName) {
+        let is_due = self
+            .attempts
+            .get(service)
+            .is_some_and(|attempt| now >= attempt.not_before);
+        if is_due {
+            self.claim(now, service);
+        }
+    }
+
+    pub(super) fn review_claim(&mut self, now: Time, service: &ServiceName) {
+        let is_late = self
+            .attempts
+            .get(service)
+            .is_some_and(|attempt| now.since(attempt.since) > self.options.call_patience);
+        if is_late {
+            self.writing = None;
+            self.give_up(now, service, "the store does not answer");
+        }
+    }
+
+    /// While a promotion without an answer may still be carried out, no leader of a lower term is to be
+    /// believed, however long the store keeps this node from fencing it off.
+    pub(super) fn announce_pending(&mut self, now: Time, service: &ServiceName) {
+        let Some(lease) = self.options.leadership_lease else {
+            return;
+        };
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return;
+        };
+        let term = attempt.known_term;
+        let is_due = attempt.must_fence && now >= attempt.announced_at + lease;
+        if is_due && term > Term::default() {
+            attempt.announced_at = now;
+            let revoke = Effect::Revoke(service.clone(), term, self.users.clone());
+            self.effects.push(revoke);
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairward-failover/src/duty/trigger.rs
@@ -0,0 +1,116 @@
+//! When a primary is to be replaced, and why.
+
+use std::collections::BTreeMap;
+
+use stairward_types::{ServiceName, Time};
+
+use super::FailoverDuty;
+use crate::event::GroupState;
+
+/// Why a primary is to be replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Trigger {
+    Refused,
+    Silent,
+    Leaving,
+    Missing,
+    Leaderless,
+    Held,
+}
+
+impl Trigger {
+    pub(super) const fn reason(self) -> &'static str {
+        match self {
+            Self::Refused => "nothing listens at the primary's address",
+            Self::Silent => "enough nodes find the primary silent",
+            Self::Leaving => "the primary is leaving",
+            Self::Missing => "discovery no longer lists the primary",
+            Self::Leaderless => "no member calls itself primary",
+            Self::Held => "replicas wait for a later term that does not begin",
+        }
+    }
+
+    pub(super) const fn is_planned(self) -> bool {
+        matches!(self, Self::Leaving | Self::Missing | Self::Held)
+    }
+}
+
+/// Nodes that must find a primary silent at most, however many there are.
+const MOST_NEEDED: u32 = 3;
+/// So many entries at the least must be listed for the loss of half of them to count as a lapse: a group's.
+const FEWEST_THAT_LAPSE: usize = 3;
+
+impl FailoverDuty {
+    /// Entries that go together have lapsed: the store was away, and their members most likely are not.
+    pub(super) fn note_lapse(&mut self, now: Time, groups: &BTreeMap<ServiceName, GroupState>) {
+        let (before, after) = (listed_members(&self.groups), listed_members(groups));
+        if before >= FEWEST_THAT_LAPSE && after * 2 <= before {
+            self.lapsed_at = Some(now);
+        }
+    }
+
+    pub(super) fn note_lead(&mut self, now: Time, service: ServiceName, is_revoked: bool) {
+        if is_revoked {
+            self.revoked_since.entry(service).or_insert(now);
+        } else {
+            self.revoked_since.remove(&service);
+        }
+    }
+
+    pub(super) fn trigger(&self, now: Time, service: &ServiceName) -> Option<Trigger> {
+        let group = self.groups.get(service)?;
+        let missing_since = self.missing_since.get(service);
+        let has_returned = self
+            .lapsed_at
+            .is_none_or(|at| now >= at + self.options.return_patience);
+        let is_missing_long = has_returned
+            && missing_since.is_some_and(|since| now >= *since + self.options.missing_patience);
+        let Some(leader) = Self::announced_leader(group) else {
+            return is_missing_long.then_some(Trigger::Leaderless);
+        };
+        let member = group.members.get(leader)?;
+        if self.evidence.is_refused(leader) {
+            return Some(Trigger::Refused);
+        }
+        if self.evidence.suspecting(now, leader) >= self.suspicion_quorum() {
+            return Some(Trigger::Silent);
+        }
+        if member.is_leaving && member.is_listed {
+            return Some(Trigger::Leaving);
+        }
+        if is_missing_long {
+            return Some(Trigger::Missing);
+        }
+        let revoked_since = self.revoked_since.get(service);
+        let is_revoked_long =
+            revoked_since.is_some_and(|since| now >= *since + self.options.missing_patience);
+        is_revoked_long.then_some(Trigger::Held)
+    }
+
+    pub(super) fn suspicion_quorum(&self) -> usize {
+        if self.nodes == 1 {
+            return 1;
+        }
+        let share = (self.nodes * self.options.suspicion_percent).div_ceil(100);
+        usize::try_from(share.clamp(2, MOST_NEEDED)).unwrap_or(2)
+    }
+
+    pub(super) fn note_missing(&mut self, now: Time, service: &ServiceName) {
+        let Some(group) = self.groups.get(service) else {
+            return;
+        };
+        let has_replica = group.members.values().any(|member| member.is_listed);
+        let leader = Self::announced_leader(group).and_then(|id| group.members.get(id));
+        let is_missing = has_replica && !leader.is_some_and(|leader| leader.is_listed);
+        if is_missing {
+            self.missing_since.entry(service.clone()).or_insert(now);
+        } else {
+            self.missing_since.remove(service);
+        }
+    }
+}
+
+fn listed_members(groups: &BTreeMap<ServiceName, GroupState>) -> usize {
+    let members = groups.values().flat_map(|group| group.members.values());
+    members.filter(|member| member.is_listed).count()
+}
--- a/crates/stairward-failover/tests/ending.rs
+++ b/crates/stairward-failover/tests/ending.rs
@@ -387,6 +387,27 @@
     assert_eq!(attempt.resumes(), 0);
 }
 
+/// Another node may have put them on hold since, for an attempt of its own.
+#[test]
+fn whoever_has_lost_the_duty_lets_nobody_go_when_its_promotion_has_settled() {
+    let mut attempt = Attempt::unplanned();
+    attempt.pass(600);
+    attempt.hold_both();
+    attempt.revoked(2, PEER, 1);
+    attempt.revoked(2, USER, 1);
+    let accepted = PromotionOutcome::Accepted;
+    attempt.tell(Event::Promotion(service(), FencingToken(4), accepted));
+    let record = stairward_failover::DutyRecord {
+        holder: "b".to_owned(),
+        service: service(),
+    };
+    attempt.tell(Event::Record(RecordVersion(9), Some(record)));
+    attempt.pass(3_500);
+    assert_eq!(attempt.resumes(), 0);
+    let is_settled = |effect: &Effect| matches!(effect, Effect::Settle(..));
+    assert!(!attempt.wants(is_settled));
+}
+
 /// The holder that put them on hold is gone.
 #[test]
 fn replicas_that_wait_for_a_term_that_does_not_begin_are_let_go() {
--- a/crates/stairward-simulation/src/world_nodes.rs
+++ b/crates/stairward-simulation/src/world_nodes.rs
@@ -86,8 +86,17 @@
                 self.close_forwarded(index, life, holder, session);
             }
             Effect::LeadObserved {
-                service, change, ..
+                service,
+                leader,
+                change,
+                term,
+                awaited,
+                ..
             } => {
+                let now = self.now();
+                let seen =
+                    format!("{now:?} node-{index}: {leader} of {term:?} {change:?}, {awaited:?}");
+                self.decisions.push(seen);
                 let is_revoked = change == LeadChange::Revoked;
                 self.tell_duty(index, life, DutyEvent::Lead(service, is_revoked));
             }
