A starting node takes a stale listing, and reads the store only once its view has settled

Cause: a node that starts ranked as a watcher until it had heard of the others, so that each of 295 nodes listed and watched three kinds of objects linearizably, and dropped the watches a second later.

A node reads the store itself once it has ranked as a watcher for 1 s, or once no watcher has confirmed the feed for as long as a follower may wait after it lost them.

--- a/crates/stairward-membership/src/feed/follower.rs
+++ b/crates/stairward-membership/src/feed/follower.rs
@@ -5,7 +5,7 @@
 use stairward_types::{Duration, NodeId, Revision, Time};
 
 use super::message::{Effect, Event, FeedContent, FollowerId};
-use super::parameters::FeedParameters;
+use super::parameters::{FeedParameters, VIEW_SETTLES};
 use super::ranking;
 use crate::configuration::PeerPlace;
 
@@ -29,7 +29,11 @@
     parameters: FeedParameters,
     /// The watchers that this node follows when it needs to.
     wanted_sources: Vec<NodeId>,
-    is_watcher: bool,
+    /// Since when this node has ranked as a watcher; none while it does not.
+    watcher_since: Option<Time>,
+    /// The watchers of the others are given as long to confirm the feed to a node that starts as to one that has
+    /// lost them.
+    started_at: Time,
     is_reading: bool,
     /// The revision held; none before the first content.
     at: Option<Revision>,
@@ -42,13 +46,15 @@
 }
 
 impl Feed {
-    /// A node that knows nothing yet. It reads the store until it knows of others.
+    /// A node that knows nothing yet. It reads the store once its view of the others has had time to settle,
+    /// unless it turns out that others read it for this node.
     #[must_use]
-    pub fn new(parameters: FeedParameters) -> Self {
+    pub fn new(parameters: FeedParameters, now: Time) -> Self {
         Self {
             parameters,
             wanted_sources: Vec::new(),
-            is_watcher: true,
+            watcher_since: Some(now),
+            started_at: now,
             is_reading: false,
             at: None,
             confirmed_by_store: None,
@@ -62,7 +68,10 @@
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
         match event {
-            Event::Members(members) => self.members_changed(&members),
+            Event::Members(members) => self.members_changed(now, &members),
+            Event::StaleListing { at, objects } => {
+                self.take(at, FeedContent::Whole(objects), &mut effects);
+            }
             Event::StoreAnswered { at, content } => {
                 self.store_answered(now, at, content, &mut effects);
             }
@@ -89,9 +98,8 @@
     /// When [`Event::Tick`] is next due.
     #[must_use]
     pub fn next_wake(&self, now: Time) -> Option<Time> {
-        let reads_at = self
-            .confirmed_by_source
-            .map(|at| at + self.parameters.reads_after);
+        let reads_at = self.last_source_word() + self.parameters.reads_after;
+        let settles_at = self.watcher_since.map(|since| since + VIEW_SETTLES);
         let follows_at = self
             .confirmed_by_store
             .map(|at| at + self.parameters.follows_after);
@@ -100,7 +108,10 @@
             Source::Asked | Source::InStep => None,
         });
         // What has passed was dealt with when it passed.
-        let deadlines = reads_at.into_iter().chain(follows_at).chain(asks);
+        let deadlines = std::iter::once(reads_at)
+            .chain(settles_at)
+            .chain(follows_at)
+            .chain(asks);
         deadlines.filter(|at| *at > now).min()
     }
 
@@ -113,13 +124,19 @@
     /// Whether this node ranks as a watcher of the store.
     #[must_use]
     pub const fn is_watcher(&self) -> bool {
-        self.is_watcher
+        self.watcher_since.is_some()
+    }
+
+    /// When a watcher last confirmed the feed, or this node started.
+    fn last_source_word(&self) -> Time {
+        self.confirmed_by_source.unwrap_or(self.started_at)
     }
 
-    fn members_changed(&mut self, members: &[PeerPlace]) {
+    fn members_changed(&mut self, now: Time, members: &[PeerPlace]) {
         let (node, region) = (self.parameters.node, &self.parameters.region);
         let watchers = ranking::watchers(region, members);
-        self.is_watcher = watchers.is_empty() || watchers.contains(&node);
+        let is_watcher = watchers.is_empty() || watchers.contains(&node);
+        self.watcher_since = is_watcher.then(|| self.watcher_since.unwrap_or(now));
         self.wanted_sources = ranking::sources(node, region, members);
     }
 
@@ -210,7 +227,10 @@
     /// A node that doesn't rank as a watcher follows some; so does a watcher that the store doesn't answer.
     fn choose_sources(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let follows_after = self.parameters.follows_after;
-        let wanted = if self.is_watcher && is_fresh(now, self.confirmed_by_store, follows_after) {
+        let is_confirmed = self
+            .confirmed_by_store
+            .is_some_and(|at| now.since(at) < follows_after);
+        let wanted = if self.is_watcher() && is_confirmed {
             Vec::new()
         } else {
             self.wanted_sources.clone()
@@ -240,8 +260,11 @@
     }
 
     fn choose_reading(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let reads_after = self.parameters.reads_after;
-        let wants = self.is_watcher || !is_fresh(now, self.confirmed_by_source, reads_after);
+        let is_settled_watcher = self
+            .watcher_since
+            .is_some_and(|since| now.since(since) >= VIEW_SETTLES);
+        let is_unconfirmed = now.since(self.last_source_word()) >= self.parameters.reads_after;
+        let wants = is_settled_watcher || is_unconfirmed;
         if wants != self.is_reading {
             self.is_reading = wants;
             effects.push(Effect::Read(wants));
@@ -249,10 +272,6 @@
     }
 }
 
-fn is_fresh(now: Time, confirmed: Option<Time>, limit: Duration) -> bool {
-    confirmed.is_some_and(|at| now.since(at) < limit)
-}
-
 fn microseconds(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/stairward-membership/src/feed/message.rs
+++ b/crates/stairward-membership/src/feed/message.rs
@@ -31,6 +31,13 @@
         /// What came with it.
         content: FeedContent,
     },
+    /// The store gave this node a listing that may be seconds old: it serves to begin with, and confirms nothing.
+    StaleListing {
+        /// The revision of the listing.
+        at: Revision,
+        /// All objects.
+        objects: Vec<u8>,
+    },
     /// A watcher that this node follows told of its state.
     SourceAnswered {
         /// The watcher.
--- a/crates/stairward-membership/src/feed/mod.rs
+++ b/crates/stairward-membership/src/feed/mod.rs
@@ -6,6 +6,9 @@
 //! only while neither has confirmed the feed for a while: watchers may be dead, cut off, or turned away by a
 //! store that serves others. In a region of a few nodes every node is a watcher.
 //!
+//! A node that starts takes a listing that may be seconds old, which costs the store little, and begins to read
+//! only once its view of the others has settled or its watchers have not confirmed the feed in time.
+//!
 //! [`Feed`] makes the decisions of one node for one feed. It does no I/O, and the objects pass through it as
 //! opaque bytes.
 
--- a/crates/stairward-membership/src/feed/parameters.rs
+++ b/crates/stairward-membership/src/feed/parameters.rs
@@ -9,6 +9,10 @@
 /// Watchers that a node follows, so that the loss of one delays nothing.
 pub(super) const SOURCES: usize = 2;
 
+/// How long a node must rank as a watcher before it reads the store: while hundreds of nodes start, each ranks as
+/// one until it has heard of the others. Two looks at the membership view (500 ms each).
+pub(super) const VIEW_SETTLES: Duration = Duration::from_millis(1_000);
+
 /// How one node follows one feed.
 #[derive(Debug, Clone)]
 pub struct FeedParameters {
--- a/crates/stairward-runtime/src/feeds.rs
+++ b/crates/stairward-runtime/src/feeds.rs
@@ -98,7 +98,7 @@
             follows_after,
         };
         let feed = Rc::new(OpenFeed {
-            feed: RefCell::new(Feed::new(parameters)),
+            feed: RefCell::new(Feed::new(parameters, self.now())),
             objects,
             reading,
             shown_at: Cell::new(None),
@@ -113,6 +113,11 @@
         self.feed_event(name, Event::StoreAnswered { at, content });
     }
 
+    /// The store listed a feed's objects as they were a while ago.
+    pub fn store_listed_stale(self: &Rc<Self>, name: &'static str, at: Revision, objects: Vec<u8>) {
+        self.feed_event(name, Event::StaleListing { at, objects });
+    }
+
     /// Takes over what a peer last read, until the store or a watcher answers.
     pub fn take_word_of_peer(&self, name: &str, content: Vec<u8>) {
         if let Some(feed) = self.feeds.get(name) {
