A record a service: failovers of many services side by side, the newest begun term noted

Change: the store holds a record for each service (failover-NAME); claims, leases and tokens are per service, and writes use connections of their own. When a promotion is accepted, its term is noted in the record, off the way to the promotion; the next holder announces above it. Ruled out: noting the term at the claim or at the announcement, since an attempt that is given up would leave a term above any that begins, which locks nodes out until all candidates answer.

--- a/crates/stairward-failover/src/duty.rs
+++ b/crates/stairward-failover/src/duty.rs
@@ -11,9 +11,10 @@
 use stairward_types::{BackendId, BackendRole, NodeId, ServiceName, Time};
 
 use crate::attempt::{Attempt, Stage};
-use crate::event::{Action, DutyRecord, Effect, Event, GroupState, LeaderEvidence, RecordVersion};
+use crate::event::{Action, Effect, Event, GroupState, LeaderEvidence};
 use crate::evidence::EvidenceLedger;
 use crate::options::FailoverOptions;
+use crate::records::Records;
 
 /// How often the duty looks again while something is under way.
 const POLL: std::time::Duration = std::time::Duration::from_millis(50);
@@ -33,11 +34,7 @@
     evidence: EvidenceLedger,
     /// When others were last told which back ends this node finds silent.
     reported_at: Time,
-    version: Option<RecordVersion>,
-    record: Option<DutyRecord>,
-    record_learnt: Time,
-    /// The service whose claim is being written.
-    writing: Option<ServiceName>,
+    records: Records,
     attempts: BTreeMap<ServiceName, Attempt>,
     /// Since when there has been a reason to replace a primary.
     triggered_since: BTreeMap<ServiceName, Time>,
@@ -64,10 +61,7 @@
             users: BTreeSet::new(),
             evidence: EvidenceLedger::default(),
             reported_at: Time::ZERO,
-            version: None,
-            record: None,
-            record_learnt: Time::ZERO,
-            writing: None,
+            records: Records::default(),
             attempts: BTreeMap::new(),
             triggered_since: BTreeMap::new(),
             pauses: BTreeMap::new(),
@@ -122,9 +116,14 @@
             Event::Evidence(backend, evidence) => self.note_evidence(now, backend, evidence),
             Event::Lead(service, is_revoked) => self.note_lead(now, service, is_revoked),
             Event::Suspicion(node, silent) => self.evidence.note_other(now, node, silent),
-            Event::Record(version, record) => self.learn_record(now, version, record),
-            Event::RecordWritten(version) => self.record_written(now, version),
-            Event::RecordFailed => self.record_failed(now),
+            Event::Records(records) => self.records.learn_all(now, records),
+            Event::Record(service, version, record) => {
+                self.records.learn(now, service, version, record);
+            }
+            Event::RecordWritten(service, version, record) => {
+                self.record_written(now, &service, version, record);
+            }
+            Event::RecordFailed(service) => self.record_failed(now, &service),
             Event::Status(backend, status) => self.take_status(&backend, status),
             Event::Reached(backend, via, reach) => self.take_reach(now, &backend, &via, reach),
             Event::Promotion(service, token, outcome) => {
@@ -154,29 +153,15 @@
         }
     }
 
-    fn learn_record(&mut self, now: Time, version: RecordVersion, record: Option<DutyRecord>) {
-        if self.version.is_some_and(|known| known >= version) {
-            return;
-        }
-        self.version = Some(version);
-        self.record = record;
-        self.record_learnt = now;
-    }
-
-    /// Whether this node was the last to take the duty. Another one since may have put replicas on hold.
-    fn wrote_record(&self) -> bool {
-        self.record
-            .as_ref()
-            .is_some_and(|record| record.holder == self.options.node)
+    /// Whether this node was the last to write a service's record.
+    fn wrote_record(&self, service: &ServiceName) -> bool {
+        self.records.is_held_by(service, &self.options.node)
     }
 
-    /// Whether another node acts on the duty at the moment.
-    fn is_held_by_another(&self, now: Time) -> bool {
-        let is_another = self
-            .record
-            .as_ref()
-            .is_some_and(|record| record.holder != self.options.node);
-        is_another && now < self.record_learnt + self.options.lease
+    /// Whether another node acts on a service at the moment.
+    fn is_held_by_another(&self, now: Time, service: &ServiceName) -> bool {
+        let (node, lease) = (&self.options.node, self.options.lease);
+        self.records.is_held_by_another(now, service, node, lease)
     }
 
     /// The member that calls itself primary, the one announced last if there are several.
--- a/crates/stairward-failover/src/duty/claim.rs
+++ b/crates/stairward-failover/src/duty/claim.rs
@@ -20,7 +20,7 @@
         if now < since + turn(&self.options.node, service, self.nodes) {
             return;
         }
-        if self.is_held_by_another(now) || self.version.is_none() {
+        if self.is_held_by_another(now, service) || self.records.version(service).is_none() {
             return;
         }
         let Some(group) = self.groups.get(service) else {
@@ -41,55 +41,70 @@
         self.claim(now, service);
     }
 
-    /// Writes the record, one service at a time.
+    /// Writes the service's record.
     pub(super) fn claim(&mut self, now: Time, service: &ServiceName) {
-        if self.writing.is_some() {
-            return;
-        }
-        if self.is_held_by_another(now) {
+        if self.is_held_by_another(now, service) {
             return self.give_up(now, service, "another node holds the duty");
         }
-        let Some(version) = self.version else {
+        if self.records.version(service).is_none() {
             return;
-        };
+        }
         let Some(attempt) = self.attempts.get_mut(service) else {
             return;
         };
         attempt.enter(Stage::Claiming, now);
         attempt.token = None;
-        self.writing = Some(service.clone());
-        let record = DutyRecord {
-            holder: self.options.node.clone(),
-            service: service.clone(),
-        };
-        self.effects.push(Effect::WriteRecord(version, record));
+        self.write_record(service, self.records.term(service));
     }
 
-    pub(super) fn record_written(&mut self, now: Time, version: RecordVersion) {
-        let Some(service) = self.writing.take() else {
+    /// Writes a service's record over the version that is known.
+    pub(super) fn write_record(&mut self, service: &ServiceName, term: Term) {
+        let Some(version) = self.records.version(service) else {
             return;
         };
         let record = DutyRecord {
             holder: self.options.node.clone(),
-            service: service.clone(),
+            term,
         };
-        self.learn_record(now, version, Some(record));
-        let Some(attempt) = self.attempts.get_mut(&service) else {
+        self.effects
+            .push(Effect::WriteRecord(service.clone(), version, record));
+    }
+
+    pub(super) fn record_written(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        version: RecordVersion,
+        record: DutyRecord,
+    ) {
+        let noted = record.term;
+        self.records
+            .learn(now, service.clone(), version, Some(record));
+        let Some(attempt) = self.attempts.get_mut(service) else {
             return;
         };
-        if attempt.stage != Stage::Claiming || now.since(attempt.since) > self.options.lease / 2 {
-            return self.give_up(now, &service, "the claim took too long");
+        if attempt.stage != Stage::Claiming {
+            // A term was noted, or the claim was given up before its answer came.
+            return;
+        }
+        if now.since(attempt.since) > self.options.lease / 2 {
+            return self.give_up(now, service, "the claim took too long");
         }
         attempt.token = Some(FencingToken(version.0));
         attempt.claimed_at = now;
         attempt.ending = None;
+        attempt.known_term = attempt.known_term.max(noted);
         attempt.enter(Stage::Asking, now);
-        self.ask_members(&service);
+        self.ask_members(service);
     }
 
-    pub(super) fn record_failed(&mut self, now: Time) {
-        if let Some(service) = self.writing.take() {
-            self.give_up(now, &service, "the record could not be written");
+    pub(super) fn record_failed(&mut self, now: Time, service: &ServiceName) {
+        let is_claiming = self
+            .attempts
+            .get(service)
+            .is_some_and(|attempt| attempt.stage == Stage::Claiming);
+        if is_claiming {
+            self.give_up(now, service, "the record could not be written");
         }
     }
 
@@ -109,7 +124,6 @@
             .get(service)
             .is_some_and(|attempt| now.since(attempt.since) > self.options.call_patience);
         if is_late {
-            self.writing = None;
             self.give_up(now, service, "the store does not answer");
         }
     }
--- a/crates/stairward-failover/src/duty/promotion.rs
+++ b/crates/stairward-failover/src/duty/promotion.rs
@@ -90,6 +90,7 @@
                 // Replicas stay on hold until the new primary leads: the old one could acknowledge
                 // through any of them until then.
                 attempt.enter(Stage::Settling, now);
+                self.note_term(service);
             }
             PromotionOutcome::Refused | PromotionOutcome::Throttled => {
                 self.give_up(now, service, "the promotion was refused");
@@ -98,6 +99,22 @@
         }
     }
 
+    /// Notes the term that begins now in the service's record, for holders to come.
+    fn note_term(&mut self, service: &ServiceName) {
+        let Some(attempt) = self.attempts.get(service) else {
+            return;
+        };
+        if attempt.target_led {
+            // Promoting the one that leads begins no term.
+            return;
+        }
+        let announced = attempt.ending.as_ref().map(|ending| ending.term);
+        let term = announced.unwrap_or_else(|| attempt.next_term());
+        if term > self.records.term(service) {
+            self.write_record(service, term);
+        }
+    }
+
     pub(super) fn target_leads(&self, service: &ServiceName) -> bool {
         let (Some(group), Some(attempt)) = (self.groups.get(service), self.attempts.get(service))
         else {
@@ -114,7 +131,7 @@
         // An earlier promotion that was accepted just before this one still takes its time to take effect.
         let may_end_early = !attempt.must_fence;
         if is_over || (may_end_early && self.target_leads(service)) {
-            if self.wrote_record() {
+            if self.wrote_record(service) {
                 self.resume_held(service);
                 self.settle(service);
             }
@@ -149,7 +166,7 @@
     }
 
     pub(super) fn give_up(&mut self, now: Time, service: &ServiceName, reason: &'static str) {
-        let is_held_by_another = self.is_held_by_another(now);
+        let is_held_by_another = self.is_held_by_another(now, service);
         if let Some(attempt) = self.attempts.get_mut(service)
             && attempt.must_fence
             && !is_held_by_another
@@ -164,7 +181,7 @@
         let may_resume = self.attempts.get(service).is_some_and(|attempt| {
             !attempt.must_fence && now.since(attempt.claimed_at) <= self.options.lease * 3 / 4
         });
-        if may_resume && !is_held_by_another && self.wrote_record() {
+        if may_resume && !is_held_by_another && self.wrote_record(service) {
             self.resume_held(service);
             self.settle(service);
         }
--- a/crates/stairward-failover/src/event.rs
+++ b/crates/stairward-failover/src/event.rs
@@ -10,7 +10,7 @@
 
 use crate::ending::EndProof;
 
-/// The version of the duty's record in the store; 0 where there is none yet.
+/// The version of a service's record in the store; 0 where there is none yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct RecordVersion(pub u64);
 
@@ -18,13 +18,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FencingToken(pub u64);
 
-/// The duty's record in the store.
+/// A service's record in the store: who acts on its failover.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DutyRecord {
     /// The node that wrote it.
     pub holder: String,
-    /// The service it was written for.
-    pub service: ServiceName,
+    /// The newest term that a promotion was accepted for, as far as its holders noted it. Its leader may be out of
+    /// reach, and members that never heard of it would let the next holder announce it again.
+    pub term: Term,
 }
 
 /// What use of a back end showed a node.
@@ -147,12 +148,14 @@
     Lead(ServiceName, bool),
     /// Which back ends another node finds silent, whole.
     Suspicion(NodeId, BTreeSet<BackendId>),
-    /// The record, as a watch or an answer shows it.
-    Record(RecordVersion, Option<DutyRecord>),
-    /// The record was written.
-    RecordWritten(RecordVersion),
-    /// The record was not written, or that is not known.
-    RecordFailed,
+    /// The records of all services, as a watch shows them; a service that is left out has none.
+    Records(BTreeMap<ServiceName, (RecordVersion, DutyRecord)>),
+    /// A service's record, as the answer to a write shows it.
+    Record(ServiceName, RecordVersion, Option<DutyRecord>),
+    /// A service's record was written: its version now, and what it says.
+    RecordWritten(ServiceName, RecordVersion, DutyRecord),
+    /// A service's record was not written, or that is not known.
+    RecordFailed(ServiceName),
     /// A member that was asked for its status, or put on hold, answered, or did not.
     Status(BackendId, Option<MemberStatus>),
     /// What came of asking a member to step down or to hold, by one way.
@@ -226,9 +229,9 @@
 /// What the duty wants done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
-    /// Write the record if its version is still this one, and answer with [`Event::RecordWritten`],
+    /// Write a service's record if its version is still this one, and answer with [`Event::RecordWritten`],
     /// [`Event::Record`] and [`Event::RecordFailed`] or the latter alone.
-    WriteRecord(RecordVersion, DutyRecord),
+    WriteRecord(ServiceName, RecordVersion, DutyRecord),
     /// Tell some other nodes which back ends this node finds silent, whole.
     Report(BTreeSet<BackendId>),
     /// Ask a member for its status.
--- a/crates/stairward-failover/src/lib.rs
+++ b/crates/stairward-failover/src/lib.rs
@@ -1,9 +1,10 @@
 //! The failover duty, for databases that don't elect a primary themselves.
 //!
-//! Every node runs a [`FailoverDuty`]; at any time at most one acts on it. The right to act is a record in
-//! the metadata store, changed by conditional writes. Each decision to promote is one such write, and the
-//! record's version after it is the decision's fencing token: it only rises, and never serves two nodes
-//! or two decisions. Everything is pure: time and events go in, effects come out.
+//! Every node runs a [`FailoverDuty`]; at any time at most one acts on a service. The right to act is the
+//! service's record in the metadata store, changed by conditional writes. Each decision to promote is one such
+//! write, and the record's version after it is the decision's fencing token: it only rises, and never serves two
+//! nodes or two decisions. Services don't wait for each other. Everything is pure: time and events go in,
+//! effects come out.
 
 #![forbid(unsafe_code)]
 
@@ -14,6 +15,7 @@
 mod evidence;
 mod leader_memory;
 mod options;
+mod records;
 mod turn;
 
 pub use duty::FailoverDuty;
--- a/crates/stairward-failover/tests/duty.rs
+++ b/crates/stairward-failover/tests/duty.rs
@@ -53,6 +53,15 @@
     })
 }
 
+/// The store wrote the record of this node.
+fn written(version: u64) -> Event {
+    let record = DutyRecord {
+        holder: "a".to_owned(),
+        term: Term(0),
+    };
+    Event::RecordWritten(service(), RecordVersion(version), record)
+}
+
 /// One node's duty, with what it last wanted done.
 struct Node {
     duty: FailoverDuty,
@@ -68,7 +77,7 @@
             effects: Vec::new(),
         };
         node.tell(Event::Nodes(3));
-        node.tell(Event::Record(RecordVersion(0), None));
+        node.tell(Event::Records(BTreeMap::new()));
         node.set_group(usual_group());
         node
     }
@@ -96,7 +105,7 @@
     /// The version that a record is to be written over, if one is.
     fn claim(&self) -> Option<RecordVersion> {
         self.effects.iter().rev().find_map(|effect| match effect {
-            Effect::WriteRecord(version, _) => Some(*version),
+            Effect::WriteRecord(_, version, _) => Some(*version),
             _ => None,
         })
     }
@@ -124,7 +133,7 @@
     fn claim_after_refusal(&mut self, version: u64) {
         self.see(LeaderEvidence::Refused);
         assert!(self.claim().is_some(), "{:?}", self.effects);
-        self.tell(Event::RecordWritten(RecordVersion(version)));
+        self.tell(written(version));
     }
 }
 
@@ -141,7 +150,7 @@
     let mut node = Node::new("a");
     node.see(LeaderEvidence::Refused);
     node.answer_both();
-    node.tell(Event::RecordFailed);
+    node.tell(Event::RecordFailed(service()));
     node.answer_both();
     assert!(node.promotions().is_empty());
 }
@@ -185,7 +194,7 @@
     node.see(LeaderEvidence::Silent);
     let silent = BTreeSet::from([backend(OLD)]);
     node.tell(Event::Suspicion(NodeId(2), silent));
-    node.tell(Event::RecordWritten(RecordVersion(3)));
+    node.tell(written(3));
     node.answer_both();
     node.tell(Event::Status(
         backend(OLD),
@@ -200,9 +209,9 @@
     let mut node = Node::new("a");
     let record = DutyRecord {
         holder: "b".to_owned(),
-        service: service(),
+        term: Term(0),
     };
-    node.tell(Event::Record(RecordVersion(5), Some(record)));
+    node.tell(Event::Record(service(), RecordVersion(5), Some(record)));
     node.see(LeaderEvidence::Refused);
     node.pass(2_500);
     assert_eq!(node.claim(), None);
@@ -216,10 +225,10 @@
     node.see(LeaderEvidence::Refused);
     let record = DutyRecord {
         holder: "b".to_owned(),
-        service: service(),
+        term: Term(0),
     };
-    node.tell(Event::Record(RecordVersion(5), Some(record)));
-    node.tell(Event::RecordFailed);
+    node.tell(Event::Record(service(), RecordVersion(5), Some(record)));
+    node.tell(Event::RecordFailed(service()));
     node.answer_both();
     node.pass(1_000);
     assert!(node.promotions().is_empty());
@@ -236,7 +245,7 @@
         PromotionOutcome::Unknown,
     ));
     assert_eq!(node.claim(), Some(RecordVersion(7)));
-    node.tell(Event::RecordWritten(RecordVersion(9)));
+    node.tell(written(9));
     node.answer_both();
     let tokens: Vec<_> = node
         .promotions()
@@ -256,7 +265,7 @@
         FencingToken(7),
         PromotionOutcome::Unknown,
     ));
-    node.tell(Event::RecordWritten(RecordVersion(9)));
+    node.tell(written(9));
     node.tell(Event::Status(
         backend(AHEAD),
         status(BackendRole::Primary, 2, 50),
@@ -287,7 +296,7 @@
     group.members.get_mut(&backend(OLD)).unwrap().is_leaving = true;
     group.members.get_mut(&backend(AHEAD)).unwrap().is_leaving = true;
     node.set_group(group);
-    node.tell(Event::RecordWritten(RecordVersion(4)));
+    node.tell(written(4));
     node.tell(Event::Status(
         backend(OLD),
         status(BackendRole::Primary, 1, 60),
@@ -438,13 +447,13 @@
     node.answer_both();
     let unknown = Event::Promotion(service(), FencingToken(7), PromotionOutcome::Unknown);
     node.tell(unknown);
-    node.tell(Event::RecordFailed);
+    node.tell(Event::RecordFailed(service()));
     // The primary is back, so that nothing else would begin an attempt.
     node.see(LeaderEvidence::Answered);
     node.effects.clear();
     node.pass(500);
     assert_eq!(node.claim(), Some(RecordVersion(7)));
-    node.tell(Event::RecordWritten(RecordVersion(9)));
+    node.tell(written(9));
     let leads = status(BackendRole::Primary, 1, 60);
     node.tell(Event::Status(backend(OLD), leads));
     node.answer_both();
@@ -479,3 +488,86 @@
         "if nobody gets it, everybody tries"
     );
 }
+
+fn other_service() -> ServiceName {
+    ServiceName::new("billing").unwrap()
+}
+
+/// A group like the usual one, of members with other names.
+fn other_group() -> GroupState {
+    let usual = usual_group();
+    let members = usual.members.into_iter();
+    let renamed = members.map(|(id, member)| (backend(&format!("billing-{id}")), member));
+    GroupState {
+        members: renamed.collect(),
+        synchronous_replicas: usual.synchronous_replicas,
+    }
+}
+
+fn node_of_two_services() -> Node {
+    let mut node = Node::new("a");
+    let groups = BTreeMap::from([(service(), usual_group()), (other_service(), other_group())]);
+    node.tell(Event::Groups(groups));
+    node
+}
+
+/// A rack's loss takes the primaries of several services at once.
+#[test]
+fn primaries_of_two_services_are_replaced_side_by_side() {
+    let mut node = node_of_two_services();
+    node.see(LeaderEvidence::Refused);
+    let other_old = backend(&format!("billing-{OLD}"));
+    node.tell(Event::Evidence(other_old, LeaderEvidence::Refused));
+    let claimed: BTreeSet<_> = node
+        .effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::WriteRecord(service, version, _) => Some((service.clone(), *version)),
+            _ => None,
+        })
+        .collect();
+    let first = RecordVersion(0);
+    assert_eq!(
+        claimed,
+        BTreeSet::from([(service(), first), (other_service(), first)]),
+        "neither claim waits for the other's answer"
+    );
+}
+
+#[test]
+fn a_service_that_another_node_acts_on_delays_no_other_service() {
+    let mut node = node_of_two_services();
+    let record = DutyRecord {
+        holder: "b".to_owned(),
+        term: Term(0),
+    };
+    node.tell(Event::Record(
+        other_service(),
+        RecordVersion(5),
+        Some(record),
+    ));
+    node.see(LeaderEvidence::Refused);
+    assert_eq!(node.claim(), Some(RecordVersion(0)));
+}
+
+#[test]
+fn nothing_is_claimed_before_the_store_has_shown_the_records() {
+    let mut duty = FailoverDuty::new(FailoverOptions::new("a"));
+    let now = Time::from_millis(60_000);
+    let groups = BTreeMap::from([(service(), usual_group())]);
+    duty.handle(now, Event::Groups(groups));
+    let refused = Event::Evidence(backend(OLD), LeaderEvidence::Refused);
+    let effects = duty.handle(now, refused);
+    let claims = |effect: &Effect| matches!(effect, Effect::WriteRecord(..));
+    assert!(!effects.iter().any(claims));
+}
+
+/// The answer to a claim that was given up is no claim of the attempt after it.
+#[test]
+fn a_failed_write_that_is_no_claim_ends_no_attempt() {
+    let mut node = Node::new("a");
+    node.claim_after_refusal(7);
+    node.tell(Event::RecordFailed(service()));
+    node.answer_both();
+    assert_eq!(node.promotions(), [(backend(AHEAD), FencingToken(7))]);
+}
--- a/crates/stairward-failover/tests/ending.rs
+++ b/crates/stairward-failover/tests/ending.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use stairward_failover::{
-    Action, Effect, EndProof, Event, FailoverDuty, FailoverOptions, FencingToken, GroupState,
-    LeaderEvidence, MemberState, MemberStatus, PromotionOutcome, Reach, RecordVersion, Via,
+    Action, DutyRecord, Effect, EndProof, Event, FailoverDuty, FailoverOptions, FencingToken,
+    GroupState, LeaderEvidence, MemberState, MemberStatus, PromotionOutcome, Reach, RecordVersion,
+    Via,
 };
 use stairward_types::{
     BackendId, BackendRole, Freshness, LogPosition, NodeId, ServiceName, Term, Time,
@@ -61,6 +62,15 @@
     status(BackendRole::Replica, 1, number, 2)
 }
 
+/// The store wrote the record of this node.
+fn written(version: u64, term: Term) -> Event {
+    let record = DutyRecord {
+        holder: "a".to_owned(),
+        term,
+    };
+    Event::RecordWritten(service(), RecordVersion(version), record)
+}
+
 /// One node's duty in an attempt, with what it wanted done.
 struct Attempt {
     duty: FailoverDuty,
@@ -71,6 +81,11 @@
 impl Attempt {
     /// The duty has claimed the right to act and asked the members, which are yet to answer.
     fn claimed(is_planned: bool) -> Self {
+        Self::claimed_over(is_planned, Term(0))
+    }
+
+    /// The same over a record whose last holder noted a term.
+    fn claimed_over(is_planned: bool, noted: Term) -> Self {
         let options = FailoverOptions {
             leadership_lease: Some(LEASE),
             ..FailoverOptions::new("a")
@@ -83,13 +98,13 @@
         attempt.tell(Event::Nodes(3));
         attempt.tell(Event::Peers(vec![PEER]));
         attempt.tell(Event::Users([PEER, USER].into()));
-        attempt.tell(Event::Record(RecordVersion(0), None));
+        attempt.tell(Event::Records(BTreeMap::new()));
         let groups = BTreeMap::from([(service(), group(is_planned))]);
         attempt.tell(Event::Groups(groups));
         if !is_planned {
             attempt.tell(Event::Evidence(backend(OLD), LeaderEvidence::Refused));
         }
-        attempt.tell(Event::RecordWritten(RecordVersion(4)));
+        attempt.tell(written(4, noted));
         attempt
     }
 
@@ -377,12 +392,12 @@
     attempt.pass(20);
     let unknown = PromotionOutcome::Unknown;
     attempt.tell(Event::Promotion(service(), FencingToken(4), unknown));
-    let record = stairward_failover::DutyRecord {
+    let record = DutyRecord {
         holder: "b".to_owned(),
-        service: service(),
+        term: Term(0),
     };
-    attempt.tell(Event::Record(RecordVersion(9), Some(record)));
-    attempt.tell(Event::RecordFailed);
+    attempt.tell(Event::Record(service(), RecordVersion(9), Some(record)));
+    attempt.tell(Event::RecordFailed(service()));
     attempt.pass(500);
     assert_eq!(attempt.resumes(), 0);
 }
@@ -397,11 +412,11 @@
     attempt.revoked(2, USER, 1);
     let accepted = PromotionOutcome::Accepted;
     attempt.tell(Event::Promotion(service(), FencingToken(4), accepted));
-    let record = stairward_failover::DutyRecord {
+    let record = DutyRecord {
         holder: "b".to_owned(),
-        service: service(),
+        term: Term(0),
     };
-    attempt.tell(Event::Record(RecordVersion(9), Some(record)));
+    attempt.tell(Event::Record(service(), RecordVersion(9), Some(record)));
     attempt.pass(3_500);
     assert_eq!(attempt.resumes(), 0);
     let is_settled = |effect: &Effect| matches!(effect, Effect::Settle(..));
@@ -417,7 +432,7 @@
     attempt.effects.clear();
     attempt.tell(Event::Lead(service(), true));
     attempt.pass(1_600);
-    attempt.tell(Event::RecordWritten(RecordVersion(8)));
+    attempt.tell(written(8, Term(0)));
     attempt.answer(OLD, status(BackendRole::Primary, 1, 60, 0));
     attempt.answer(NEXT, held(50));
     attempt.answer(OTHER, held(50));
@@ -432,3 +447,32 @@
     attempt.pass(3_100);
     assert_eq!(attempt.resumes(), 2);
 }
+
+/// The leader of a noted term may be out of reach, and no member that answers may ever have received of it.
+#[test]
+fn the_announced_term_is_above_the_one_that_the_last_holder_noted() {
+    let mut attempt = Attempt::claimed_over(false, Term(4));
+    attempt.answer_replicas();
+    let announced = attempt.effects.iter().find_map(|effect| match effect {
+        Effect::StepDown(_, term, _) => Some(*term),
+        _ => None,
+    });
+    assert_eq!(announced, Some(Term(5)));
+}
+
+#[test]
+fn an_accepted_promotion_has_its_term_noted_for_the_next_holder() {
+    let mut attempt = Attempt::unplanned();
+    attempt.pass(600);
+    attempt.hold_both();
+    attempt.revoked(2, PEER, 1);
+    attempt.revoked(2, USER, 1);
+    attempt.effects.clear();
+    let accepted = PromotionOutcome::Accepted;
+    attempt.tell(Event::Promotion(service(), FencingToken(4), accepted));
+    let noted = attempt.effects.iter().find_map(|effect| match effect {
+        Effect::WriteRecord(service, version, record) => Some((service, *version, record.term)),
+        _ => None,
+    });
+    assert_eq!(noted, Some((&service(), RecordVersion(4), Term(2))));
+}
--- a/crates/stairward-runtime/src/coordination.rs
+++ b/crates/stairward-runtime/src/coordination.rs
@@ -9,7 +9,7 @@
 /// A future on the node's own thread.
 pub type CoordinationFuture<T> = Pin<Box<dyn Future<Output = T>>>;
 
-/// How a conditional write of the duty's record ended.
+/// How a conditional write of a service's record ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RecordWrite {
     /// It was written and has this version now.
@@ -22,9 +22,10 @@
 
 /// The metadata store and the call that promotes, for the failover duty.
 pub trait Coordination {
-    /// Writes the duty's record if its version is still `expected`; 0 creates it.
+    /// Writes a service's record if its version is still `expected`; 0 creates it.
     fn write_record(
         &self,
+        service: ServiceName,
         expected: RecordVersion,
         record: DutyRecord,
     ) -> CoordinationFuture<RecordWrite>;
--- a/crates/stairward-runtime/src/duty.rs
+++ b/crates/stairward-runtime/src/duty.rs
@@ -20,9 +20,12 @@
 const IDLE_PAUSE: Duration = Duration::from_millis(500);
 
 impl<W: Wire> Node<W> {
-    /// The duty's record, as the store shows it.
-    pub fn learn_record(self: &Rc<Self>, version: RecordVersion, record: Option<DutyRecord>) {
-        self.tell_duty(Event::Record(version, record));
+    /// The services' records, as the store shows them.
+    pub fn learn_records(
+        self: &Rc<Self>,
+        records: BTreeMap<ServiceName, (RecordVersion, DutyRecord)>,
+    ) {
+        self.tell_duty(Event::Records(records));
     }
 
     /// Gives the duty an event and carries out what it decides.
@@ -49,20 +52,8 @@
     fn carry_out_duty(self: &Rc<Self>, effect: Effect) {
         let node = Rc::clone(self);
         match effect {
-            Effect::WriteRecord(version, record) => {
-                let writing = self.coordination.write_record(version, record);
-                tokio::task::spawn_local(async move {
-                    match writing.await {
-                        RecordWrite::Written(version) => {
-                            node.tell_duty(Event::RecordWritten(version));
-                        }
-                        RecordWrite::Conflict(version, record) => {
-                            node.tell_duty(Event::Record(version, record));
-                            node.tell_duty(Event::RecordFailed);
-                        }
-                        RecordWrite::Failed => node.tell_duty(Event::RecordFailed),
-                    }
-                });
+            Effect::WriteRecord(service, version, record) => {
+                self.write_record(service, version, record);
             }
             Effect::Report(silent) => self.report_silent(&silent),
             Effect::Ask(backend) => self.question(backend, MemberQuestion::Status),
@@ -93,6 +84,30 @@
         }
     }
 
+    fn write_record(
+        self: &Rc<Self>,
+        service: ServiceName,
+        version: RecordVersion,
+        record: DutyRecord,
+    ) {
+        let node = Rc::clone(self);
+        let writing = self
+            .coordination
+            .write_record(service.clone(), version, record.clone());
+        tokio::task::spawn_local(async move {
+            match writing.await {
+                RecordWrite::Written(version) => {
+                    node.tell_duty(Event::RecordWritten(service, version, record));
+                }
+                RecordWrite::Conflict(version, present) => {
+                    node.tell_duty(Event::Record(service.clone(), version, present));
+                    node.tell_duty(Event::RecordFailed(service));
+                }
+                RecordWrite::Failed => node.tell_duty(Event::RecordFailed(service)),
+            }
+        });
+    }
+
     fn target(&self, backend: &BackendId) -> Option<OpenTarget> {
         let backends = self.backends.borrow();
         let remembered = self.last_described.borrow();
--- a/crates/stairward-simulation/src/store.rs
+++ b/crates/stairward-simulation/src/store.rs
@@ -1,4 +1,4 @@
-//! The metadata store: the configuration and the duty's record.
+//! The metadata store: the configuration and the record of the one service.
 
 use stairward_failover::{DutyRecord, RecordVersion};
 use stairward_types::Time;
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use stairward_engine::{BackendCommand, ConnectionId, Event, Response};
-use stairward_failover::{Event as DutyEvent, RecordVersion, Via};
+use stairward_failover::{DutyRecord, Event as DutyEvent, RecordVersion, Via};
 use stairward_types::{BackendId, Freshness, NodeId, Term, Time};
 
 use crate::callers::Caller;
@@ -68,7 +68,7 @@
     OpenAt(usize, u64, ConnectionId, BackendId),
     CommandAt(usize, Link, BackendId, BackendCommand),
     CloseAt(Link, BackendId),
-    RecordAt(usize, u64, RecordVersion, stairward_failover::DutyRecord),
+    RecordAt(usize, u64, RecordVersion, DutyRecord),
     AwaitReplicas(Link, crate::database::Entry, Duration, Box<Happening>),
     AskPeerAt(usize, u64, usize, Time),
     /// A node finds that its link to another has ended.
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -6,7 +6,7 @@
 use rand::RngExt as _;
 use stairward_engine::Event;
 use stairward_failover::{
-    Effect as DutyEffect, Event as DutyEvent, PromotionOutcome, RecordVersion, Via,
+    DutyRecord, Effect as DutyEffect, Event as DutyEvent, PromotionOutcome, RecordVersion, Via,
 };
 use stairward_types::{BackendId, NodeId, ServiceName, Term};
 
@@ -80,7 +80,9 @@
         self.tell_duty(node, life, DutyEvent::Groups(groups));
         let version = RecordVersion(self.store.record_version);
         let record = self.store.record.clone();
-        self.tell_duty(node, life, DutyEvent::Record(version, record));
+        let records = record.map(|record| (crate::group::service(), (version, record)));
+        let records = records.into_iter().collect();
+        self.tell_duty(node, life, DutyEvent::Records(records));
     }
 
     /// The first node of a zone asks members about the lead for the others of its zone.
@@ -115,7 +117,7 @@
 
     pub(crate) fn carry_out_duty(&mut self, index: usize, life: u64, effect: DutyEffect) {
         match effect {
-            DutyEffect::WriteRecord(version, record) => {
+            DutyEffect::WriteRecord(_, version, record) => {
                 let write = Happening::RecordAt(index, life, version, record);
                 self.queue.plan(STORE_DELAY, write);
             }
@@ -238,26 +240,40 @@
         node: usize,
         life: u64,
         version: RecordVersion,
-        record: stairward_failover::DutyRecord,
+        record: DutyRecord,
     ) {
+        let service = crate::group::service();
         if !self.store_reaches(node) {
-            let failed = Happening::Duty(node, life, Box::new(DutyEvent::RecordFailed));
+            let failed = Happening::Duty(
+                node,
+                life,
+                Box::new(DutyEvent::RecordFailed(service.clone())),
+            );
             return self.queue.plan(Duration::from_millis(1_500), failed);
         }
-        let written = self.store.write_record(version, record);
+        let written = self.store.write_record(version, record.clone());
         self.push_to_all();
         if self.store.loses_answers && self.random.random_range(0..2) == 0 {
-            let failed = Happening::Duty(node, life, Box::new(DutyEvent::RecordFailed));
+            let failed = Happening::Duty(
+                node,
+                life,
+                Box::new(DutyEvent::RecordFailed(service.clone())),
+            );
             return self.queue.plan(Duration::from_millis(1_500), failed);
         }
         let events = match written {
-            Some(version) => vec![DutyEvent::RecordWritten(RecordVersion(version))],
+            Some(version) => vec![DutyEvent::RecordWritten(
+                service,
+                RecordVersion(version),
+                record,
+            )],
             None => vec![
                 DutyEvent::Record(
+                    service.clone(),
                     RecordVersion(self.store.record_version),
                     self.store.record.clone(),
                 ),
-                DutyEvent::RecordFailed,
+                DutyEvent::RecordFailed(service.clone()),
             ],
         };
         for event in events {
