--- a/crates/stairward-failover/src/duty.rs
+++ b/crates/stairward-failover/src/duty.rs
@@ -116,7 +116,7 @@
             Event::Evidence(backend, evidence) => self.note_evidence(now, backend, evidence),
             Event::Lead(service, is_revoked) => self.note_lead(now, service, is_revoked),
             Event::Suspicion(node, silent) => self.evidence.note_other(now, node, silent),
-            Event::Records(records) => self.records.learn_all(now, records),
+            Event::Records(records) => self.learn_records(now, records),
             Event::Record(service, version, record) => {
                 self.records.learn(now, service, version, record);
             }
--- a/crates/stairward-failover/src/duty/claim.rs
+++ b/crates/stairward-failover/src/duty/claim.rs
@@ -1,5 +1,7 @@
 //! Taking the duty for a service: from the reason to the written record.
 
+use std::collections::BTreeMap;
+
 use stairward_types::{ServiceName, Term, Time};
 
 use super::FailoverDuty;
@@ -12,6 +14,11 @@
         if self.pauses.get(service).is_some_and(|until| now < *until) {
             return;
         }
+        if self.is_held_by_another(now, service) {
+            // All who wait for the lease to lapse take turns from then on.
+            self.triggered_since.remove(service);
+            return;
+        }
         let Some(trigger) = self.trigger(now, service) else {
             self.triggered_since.remove(service);
             return;
@@ -20,7 +27,7 @@
         if now < since + turn(&self.options.node, service, self.nodes) {
             return;
         }
-        if self.is_held_by_another(now, service) || self.records.version(service).is_none() {
+        if self.records.version(service).is_none() {
             return;
         }
         let Some(group) = self.groups.get(service) else {
@@ -70,6 +77,25 @@
             .push(Effect::WriteRecord(service.clone(), version, record));
     }
 
+    /// Takes in all records, as a watch shows them. One of this node's own that it has not seen yet is the answer
+    /// to its claim: the store's own was lost, or is late.
+    pub(super) fn learn_records(
+        &mut self,
+        now: Time,
+        records: BTreeMap<ServiceName, (RecordVersion, DutyRecord)>,
+    ) {
+        self.records.listed();
+        for (service, (version, record)) in records {
+            let (is_own, noted) = (record.holder == self.options.node, record.term);
+            let is_new = self
+                .records
+                .learn(now, service.clone(), version, Some(record));
+            if is_new && is_own {
+                self.claimed(now, &service, version, noted);
+            }
+        }
+    }
+
     pub(super) fn record_written(
         &mut self,
         now: Time,
@@ -78,8 +104,17 @@
         record: DutyRecord,
     ) {
         let noted = record.term;
-        self.records
+        let is_new = self
+            .records
             .learn(now, service.clone(), version, Some(record));
+        if is_new {
+            self.claimed(now, service, version, noted);
+        }
+    }
+
+    /// This node's own write of a service's record is known to be done. Its version is the token of one decision:
+    /// it is taken when it is first seen, and never again.
+    fn claimed(&mut self, now: Time, service: &ServiceName, version: RecordVersion, noted: Term) {
         let Some(attempt) = self.attempts.get_mut(service) else {
             return;
         };
--- a/crates/stairward-failover/src/options.rs
+++ b/crates/stairward-failover/src/options.rs
@@ -9,7 +9,8 @@
 /// Times and limits of the duty.
 #[derive(Debug, Clone)]
 pub struct FailoverOptions {
-    /// This node's name, unique among the nodes.
+    /// A name of this node that neither another node nor another life of its process has: a record under this
+    /// name was written by this duty.
     pub node: String,
     /// How long a holder's last record keeps others from acting.
     pub lease: Duration,
--- a/crates/stairward-failover/src/records.rs
+++ b/crates/stairward-failover/src/records.rs
@@ -23,29 +23,22 @@
 }
 
 impl Records {
-    /// Takes in all records, as a watch shows them.
-    pub fn learn_all(
-        &mut self,
-        now: Time,
-        records: BTreeMap<ServiceName, (RecordVersion, DutyRecord)>,
-    ) {
+    /// The store has shown the records of all services that have one.
+    pub fn listed(&mut self) {
         self.are_listed = true;
-        for (service, (version, record)) in records {
-            self.learn(now, service, version, Some(record));
-        }
     }
 
-    /// Takes a service's record in, unless this version or a later one is known.
+    /// Takes a service's record in, unless this version or a later one is known. Returns whether it was taken.
     pub fn learn(
         &mut self,
         now: Time,
         service: ServiceName,
         version: RecordVersion,
         record: Option<DutyRecord>,
-    ) {
+    ) -> bool {
         let known = self.known.get(&service);
         if known.is_some_and(|known| known.version >= version) {
-            return;
+            return false;
         }
         let known = Known {
             version,
@@ -53,6 +46,7 @@
             learnt_at: now,
         };
         self.known.insert(service, known);
+        true
     }
 
     /// The version of a service's record; none before the store has shown the records.
--- a/crates/stairward-failover/tests/duty.rs
+++ b/crates/stairward-failover/tests/duty.rs
@@ -571,3 +571,50 @@
     node.answer_both();
     assert_eq!(node.promotions(), [(backend(AHEAD), FencingToken(7))]);
 }
+
+/// A store that loses its answers still shows the record to those who watch it.
+#[test]
+fn a_claim_whose_answer_is_lost_is_seen_in_the_record() {
+    let mut node = Node::new("a");
+    node.see(LeaderEvidence::Refused);
+    let own = DutyRecord {
+        holder: "a".to_owned(),
+        term: Term(0),
+    };
+    let shown = || {
+        Event::Records(BTreeMap::from([(
+            service(),
+            (RecordVersion(7), own.clone()),
+        )]))
+    };
+    node.tell(shown());
+    node.answer_both();
+    assert_eq!(node.promotions(), [(backend(AHEAD), FencingToken(7))]);
+    // What is seen again, or answered late, is no second claim.
+    let unknown = Event::Promotion(service(), FencingToken(7), PromotionOutcome::Unknown);
+    node.tell(unknown);
+    node.effects.clear();
+    node.tell(shown());
+    node.tell(written(7));
+    node.answer_both();
+    assert!(node.promotions().is_empty(), "{:?}", node.effects);
+}
+
+/// Ten of 295 nodes wrote at once in the moment in which a holder's lease lapsed.
+#[test]
+fn nodes_that_wait_for_a_lease_to_lapse_take_turns_then() {
+    let tries = (0..400).filter(|number| {
+        let mut node = Node::new(&format!("node-{number}"));
+        node.tell(Event::Nodes(400));
+        let record = DutyRecord {
+            holder: "other".to_owned(),
+            term: Term(0),
+        };
+        node.tell(Event::Record(service(), RecordVersion(5), Some(record)));
+        node.see(LeaderEvidence::Refused);
+        node.pass(3_010);
+        node.claim().is_some()
+    });
+    let tries = tries.count();
+    assert!((1..=8).contains(&tries), "{tries}");
+}
--- a/crates/stairward-runtime/src/lib.rs
+++ b/crates/stairward-runtime/src/lib.rs
@@ -26,7 +26,7 @@
 mod wire;
 
 pub use coordination::{Coordination, CoordinationFuture, RecordWrite};
-pub use feeds::FeedObjects;
+pub use feeds::{FeedObjects, SHOW_PAUSE};
 pub use health::{HealthService, Readiness};
 pub use membership::PeerIdentity;
 pub use neighbour_link::ask_for_document;
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -91,7 +91,7 @@
         };
         let failover = FailoverOptions {
             leadership_lease: leases.failover,
-            ..FailoverOptions::new(node_name(index))
+            ..FailoverOptions::new(format!("{}/{life}", node_name(index)))
         };
         Self {
             engine: Engine::new(options),
