--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -136,8 +136,8 @@
     assert_holds(&with_old_primaries(34));
 }
 
-/// The leader of a term is dark, the other members never received of it, and no node that knows of it is in reach:
-/// the holder's note in the record tells the next one.
+/// Once the leader of a term was dark, the other members had never received of it, and no node that knew of it was
+/// in reach. The seed no longer leads there by itself; the duty's tests on noted terms are what prove the mend.
 #[test]
 fn a_term_that_only_nodes_out_of_reach_know_is_not_taken_again() {
     assert_holds(&with_close_faults(2310));
