--- /dev/null
+++ b/crates/stairward-failover/tests/support/mod.rs
@@ -0,0 +1,141 @@
+//! One node's duty under test, and the group that it looks after.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use stairward_failover::{
+    DutyRecord, Effect, Event, FailoverDuty, FailoverOptions, FencingToken, GroupState,
+    LeaderEvidence, MemberState, MemberStatus, RecordVersion,
+};
+use stairward_types::{BackendId, BackendRole, Freshness, LogPosition, ServiceName, Term, Time};
+
+pub const OLD: &str = "db-1";
+pub const BEHIND: &str = "db-2";
+pub const AHEAD: &str = "db-3";
+
+pub fn backend(name: &str) -> BackendId {
+    BackendId::new(name).unwrap()
+}
+
+pub fn service() -> ServiceName {
+    ServiceName::new("core").unwrap()
+}
+
+pub fn member(role: BackendRole) -> MemberState {
+    MemberState {
+        role,
+        is_leaving: false,
+        is_listed: true,
+        revision: 1,
+    }
+}
+
+pub fn usual_group() -> GroupState {
+    GroupState {
+        members: BTreeMap::from([
+            (backend(OLD), member(BackendRole::Primary)),
+            (backend(BEHIND), member(BackendRole::Replica)),
+            (backend(AHEAD), member(BackendRole::Replica)),
+        ]),
+        synchronous_replicas: 0,
+    }
+}
+
+pub fn status(role: BackendRole, term: u64, number: u64) -> Option<MemberStatus> {
+    Some(MemberStatus {
+        role,
+        term: Term(term),
+        received: Freshness::new(Term(term), LogPosition(number)),
+        held: Term(0),
+    })
+}
+
+/// A record that a node wrote, with no term noted.
+pub fn record_of(holder: &str) -> DutyRecord {
+    DutyRecord {
+        holder: holder.to_owned(),
+        term: Term(0),
+    }
+}
+
+/// The store wrote the record of this node.
+pub fn written(version: u64) -> Event {
+    Event::RecordWritten(service(), RecordVersion(version), record_of("a"))
+}
+
+/// One node's duty, with what it last wanted done.
+pub struct Node {
+    pub duty: FailoverDuty,
+    pub now: Time,
+    pub effects: Vec<Effect>,
+}
+
+impl Node {
+    pub fn new(name: &str) -> Self {
+        let mut node = Self {
+            duty: FailoverDuty::new(FailoverOptions::new(name)),
+            now: Time::from_millis(60_000),
+            effects: Vec::new(),
+        };
+        node.tell(Event::Nodes(3));
+        node.tell(Event::Records(BTreeMap::new()));
+        node.set_group(usual_group());
+        node
+    }
+
+    pub fn tell(&mut self, event: Event) {
+        let effects = self.duty.handle(self.now, event);
+        self.effects.extend(effects);
+    }
+
+    pub fn set_group(&mut self, group: GroupState) {
+        self.tell(Event::Groups(BTreeMap::from([(service(), group)])));
+    }
+
+    pub fn pass(&mut self, milliseconds: u64) {
+        for _ in 0..milliseconds / 10 {
+            self.now = self.now + Duration::from_millis(10);
+            self.tell(Event::Tick);
+        }
+    }
+
+    pub fn see(&mut self, evidence: LeaderEvidence) {
+        self.tell(Event::Evidence(backend(OLD), evidence));
+    }
+
+    /// The version that a record is to be written over, if one is.
+    pub fn claim(&self) -> Option<RecordVersion> {
+        self.effects.iter().rev().find_map(|effect| match effect {
+            Effect::WriteRecord(_, version, _) => Some(*version),
+            _ => None,
+        })
+    }
+
+    pub fn promotions(&self) -> Vec<(BackendId, FencingToken)> {
+        let promotion = |effect: &Effect| match effect {
+            Effect::Promote(_, target, token) => Some((target.clone(), *token)),
+            _ => None,
+        };
+        self.effects.iter().filter_map(promotion).collect()
+    }
+
+    pub fn answer_both(&mut self) {
+        self.tell(Event::Status(
+            backend(BEHIND),
+            status(BackendRole::Replica, 1, 40),
+        ));
+        self.tell(Event::Status(
+            backend(AHEAD),
+            status(BackendRole::Replica, 1, 50),
+        ));
+    }
+
+    /// Sees the primary refuse, claims the duty and asks the members.
+    pub fn claim_after_refusal(&mut self, version: u64) {
+        self.see(LeaderEvidence::Refused);
+        assert!(self.claim().is_some(), "{:?}", self.effects);
+        self.tell(written(version));
+    }
+}
