--- /dev/null
+++ b/crates/stairward-engine/src/admission.rs
@@ -0,0 +1,157 @@
+//! Admission of operations by their tenant's limit: what comes waits for a grant, runs, or is refused at once.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+use stairward_limits::{Admission, Ask, Effect as LimitEffect, Event as LimitEvent, Grant};
+use stairward_types::{NodeId, ResultCode, TenantName, Time};
+
+use crate::engine::{Engine, WaitingKey};
+use crate::event::Effect;
+use crate::identifiers::SessionId;
+use crate::session::{Need, Request, Stage};
+
+impl Engine {
+    /// Sends a new request on its way, once its tenant's limit has room for it. Statements of an open transaction
+    /// belong to an operation that was admitted, and forwarded ones were admitted where their client is.
+    pub(crate) fn admit(&mut self, now: Time, id: SessionId) {
+        let Some(tenant) = self.limited_tenant(id) else {
+            return self.send_out(now, id);
+        };
+        match self.limits.admit(now, &tenant) {
+            Admission::Admitted => self.send_out(now, id),
+            Admission::Denied(retry_after) => self.refuse_over_limit(now, id, retry_after),
+            Admission::Waiting => self.wait_for_admission(id, tenant),
+        }
+    }
+
+    fn limited_tenant(&self, id: SessionId) -> Option<TenantName> {
+        let session = self.sessions.get(&id)?;
+        let request = session.request.as_ref()?;
+        let is_counted = !session.is_forwarded
+            && !matches!(request.need, Need::InTransaction { .. } | Need::Commit);
+        let tenant = session.identity.tenant().filter(|_| is_counted)?;
+        self.limits.is_limited(tenant).then(|| tenant.clone())
+    }
+
+    fn wait_for_admission(&mut self, id: SessionId, tenant: TenantName) {
+        let request = self.sessions.get_mut(&id).and_then(|s| s.request.as_mut());
+        let Some(request) = request else {
+            return;
+        };
+        request.stage = Stage::Admission;
+        let key = waiting_key(id, request);
+        self.admissions.entry(tenant).or_default().insert(key);
+    }
+
+    pub(crate) fn refuse_over_limit(&mut self, now: Time, id: SessionId, retry_after: Duration) {
+        self.refuse(now, id, ResultCode::LimitReached, Some(retry_after));
+    }
+
+    /// A request has waited for admission as long as it may.
+    pub(crate) fn admission_ended(&mut self, now: Time, id: SessionId) {
+        if let Some(tenant) = self.limited_tenant(id) {
+            let retry_after = self.limits.next_retry(now, &tenant);
+            self.refuse_over_limit(now, id, retry_after);
+        }
+    }
+
+    /// A request ends or goes on: it waits for admission no more.
+    pub(crate) fn leave_admission(
+        &mut self,
+        id: SessionId,
+        tenant: Option<&TenantName>,
+        request: &Request,
+    ) {
+        let Some(tenant) = tenant.filter(|_| request.stage == Stage::Admission) else {
+            return;
+        };
+        let key = waiting_key(id, request);
+        let Some(queue) = self.admissions.get_mut(tenant) else {
+            return;
+        };
+        if queue.remove(&key) {
+            self.limits.give_up(tenant);
+        }
+        if queue.is_empty() {
+            self.admissions.remove(tenant);
+        }
+    }
+
+    /// Tells the limits of something, and carries out what they decide.
+    pub(crate) fn tell_limits(&mut self, now: Time, event: LimitEvent) {
+        self.limits.handle(now, event);
+        self.carry_out_limits(now);
+    }
+
+    /// Carries out what the limits have decided.
+    pub(crate) fn carry_out_limits(&mut self, now: Time) {
+        let mut effects = VecDeque::from(self.limits.take_effects());
+        while let Some(effect) = effects.pop_front() {
+            match effect {
+                LimitEffect::Ask(node, ask) => self.effects.push(Effect::AskLimit(node, ask)),
+                LimitEffect::Record(nodes) => self.effects.push(Effect::RecordFleet(nodes)),
+                LimitEffect::CoordinatorChanged { shard, silent, now } => {
+                    self.effects
+                        .push(Effect::CoordinatorChanged { shard, silent, now });
+                }
+                LimitEffect::Available(tenant) => self.admit_waiting(now, &tenant),
+                LimitEffect::Denied(tenant, retry_after) => {
+                    self.refuse_waiting(now, &tenant, retry_after);
+                }
+            }
+            effects.extend(self.limits.take_effects());
+        }
+    }
+
+    /// Sends out what waits of a tenant, most urgent first, as far as there are grants.
+    pub(crate) fn admit_waiting(&mut self, now: Time, tenant: &TenantName) {
+        while let Some(first) = self
+            .admissions
+            .get(tenant)
+            .and_then(BTreeSet::first)
+            .copied()
+        {
+            if !self.limits.admit_waiting(now, tenant) {
+                return;
+            }
+            if let Some(queue) = self.admissions.get_mut(tenant) {
+                queue.remove(&first);
+                if queue.is_empty() {
+                    self.admissions.remove(tenant);
+                }
+            }
+            let id = first.session;
+            let request = self.sessions.get_mut(&id).and_then(|s| s.request.as_mut());
+            if let Some(request) = request {
+                request.stage = Stage::Waiting;
+                self.send_out(now, id);
+            }
+        }
+    }
+
+    /// There is no room for this long: whoever can't wait until then is refused at once.
+    fn refuse_waiting(&mut self, now: Time, tenant: &TenantName, retry_after: Duration) {
+        let queue = self.admissions.get(tenant);
+        let waiting: Vec<SessionId> = queue.into_iter().flatten().map(|key| key.session).collect();
+        for id in waiting {
+            let request = self.sessions.get(&id).and_then(|s| s.request.as_ref());
+            if request.is_some_and(|request| now + retry_after >= request.hold_ends) {
+                self.admission_ended(now, id);
+            }
+        }
+    }
+
+    /// Answers another node's question about limits, as coordinator.
+    pub fn answer_limit(&mut self, now: Time, node: NodeId, ask: &Ask) -> Grant {
+        self.limits.answer(now, node, ask)
+    }
+}
+
+fn waiting_key(id: SessionId, request: &Request) -> WaitingKey {
+    WaitingKey {
+        priority: request.route.priority,
+        received: request.received,
+        session: id,
+    }
+}
--- a/crates/stairward-engine/src/backend.rs
+++ b/crates/stairward-engine/src/backend.rs
@@ -18,6 +18,8 @@
 const LATENCY_SAME_ZONE: Duration = Duration::from_millis(15);
 const LATENCY_SAME_REGION: Duration = Duration::from_millis(18);
 const LATENCY_REMOTE: Duration = Duration::from_millis(50);
+/// What opening a connection costs: about 12 ms of one of the back end's slots, and two round trips.
+const OPENING_COST: Duration = Duration::from_millis(15);
 /// Bytes between regions cost money: a remote back end must be this much faster to be preferred.
 const REMOTE_PENALTY: Duration = Duration::from_millis(40);
 /// A back end whose log was just found to lack a position is tried last for this long.
@@ -124,9 +126,12 @@
         }
     }
 
-    /// What a read there costs, in microseconds.
-    pub fn cost(&self, now: Time, floor: Option<Freshness>) -> u64 {
+    /// What a read there costs, in microseconds; more where a connection must be opened for it first.
+    pub fn cost(&self, now: Time, floor: Option<Freshness>, is_connected: bool) -> u64 {
         let mut cost = self.latency(now) + u64::from(self.in_flight) * micros(IN_FLIGHT_COST);
+        if !is_connected {
+            cost += micros(OPENING_COST);
+        }
         if self.distance == ZoneDistance::Remote {
             cost += micros(REMOTE_PENALTY);
         }
--- a/crates/stairward-engine/src/choice.rs
+++ b/crates/stairward-engine/src/choice.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use stairward_types::{BackendId, BackendRole, Freshness, ServiceName, Time};
+use stairward_types::{BackendId, BackendRole, Freshness, ServiceName, TenantName, Time};
 
+use crate::backend::Backend;
 use crate::connection::Connection;
 use crate::engine::Engine;
 use crate::event::{Effect, OpenTarget};
@@ -30,6 +31,64 @@
     Exhausted,
 }
 
+/// Whether a connection may be opened where none that is idle suits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Opening {
+    /// One is.
+    Allowed,
+    /// None is, and no other gives way.
+    Forbidden,
+}
+
+/// Which connections suit a use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Suitable<'a> {
+    /// Any: the system's own questions run nothing of a tenant's.
+    Any,
+    /// Those that were opened for this tenant, or for none.
+    For(Option<&'a TenantName>),
+}
+
+impl<'a> Suitable<'a> {
+    fn includes(self, connection: &Connection) -> bool {
+        match self {
+            Self::Any => true,
+            Self::For(tenant) => connection.tenant.as_ref() == tenant,
+        }
+    }
+
+    /// For whom a connection would be opened.
+    const fn tenant(self) -> Option<&'a TenantName> {
+        match self {
+            Self::Any => None,
+            Self::For(tenant) => tenant,
+        }
+    }
+}
+
+/// A connection that is wanted.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Wanted<'a> {
+    pub suitable: Suitable<'a>,
+    /// The values that should be set on it.
+    pub values: &'a BTreeMap<String, String>,
+    pub opening: Opening,
+}
+
+/// The values of a connection that carries questions of the system's own.
+static NO_VALUES: BTreeMap<String, String> = BTreeMap::new();
+
+impl Wanted<'static> {
+    /// Any connection, for a question of the system's own.
+    pub const fn for_question() -> Self {
+        Self {
+            suitable: Suitable::Any,
+            values: &NO_VALUES,
+            opening: Opening::Allowed,
+        }
+    }
+}
+
 impl Engine {
     /// The back end believed to lead: of those that call themselves primary and have not denied it, the
     /// one that was announced last.
@@ -48,11 +107,22 @@
         candidates.max().map(|(_, _, id)| id.clone())
     }
 
-    /// Chooses where a request goes, opening connections where that helps.
-    pub(crate) fn choose(&mut self, now: Time, request: &Request, session: &Session) -> Choice {
+    /// Chooses where a request goes, opening connections where that helps and may be done.
+    pub(crate) fn choose(
+        &mut self,
+        now: Time,
+        request: &Request,
+        session: &Session,
+        opening: Opening,
+    ) -> Choice {
         let service = &request.route.service;
+        let wanted = Wanted {
+            suitable: Suitable::For(session.identity.tenant()),
+            values: &session.values,
+            opening,
+        };
         if request.need.is_leader_only() {
-            return self.choose_leader(now, service, &session.values);
+            return self.choose_leader(now, service, &wanted);
         }
         let staleness = request.route.consistency.staleness().unwrap_or_default();
         let own = session.commits.get(service).copied();
@@ -64,15 +134,10 @@
         let Some(floor) = floor else {
             return Choice::Wait(WaitReason::NotFresh);
         };
-        self.choose_copy(now, request, floor, &session.values)
+        self.choose_copy(now, request, floor, &wanted)
     }
 
-    fn choose_leader(
-        &mut self,
-        now: Time,
-        service: &ServiceName,
-        values: &BTreeMap<String, String>,
-    ) -> Choice {
+    fn choose_leader(&mut self, now: Time, service: &ServiceName, wanted: &Wanted<'_>) -> Choice {
         let Some(leader) = self.leader(now, service) else {
             return Choice::Wait(WaitReason::NoLeader);
         };
@@ -89,7 +154,7 @@
             self.keep_proof_fresh(now, service, Duration::ZERO);
             return Choice::Wait(WaitReason::NoLeader);
         }
-        match self.connection_to(now, &leader, values) {
+        match self.connection_to(now, &leader, wanted) {
             Some(connection) => Choice::Use(connection, None),
             None => Choice::Wait(WaitReason::NoConnection),
         }
@@ -100,9 +165,9 @@
         now: Time,
         request: &Request,
         floor: Freshness,
-        values: &BTreeMap<String, String>,
+        wanted: &Wanted<'_>,
     ) -> Choice {
-        let candidates = self.copies(now, &request.route.service, floor);
+        let candidates = self.copies(now, &request.route.service, floor, wanted.suitable);
         if candidates.is_empty() {
             return Choice::Wait(WaitReason::NoBackend);
         }
@@ -111,7 +176,7 @@
             if request.tried.contains(&id) {
                 continue;
             }
-            if let Some(connection) = self.connection_to(now, &id, values) {
+            if let Some(connection) = self.connection_to(now, &id, wanted) {
                 return Choice::Use(connection, Some(floor));
             }
             if self.backends.get(&id).is_some_and(|copy| copy.is_silent) {
@@ -119,7 +184,8 @@
                 continue;
             }
             reason = Some(WaitReason::NoConnection);
-            if self.is_opening_soon(now, &id) {
+            let is_awaited = self.is_opening_soon(now, &id, wanted.suitable);
+            if is_awaited || wanted.opening == Opening::Forbidden {
                 break;
             }
         }
@@ -130,8 +196,14 @@
         }
     }
 
-    /// The copies that may answer a read, best first.
-    fn copies(&self, now: Time, service: &ServiceName, floor: Freshness) -> Vec<BackendId> {
+    /// The copies that may answer a read, best first. One without a connection that suits costs an opening more.
+    fn copies(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        floor: Freshness,
+        suitable: Suitable<'_>,
+    ) -> Vec<BackendId> {
         let Some(group) = self.groups.get(service) else {
             return Vec::new();
         };
@@ -142,58 +214,72 @@
             .filter_map(|id| {
                 let backend = self.backends.get(id)?;
                 let may_be_used = backend.may_be_used(now, limit);
-                let key = (!backend.is_healthy(), backend.cost(now, Some(floor)), id);
-                may_be_used.then_some(key)
+                // Without tenants nearly every connection suits, and one is soon idle.
+                let is_connected = suitable.tenant().is_none()
+                    || self
+                        .idle_connections(backend)
+                        .any(|(_, connection)| suitable.includes(connection));
+                let cost = backend.cost(now, Some(floor), is_connected);
+                may_be_used.then_some((!backend.is_healthy(), cost, id))
             })
             .collect();
         copies.sort();
         copies.into_iter().map(|(_, _, id)| id.clone()).collect()
     }
 
-    /// An idle connection to a back end, best suited to the values. Opens one when there is none.
+    /// An idle connection to a back end, best suited to the values. Opens one when there is none and that may be
+    /// done.
     pub(crate) fn connection_to(
         &mut self,
         now: Time,
         id: &BackendId,
-        values: &BTreeMap<String, String>,
+        wanted: &Wanted<'_>,
     ) -> Option<ConnectionId> {
-        let best = self.best_idle_connection(id, values);
-        if best.is_none() {
-            self.open_connection(now, id);
+        let backend = self.backends.get(id)?;
+        let suiting = self
+            .idle_connections(backend)
+            .filter(|(_, connection)| wanted.suitable.includes(connection))
+            .map(|(id, connection)| (connection.setup_cost(wanted.values), id));
+        let best = suiting.min().map(|(_, connection)| connection);
+        if best.is_none() && wanted.opening == Opening::Allowed {
+            self.open_connection(now, id, wanted.suitable.tenant());
         }
         best
     }
 
-    fn best_idle_connection(
-        &self,
-        id: &BackendId,
-        values: &BTreeMap<String, String>,
-    ) -> Option<ConnectionId> {
-        let backend = self.backends.get(id)?;
-        let idle = backend.connections.iter().filter_map(|connection| {
-            let state = self.connections.get(connection)?;
-            state
-                .is_idle()
-                .then(|| (state.setup_cost(values), *connection))
-        });
-        idle.min().map(|(_, connection)| connection)
+    fn idle_connections<'a>(
+        &'a self,
+        backend: &'a Backend,
+    ) -> impl Iterator<Item = (ConnectionId, &'a Connection)> {
+        let connections = backend.connections.iter();
+        connections.filter_map(|id| {
+            let connection = self.connections.get(id)?;
+            connection.is_idle().then_some((*id, connection))
+        })
     }
 
-    fn is_opening_soon(&self, now: Time, id: &BackendId) -> bool {
+    fn is_opening_soon(&self, now: Time, id: &BackendId, suitable: Suitable<'_>) -> bool {
         let Some(backend) = self.backends.get(id) else {
             return false;
         };
         backend.connections.iter().any(|connection| {
-            let opening_since = self
+            let connection = self
                 .connections
                 .get(connection)
-                .and_then(|state| state.opening_since);
+                .filter(|connection| suitable.includes(connection));
+            let opening_since = connection.and_then(|connection| connection.opening_since);
             opening_since.is_some_and(|since| now < since + OPENING_PATIENCE)
         })
     }
 
-    /// Opens a connection to a back end if its limits allow.
-    pub(crate) fn open_connection(&mut self, now: Time, id: &BackendId) {
+    /// Opens a connection to a back end for a tenant, or for the system's own questions, if its limits allow.
+    /// Where they are reached an idle connection of another gives way.
+    pub(crate) fn open_connection(
+        &mut self,
+        now: Time,
+        id: &BackendId,
+        tenant: Option<&TenantName>,
+    ) {
         let Some(backend) = self.backends.get(id) else {
             return;
         };
@@ -203,23 +289,24 @@
                 .set(backend.open_after, Timer::TryWaiting(service));
             return;
         }
-        if backend.connections.len() >= self.connection_share(&service) {
-            return;
-        }
         let openings = backend.connections.iter().filter(|connection| {
             let state = self.connections.get(connection);
             state.is_some_and(|state| state.opening_since.is_some())
         });
-        if openings.count() >= OPENINGS_AT_ONCE {
+        if openings.count() >= OPENINGS_AT_ONCE || !self.make_room(id, tenant) {
             return;
         }
+        let Some(backend) = self.backends.get(id) else {
+            return;
+        };
         let target = OpenTarget {
             backend: id.clone(),
             service: service.clone(),
             address: backend.description.address,
+            tenant: tenant.cloned(),
         };
         let connection = self.next_connection();
-        let state = Connection::new(id.clone(), service.clone(), now);
+        let state = Connection::new(id.clone(), service.clone(), tenant.cloned(), now);
         self.connections.insert(connection, state);
         if let Some(backend) = self.backends.get_mut(id) {
             backend.connections.insert(connection);
@@ -230,4 +317,34 @@
             .set(now + OPENING_SILENCE, Timer::Silence(connection));
         self.effects.push(Effect::Open { connection, target });
     }
+
+    /// Makes room for another connection to a back end; returns whether there is some. The idle connection that
+    /// was used least recently gives way. No tenant gets all connections where there are several.
+    fn make_room(&mut self, id: &BackendId, tenant: Option<&TenantName>) -> bool {
+        let Some(backend) = self.backends.get(id) else {
+            return false;
+        };
+        let share = self.connection_share(&backend.description.service);
+        let held = backend.connections.len();
+        let own = backend.connections.iter().filter(|connection| {
+            let connection = self.connections.get(connection);
+            connection.is_some_and(|connection| connection.tenant.as_ref() == tenant)
+        });
+        if tenant.is_some() && own.count() >= share.saturating_sub(1).max(1) {
+            return false;
+        }
+        if held < share {
+            return true;
+        }
+        let least_recent = self
+            .idle_connections(backend)
+            .filter(|(_, connection)| connection.tenant.as_ref() != tenant)
+            .min_by_key(|(id, connection)| (connection.idle_since, *id))
+            .map(|(id, _)| id);
+        let Some(least_recent) = least_recent.filter(|_| held == share) else {
+            return false;
+        };
+        self.close_connection(least_recent);
+        true
+    }
 }
--- a/crates/stairward-engine/src/confirmation.rs
+++ b/crates/stairward-engine/src/confirmation.rs
@@ -1,11 +1,12 @@
 //! Keeping the lead of each service confirmed by its replicas. [`crate::lead`] says what a replica's word proves,
 //! [`crate::withholding`] what is done with a leader's answers meanwhile.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use stairward_types::{BackendId, BackendRole, MemberStatus, ServiceName, Term, Time};
 
+use crate::choice::Wanted;
 use crate::connection::User;
 use crate::engine::Engine;
 use crate::event::{BackendCommand, Effect, LeadChange};
@@ -286,7 +287,7 @@
 
     /// Asks a member for its status; returns whether there was a connection for it. One is opened if not.
     fn ask_member(&mut self, now: Time, service: &ServiceName, id: &BackendId) -> bool {
-        let Some(connection) = self.connection_to(now, id, &BTreeMap::new()) else {
+        let Some(connection) = self.connection_to(now, id, &Wanted::for_question()) else {
             return false;
         };
         if let Some(group) = self.groups.get_mut(service) {
@@ -327,7 +328,7 @@
                 Some((
                     !backend.is_healthy(),
                     owes_word,
-                    backend.cost(now, None),
+                    backend.cost(now, None, true),
                     id,
                 ))
             })
--- a/crates/stairward-engine/src/connection.rs
+++ b/crates/stairward-engine/src/connection.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use stairward_types::{BackendId, ServiceName, Time};
+use stairward_types::{BackendId, ServiceName, TenantName, Time};
 
 use crate::event::BackendCommand;
 use crate::identifiers::{RequestNumber, SessionId};
@@ -46,6 +46,9 @@
 pub(crate) struct Connection {
     pub backend: BackendId,
     pub service: ServiceName,
+    /// The tenant that it was opened for and serves alone; none where it carries the system's own questions or
+    /// tenants are not told apart.
+    pub tenant: Option<TenantName>,
     /// When it was asked for; none once it is open.
     pub opening_since: Option<Time>,
     /// The values set on it.
@@ -69,10 +72,16 @@
 }
 
 impl Connection {
-    pub fn new(backend: BackendId, service: ServiceName, now: Time) -> Self {
+    pub fn new(
+        backend: BackendId,
+        service: ServiceName,
+        tenant: Option<TenantName>,
+        now: Time,
+    ) -> Self {
         Self {
             backend,
             service,
+            tenant,
             opening_since: Some(now),
             values: BTreeMap::new(),
             prepared: BTreeSet::new(),
--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairward_types::{BackendId, NodeId, ServiceName, Time};
+use stairward_limits::{Event as LimitEvent, Limiter};
+use stairward_types::{BackendId, NodeId, ServiceName, TenantName, Time};
 
 use crate::backend::Backend;
 use crate::connection::Connection;
@@ -17,6 +18,7 @@
 use crate::session::Session;
 use crate::settings::{BackendDescription, EngineOptions, RoutingTable};
 use crate::stopping::Stop;
+use crate::tenants::TenantDirectory;
 use crate::timers::{Timer, Timers};
 
 /// How often leaving back ends are looked at.
@@ -68,6 +70,9 @@
     pub(crate) lead_sources: BTreeMap<ServiceName, NodeId>,
     pub(crate) holder_watches: BTreeMap<NodeId, HolderWatch>,
     pub(crate) stop: Option<Stop>,
+    pub(crate) limits: Limiter,
+    /// Requests that wait for their tenant's limit to have room.
+    pub(crate) admissions: BTreeMap<TenantName, BTreeSet<WaitingKey>>,
     is_reviewing: bool,
     last_connection: u64,
     last_request: u64,
@@ -77,6 +82,7 @@
     /// An engine that knows no configuration and no back end yet.
     #[must_use]
     pub fn new(options: EngineOptions) -> Self {
+        let limits = Limiter::new(options.limits.clone());
         Self {
             options,
             table: None,
@@ -93,6 +99,8 @@
             lead_sources: BTreeMap::new(),
             holder_watches: BTreeMap::new(),
             stop: None,
+            limits,
+            admissions: BTreeMap::new(),
             is_reviewing: false,
             last_connection: 0,
             last_request: 0,
@@ -102,7 +110,11 @@
     /// Takes an event in and says what must be done.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
         self.run_timers(now);
+        if self.limits.next_wake().is_some_and(|at| at <= now) {
+            self.tell_limits(now, LimitEvent::Tick);
+        }
         self.apply(now, event);
+        self.carry_out_limits(now);
         self.serve_waiting(now);
         std::mem::take(&mut self.effects)
     }
@@ -110,7 +122,8 @@
     /// When the engine wants a [`Event::Tick`] at the latest.
     #[must_use]
     pub fn next_wake(&self) -> Option<Time> {
-        self.timers.next()
+        let limits = self.limits.next_wake();
+        self.timers.next().into_iter().chain(limits).min()
     }
 
     /// Whether sessions can be served: a configuration is known and no stop is under way.
@@ -137,7 +150,11 @@
 
     fn apply(&mut self, now: Time, event: Event) {
         match event {
-            Event::SessionOpened { session, database } => self.open_session(session, database),
+            Event::SessionOpened {
+                session,
+                database,
+                key,
+            } => self.open_session(session, database, key),
             Event::Statement { session, statement } => {
                 self.take_statement(now, session, Some(statement));
             }
@@ -183,8 +200,21 @@
                 age,
             } => self.take_peer_lead(now, &service, possible, asked_at, age),
             Event::HolderHeard(holder) => self.holder_heard(now, holder),
-            Event::HolderLost(holder) => self.holder_lost(now, holder),
-            Event::HolderUnreachable(holder) => self.holder_unreachable(now, holder),
+            Event::HolderLost(holder) => {
+                self.holder_lost(now, holder);
+                self.tell_limits(now, LimitEvent::PeerLost(holder));
+            }
+            Event::HolderUnreachable(holder) => {
+                self.holder_unreachable(now, holder);
+                self.tell_limits(now, LimitEvent::PeerLost(holder));
+            }
+            Event::Members { live, leaving } => {
+                self.tell_limits(now, LimitEvent::Members { live, leaving });
+            }
+            Event::FleetRecorded(nodes) => self.tell_limits(now, LimitEvent::Recorded(nodes)),
+            Event::LimitGranted(node, grant) => {
+                self.tell_limits(now, LimitEvent::Granted(node, grant));
+            }
             Event::StopRequested => self.begin_stop(now),
             Event::Tick => {}
         }
@@ -236,8 +266,15 @@
         if !is_newer {
             return;
         }
+        let limits = table.tenants.as_ref().map(TenantDirectory::limits);
         self.table = Some(table);
+        self.tell_limits(now, LimitEvent::Limits(limits.unwrap_or_default()));
+        let queued: Vec<TenantName> = self.admissions.keys().cloned().collect();
+        for tenant in queued {
+            self.admit_waiting(now, &tenant);
+        }
         self.changed.extend(self.groups.keys().cloned());
+        self.end_revoked_sessions(now);
         self.warm_up(now);
     }
 
@@ -419,7 +456,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in unconnected {
-            self.open_connection(now, &id);
+            self.open_connection(now, &id, None);
         }
     }
 }
--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -1,13 +1,14 @@
 //! What goes into the engine and what comes out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use stairward_limits::{Ask, Grant, Shard};
 use stairward_types::{
-    AccessClass, BackendId, BackendRole, Freshness, GroupId, NodeId, OutcomeClass, ResultCode,
-    ServiceName, Term, Time,
+    AccessClass, ApiKey, BackendId, BackendRole, Freshness, GroupId, NodeId, OutcomeClass,
+    ResultCode, ServiceName, TenantName, Term, Time,
 };
 
 use crate::identifiers::{ConnectionId, SessionId};
@@ -40,6 +41,8 @@
         session: SessionId,
         /// The database asked for.
         database: GroupId,
+        /// The key that the client carries.
+        key: Option<ApiKey>,
     },
     /// A caller sent a statement.
     Statement {
@@ -146,6 +149,17 @@
     HolderLost(NodeId),
     /// A node that statements were to be forwarded to can't be reached: none of them was sent.
     HolderUnreachable(NodeId),
+    /// The nodes that live, and those that have said that they leave.
+    Members {
+        /// Nodes that live and don't leave, this one among them.
+        live: BTreeSet<NodeId>,
+        /// Nodes that leave.
+        leaving: BTreeSet<NodeId>,
+    },
+    /// How many nodes are on record; 0 where there is no record yet.
+    FleetRecorded(u32),
+    /// A coordinator answered [`Effect::AskLimit`].
+    LimitGranted(NodeId, Grant),
     /// The process is to stop.
     StopRequested,
     /// Time has passed; see [`crate::Engine::next_wake`].
@@ -232,6 +246,9 @@
     pub service: ServiceName,
     /// Its address.
     pub address: SocketAddr,
+    /// The tenant whose statements it is for; none for the system's own questions, and where tenants are not
+    /// told apart.
+    pub tenant: Option<TenantName>,
 }
 
 /// What was decided about a request.
@@ -393,6 +410,19 @@
         /// The session.
         session: SessionId,
     },
+    /// Ask a coordinator for operations of tenants with a limit.
+    AskLimit(NodeId, Ask),
+    /// Record how many nodes there may be, where all nodes read it.
+    RecordFleet(u32),
+    /// A coordinator of tenants' limits did not answer: another is asked from now on.
+    CoordinatorChanged {
+        /// The group of tenants.
+        shard: Shard,
+        /// The one that did not answer.
+        silent: NodeId,
+        /// The one that is asked now; this node itself where no other answers.
+        now: Option<NodeId>,
+    },
     /// A decision for the log.
     Record(RequestRecord),
     /// A request has ended.
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![forbid(unsafe_code)]
 
+mod admission;
 mod backend;
 mod choice;
 mod confirmation;
@@ -24,11 +25,13 @@
 mod replies;
 mod reply;
 mod requests;
+mod revocation;
 mod session;
 mod settings;
 mod statement;
 mod statements;
 mod stopping;
+mod tenants;
 mod timers;
 mod waiting;
 mod withholding;
@@ -48,3 +51,4 @@
     ZoneDistance,
 };
 pub use statement::{PreparedStatement, Statement, StatementKind};
+pub use tenants::{Tenant, TenantDirectory};
--- a/crates/stairward-engine/src/lost_connections.rs
+++ b/crates/stairward-engine/src/lost_connections.rs
@@ -15,6 +15,7 @@
             return;
         };
         let backend_id = connection.backend.clone();
+        let tenant = connection.tenant.clone();
         let had_user = connection.user.is_some();
         self.fail_users_of(now, id);
         self.remove_connection(id);
@@ -25,7 +26,7 @@
             .is_some_and(|service| self.leader(now, &service).as_ref() == Some(&backend_id));
         if had_user || is_leader {
             // Whether anything still listens there shows at once.
-            self.open_connection(now, &backend_id);
+            self.open_connection(now, &backend_id, tenant.as_ref());
         }
     }
 
--- a/crates/stairward-engine/src/probes.rs
+++ b/crates/stairward-engine/src/probes.rs
@@ -1,11 +1,11 @@
 //! Learning the leader's position: an empty transaction at the leader, which only the leader accepts,
 //! proves a position and takes no slot.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use stairward_types::{Freshness, ServiceName, Time};
 
+use crate::choice::Wanted;
 use crate::connection::User;
 use crate::engine::Engine;
 use crate::event::{BackendCommand, Effect};
@@ -104,7 +104,7 @@
         if self.is_lead_revoked(service, &leader) {
             return false;
         }
-        let Some(connection) = self.connection_to(now, &leader, &BTreeMap::new()) else {
+        let Some(connection) = self.connection_to(now, &leader, &Wanted::for_question()) else {
             return false;
         };
         if let Some(group) = self.groups.get_mut(service) {
--- a/crates/stairward-engine/src/relay.rs
+++ b/crates/stairward-engine/src/relay.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairward_types::{Freshness, GroupId, NodeId, ResultCode, Revision, ServiceName, Time};
+use stairward_types::{
+    Freshness, GroupId, NodeId, ResultCode, Revision, ServiceName, TenantName, Time,
+};
 
 use crate::engine::Engine;
 use crate::event::{Decision, Effect};
@@ -14,6 +16,7 @@
 use crate::session::{Need, RelayedTransaction, Session, Stage, Transaction};
 use crate::settings::Route;
 use crate::statement::{PreparedStatement, Statement, StatementKind};
+use crate::tenants::Identity;
 
 /// Holders that one request is forwarded to at most.
 const MOST_HOLDERS: usize = 3;
@@ -31,6 +34,9 @@
     pub database: GroupId,
     /// The revision of the configuration in force where the session is.
     pub revision: Revision,
+    /// The tenant whose client it is, as its node has checked; none on a public route, and where tenants are not
+    /// told apart.
+    pub tenant: Option<TenantName>,
     /// Whether the session has a transaction open at the holder.
     pub in_transaction: bool,
     /// The session's values.
@@ -123,6 +129,7 @@
         let forwarded = Forwarded {
             database: session.database.clone(),
             revision,
+            tenant: session.identity.tenant().cloned(),
             in_transaction: bound.is_some(),
             values: session.values.clone(),
             prepared,
@@ -174,10 +181,25 @@
             };
             return self.answer_unknown(id, code);
         };
+        let identity = match forwarded.tenant {
+            Some(tenant) => Identity::Vouched(tenant),
+            None => Identity::Anonymous,
+        };
+        let is_allowed = self
+            .table
+            .as_ref()
+            .is_some_and(|table| identity.is_allowed(table, &route));
+        if !is_allowed {
+            return self.answer_unknown(id, ResultCode::NotAuthenticated);
+        }
         let session = self.sessions.entry(id).or_insert_with(|| Session {
             is_forwarded: true,
-            ..Session::new(forwarded.database.clone())
+            ..Session::new(forwarded.database.clone(), identity.clone())
         });
+        // What its transaction's connection carries it keeps to.
+        if !is_in_transaction {
+            session.identity = identity;
+        }
         session.values = forwarded.values;
         if let Some(commit) = forwarded.commit {
             session.commits.insert(route.service.clone(), commit);
--- a/crates/stairward-engine/src/requests.rs
+++ b/crates/stairward-engine/src/requests.rs
@@ -155,8 +155,10 @@
         let Some(request) = session.request.take() else {
             return;
         };
+        let tenant = session.identity.tenant().cloned();
         self.cancel_timers(id, &request);
         self.remove_from_queue(id, &request);
+        self.leave_admission(id, tenant.as_ref(), &request);
         self.rest(now, id);
         self.measure(now, &request, &response);
         self.effects.push(Effect::Respond {
@@ -181,7 +183,7 @@
             Stage::Sent(connection) | Stage::Preparing(connection) => {
                 self.connections.get(&connection)
             }
-            Stage::Waiting | Stage::Forwarded(_) => None,
+            Stage::Admission | Stage::Waiting | Stage::Forwarded(_) => None,
         };
         let backend = answered_by.and_then(|connection| self.backends.get(&connection.backend));
         let served_by = backend
@@ -305,6 +307,7 @@
             return;
         };
         match request.stage {
+            Stage::Admission => self.admission_ended(now, id),
             Stage::Waiting if request.unanswered.is_empty() => self.give_up(now, id),
             Stage::Preparing(connection) if self.is_on_silent_backend(connection) => {
                 self.refuse_prepared(now, id, ResultCode::BackendUnavailable);
@@ -443,6 +446,7 @@
         if let Some(request) = session.request.take() {
             self.cancel_timers(id, &request);
             self.remove_from_queue(id, &request);
+            self.leave_admission(id, session.identity.tenant(), &request);
             for connection in &request.unanswered {
                 self.use_connection(*connection, User::Nobody);
             }
--- a/crates/stairward-engine/src/session.rs
+++ b/crates/stairward-engine/src/session.rs
@@ -9,12 +9,15 @@
 use crate::reply::{Response, ResponseResult, TransactionStatus};
 use crate::settings::Route;
 use crate::statement::{PreparedStatement, Statement};
+use crate::tenants::Identity;
 
 /// One caller's session.
 #[derive(Debug)]
 pub(crate) struct Session {
     /// The database asked for.
     pub database: GroupId,
+    /// Who the client is.
+    pub identity: Identity,
     /// The values that were acknowledged to the caller.
     pub values: BTreeMap<String, String>,
     /// The caller's prepared names.
@@ -34,9 +37,10 @@
 }
 
 impl Session {
-    pub fn new(database: GroupId) -> Self {
+    pub fn new(database: GroupId, identity: Identity) -> Self {
         Self {
             database,
+            identity,
             values: BTreeMap::new(),
             prepared: BTreeMap::new(),
             commits: BTreeMap::new(),
@@ -172,6 +176,8 @@
 /// How far a request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Stage {
+    /// It waits for its tenant's limit to have room.
+    Admission,
     /// It waits for a back end, a connection or a proof.
     Waiting,
     /// Its connection is being set up; it has not been sent.
--- a/crates/stairward-engine/src/settings.rs
+++ b/crates/stairward-engine/src/settings.rs
@@ -5,7 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairward_types::{BackendId, BackendRole, GroupId, Revision, ServiceName, ZoneName};
+use stairward_limits::LimitOptions;
+use stairward_types::{BackendId, BackendRole, GroupId, NodeId, Revision, ServiceName, ZoneName};
+
+use crate::tenants::TenantDirectory;
 
 /// What a read on a route must see.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,6 +53,8 @@
     pub priority: u8,
     /// How often a statement that may have run is sent, if it can be repeated.
     pub attempts: u32,
+    /// Whether clients need no key on it.
+    pub is_public: bool,
 }
 
 /// Limits of a service's back ends.
@@ -70,6 +75,8 @@
     pub routes: BTreeMap<GroupId, Arc<Route>>,
     /// Services by name.
     pub services: BTreeMap<ServiceName, ServiceLimits>,
+    /// The tenants and their keys. None where clients are not told apart, and need no key.
+    pub tenants: Option<TenantDirectory>,
     /// How long a transaction may rest.
     pub transaction_idle_timeout: Duration,
 }
@@ -120,6 +127,8 @@
     pub session_queue_limit: usize,
     /// Requests that may wait at once.
     pub waiting_limit: usize,
+    /// For the limits of tenants.
+    pub limits: LimitOptions,
 }
 
 impl EngineOptions {
@@ -142,6 +151,7 @@
             stop_grace: Duration::from_secs(6),
             session_queue_limit: 32,
             waiting_limit: 256,
+            limits: LimitOptions::new(NodeId(0), 0),
         }
     }
 }
--- a/crates/stairward-engine/src/statements.rs
+++ b/crates/stairward-engine/src/statements.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use stairward_types::{AccessClass, GroupId, ResultCode, Time};
+use stairward_types::{AccessClass, ApiKey, GroupId, ResultCode, Time};
 
 use crate::engine::Engine;
 use crate::event::{BackendCommand, Effect};
@@ -12,6 +12,7 @@
 use crate::session::{Need, OpenTransaction, Request, Session, Stage, Transaction, WaitReason};
 use crate::settings::{Consistency, Route};
 use crate::statement::{Statement, StatementKind};
+use crate::tenants::{self, Identity};
 use crate::timers::Timer;
 
 /// The share of the target latency for which a request may wait without having been sent.
@@ -20,21 +21,23 @@
 const HEDGE_DIVISOR: u32 = 4;
 
 impl Engine {
-    pub(crate) fn open_session(&mut self, id: SessionId, database: GroupId) {
-        let refusal = match &self.table {
-            None => Some(ResultCode::NotReady),
-            Some(table) if !table.routes.contains_key(&database) => {
-                Some(ResultCode::UnknownDatabase)
+    pub(crate) fn open_session(&mut self, id: SessionId, database: GroupId, key: Option<ApiKey>) {
+        match self.identify(&database, key) {
+            Ok(identity) => {
+                self.sessions.insert(id, Session::new(database, identity));
+                self.effects.push(Effect::AcceptSession { session: id });
             }
-            Some(_) => None,
-        };
-        if let Some(code) = refusal {
-            self.effects
-                .push(Effect::RefuseSession { session: id, code });
-            return;
+            Err(code) => self
+                .effects
+                .push(Effect::RefuseSession { session: id, code }),
         }
-        self.sessions.insert(id, Session::new(database));
-        self.effects.push(Effect::AcceptSession { session: id });
+    }
+
+    fn identify(&self, database: &GroupId, key: Option<ApiKey>) -> Result<Identity, ResultCode> {
+        let table = self.table.as_ref().ok_or(ResultCode::NotReady)?;
+        let route = table.routes.get(database);
+        let route = route.ok_or(ResultCode::UnknownDatabase)?;
+        tenants::identify(table, route, key)
     }
 
     /// Takes a statement in; none stands for one that is not understood.
@@ -70,10 +73,14 @@
                 None => break,
             }
         }
+        self.end_if_revoked(now, id);
         self.close_if_stopping(now, id);
     }
 
     fn start(&mut self, now: Time, id: SessionId, statement: Statement) {
+        if self.is_revoked(id) {
+            return self.refuse_at_once(id, ResultCode::NotAuthenticated);
+        }
         match &statement.kind {
             StatementKind::SetValue { name, value } => {
                 let (name, value) = (name.clone(), value.clone());
@@ -282,13 +289,20 @@
         route: Arc<Route>,
         need: Need,
     ) {
-        let is_held_elsewhere = self.is_held_elsewhere(id, &route.service);
-        let is_relayed = self
-            .sessions
-            .get(&id)
-            .is_some_and(|session| matches!(session.transaction, Transaction::Relayed(_)));
         self.insert_request(now, id, statement, route, need);
-        if is_held_elsewhere || is_relayed {
+        self.admit(now, id);
+    }
+
+    /// Sends a request that was admitted to a back end, or to another node.
+    pub(crate) fn send_out(&mut self, now: Time, id: SessionId) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        let Some(request) = &session.request else {
+            return;
+        };
+        let is_relayed = matches!(session.transaction, Transaction::Relayed(_));
+        if is_relayed || self.is_held_elsewhere(id, &request.route.service) {
             self.forward(now, id);
         } else {
             self.attempt(now, id);
--- /dev/null
+++ b/crates/stairward-engine/src/tenants.rs
@@ -0,0 +1,157 @@
+//! Tenants: whose key a client carries, and what of that a session keeps.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use stairward_limits::RateLimit;
+use stairward_types::{ApiKey, ResultCode, TenantName};
+
+use crate::settings::{Route, RoutingTable};
+
+/// A tenant of the configuration in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tenant {
+    /// Its name, as back ends are told.
+    pub name: TenantName,
+    /// Its keys. One without keys has no clients.
+    pub keys: Vec<ApiKey>,
+    /// How many operations it may run over all nodes; none where that is not limited.
+    pub limit: Option<RateLimit>,
+}
+
+/// The tenants of one configuration, by key and by name.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TenantDirectory {
+    by_key: HashMap<ApiKey, Arc<Tenant>>,
+    by_name: BTreeMap<TenantName, Arc<Tenant>>,
+}
+
+impl TenantDirectory {
+    /// A directory of these tenants. An empty key, and one that two tenants claim, proves nothing: it belongs to
+    /// neither. Of two tenants with one name the last counts.
+    #[must_use]
+    pub fn new(tenants: impl IntoIterator<Item = Tenant>) -> Self {
+        let named = tenants
+            .into_iter()
+            .map(|tenant| (tenant.name.clone(), Arc::new(tenant)));
+        let by_name: BTreeMap<TenantName, Arc<Tenant>> = named.collect();
+        let mut by_key: HashMap<ApiKey, Arc<Tenant>> = HashMap::new();
+        let mut ambiguous = BTreeSet::new();
+        for tenant in by_name.values() {
+            for key in tenant.keys.iter().filter(|key| !key.is_empty()) {
+                let earlier = by_key.insert(key.clone(), Arc::clone(tenant));
+                if earlier.is_some_and(|earlier| earlier.name != tenant.name) {
+                    ambiguous.insert(tenant.name.clone());
+                }
+            }
+        }
+        if !ambiguous.is_empty() {
+            drop_ambiguous(&mut by_key, &by_name);
+        }
+        Self { by_key, by_name }
+    }
+
+    /// The tenant that holds a key.
+    #[must_use]
+    pub fn holder_of(&self, key: &ApiKey) -> Option<&Arc<Tenant>> {
+        self.by_key.get(key)
+    }
+
+    /// The tenant of a name, if a client may still carry one of its keys.
+    #[must_use]
+    pub fn named(&self, name: &TenantName) -> Option<&Arc<Tenant>> {
+        let tenant = self.by_name.get(name)?;
+        let has_key = tenant.keys.iter().any(|key| self.by_key.contains_key(key));
+        has_key.then_some(tenant)
+    }
+
+    /// The tenants that have a limit.
+    pub(crate) fn limits(&self) -> BTreeMap<TenantName, RateLimit> {
+        let limited = self.by_name.iter();
+        limited
+            .filter_map(|(name, tenant)| Some((name.clone(), tenant.limit?)))
+            .collect()
+    }
+
+    /// How many tenants there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Whether there is none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+}
+
+/// Takes out each key that more than one tenant claims.
+fn drop_ambiguous(
+    by_key: &mut HashMap<ApiKey, Arc<Tenant>>,
+    by_name: &BTreeMap<TenantName, Arc<Tenant>>,
+) {
+    let claims = |tenant: &Tenant, key: &ApiKey| tenant.keys.contains(key);
+    by_key.retain(|key, _| {
+        by_name
+            .values()
+            .filter(|tenant| claims(tenant, key))
+            .count()
+            == 1
+    });
+}
+
+/// Who a client is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Identity {
+    /// Nobody in particular: its route is public, or tenants are not told apart.
+    Anonymous,
+    /// A tenant, by a key that this node has checked.
+    Keyed(ApiKey, TenantName),
+    /// A tenant, as another node has checked.
+    Vouched(TenantName),
+}
+
+impl Identity {
+    /// The tenant whose name back ends are told.
+    pub fn tenant(&self) -> Option<&TenantName> {
+        match self {
+            Self::Anonymous => None,
+            Self::Keyed(_, name) | Self::Vouched(name) => Some(name),
+        }
+    }
+
+    /// Whether a configuration still allows it on a route.
+    pub fn is_allowed(&self, table: &RoutingTable, route: &Route) -> bool {
+        let Some(tenants) = &table.tenants else {
+            return true;
+        };
+        match self {
+            Self::Anonymous => route.is_public,
+            Self::Keyed(key, name) => tenants
+                .holder_of(key)
+                .is_some_and(|tenant| tenant.name == *name),
+            Self::Vouched(name) => tenants.named(name).is_some(),
+        }
+    }
+}
+
+/// Who a client with this key is on a route.
+///
+/// # Errors
+/// [`ResultCode::NotAuthenticated`] when the key is missing or not known.
+pub(crate) fn identify(
+    table: &RoutingTable,
+    route: &Route,
+    key: Option<ApiKey>,
+) -> Result<Identity, ResultCode> {
+    let Some(tenants) = table.tenants.as_ref().filter(|_| !route.is_public) else {
+        return Ok(Identity::Anonymous);
+    };
+    let key = key.ok_or(ResultCode::NotAuthenticated)?;
+    let tenant = tenants
+        .holder_of(&key)
+        .ok_or(ResultCode::NotAuthenticated)?;
+    let name = tenant.name.clone();
+    Ok(Identity::Keyed(key, name))
+}
--- a/crates/stairward-engine/src/waiting.rs
+++ b/crates/stairward-engine/src/waiting.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use stairward_types::{ServiceName, Time};
+use stairward_types::{ServiceName, TenantName, Time};
 
-use crate::choice::Choice;
+use crate::choice::{Choice, Opening};
 use crate::engine::{Engine, WaitingKey};
 use crate::identifiers::SessionId;
 use crate::session::{Request, Stage, WaitReason};
@@ -28,17 +28,33 @@
             return;
         };
         let keys: Vec<WaitingKey> = waiting.iter().copied().collect();
+        // Each tenant's connections serve its own requests first. Only then may they give way to others'.
+        let has_tenant = |key: &WaitingKey| {
+            let session = self.sessions.get(&key.session);
+            session.is_some_and(|session| session.identity.tenant().is_some())
+        };
+        if keys.iter().any(has_tenant) {
+            self.serve_in_order(now, &keys, Opening::Forbidden);
+        }
+        self.serve_in_order(now, &keys, Opening::Allowed);
+    }
+
+    fn serve_in_order(&mut self, now: Time, keys: &[WaitingKey], opening: Opening) {
         // One request that finds no connection stands for all later ones of its kind.
-        let mut hopeless: BTreeSet<(bool, u8)> = BTreeSet::new();
+        let mut hopeless: BTreeSet<(bool, u8, Option<TenantName>)> = BTreeSet::new();
         for key in keys {
+            let Some(session) = self.sessions.get(&key.session) else {
+                continue;
+            };
             let Some(request) = self.waiting_request(key.session) else {
                 continue;
             };
-            let kind = (request.need.is_leader_only(), key.priority);
+            let tenant = session.identity.tenant().cloned();
+            let kind = (request.need.is_leader_only(), key.priority, tenant);
             if hopeless.contains(&kind) {
                 continue;
             }
-            self.attempt(now, key.session);
+            self.attempt_with(now, key.session, opening);
             if self
                 .waiting_request(key.session)
                 .is_some_and(|request| request.waits_for == WaitReason::NoConnection)
@@ -55,13 +71,17 @@
 
     /// Sends a waiting request, if a back end and a connection can be had.
     pub(crate) fn attempt(&mut self, now: Time, id: SessionId) {
+        self.attempt_with(now, id, Opening::Allowed);
+    }
+
+    fn attempt_with(&mut self, now: Time, id: SessionId, opening: Opening) {
         // Taken out while the choice looks at the rest of the engine.
         let Some(session) = self.sessions.remove(&id) else {
             return;
         };
         let choice = match &session.request {
             Some(request) if request.stage == Stage::Waiting => {
-                Some(self.choose(now, request, &session))
+                Some(self.choose(now, request, &session, opening))
             }
             _ => None,
         };
--- a/crates/stairward-engine/tests/relays.rs
+++ b/crates/stairward-engine/tests/relays.rs
@@ -42,6 +42,7 @@
     Forwarded {
         database: GroupId::new(LEADER_READS).unwrap(),
         revision: Revision(revision),
+        tenant: None,
         in_transaction,
         values: BTreeMap::new(),
         prepared: None,
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -9,8 +9,8 @@
 use stairward_engine::{
     BackendCommand, BackendDescription, BackendError, BackendErrorCode, BackendReply, ConnectionId,
     Consistency, Effect, Engine, EngineOptions, Event, Evidence, Forwarded, LeadChange,
-    OpenFailure, Response, ResponseResult, Route, RoutingTable, ServiceLimits, SessionId,
-    Statement, StatementKind, TransactionStatus, ZoneDistance,
+    OpenFailure, OpenTarget, Response, ResponseResult, Route, RoutingTable, ServiceLimits,
+    SessionId, Statement, StatementKind, TransactionStatus, ZoneDistance,
 };
 use stairward_types::{
     BackendId, BackendRole, Freshness, GroupId, LogPosition, NodeId, ResultCode, Revision,
@@ -78,6 +78,7 @@
             target_latency: TARGET,
             priority: 1,
             attempts: 2,
+            is_public: false,
         })
     };
     let routes = [
@@ -108,6 +109,7 @@
                 synchronous_replicas: 0,
             },
         )]),
+        tenants: None,
         transaction_idle_timeout: TRANSACTION_IDLE,
     }
 }
@@ -148,6 +150,10 @@
     pub observed: Vec<(BackendId, Evidence)>,
     pub is_stopped: bool,
     connections: BTreeMap<ConnectionId, BackendId>,
+    /// What each connection was opened to.
+    pub targets: BTreeMap<ConnectionId, OpenTarget>,
+    /// Which session each statement is of.
+    pub asked_by: BTreeMap<String, SessionId>,
     /// Whether connections open by themselves.
     pub opens: bool,
     next_session: u64,
@@ -180,6 +186,8 @@
             observed: Vec::new(),
             is_stopped: false,
             connections: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            asked_by: BTreeMap::new(),
             opens: true,
             next_session: 0,
             next_statement: 0,
@@ -207,6 +215,7 @@
                 Effect::CloseSession { session } => self.closed_sessions.push(session),
                 Effect::Open { connection, target } => {
                     self.connections.insert(connection, target.backend.clone());
+                    self.targets.insert(connection, target.clone());
                     self.opened.push((connection, target.backend));
                     opening.push(connection);
                 }
@@ -242,6 +251,9 @@
                 Effect::AskLead { holder, service } => self.asked_leads.push((holder, service)),
                 Effect::LeadObserved { change, .. } => self.lead_changes.push(change),
                 Effect::AcceptSession { .. }
+                | Effect::AskLimit(..)
+                | Effect::RecordFleet(_)
+                | Effect::CoordinatorChanged { .. }
                 | Effect::HolderObserved { .. }
                 | Effect::Record(_)
                 | Effect::Measured(_) => {}
@@ -274,6 +286,7 @@
         self.tell(Event::SessionOpened {
             session,
             database: GroupId::new(database).unwrap(),
+            key: None,
         });
         session
     }
@@ -282,6 +295,7 @@
     pub fn say(&mut self, session: SessionId, kind: StatementKind) -> String {
         self.next_statement += 1;
         let id = format!("s{}", self.next_statement);
+        self.asked_by.insert(id.clone(), session);
         let statement = Statement {
             id: id.clone(),
             text: format!("{kind:?}"),
--- /dev/null
+++ b/crates/stairward-limits/src/lent_shares.rs
@@ -0,0 +1,78 @@
+//! The shares that a coordinator was lent for a shard, and how much of a rate they add up to over time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use stairward_types::{NodeId, Time};
+
+/// All shares together.
+const WHOLE: u64 = 1 << 32;
+
+/// A loan.
+#[derive(Debug, Clone, Copy)]
+struct Loan {
+    until: Time,
+    share: u64,
+}
+
+/// The loans of one shard.
+#[derive(Debug, Default)]
+pub(crate) struct LentShares {
+    loans: BTreeMap<NodeId, Loan>,
+    ends: BTreeSet<(Time, NodeId)>,
+    sum: u64,
+    /// Seconds for which the whole was lent, counting parts as parts.
+    whole_seconds: f64,
+    advanced_to: Time,
+}
+
+impl LentShares {
+    /// Lets time pass: loans end in their order.
+    pub fn advance(&mut self, now: Time) {
+        while let Some((until, node)) = self.ends.first().copied().filter(|(at, _)| *at <= now) {
+            self.pass(until);
+            self.remove(node);
+        }
+        self.pass(now);
+    }
+
+    fn pass(&mut self, until: Time) {
+        let elapsed = until.since(self.advanced_to);
+        self.whole_seconds += elapsed.as_secs_f64() * self.fraction();
+        self.advanced_to = self.advanced_to.max(until);
+    }
+
+    fn remove(&mut self, node: NodeId) {
+        if let Some(loan) = self.loans.remove(&node) {
+            self.ends.remove(&(loan.until, node));
+            self.sum -= loan.share;
+        }
+    }
+
+    /// A node lends 1 of `nodes` shares. One that it lent before is replaced, so a message that comes twice lends
+    /// once.
+    pub fn lend(&mut self, now: Time, node: NodeId, nodes: u32, until: Time) {
+        self.advance(now);
+        let known = self.loans.get(&node).map(|loan| loan.until);
+        let until = known.map_or(until, |known| known.max(until));
+        self.remove(node);
+        if until <= now {
+            return;
+        }
+        let share = WHOLE / u64::from(nodes.max(1));
+        self.loans.insert(node, Loan { until, share });
+        self.ends.insert((until, node));
+        self.sum += share;
+    }
+
+    /// The part of the whole that is lent at the moment, at most 1.
+    pub fn fraction(&self) -> f64 {
+        #[allow(clippy::cast_precision_loss, reason = "both are far below 2^53")]
+        let fraction = self.sum as f64 / WHOLE as f64;
+        fraction.min(1.0)
+    }
+
+    /// Seconds for which the whole was lent since the process began, counting parts as parts.
+    pub fn whole_seconds(&self) -> f64 {
+        self.whole_seconds
+    }
+}
--- /dev/null
+++ b/crates/stairward-limits/src/options.rs
@@ -0,0 +1,57 @@
+//! Times and bounds of the limits.
+
+use std::time::Duration;
+
+use stairward_types::{NodeId, Time};
+
+/// Times and bounds of one node.
+#[derive(Debug, Clone)]
+pub struct LimitOptions {
+    /// This node.
+    pub node: NodeId,
+    /// A number that no other life of this node's process has.
+    pub life: u64,
+    /// When the process began, by its own clock.
+    pub started: Time,
+    /// How long a share is lent. Longer: fewer messages, a longer pause after a coordinator is lost.
+    pub loan: Duration,
+    /// How long before its end a loan is renewed.
+    pub renewal: Duration,
+    /// How long a granted operation may be used, counted from the question. What a window counts too much is
+    /// at most the rate for this long.
+    pub grant_life: Duration,
+    /// How long a coordinator may take to answer.
+    pub patience: Duration,
+    /// How long a coordinator that did not answer is passed over.
+    pub silence: Duration,
+    /// How long a node that is no longer seen, and did not say that it leaves, counts among the nodes: a network
+    /// partition lasts an hour now and then, and a node behind it spends its share.
+    pub memory: Duration,
+    /// Whether shares are lent. Otherwise each node spends its own.
+    pub lends: bool,
+}
+
+impl LimitOptions {
+    /// The usual times.
+    #[must_use]
+    pub const fn new(node: NodeId, life: u64) -> Self {
+        Self {
+            node,
+            life,
+            started: Time::ZERO,
+            loan: Duration::from_millis(1_200),
+            renewal: Duration::from_millis(800),
+            grant_life: Duration::from_millis(500),
+            patience: Duration::from_millis(300),
+            silence: Duration::from_secs(2),
+            memory: Duration::from_secs(2 * 3_600),
+            lends: true,
+        }
+    }
+
+    /// How long a lender keeps to a loan by its own clock: longer than the coordinator counts it, so that clocks
+    /// may differ in speed by one in 20.
+    pub(crate) fn loan_by_lender(&self) -> Duration {
+        self.loan + self.loan / 20
+    }
+}
--- /dev/null
+++ b/crates/stairward-limits/src/rate_limit.rs
@@ -0,0 +1,35 @@
+//! A tenant's limit.
+
+/// So many thousandths make one operation.
+const THOUSANDTHS: f64 = 1_000.0;
+
+/// How many operations a tenant may run over all nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RateLimit {
+    /// Operations a second, in thousandths. With 0 nothing is admitted.
+    pub rate_thousandths: u64,
+    /// Operations that may come at once after a quiet time, in thousandths.
+    pub burst_thousandths: u64,
+}
+
+impl RateLimit {
+    /// Operations a second.
+    #[must_use]
+    pub fn per_second(self) -> f64 {
+        operations(self.rate_thousandths)
+    }
+
+    /// Operations at once.
+    #[must_use]
+    pub fn burst(self) -> f64 {
+        operations(self.burst_thousandths)
+    }
+}
+
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "limits are far below 2^53 thousandths; above, the error is one in 2^53"
+)]
+fn operations(thousandths: u64) -> f64 {
+    thousandths as f64 / THOUSANDTHS
+}
--- /dev/null
+++ b/crates/stairward-limits/tests/limiter.rs
@@ -0,0 +1,227 @@
+//! One node's limits, step by step: when it lends, how long a grant is good, what it says of the room there is.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use stairward_limits::{
+    Admission, Ask, Echo, Effect, Event, Grant, Granted, LimitOptions, Limiter, RateLimit, Shard,
+    Want,
+};
+use stairward_types::{Duration, NodeId, TenantName, Time};
+
+const OWN: NodeId = NodeId(1);
+const LIFE: u64 = 77;
+
+fn tenant() -> TenantName {
+    TenantName::new("tenant-1").unwrap()
+}
+
+fn limit(rate: u64, burst: u64) -> RateLimit {
+    RateLimit {
+        rate_thousandths: rate * 1_000,
+        burst_thousandths: burst * 1_000,
+    }
+}
+
+/// The other node, if it ranks first for the tenant's shard.
+fn other_coordinator() -> NodeId {
+    let shard = Shard::of(&tenant());
+    let ranks_first = |id: u64| {
+        let mut limiter = limiter_at(Time::ZERO, &[OWN, NodeId(id)]);
+        limiter.admit(Time::ZERO, &tenant());
+        let effects = limiter.take_effects();
+        let asks_other = |effect: &Effect| matches!(effect, Effect::Ask(to, ask) if to.0 == id && ask.shard == shard);
+        effects.iter().any(asks_other)
+    };
+    NodeId((2..100).find(|id| ranks_first(*id)).unwrap())
+}
+
+fn limiter_at(started: Time, nodes: &[NodeId]) -> Limiter {
+    let options = LimitOptions {
+        started,
+        ..LimitOptions::new(OWN, LIFE)
+    };
+    let mut limiter = Limiter::new(options);
+    let limits = BTreeMap::from([(tenant(), limit(100, 100))]);
+    limiter.handle(started, Event::Limits(limits));
+    limiter.handle(started, Event::Recorded(2));
+    let members = Event::Members {
+        live: nodes.iter().copied().collect(),
+        leaving: BTreeSet::new(),
+    };
+    limiter.handle(started, members);
+    limiter
+}
+
+/// The question to a coordinator about the tenant's shard among what is to be done, if there is one.
+fn asked(limiter: &mut Limiter, coordinator: NodeId) -> Option<Ask> {
+    let shard = Shard::of(&tenant());
+    let effects = limiter.take_effects();
+    effects.into_iter().find_map(|effect| match effect {
+        Effect::Ask(to, ask) if to == coordinator && ask.shard == shard => Some(ask),
+        _ => None,
+    })
+}
+
+fn grant(ask: &Ask, count: u32, unmet: u32) -> Grant {
+    Grant {
+        shard: ask.shard,
+        sequence: ask.sequence,
+        echo: Echo {
+            life: 5,
+            at: Time::from_millis(9),
+        },
+        nodes: 2,
+        granted: vec![Granted {
+            tenant: tenant(),
+            count,
+            unmet,
+            retry_after: Duration::from_millis(300),
+            spacing: Duration::from_millis(10),
+        }],
+    }
+}
+
+#[test]
+fn a_node_that_has_just_started_lends_nothing_until_loans_of_an_earlier_life_are_over() {
+    let started = Time::from_millis(50_000);
+    let coordinator = other_coordinator();
+    let mut limiter = limiter_at(started, &[OWN, coordinator]);
+    let mut lent_at = None;
+    for milliseconds in (0..2_000).step_by(10) {
+        let now = started + Duration::from_millis(milliseconds);
+        limiter.handle(now, Event::Tick);
+        if let Some(ask) = asked(&mut limiter, coordinator) {
+            if ask.loan.is_some() {
+                lent_at.get_or_insert(milliseconds);
+            }
+            limiter.handle(now, Event::Granted(coordinator, grant(&ask, 0, 0)));
+        }
+    }
+    let lent_at = lent_at.expect("it lends in the end");
+    assert!((1_260..1_700).contains(&lent_at), "{lent_at}");
+}
+
+#[test]
+fn nothing_is_lent_while_the_number_of_nodes_is_not_known() {
+    let coordinator = other_coordinator();
+    let mut limiter = Limiter::new(LimitOptions::new(OWN, LIFE));
+    let limits = BTreeMap::from([(tenant(), limit(100, 100))]);
+    limiter.handle(Time::ZERO, Event::Limits(limits));
+    let members = Event::Members {
+        live: BTreeSet::from([OWN, coordinator]),
+        leaving: BTreeSet::new(),
+    };
+    limiter.handle(Time::ZERO, members);
+    for milliseconds in (0..5_000).step_by(10) {
+        let now = Time::from_millis(milliseconds);
+        limiter.handle(now, Event::Tick);
+        if let Some(ask) = asked(&mut limiter, coordinator) {
+            assert_eq!((ask.loan, ask.nodes), (None, 0));
+            let mut grant = grant(&ask, 0, 0);
+            grant.nodes = 0;
+            limiter.handle(now, Event::Granted(coordinator, grant));
+        }
+    }
+    limiter.handle(Time::from_millis(5_000), Event::Recorded(2));
+    limiter.handle(Time::from_millis(5_500), Event::Tick);
+    let ask = asked(&mut limiter, coordinator).expect("it asks again");
+    assert!(ask.loan.is_some());
+}
+
+#[test]
+fn what_was_granted_is_good_for_a_moment_only() {
+    let coordinator = other_coordinator();
+    let mut limiter = limiter_at(Time::ZERO, &[OWN, coordinator]);
+    asked(&mut limiter, coordinator);
+    let now = Time::from_millis(10_000);
+    // The first question is long overdue; the next one tells what is wanted.
+    limiter.handle(now, Event::Tick);
+    let first = asked(&mut limiter, coordinator).expect("a question");
+    assert_eq!(limiter.admit(now, &tenant()), Admission::Waiting);
+    limiter.handle(now, Event::Granted(coordinator, grant(&first, 0, 0)));
+    let ask = asked(&mut limiter, coordinator).expect("another question");
+    assert_eq!(ask.wants[0].waiting, 1);
+    limiter.handle(now, Event::Granted(coordinator, grant(&ask, 3, 0)));
+    assert!(limiter.admit_waiting(now, &tenant()));
+    let later = now + Duration::from_millis(499);
+    assert_eq!(limiter.admit(later, &tenant()), Admission::Admitted);
+    let too_late = now + Duration::from_millis(500);
+    assert_ne!(limiter.admit(too_late, &tenant()), Admission::Admitted);
+}
+
+#[test]
+fn those_refused_come_back_when_there_is_room_each_after_the_other() {
+    let coordinator = other_coordinator();
+    let mut limiter = limiter_at(Time::ZERO, &[OWN, coordinator]);
+    let now = Time::ZERO;
+    let ask = asked(&mut limiter, coordinator).expect("a question");
+    assert_eq!(limiter.admit(now, &tenant()), Admission::Waiting);
+    limiter.handle(now, Event::Granted(coordinator, grant(&ask, 0, 1)));
+    let denied: Vec<Duration> = (0..3)
+        .map(|_| match limiter.admit(now, &tenant()) {
+            Admission::Denied(retry) => retry,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    let expected = [300, 310, 320].map(Duration::from_millis);
+    assert_eq!(denied, expected);
+}
+
+#[test]
+fn a_tenant_without_a_limit_is_admitted_and_costs_no_message() {
+    let mut limiter = Limiter::new(LimitOptions::new(OWN, LIFE));
+    limiter.handle(Time::ZERO, Event::Limits(BTreeMap::new()));
+    assert_eq!(limiter.admit(Time::ZERO, &tenant()), Admission::Admitted);
+    assert_eq!(limiter.next_wake(), None);
+    assert!(limiter.take_effects().is_empty());
+}
+
+#[test]
+fn a_coordinator_grants_only_what_it_was_lent() {
+    let mut limiter = limiter_at(Time::ZERO, &[OWN]);
+    let shard = Shard::of(&tenant());
+    let mut ask = Ask {
+        shard,
+        sequence: 1,
+        nodes: 10,
+        loan: None,
+        wants: vec![Want {
+            tenant: tenant(),
+            waiting: 50,
+            ahead: 0,
+        }],
+    };
+    let first = limiter.answer(Time::from_millis(2_000), NodeId(9), &ask);
+    assert_eq!((first.granted[0].count, first.granted[0].unmet), (0, 50));
+    // One share of ten of a rate of 100, for 0.91 s.
+    ask.loan = Some(first.echo);
+    limiter.answer(Time::from_millis(2_100), NodeId(9), &ask);
+    let second = limiter.answer(Time::from_millis(3_010), NodeId(9), &ask);
+    assert_eq!(second.granted[0].count, 9);
+    // A loan of another life of the coordinator is none.
+    ask.loan = Some(Echo {
+        life: LIFE + 1,
+        at: Time::from_millis(9_000),
+    });
+    let third = limiter.answer(Time::from_millis(9_000), NodeId(9), &ask);
+    let fourth = limiter.answer(Time::from_millis(9_900), NodeId(9), &ask);
+    assert_eq!((third.granted[0].count, fourth.granted[0].count), (0, 0));
+}
+
+#[test]
+fn a_limit_that_is_lowered_binds_at_once() {
+    let mut limiter = limiter_at(Time::ZERO, &[OWN]);
+    let now = Time::from_millis(10_000);
+    for milliseconds in (0..10_000).step_by(100) {
+        limiter.handle(Time::from_millis(milliseconds), Event::Tick);
+    }
+    assert_eq!(limiter.admit(now, &tenant()), Admission::Waiting);
+    assert!(limiter.admit_waiting(now, &tenant()));
+    limiter.handle(
+        now,
+        Event::Limits(BTreeMap::from([(tenant(), limit(0, 0))])),
+    );
+    let later = now + Duration::from_secs(1);
+    let admitted = (0..100).filter(|_| limiter.admit(later, &tenant()) == Admission::Admitted);
+    assert_eq!(admitted.count(), 0);
+}
--- a/crates/stairward-protocol/src/neighbour.rs
+++ b/crates/stairward-protocol/src/neighbour.rs
@@ -27,6 +27,8 @@
     pub database: Text,
     /// The revision of the configuration in force at the sender.
     pub revision: u64,
+    /// The tenant whose client it is, as the sender has checked; empty where there is none.
+    pub tenant: Text,
     /// 1 when the session has a transaction open at the receiver, else 0.
     pub in_transaction: u8,
     /// How long the sender waits for an answer, in milliseconds.
@@ -107,6 +109,7 @@
         request: u64,
         database: &str,
         revision: u64,
+        tenant: &str,
         in_transaction: bool,
         time_left_milliseconds: u32,
         commit: OptionalFreshness,
@@ -121,6 +124,7 @@
             request,
             database: Text::new(database),
             revision,
+            tenant: Text::new(tenant),
             in_transaction: u8::from(in_transaction),
             time_left_milliseconds,
             commit,
@@ -240,6 +244,82 @@
     pub const GAVE_WAY: u8 = 4;
 }
 
+/// Operations that a node wants for a tenant with a limit.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct LimitWant {
+    /// The tenant.
+    pub tenant: Text,
+    /// Operations that wait.
+    pub waiting: u32,
+    /// Operations that will most likely come soon.
+    pub ahead: u32,
+}
+
+/// A question to the coordinator of some tenants' limits, and the loan of the sender's share.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct LimitAsk {
+    /// The sender.
+    pub node: u64,
+    /// The group of tenants.
+    pub shard: u8,
+    /// The question's number; the answer carries it back.
+    pub sequence: u64,
+    /// How many nodes there may be.
+    pub nodes: u32,
+    /// 1 when the sender lends its share, else 0.
+    pub lends: u8,
+    /// The receiver's life and moment that the loan counts from, as it last told them.
+    pub life: u64,
+    /// The moment, in microseconds of the receiver's clock.
+    pub lent_at_microseconds: u64,
+    /// How many wants follow.
+    #[deku(update = "self.wants.len()")]
+    pub want_count: u16,
+    /// What is wanted.
+    #[deku(count = "want_count")]
+    pub wants: Vec<LimitWant>,
+}
+
+/// What a tenant gets.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct LimitGranted {
+    /// The tenant.
+    pub tenant: Text,
+    /// Operations.
+    pub count: u32,
+    /// Operations that wait and got none.
+    pub unmet: u32,
+    /// When there is most likely room for the first of them.
+    pub retry_after_milliseconds: u32,
+    /// How much later there is for each one after it.
+    pub spacing_microseconds: u32,
+}
+
+/// A coordinator's answer.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
+pub struct LimitGrant {
+    /// The group of tenants.
+    pub shard: u8,
+    /// The question's number.
+    pub sequence: u64,
+    /// The sender's life.
+    pub life: u64,
+    /// The sender's moment, in microseconds of its clock.
+    pub at_microseconds: u64,
+    /// How many nodes there may be.
+    pub nodes: u32,
+    /// How many tenants follow.
+    #[deku(update = "self.granted.len()")]
+    pub granted_count: u16,
+    /// One for each want.
+    #[deku(count = "granted_count")]
+    pub granted: Vec<LimitGranted>,
+}
+
 /// A message between two nodes.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big", id_type = "u8")]
@@ -366,6 +446,12 @@
     /// A feed's state at a watcher.
     #[deku(id = "10")]
     FeedState(FeedStateMessage),
+    /// Asks for operations of tenants with a limit.
+    #[deku(id = "21")]
+    AskLimit(LimitAsk),
+    /// The answer.
+    #[deku(id = "22")]
+    GrantLimit(LimitGrant),
     /// A session of the sender has ended.
     #[deku(id = "5")]
     CloseSession {
--- a/crates/stairward-protocol/tests/neighbour.rs
+++ b/crates/stairward-protocol/tests/neighbour.rs
@@ -16,6 +16,7 @@
         9,
         "reader-core",
         12,
+        "miny420",
         true,
         800,
         position,
--- a/crates/stairward-runtime/src/callers.rs
+++ b/crates/stairward-runtime/src/callers.rs
@@ -56,10 +56,14 @@
             buffer: BytesMut::new(),
         };
         let first = tokio::time::timeout(CONNECT_PATIENCE, reader.next::<W>()).await;
-        if let Ok(Some(CallerMessage::Connect { database })) = first {
+        if let Ok(Some(CallerMessage::Connect { database, key })) = first {
             match GroupId::new(database) {
                 Ok(database) => {
-                    self.handle(Event::SessionOpened { session, database });
+                    self.handle(Event::SessionOpened {
+                        session,
+                        database,
+                        key,
+                    });
                     self.serve_statements(session, &mut reader).await;
                 }
                 Err(_) => self.refuse(session, ResultCode::UnknownDatabase),
--- a/crates/stairward-runtime/src/coordination.rs
+++ b/crates/stairward-runtime/src/coordination.rs
@@ -20,6 +20,15 @@
     Failed,
 }
 
+/// How a conditional write of the number of nodes ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FleetWrite {
+    /// The record has this version and says this now, whoever wrote it.
+    Known(RecordVersion, u32),
+    /// It was not written, or that is not known.
+    Failed,
+}
+
 /// The metadata store and the call that promotes, for the failover duty.
 pub trait Coordination {
     /// Writes a service's record if its version is still `expected`; 0 creates it.
@@ -30,6 +39,13 @@
         record: DutyRecord,
     ) -> CoordinationFuture<RecordWrite>;
 
+    /// Writes how many nodes there may be, if the version of that record is still `expected`; 0 creates it.
+    fn write_fleet_size(
+        &self,
+        expected: RecordVersion,
+        nodes: u32,
+    ) -> CoordinationFuture<FleetWrite>;
+
     /// Promotes a back end.
     fn promote(
         &self,
--- a/crates/stairward-runtime/src/duty.rs
+++ b/crates/stairward-runtime/src/duty.rs
@@ -118,6 +118,7 @@
             backend: backend.clone(),
             service: description.service.clone(),
             address: description.address,
+            tenant: None,
         })
     }
 
--- a/crates/stairward-runtime/src/lib.rs
+++ b/crates/stairward-runtime/src/lib.rs
@@ -14,6 +14,7 @@
 mod feeds;
 pub mod figures;
 mod health;
+mod limit_messages;
 mod log;
 mod members;
 mod membership;
@@ -25,7 +26,7 @@
 mod socket;
 mod wire;
 
-pub use coordination::{Coordination, CoordinationFuture, RecordWrite};
+pub use coordination::{Coordination, CoordinationFuture, FleetWrite, RecordWrite};
 pub use feeds::{FeedObjects, SHOW_PAUSE};
 pub use health::{HealthService, Readiness};
 pub use membership::PeerIdentity;
--- /dev/null
+++ b/crates/stairward-runtime/src/limit_messages.rs
@@ -0,0 +1,122 @@
+//! Questions about tenants' limits as messages between nodes, and back.
+
+use std::time::Duration;
+
+use stairward_limits::{Ask, Echo, Grant, Granted, Shard, Want};
+use stairward_protocol::Text;
+use stairward_protocol::neighbour::{LimitAsk, LimitGrant, LimitGranted, LimitWant};
+use stairward_types::{NodeId, TenantName, Time};
+
+/// Tenants in one message at most; what is left out is asked for with the next.
+const MOST_TENANTS: usize = 1_000;
+
+fn milliseconds(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn microseconds(duration: Duration) -> u32 {
+    u32::try_from(duration.as_micros()).unwrap_or(u32::MAX)
+}
+
+/// The number of entries in a message, which [`MOST_TENANTS`] keeps in range.
+fn count(entries: usize) -> u16 {
+    u16::try_from(entries).unwrap_or(u16::MAX)
+}
+
+/// A question as a message.
+pub(crate) fn ask_message(node: NodeId, ask: Ask) -> LimitAsk {
+    let wants: Vec<LimitWant> = ask
+        .wants
+        .into_iter()
+        .take(MOST_TENANTS)
+        .map(|want| LimitWant {
+            tenant: Text::new(want.tenant.as_str()),
+            waiting: want.waiting,
+            ahead: want.ahead,
+        })
+        .collect();
+    let (life, at) = ask.loan.map_or((0, 0), |echo| (echo.life, echo.at.0));
+    LimitAsk {
+        node: node.0,
+        shard: ask.shard.0,
+        sequence: ask.sequence,
+        nodes: ask.nodes,
+        lends: u8::from(ask.loan.is_some()),
+        life,
+        lent_at_microseconds: at,
+        want_count: count(wants.len()),
+        wants,
+    }
+}
+
+/// A message as a question; none when it is not understood.
+pub(crate) fn ask_of(message: &LimitAsk) -> Option<(NodeId, Ask)> {
+    let loan = (message.lends != 0).then_some(Echo {
+        life: message.life,
+        at: Time(message.lent_at_microseconds),
+    });
+    let mut wants = Vec::new();
+    for want in &message.wants {
+        wants.push(Want {
+            tenant: TenantName::new(want.tenant.as_str()).ok()?,
+            waiting: want.waiting,
+            ahead: want.ahead,
+        });
+    }
+    let ask = Ask {
+        shard: Shard(message.shard),
+        sequence: message.sequence,
+        nodes: message.nodes,
+        loan,
+        wants,
+    };
+    Some((NodeId(message.node), ask))
+}
+
+/// An answer as a message.
+pub(crate) fn grant_message(grant: Grant) -> LimitGrant {
+    let granted: Vec<LimitGranted> = grant
+        .granted
+        .into_iter()
+        .map(|granted| LimitGranted {
+            tenant: Text::new(granted.tenant.as_str()),
+            count: granted.count,
+            unmet: granted.unmet,
+            retry_after_milliseconds: milliseconds(granted.retry_after),
+            spacing_microseconds: microseconds(granted.spacing),
+        })
+        .collect();
+    LimitGrant {
+        shard: grant.shard.0,
+        sequence: grant.sequence,
+        life: grant.echo.life,
+        at_microseconds: grant.echo.at.0,
+        nodes: grant.nodes,
+        granted_count: count(granted.len()),
+        granted,
+    }
+}
+
+/// A message as an answer; none when it is not understood.
+pub(crate) fn grant_of(message: &LimitGrant) -> Option<Grant> {
+    let mut granted = Vec::new();
+    for tenant in &message.granted {
+        granted.push(Granted {
+            tenant: TenantName::new(tenant.tenant.as_str()).ok()?,
+            count: tenant.count,
+            unmet: tenant.unmet,
+            retry_after: Duration::from_millis(u64::from(tenant.retry_after_milliseconds)),
+            spacing: Duration::from_micros(u64::from(tenant.spacing_microseconds)),
+        });
+    }
+    Some(Grant {
+        shard: Shard(message.shard),
+        sequence: message.sequence,
+        echo: Echo {
+            life: message.life,
+            at: Time(message.at_microseconds),
+        },
+        nodes: message.nodes,
+        granted,
+    })
+}
--- a/crates/stairward-runtime/src/log.rs
+++ b/crates/stairward-runtime/src/log.rs
@@ -3,10 +3,11 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
-use stairward_engine::{Decision, LeadChange, RequestRecord};
+use stairward_engine::{Decision, LeadChange, RequestRecord, SessionId};
 use stairward_failover::{Action, Reach, Via};
+use stairward_limits::Shard;
 use stairward_types::{
-    BackendId, Duration, LogEvent, NodeId, OutcomeClass, ServiceName, Term, Time,
+    BackendId, Duration, LogEvent, NodeId, OutcomeClass, ResultCode, ServiceName, Term, Time,
 };
 
 /// Lines of one kind a second; the rest are counted and the count is told with the next line.
@@ -85,6 +86,35 @@
         );
     }
 
+    /// A client's session was refused before it began. The client's key is a secret and is not told.
+    pub fn session_refused(&self, now: Time, session: SessionId, code: ResultCode) {
+        let event = match code {
+            ResultCode::NotAuthenticated => LogEvent::KeyRefused,
+            _ => LogEvent::SessionRefused,
+        };
+        if let Some(left_out) = self.admit(now, event) {
+            let (number, name, code) = (event.number(), event.name(), code.number());
+            tracing::warn!(event = number, name, session = session.0, code, left_out);
+        }
+    }
+
+    /// A coordinator of tenants' limits did not answer, and another is asked.
+    pub fn coordinator(&self, now: Time, shard: Shard, silent: NodeId, next: Option<NodeId>) {
+        let event = LogEvent::LimitCoordinatorSilent;
+        if let Some(left_out) = self.admit(now, event) {
+            let (number, name) = (event.number(), event.name());
+            let next = next.map(|node| node.0);
+            tracing::warn!(
+                event = number,
+                name,
+                shard = shard.0,
+                silent = silent.0,
+                next,
+                left_out
+            );
+        }
+    }
+
     /// A step of the failover duty.
     pub fn duty(&self, now: Time, service: &ServiceName, action: &Action) {
         let event = match action {
--- a/crates/stairward-runtime/src/membership.rs
+++ b/crates/stairward-runtime/src/membership.rs
@@ -143,6 +143,12 @@
     /// Takes the membership view in.
     fn set_members(self: &Rc<Self>, members: Vec<Profile>) {
         let count = members.iter().filter(|member| !member.leaving).count();
+        let (leaving, live): (Vec<_>, Vec<_>) = members.iter().partition(|member| member.leaving);
+        let numbers = |members: Vec<&Profile>| members.iter().map(|member| member.node).collect();
+        let known = stairward_engine::Event::Members {
+            live: numbers(live),
+            leaving: numbers(leaving),
+        };
         let has_changed = *self.members.borrow() != members;
         *self.members.borrow_mut() = members;
         if has_changed {
@@ -152,6 +158,7 @@
             }
             self.tell_feeds_of_members();
         }
+        self.handle(known);
         self.set_nodes(u32::try_from(count).unwrap_or(1));
         self.note_users();
     }
--- a/crates/stairward-runtime/src/neighbour_messages.rs
+++ b/crates/stairward-runtime/src/neighbour_messages.rs
@@ -12,7 +12,7 @@
     ForwardedAnswer, ForwardedStatement, SessionValue, StatementTag,
 };
 use stairward_protocol::{ByteString, OptionalFreshness};
-use stairward_types::{AccessClass, Freshness, GroupId, ResultCode, Revision};
+use stairward_types::{AccessClass, Freshness, GroupId, ResultCode, Revision, TenantName};
 
 /// How an answer ends, by number.
 const COMPLETED: u8 = 0;
@@ -89,6 +89,7 @@
         request,
         forwarded.database.as_str(),
         forwarded.revision.0,
+        forwarded.tenant.as_ref().map_or("", TenantName::as_str),
         forwarded.in_transaction,
         milliseconds(time_left),
         OptionalFreshness::from(forwarded.commit),
@@ -126,9 +127,14 @@
             arguments: body.clone(),
         },
     };
+    let tenant = match message.tenant.as_str() {
+        "" => None,
+        name => Some(TenantName::new(name).ok()?),
+    };
     Some(Forwarded {
         database: GroupId::new(message.database.as_str()).ok()?,
         revision: Revision(message.revision),
+        tenant,
         in_transaction: message.in_transaction != 0,
         values,
         prepared: access.map(|access| PreparedStatement { access, shape }),
--- a/crates/stairward-runtime/src/neighbours.rs
+++ b/crates/stairward-runtime/src/neighbours.rs
@@ -8,12 +8,13 @@
 use bytes::BytesMut;
 use rand::seq::IndexedRandom as _;
 use stairward_engine::{Event, Forwarded, Response, SessionId};
-use stairward_protocol::neighbour::NeighbourMessage;
+use stairward_protocol::neighbour::{LimitAsk, NeighbourMessage};
 use stairward_protocol::{OptionalFreshness, Text};
 use stairward_types::{BackendId, Freshness, LogEvent, NodeId, ServiceName, Term, Time};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::compression::compress;
+use crate::limit_messages::{ask_of, grant_message, grant_of};
 use crate::neighbour_link::{MessageReader, connect, frame};
 use crate::neighbour_messages::{answer_message, forwarded_of, response_of, statement_message};
 use crate::node::Node;
@@ -129,6 +130,14 @@
                         break;
                     }
                 }
+                NeighbourMessage::AskLimit(message) => {
+                    let Some(answer) = self.limit_answer(&message) else {
+                        break;
+                    };
+                    if outgoing.send(&frame(&answer)).is_err() {
+                        break;
+                    }
+                }
                 NeighbourMessage::RevokeLead { service, term } => {
                     let Ok(service) = ServiceName::new(service.as_str()) else {
                         break;
@@ -164,6 +173,7 @@
                 | NeighbourMessage::Lead { .. }
                 | NeighbourMessage::LeadRevoked { .. }
                 | NeighbourMessage::MemberReach(_)
+                | NeighbourMessage::GrantLimit(_)
                 | NeighbourMessage::Alive
                 | NeighbourMessage::FeedState(_)
                 | NeighbourMessage::Position { .. }
@@ -334,6 +344,12 @@
                         });
                     }
                 }
+                NeighbourMessage::GrantLimit(message) => {
+                    let Some(grant) = grant_of(&message) else {
+                        break;
+                    };
+                    self.handle(Event::LimitGranted(holder, grant));
+                }
                 NeighbourMessage::Alive => self.handle(Event::HolderHeard(holder)),
                 NeighbourMessage::FeedState(message) => self.source_answered(holder, message),
                 _ => break,
@@ -380,6 +396,13 @@
         self.tell_neighbour(holder, &message);
     }
 
+    /// Answers a question about tenants' limits, as coordinator; none when it is not understood.
+    fn limit_answer(&self, message: &LimitAsk) -> Option<NeighbourMessage> {
+        let (node, ask) = ask_of(message)?;
+        let grant = self.grant_limit(node, &ask);
+        Some(NeighbourMessage::GrantLimit(grant_message(grant)))
+    }
+
     /// What is known of a lead; none where nothing is. It is kept known from now on.
     fn lead_answer(
         self: &Rc<Self>,
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -11,16 +11,20 @@
     BackendDescription, ConnectionId, Effect, Engine, EngineOptions, EngineStatistics, Event,
     Evidence, LeadChange, RoutingTable, SessionId,
 };
-use stairward_failover::{FailoverDuty, FailoverOptions, LeaderEvidence, LeaderMemory};
+use stairward_failover::{
+    FailoverDuty, FailoverOptions, LeaderEvidence, LeaderMemory, RecordVersion,
+};
+use stairward_limits::{Ask, Grant, LimitOptions};
 use stairward_membership::Profile;
 use stairward_protocol::neighbour::NeighbourMessage;
 use stairward_types::{BackendId, Freshness, LogEvent, NodeId, ServiceName, Term, Time};
 use tokio::sync::Notify;
 
-use crate::coordination::Coordination;
+use crate::coordination::{Coordination, FleetWrite};
 use crate::feeds::Feeds;
 use crate::figures;
 use crate::health::Readiness;
+use crate::limit_messages::ask_message;
 use crate::log::{DecisionLog, LeadLine};
 use crate::members::KeptConnections;
 use crate::membership::PeerIdentity;
@@ -75,6 +79,8 @@
     pub(crate) question_peers: RefCell<Vec<NodeId>>,
     /// Other nodes that live or lived a while ago.
     pub(crate) users: RefCell<BTreeMap<NodeId, User>>,
+    /// The version of the record of the number of nodes.
+    fleet_version: Cell<RecordVersion>,
     pub(crate) feeds: Feeds,
     pub(crate) log: DecisionLog,
     last_session: Cell<u64>,
@@ -99,6 +105,7 @@
     pub fn new(options: NodeOptions) -> Rc<Self> {
         let engine = EngineOptions {
             leadership_lease: options.leadership_lease,
+            limits: LimitOptions::new(options.peer.node, rand::random()),
             ..options.engine
         };
         let failover = FailoverOptions {
@@ -124,6 +131,7 @@
             kept: RefCell::default(),
             question_peers: RefCell::default(),
             users: RefCell::default(),
+            fleet_version: Cell::default(),
             feeds: Feeds::default(),
             log: DecisionLog::default(),
             last_session: Cell::new(0),
@@ -179,6 +187,31 @@
         described.retain(|_, (_, listed_at)| now.since(*listed_at) < REMEMBERED_FOR);
     }
 
+    /// The number of nodes on record, as the store shows it; none where it shows no record.
+    pub fn learn_fleet_size(self: &Rc<Self>, record: Option<(RecordVersion, u32)>) {
+        let (version, nodes) = record.unwrap_or_default();
+        self.fleet_version.set(version);
+        self.handle(Event::FleetRecorded(nodes));
+    }
+
+    fn record_fleet(self: &Rc<Self>, nodes: u32) {
+        let version = self.fleet_version.get();
+        let writing = self.coordination.write_fleet_size(version, nodes);
+        let node = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            match writing.await {
+                FleetWrite::Known(version, nodes) => {
+                    node.learn_fleet_size(Some((version, nodes)));
+                }
+                FleetWrite::Failed => tracing::warn!(
+                    event = LogEvent::StoreUnreachable.number(),
+                    nodes,
+                    "the number of nodes could not be recorded; it is tried again"
+                ),
+            }
+        });
+    }
+
     /// How many nodes share the back ends.
     pub(crate) fn set_nodes(self: &Rc<Self>, nodes: u32) {
         self.handle(Event::Nodes(nodes));
@@ -230,6 +263,12 @@
         self.engine.borrow().newest_term(service)
     }
 
+    /// Answers another node's question about tenants' limits.
+    pub(crate) fn grant_limit(&self, node: NodeId, ask: &Ask) -> Grant {
+        let now = self.now();
+        self.engine.borrow_mut().answer_limit(now, node, ask)
+    }
+
     /// Figures for metrics.
     #[must_use]
     pub fn statistics(&self) -> EngineStatistics {
@@ -330,9 +369,22 @@
                 self.tell_duty(stairward_failover::Event::Lead(service, is_revoked));
             }
             Effect::AskLead { holder, service } => self.ask_lead(holder, &service),
+            Effect::AskLimit(node, ask) => {
+                let message = ask_message(self.peer.node, ask);
+                self.tell_neighbour(node, &NeighbourMessage::AskLimit(message));
+            }
+            Effect::RecordFleet(nodes) => self.record_fleet(nodes),
+            Effect::CoordinatorChanged {
+                shard,
+                silent,
+                now: coordinator,
+            } => {
+                self.log.coordinator(now, shard, silent, coordinator);
+            }
             Effect::AskPosition { service } => self.ask_peers_for_position(&service),
             Effect::CloseForwarded { holder, session } => self.close_forwarded(holder, session),
             Effect::RefuseSession { session, code } => {
+                self.log.session_refused(now, session, code);
                 W::encode_refusal(code, turn.to_sessions.entry(session).or_default());
                 self.flush(std::mem::take(turn));
                 self.close_session(session);
--- a/crates/stairward-runtime/src/relayed_questions.rs
+++ b/crates/stairward-runtime/src/relayed_questions.rs
@@ -242,6 +242,7 @@
         backend: BackendId::new(message.backend.as_str()).ok()?,
         service: ServiceName::new(message.service.as_str()).ok()?,
         address: SocketAddr::from((message.address, message.port)),
+        tenant: None,
     };
     Some((target, question))
 }
--- a/crates/stairward-runtime/src/wire.rs
+++ b/crates/stairward-runtime/src/wire.rs
@@ -6,7 +6,7 @@
 use stairward_engine::{
     BackendCommand, BackendReply, OpenFailure, OpenTarget, Response, Statement,
 };
-use stairward_types::{Freshness, ResultCode, Term};
+use stairward_types::{ApiKey, Freshness, ResultCode, Term};
 
 /// A message of a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     Connect {
         /// The database's name.
         database: String,
+        /// The key that the client carries; none where it carries nothing.
+        key: Option<ApiKey>,
     },
     /// A statement.
     Statement(Statement),
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -150,6 +150,7 @@
             target_latency: Duration::from_millis(800),
             priority: 1,
             attempts: 2,
+            is_public: false,
         })
     };
     let staleness = STALENESS;
@@ -172,6 +173,7 @@
         revision: Revision(revision),
         routes,
         services: BTreeMap::from([(service(), limits)]),
+        tenants: None,
         transaction_idle_timeout: Duration::from_millis(3_000),
     })
 }
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -7,6 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use stairward_engine::{BackendCommand, ConnectionId, Event, Response};
 use stairward_failover::{DutyRecord, Event as DutyEvent, RecordVersion, Via};
+use stairward_limits::Ask;
 use stairward_types::{BackendId, Freshness, NodeId, Term, Time};
 
 use crate::callers::Caller;
@@ -77,6 +78,8 @@
     /// A node asks a member to step down or to hold, by a way.
     ReachAt(usize, u64, BackendId, Question, Via),
     AskLeadAt(usize, u64, usize, Time),
+    /// A node asks another for operations of tenants with a limit.
+    AskLimitAt(usize, u64, usize, Box<Ask>),
     RevokeAt(usize, u64, NodeId, Term),
     PromoteAt(
         usize,
@@ -298,6 +301,9 @@
             Happening::RevokeAt(node, life, user, term) => {
                 self.revoke_at(node, life, user, term);
             }
+            Happening::AskLimitAt(node, life, peer, ask) => {
+                self.ask_limit(node, life, peer, &ask);
+            }
             Happening::AskLeadAt(node, life, peer, asked_at) => {
                 self.ask_lead_at(node, life, peer, asked_at);
             }
--- a/crates/stairward-simulation/src/world_callers.rs
+++ b/crates/stairward-simulation/src/world_callers.rs
@@ -80,6 +80,7 @@
         let event = Event::SessionOpened {
             session: SessionId(self.sessions),
             database: GroupId::new(DATABASES[database].0).expect("a name"),
+            key: None,
         };
         let event = Happening::Engine(node.0, node.1, Box::new(event));
         self.queue.plan(CALLER_DELAY, event);
--- a/crates/stairward-simulation/src/world_nodes.rs
+++ b/crates/stairward-simulation/src/world_nodes.rs
@@ -7,7 +7,8 @@
     BackendCommand, ConnectionId, Effect, Event, Evidence, LeadChange, Response,
 };
 use stairward_failover::{Event as DutyEvent, LeaderEvidence};
-use stairward_types::BackendId;
+use stairward_limits::Ask;
+use stairward_types::{BackendId, NodeId};
 
 use crate::checker::Invariant;
 use crate::database::Link;
@@ -73,6 +74,8 @@
             | Effect::Record(_)
             | Effect::Measured(_)
             | Effect::HolderObserved { .. }
+            | Effect::RecordFleet(_)
+            | Effect::CoordinatorChanged { .. }
             | Effect::Stopped => {}
             Effect::AskHolder { holder } => self.ask_holder(index, life, holder),
             Effect::Forward {
@@ -106,6 +109,11 @@
                 let ask = Happening::AskLeadAt(index, life, peer, asked_at);
                 self.queue.plan(NEAR_DELAY, ask);
             }
+            Effect::AskLimit(coordinator, ask) => {
+                let peer = usize::try_from(coordinator.0).unwrap_or(0);
+                let ask = Happening::AskLimitAt(index, life, peer, Box::new(ask));
+                self.queue.plan(FAR_DELAY, ask);
+            }
             Effect::AskPosition { .. } => {
                 let asked_at = self.now();
                 let peer = (index + 1) % self.nodes.len();
@@ -159,6 +167,20 @@
         }
     }
 
+    /// A coordinator answers a node that asked it, if it runs.
+    pub(crate) fn ask_limit(&mut self, node: usize, life: u64, peer: usize, ask: &Ask) {
+        let now = self.now();
+        let asking = NodeId(u64::try_from(node).unwrap_or(0));
+        let coordinator = NodeId(u64::try_from(peer).unwrap_or(0));
+        let Some(answering) = self.nodes.get_mut(peer).filter(|peer| peer.is_running) else {
+            return;
+        };
+        let grant = answering.engine.answer_limit(now, asking, ask);
+        let granted = Event::LimitGranted(coordinator, grant);
+        let granted = Happening::Engine(node, life, Box::new(granted));
+        self.queue.plan(FAR_DELAY, granted);
+    }
+
     pub(crate) fn damage_response(&mut self, mut response: Response) -> Response {
         if self.options.broken == Some(BrokenVariant::Promise)
             && let stairward_engine::ResponseResult::Refused { code, .. } = &mut response.result
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -67,6 +67,8 @@
     RequestRetried = 204, Debug;
     /// A read without an answer was also sent to another back end.
     RequestHedged = 205, Debug;
+    /// A session was refused or ended since its key is not known, or no longer.
+    KeyRefused = 206, Warn;
 
     /// A connection to another node was made.
     PeerConnected = 300, Debug;
@@ -118,6 +120,9 @@
     /// A replica confirms the leader again.
     LeadConfirmed = 418, Info;
 
+    /// A coordinator of tenants' limits did not answer: another node is asked.
+    LimitCoordinatorSilent = 450, Warn;
+
     /// A node was found or came back.
     MemberJoined = 500, Info;
     /// A node is suspected to have failed.
--- a/crates/stairward-types/src/identifier.rs
+++ b/crates/stairward-types/src/identifier.rs
@@ -110,6 +110,11 @@
     BackendId
 }
 
+name_type! {
+    /// A tenant: one customer of the services, whose sessions carry one of its keys.
+    TenantName
+}
+
 macro_rules! number_type {
     ($(#[$documentation:meta])* $name:ident) => {
         $(#[$documentation])*
--- a/crates/stairward-types/src/lib.rs
+++ b/crates/stairward-types/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![forbid(unsafe_code)]
 
+mod api_key;
 mod event;
 mod freshness;
 mod identifier;
@@ -12,11 +13,12 @@
 mod result_code;
 mod time;
 
+pub use api_key::ApiKey;
 pub use event::{LogEvent, LogLevel};
 pub use freshness::{Freshness, LogPosition, ParseLogPositionError, Term};
 pub use identifier::{
     BackendId, ChangeId, GroupId, Incarnation, InvalidName, NodeId, RegionName, Revision,
-    ServiceName, StreamId, ZoneName,
+    ServiceName, StreamId, TenantName, ZoneName,
 };
 pub use member_status::MemberStatus;
 pub use result_code::{OutcomeClass, ResultCode};
--- a/crates/stairward-types/src/result_code.rs
+++ b/crates/stairward-types/src/result_code.rs
@@ -121,6 +121,10 @@
     TooManyClients = 2025, NotRun, "53300", "not run: too many client connections";
     /// The session has prepared no statement of this name.
     UnknownPreparedStatement = 2026, NotRun, "26000", "not run: no such prepared statement";
+    /// The client's key is missing, unknown or withdrawn.
+    NotAuthenticated = 2027, NotRun, "28000", "not run: the key is not known";
+    /// The tenant has used up its limit for now.
+    LimitReached = 2028, NotRun, "53400", "not run: the tenant's limit is reached";
 
     /// The connection to the back end was lost after the request was sent.
     BackendLostAfterSend = 3001, OutcomeUnknown, "08007", "outcome unknown: the back end was lost while the request ran";
