--- a/crates/stairward-engine/src/admission.rs
+++ b/crates/stairward-engine/src/admission.rs
@@ -10,6 +10,7 @@
 use crate::event::Effect;
 use crate::identifiers::SessionId;
 use crate::session::{Need, Request, Stage};
+use crate::timers::Timer;
 
 impl Engine {
     /// Sends a new request on its way, once its tenant's limit has room for it. Statements of an open transaction
@@ -50,12 +51,30 @@
 
     /// A request has waited for admission as long as it may.
     pub(crate) fn admission_ended(&mut self, now: Time, id: SessionId) {
+        if self.wait_for_first_grants(now, id) {
+            return;
+        }
         if let Some(tenant) = self.limited_tenant(id) {
             let retry_after = self.limits.next_retry(now, &tenant);
             self.refuse_over_limit(now, id, retry_after);
         }
     }
 
+    /// A node that has just started gets no grants for a moment. What waits is kept until then, if its time allows.
+    fn wait_for_first_grants(&mut self, now: Time, id: SessionId) -> bool {
+        let Some(first_grants) = self.limits.first_grants_at(now) else {
+            return false;
+        };
+        let request = self.sessions.get_mut(&id).and_then(|s| s.request.as_mut());
+        let Some(request) = request.filter(|request| first_grants < request.deadline) else {
+            return false;
+        };
+        request.hold_ends = first_grants;
+        let number = request.number;
+        self.timers.set(first_grants, Timer::HoldEnds(id, number));
+        true
+    }
+
     /// A request ends or goes on: it waits for admission no more.
     pub(crate) fn leave_admission(
         &mut self,
--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -14,6 +14,7 @@
 use crate::holder_watch::HolderWatch;
 use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
 use crate::node_count::NodeCount;
+use crate::pending::PendingSession;
 use crate::relay::holder_count;
 use crate::session::Session;
 use crate::settings::{BackendDescription, EngineOptions, RoutingTable};
@@ -56,6 +57,8 @@
     pub(crate) options: EngineOptions,
     pub(crate) table: Option<Arc<RoutingTable>>,
     pub(crate) sessions: BTreeMap<SessionId, Session>,
+    /// Sessions that came before the first configuration.
+    pub(crate) pending: BTreeMap<SessionId, PendingSession>,
     pub(crate) connections: BTreeMap<ConnectionId, Connection>,
     pub(crate) backends: BTreeMap<BackendId, Backend>,
     pub(crate) groups: BTreeMap<ServiceName, Group>,
@@ -87,6 +90,7 @@
             options,
             table: None,
             sessions: BTreeMap::new(),
+            pending: BTreeMap::new(),
             connections: BTreeMap::new(),
             backends: BTreeMap::new(),
             groups: BTreeMap::new(),
@@ -154,7 +158,7 @@
                 session,
                 database,
                 key,
-            } => self.open_session(session, database, key),
+            } => self.receive_session(now, session, database, key),
             Event::Statement { session, statement } => {
                 self.take_statement(now, session, Some(statement));
             }
@@ -234,6 +238,7 @@
                 Timer::TryWaiting(service) => {
                     self.changed.insert(service);
                 }
+                Timer::PendingSession(session) => self.pending_session_due(session),
                 Timer::Lead(service) => self.lead_due(now, &service),
                 Timer::Backends => self.review_backends(now),
                 Timer::Stop => self.continue_stop(now),
@@ -275,6 +280,7 @@
         }
         self.changed.extend(self.groups.keys().cloned());
         self.end_revoked_sessions(now);
+        self.open_pending_sessions();
         self.warm_up(now);
     }
 
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -19,6 +19,7 @@
 mod lead;
 mod lost_connections;
 mod node_count;
+mod pending;
 mod probes;
 mod proofs;
 mod relay;
--- a/crates/stairward-engine/src/requests.rs
+++ b/crates/stairward-engine/src/requests.rs
@@ -440,6 +440,7 @@
 
     /// A caller is gone: what it left is undone.
     pub(crate) fn session_closed(&mut self, now: Time, id: SessionId) {
+        self.pending.remove(&id);
         let Some(mut session) = self.sessions.remove(&id) else {
             return;
         };
--- a/crates/stairward-engine/src/timers.rs
+++ b/crates/stairward-engine/src/timers.rs
@@ -21,6 +21,8 @@
     Silence(ConnectionId),
     /// A holder that owes an answer is looked at.
     Holder(NodeId),
+    /// A session that waits for the first configuration is refused.
+    PendingSession(SessionId),
     /// A service's lead is to be confirmed again, if somebody waits for that.
     Lead(ServiceName),
     /// Requests that wait for a service are tried again.
--- a/crates/stairward-engine/tests/sessions.rs
+++ b/crates/stairward-engine/tests/sessions.rs
@@ -101,6 +101,12 @@
 fn sessions_are_refused_without_configuration_and_without_a_route() {
     let mut world = World::empty();
     world.open(BOUNDED);
+    world.pass(Duration::from_millis(999));
+    assert!(
+        world.refused_sessions.is_empty(),
+        "it waits for the first configuration"
+    );
+    world.pass(Duration::from_millis(1));
     assert_eq!(
         world.refused_sessions.pop().unwrap().1,
         ResultCode::NotReady
@@ -113,6 +119,23 @@
     );
 }
 
+#[test]
+fn sessions_that_come_before_the_first_configuration_begin_with_it() {
+    let mut world = World::empty();
+    let served = world.open(BOUNDED);
+    let unknown = world.open("nothing");
+    let gone = world.open(BOUNDED);
+    world.tell(Event::SessionClosed { session: gone });
+    world.tell(Event::Configured(Arc::new(table(1))));
+    assert_eq!(world.accepted_sessions, [served]);
+    assert_eq!(
+        world.refused_sessions,
+        [(unknown, ResultCode::UnknownDatabase)]
+    );
+    world.pass(Duration::from_secs(2));
+    assert_eq!(world.refused_sessions.len(), 1);
+}
+
 #[test]
 fn a_configuration_never_goes_back() {
     let mut world = World::new();
--- a/crates/stairward-limits/src/allowance.rs
+++ b/crates/stairward-limits/src/allowance.rs
@@ -21,6 +21,8 @@
     pub waiting: u32,
     /// Nothing is asked for before this, and what comes is refused: there was no room a moment ago.
     pub closed_until: Time,
+    /// Nothing is asked for before this, and what comes waits.
+    pub quiet_until: Time,
     /// When there is room for the next operation that is refused.
     next_room: Time,
     spacing: Duration,
@@ -40,6 +42,11 @@
         self.demand * (-elapsed / DEMAND_TIME.as_secs_f64()).exp()
     }
 
+    /// Whether a coordinator may be asked for more.
+    pub fn may_ask(&self, now: Time) -> bool {
+        now >= self.closed_until && now >= self.quiet_until
+    }
+
     /// Uses one granted operation.
     pub fn take(&mut self, now: Time) -> bool {
         self.drop_old(now);
--- a/crates/stairward-limits/src/limiter.rs
+++ b/crates/stairward-limits/src/limiter.rs
@@ -19,6 +19,8 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between two writes of the record: the first may still be under way.
 const RECORD_PAUSE: Duration = Duration::from_secs(3);
+/// How long the first grants take once a node may lend: two questions to another region and their answers.
+const FIRST_GRANT_TIME: Duration = Duration::from_millis(150);
 /// How often what is known of idle tenants is dropped.
 const SWEEP: Duration = Duration::from_secs(10);
 
@@ -154,7 +156,7 @@
             .allowances
             .values()
             .filter(|allowance| allowance.waiting > 0)
-            .map(|allowance| allowance.closed_until)
+            .map(|allowance| allowance.closed_until.max(allowance.quiet_until))
             .filter(|at| *at > Time::ZERO);
         renewals.chain(openings).min()
     }
@@ -213,6 +215,14 @@
         allowance.map_or(Duration::ZERO, |allowance| allowance.next_retry(now))
     }
 
+    /// While this node has just started and could not lend its share yet, and so may get nothing: when it most likely
+    /// gets its first grants.
+    #[must_use]
+    pub fn first_grants_at(&self, now: Time) -> Option<Time> {
+        let first = self.options.started + self.options.loan_by_lender() + FIRST_GRANT_TIME;
+        (now < first).then_some(first)
+    }
+
     /// Answers another node, as coordinator.
     pub fn answer(&mut self, now: Time, node: NodeId, ask: &Ask) -> Grant {
         self.fleet.note_told(now, ask.nodes);
@@ -308,14 +318,15 @@
 
     fn wants_more(&mut self, now: Time, shard: Shard) -> bool {
         self.allowances.iter().any(|(tenant, allowance)| {
-            allowance.waiting > 0 && now >= allowance.closed_until && Shard::of(tenant) == shard
+            allowance.waiting > 0 && allowance.may_ask(now) && Shard::of(tenant) == shard
         })
     }
 
     fn wants(&mut self, now: Time, shard: Shard) -> Vec<Want> {
-        let open = self.allowances.iter_mut().filter(|(tenant, allowance)| {
-            now >= allowance.closed_until && Shard::of(tenant) == shard
-        });
+        let open = self
+            .allowances
+            .iter_mut()
+            .filter(|(tenant, allowance)| allowance.may_ask(now) && Shard::of(tenant) == shard);
         let wants = open.map(|(tenant, allowance)| Want {
             tenant: tenant.clone(),
             waiting: allowance.waiting,
@@ -394,6 +405,7 @@
     }
 
     fn take_granted(&mut self, now: Time, until: Time, granted: Granted) {
+        let first_grants_at = self.first_grants_at(now);
         let Some(allowance) = self.allowances.get_mut(&granted.tenant) else {
             return;
         };
@@ -401,7 +413,13 @@
         if granted.count > 0 {
             self.effects.push(Effect::Available(granted.tenant.clone()));
         }
-        if granted.unmet > 0 {
+        if granted.unmet == 0 {
+            return;
+        }
+        if let Some(first) = first_grants_at {
+            // Until shares are lent, that there is no room says nothing of the limit.
+            allowance.quiet_until = first.min(now + LONGEST_PAUSE);
+        } else {
             let pause = granted.retry_after.clamp(SHORTEST_PAUSE, LONGEST_PAUSE);
             allowance.close(now, now + pause, granted.retry_after, granted.spacing);
             self.effects
--- a/crates/stairward-limits/tests/conservation.rs
+++ b/crates/stairward-limits/tests/conservation.rs
@@ -80,7 +80,7 @@
         demand,
         ..Options::new(2, 100, 100)
     });
-    // Only what comes before the first loan, 1.3 s after the start, has no room.
+    // Only what comes in the moment after the first loans has no room yet.
     assert!(
         fleet.denied < 100,
         "{} of {} denied",
