A tenant's statements meet at one holder of the region; limits wake a node only when something is due

Each node spun for as long as an operation waited. Change: what is waited for is the answer, or the view. A unit test steps through 2,000 wakes of three nodes; it failed first.

Now all nodes of a region name the same holder for a tenant (rendezvous hashing of tenant and holder), and a tenant's idle connection is kept for 10 s instead of 0.8 s where nobody needs the room.

The simulation has tenants: checks of whose connection a statement runs on, of withdrawn keys and of limits; each is shown to fail (connections used for all tenants, a key that stays known, a coordinator that grants everything).

--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -15,6 +15,7 @@
 use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
 use crate::node_count::NodeCount;
 use crate::pending::PendingSession;
+use crate::placement::Holder;
 use crate::relay::holder_count;
 use crate::session::Session;
 use crate::settings::{BackendDescription, EngineOptions, RoutingTable};
@@ -27,6 +28,9 @@
 /// A connection that nobody has used for this long is closed, but for one to each back end: what a node
 /// holds without need its successor can't have when it loses power.
 const IDLE_LIMIT: Duration = Duration::from_millis(800);
+/// A tenant's connection is kept for longer: it serves nobody else, most tenants come seldom, and where room is
+/// needed the one that was used least recently gives way.
+const TENANT_IDLE_LIMIT: Duration = Duration::from_secs(10);
 /// How long after a gone back end may no longer be used its connections are closed.
 const GONE_CLOSE_DELAY: Duration = Duration::from_secs(4);
 /// Connections per back end kept back for nodes that are not counted yet.
@@ -69,6 +73,8 @@
     pub(crate) nodes: NodeCount,
     /// Services held by other nodes only.
     pub(crate) holders: BTreeMap<ServiceName, Vec<NodeId>>,
+    /// All holders of the services that not every node holds.
+    pub(crate) places: BTreeMap<ServiceName, Vec<Holder>>,
     /// Which node of the region is asked first about each service's lead; none where this node asks itself.
     pub(crate) lead_sources: BTreeMap<ServiceName, NodeId>,
     pub(crate) holder_watches: BTreeMap<NodeId, HolderWatch>,
@@ -100,6 +106,7 @@
             effects: Vec::new(),
             nodes: NodeCount::default(),
             holders: BTreeMap::new(),
+            places: BTreeMap::new(),
             lead_sources: BTreeMap::new(),
             holder_watches: BTreeMap::new(),
             stop: None,
@@ -178,6 +185,7 @@
             Event::Backends(list) => self.take_backends(now, list),
             Event::Nodes(nodes) => self.note_nodes(now, nodes),
             Event::Holders(holders) => self.set_holders(holders),
+            Event::HolderPlaces(places) => self.places = places,
             Event::Forwarded { session, forwarded } => {
                 self.take_forwarded(now, session, *forwarded);
             }
@@ -387,7 +395,13 @@
             }
             unused.extend(idle.into_iter().filter(|id| {
                 let connection = self.connections.get(id);
-                connection.is_some_and(|connection| now.since(connection.idle_since) >= IDLE_LIMIT)
+                connection.is_some_and(|connection| {
+                    let limit = match connection.tenant {
+                        Some(_) => TENANT_IDLE_LIMIT,
+                        None => IDLE_LIMIT,
+                    };
+                    now.since(connection.idle_since) >= limit
+                })
             }));
         }
         for connection in unused {
--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::identifiers::{ConnectionId, SessionId};
+use crate::placement::Holder;
 use crate::relay::Forwarded;
 use crate::reply::{BackendReply, Response};
 use crate::settings::{BackendDescription, Consistency, RoutingTable};
@@ -95,6 +96,8 @@
     Nodes(u32),
     /// The services whose connections only other nodes hold, and those nodes, best first.
     Holders(BTreeMap<ServiceName, Vec<NodeId>>),
+    /// All nodes that hold connections of the services that not every node holds, this one among them where it does.
+    HolderPlaces(BTreeMap<ServiceName, Vec<Holder>>),
     /// Another node forwards a statement of one of its sessions.
     Forwarded {
         /// The session, by a number of this node.
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -20,6 +20,7 @@
 mod lost_connections;
 mod node_count;
 mod pending;
+mod placement;
 mod probes;
 mod proofs;
 mod relay;
@@ -43,6 +44,7 @@
     RequestMeasure, RequestRecord,
 };
 pub use identifiers::{ConnectionId, SessionId};
+pub use placement::Holder;
 pub use relay::{Forwarded, holder_count};
 pub use reply::{
     BackendError, BackendErrorCode, BackendReply, Response, ResponseResult, TransactionStatus,
--- a/crates/stairward-engine/src/relay.rs
+++ b/crates/stairward-engine/src/relay.rs
@@ -81,44 +81,32 @@
         }
     }
 
-    /// The nodes that hold a service's connections, if this one does not. A forwarded session is never
-    /// forwarded again.
-    pub(crate) fn is_held_elsewhere(&self, id: SessionId, service: &ServiceName) -> bool {
-        let is_own = self
-            .sessions
-            .get(&id)
-            .is_some_and(|session| !session.is_forwarded);
-        is_own && self.holders.contains_key(service)
-    }
-
     /// Forwards the session's request to the holder of its transaction, or to the next one in rank.
     pub(crate) fn forward(&mut self, now: Time, id: SessionId) {
         let revision = self.table.as_ref().map(|table| table.revision);
         let revision = revision.unwrap_or_default();
-        let Some(session) = self.sessions.get_mut(&id) else {
-            return;
-        };
-        let Some(request) = &mut session.request else {
+        let Some(session) = self.sessions.get(&id) else {
             return;
         };
-        let service = &request.route.service;
         let bound = match &session.transaction {
             Transaction::Relayed(relayed) => Some(relayed.holder),
             _ => None,
         };
-        let ranked = self.holders.get(service).map_or(&[][..], Vec::as_slice);
-        let watches = &self.holder_watches;
-        let is_silent = |holder: &NodeId| watches.get(holder).is_some_and(|watch| watch.is_silent);
-        // A silent one is better than none.
-        let next = ranked
-            .iter()
-            .filter(|holder| !request.tried_holders.contains(holder))
-            .min_by_key(|holder| is_silent(holder))
-            .filter(|_| request.tried_holders.len() < MOST_HOLDERS);
-        let Some(holder) = bound.or(next.copied()) else {
+        let Some(holder) = bound.or_else(|| self.next_holder(session)) else {
             return self.refuse(now, id, ResultCode::NotOwner, Some(RETRY_NO_HOLDER));
         };
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(request) = &mut session.request else {
+            return;
+        };
         request.tried_holders.insert(holder);
+        if holder == self.options.limits.node {
+            request.stage = Stage::Waiting;
+            return self.attempt(now, id);
+        }
+        let service = &request.route.service;
         request.stage = Stage::Forwarded(holder);
         request.attempts += 1;
         session.holders.insert(holder);
@@ -151,6 +139,19 @@
         self.watch_holder(now, holder, id);
     }
 
+    /// The next holder for the session's request; a silent one is better than none.
+    fn next_holder(&self, session: &Session) -> Option<NodeId> {
+        let request = session.request.as_ref()?;
+        if request.tried_holders.len() >= MOST_HOLDERS {
+            return None;
+        }
+        let holders = self.holders_for(session, &request.route.service);
+        let untried = holders
+            .into_iter()
+            .filter(|holder| !request.tried_holders.contains(holder));
+        untried.min_by_key(|holder| self.is_silent_holder(*holder))
+    }
+
     /// A statement comes from another node, for a session that it numbers anew here.
     pub(crate) fn take_forwarded(&mut self, now: Time, id: SessionId, forwarded: Forwarded) {
         let route = self
--- a/crates/stairward-engine/src/statements.rs
+++ b/crates/stairward-engine/src/statements.rs
@@ -302,7 +302,7 @@
             return;
         };
         let is_relayed = matches!(session.transaction, Transaction::Relayed(_));
-        if is_relayed || self.is_held_elsewhere(id, &request.route.service) {
+        if is_relayed || self.goes_elsewhere(session, &request.route.service) {
             self.forward(now, id);
         } else {
             self.attempt(now, id);
--- a/crates/stairward-engine/tests/tenants.rs
+++ b/crates/stairward-engine/tests/tenants.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use stairward_engine::{
-    BackendCommand, ConnectionId, Effect, EngineOptions, Event, Forwarded, ResponseResult,
+    BackendCommand, ConnectionId, Effect, EngineOptions, Event, Forwarded, Holder, ResponseResult,
     RoutingTable, SessionId, Statement, StatementKind, Tenant, TenantDirectory, TransactionStatus,
 };
 use stairward_limits::RateLimit;
@@ -412,3 +412,60 @@
             .all(|effect| !matches!(effect, Effect::Respond { .. }))
     );
 }
+
+/// The node of the engines under test.
+const OWN: NodeId = NodeId(0);
+
+fn places(world: &mut World, near: &[NodeId], far: &[NodeId]) {
+    let place = |nodes: &[NodeId], is_near| -> Vec<Holder> {
+        let nodes = nodes.iter();
+        nodes
+            .map(|node| Holder {
+                node: *node,
+                is_near,
+            })
+            .collect()
+    };
+    let all = [place(near, true), place(far, false)].concat();
+    world.tell(Event::HolderPlaces(BTreeMap::from([(service(), all)])));
+}
+
+/// Where the only statement of each of many tenants goes; the node itself where it is not forwarded.
+fn destinations(near: &[NodeId], far: &[NodeId]) -> Vec<NodeId> {
+    let tenants = (0..24).map(|n| tenant(&format!("t{n}"), &[&format!("k{n}")]));
+    let mut world = World::new();
+    world.tell(Event::Configured(Arc::new(table_of(2, tenants.collect()))));
+    places(&mut world, near, far);
+    let destination = |n: u64| {
+        let session = world.open_with(n + 1, LEADER_READS, Some(&format!("k{n}")));
+        world.say(session, StatementKind::Write);
+        let forwarded = world.forwarded.pop();
+        forwarded.map_or(OWN, |(holder, ..)| holder)
+    };
+    (0..24).map(destination).collect()
+}
+
+#[test]
+fn a_tenants_statements_go_to_one_holder_of_the_own_region() {
+    let near = [NodeId(7), NodeId(8), OWN];
+    let far = [NodeId(20), NodeId(21)];
+    let first = destinations(&near, &far);
+    let used: BTreeSet<NodeId> = first.iter().copied().collect();
+    assert_eq!(used, BTreeSet::from(near));
+    assert_eq!(first, destinations(&near, &far));
+    // Without a holder near by, a far one of the tenant's own.
+    let elsewhere = destinations(&[], &far);
+    assert!(elsewhere.iter().all(|node| far.contains(node)));
+}
+
+#[test]
+fn a_tenant_whose_holder_is_lost_goes_to_the_next_one() {
+    let mut world = world();
+    places(&mut world, &[NodeId(7), NodeId(8)], &[]);
+    let session = world.open_with(1, OWN_READS, Some("key-1"));
+    world.say(session, StatementKind::Read);
+    let (first, ..) = world.forwarded.pop().unwrap();
+    world.tell(Event::HolderLost(first));
+    let (second, ..) = world.forwarded.pop().unwrap();
+    assert_ne!(first, second);
+}
--- a/crates/stairward-limits/src/lender.rs
+++ b/crates/stairward-limits/src/lender.rs
@@ -64,6 +64,11 @@
         first.copied().or(known.then_some(own))
     }
 
+    /// Whether a question can be asked: a node is known to ask, and none is under way.
+    pub fn may_ask(&self) -> bool {
+        self.outstanding.is_none() && !self.candidates.is_empty()
+    }
+
     /// The question under way has had no answer in time. Returns whether its coordinator is passed over now.
     pub fn note_unanswered(&mut self, now: Time, options: &LimitOptions) -> bool {
         let Some(asked) = self.outstanding.take() else {
--- a/crates/stairward-limits/src/limiter.rs
+++ b/crates/stairward-limits/src/limiter.rs
@@ -152,12 +152,17 @@
                 .map(|asked| asked.at + self.options.patience);
             answer_due.unwrap_or(lending.renew_at)
         });
+        // Where a question is under way its answer, or that there is none, is what is waited for; where no node is
+        // known to ask, the view.
+        let may_ask = |tenant: &TenantName| {
+            let lending = self.lendings.get(&Shard::of(tenant));
+            lending.is_some_and(Lending::may_ask)
+        };
         let openings = self
             .allowances
-            .values()
-            .filter(|allowance| allowance.waiting > 0)
-            .map(|allowance| allowance.closed_until.max(allowance.quiet_until))
-            .filter(|at| *at > Time::ZERO);
+            .iter()
+            .filter(|(tenant, allowance)| allowance.waiting > 0 && may_ask(tenant))
+            .map(|(_, allowance)| allowance.closed_until.max(allowance.quiet_until));
         renewals.chain(openings).min()
     }
 
@@ -349,6 +354,8 @@
             return;
         }
         let Some(coordinator) = lending.coordinator(now, own) else {
+            // No node is known yet; the view's first change is heard of.
+            lending.renew_at = now + self.options.renewal;
             return;
         };
         self.last_sequence += 1;
@@ -390,17 +397,16 @@
             .outstanding
             .filter(|asked| asked.to == coordinator && asked.sequence == grant.sequence);
         let is_first = lending.note_answer(coordinator, grant.echo);
+        // One that comes late is of a question that was given up.
+        if let Some(asked) = asked {
+            let until = asked.at + self.options.grant_life;
+            for granted in grant.granted {
+                self.take_granted(now, until, granted);
+            }
+        }
         if is_first {
             // Now a loan can be dated: it is made at once.
-            lending.renew_at = now;
-        }
-        // One that comes late is of a question that was given up.
-        let Some(asked) = asked else {
-            return;
-        };
-        let until = asked.at + self.options.grant_life;
-        for granted in grant.granted {
-            self.take_granted(now, until, granted);
+            self.ask(now, grant.shard);
         }
     }
 
--- a/crates/stairward-limits/tests/limiter.rs
+++ b/crates/stairward-limits/tests/limiter.rs
@@ -227,3 +227,32 @@
     let admitted = (0..100).filter(|_| limiter.admit(later, &tenant()) == Admission::Admitted);
     assert_eq!(admitted.count(), 0);
 }
+
+/// A node that is woken at once again and again would spend its whole processor on nothing.
+#[test]
+fn after_each_wake_the_next_one_lies_ahead() {
+    let coordinator = other_coordinator();
+    let mut unknown = Limiter::new(LimitOptions::new(OWN, LIFE));
+    let limits = BTreeMap::from([(tenant(), limit(5, 5))]);
+    unknown.handle(Time::ZERO, Event::Limits(limits));
+    let known = limiter_at(Time::ZERO, &[OWN, coordinator]);
+    let alone = limiter_at(Time::ZERO, &[OWN]);
+    for mut limiter in [unknown, known, alone] {
+        let mut now = Time::from_millis(1);
+        for step in 0..2_000_u64 {
+            if step % 3 == 0 {
+                limiter.admit(now, &tenant());
+            }
+            limiter.handle(now, Event::Tick);
+            if let Some(ask) = asked(&mut limiter, coordinator)
+                && step % 5 > 0
+            {
+                limiter.handle(now, Event::Granted(coordinator, grant(&ask, 0, 1)));
+                limiter.handle(now, Event::Tick);
+            }
+            let wake = limiter.next_wake().expect("a renewal");
+            assert!(wake > now, "step {step}: {wake:?} at {now:?}");
+            now = wake.min(now + Duration::from_millis(25));
+        }
+    }
+}
--- a/crates/stairward-runtime/src/membership.rs
+++ b/crates/stairward-runtime/src/membership.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rand::rngs::StdRng;
-use stairward_engine::{RoutingTable, holder_count};
+use stairward_engine::{Holder, RoutingTable, holder_count};
 use stairward_membership::{
     Candidate, Effect, Event, HolderIndex, MemberChange, Profile, SwimConfig, SwimMember, Version,
     decode, encode,
@@ -167,6 +167,7 @@
     pub(crate) fn update_holders(self: &Rc<Self>, table: &RoutingTable) {
         let mut elsewhere: BTreeMap<ServiceName, Vec<NodeId>> = BTreeMap::new();
         let mut sources: BTreeMap<ServiceName, NodeId> = BTreeMap::new();
+        let mut places: BTreeMap<ServiceName, Vec<Holder>> = BTreeMap::new();
         {
             let members = self.members.borrow();
             let index = HolderIndex::new(members.iter().map(candidate));
@@ -177,12 +178,17 @@
                 if let Some(source) = self.lead_source(&distances, &holders) {
                     sources.insert(service.clone(), source);
                 }
-                if members.len() > count && !holders.contains(&self.peer.node) {
+                if members.len() <= count {
+                    continue;
+                }
+                places.insert(service.clone(), holder_places(&distances, &holders));
+                if !holders.contains(&self.peer.node) {
                     elsewhere.insert(service.clone(), self.by_nearness(&distances, holders));
                 }
             }
         }
         self.handle(stairward_engine::Event::LeadSources(sources));
+        self.handle(stairward_engine::Event::HolderPlaces(places));
         if *self.holders.borrow() != elsewhere {
             self.holders.borrow_mut().clone_from(&elsewhere);
             self.handle(stairward_engine::Event::Holders(elsewhere));
@@ -240,6 +246,18 @@
     }
 }
 
+fn holder_places(distances: &BTreeMap<NodeId, Distance>, holders: &[NodeId]) -> Vec<Holder> {
+    let holders = holders.iter();
+    holders
+        .map(|node| Holder {
+            node: *node,
+            is_near: distances
+                .get(node)
+                .is_some_and(|distance| *distance < Distance::Elsewhere),
+        })
+        .collect()
+}
+
 /// How far a node is from this one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Distance {
--- a/crates/stairward-runtime/src/socket.rs
+++ b/crates/stairward-runtime/src/socket.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Buf as _, BytesMut};
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::task::AbortHandle;
@@ -16,6 +16,12 @@
 const PENDING_LIMIT: usize = 4 * 1024 * 1024;
 /// Unacknowledged bytes for this long end a connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(4);
+/// A connection that carries nothing for this long is probed: one that has gone silent for good shows neither an end
+/// nor an error, and would be kept for ever.
+const KEEPALIVE_AFTER: Duration = Duration::from_secs(5);
+/// Pause between two probes, and how many without an answer end the connection.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_PROBES: u32 = 3;
 /// How long a closing connection is given to take its last bytes.
 const FLUSH_PATIENCE: Duration = Duration::from_secs(2);
 
@@ -33,7 +39,13 @@
     pub fn split(stream: TcpStream) -> (OwnedReadHalf, Rc<Self>) {
         // Without these the connection works, only less promptly.
         let _ = stream.set_nodelay(true);
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+        let socket = SockRef::from(&stream);
+        let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE_AFTER)
+            .with_interval(KEEPALIVE_INTERVAL)
+            .with_retries(KEEPALIVE_PROBES);
+        let _ = socket.set_tcp_keepalive(&keepalive);
         let (reading, writing) = stream.into_split();
         let outgoing = Self {
             stream: writing,
--- a/crates/stairward-simulation/src/checker.rs
+++ b/crates/stairward-simulation/src/checker.rs
@@ -32,6 +32,12 @@
     Leaving,
     /// A caller gets one answer a statement, and none besides.
     OneAnswer,
+    /// A statement runs on a connection that was opened for its own tenant.
+    OwnTenant,
+    /// No statement runs with a key that was withdrawn.
+    Key,
+    /// No tenant runs more operations than its limit allows.
+    Limit,
 }
 
 /// A violation.
@@ -137,6 +143,12 @@
         *self.checked.entry(invariant).or_default() += 1;
     }
 
+    /// The session and the operation that a statement is of.
+    pub fn asked_by(&self, statement: &str) -> Option<(u64, u64)> {
+        let asked = self.asked.get(statement)?;
+        Some((asked.session, asked.operation))
+    }
+
     /// A caller sent a statement.
     pub fn asked(&mut self, id: String, asked: Asked) {
         self.asked.insert(id, asked);
--- a/crates/stairward-simulation/src/database.rs
+++ b/crates/stairward-simulation/src/database.rs
@@ -6,7 +6,9 @@
     BackendCommand, BackendError, BackendErrorCode, BackendReply, PreparedStatement,
     TransactionStatus,
 };
-use stairward_types::{BackendId, BackendRole, Freshness, LogPosition, MemberStatus, Term, Time};
+use stairward_types::{
+    BackendId, BackendRole, Freshness, LogPosition, MemberStatus, TenantName, Term, Time,
+};
 
 /// The position of a log without an entry.
 const EMPTY_LOG: Freshness = Freshness::new(Term(1), LogPosition(0));
@@ -45,6 +47,8 @@
 /// What a connection holds.
 #[derive(Debug, Clone, Default)]
 pub struct ConnectionState {
+    /// The tenant that it was opened for.
+    pub tenant: Option<TenantName>,
     /// Values set on it.
     pub values: BTreeMap<String, String>,
     /// What is prepared on it.
--- a/crates/stairward-simulation/src/lib.rs
+++ b/crates/stairward-simulation/src/lib.rs
@@ -17,6 +17,7 @@
 mod options;
 mod queue;
 mod store;
+mod tenants;
 mod world;
 mod world_callers;
 mod world_databases;
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -6,12 +6,13 @@
 
 use stairward_engine::{
     BackendDescription, ConnectionId, Consistency, Engine, EngineOptions, Route, RoutingTable,
-    ServiceLimits, ZoneDistance,
+    ServiceLimits, TenantDirectory, ZoneDistance,
 };
 use stairward_failover::{
     FailoverDuty, FailoverOptions, GroupState, LEADERSHIP_LEASE, LeaderMemory, MemberState,
 };
-use stairward_types::{BackendId, GroupId, Revision, ServiceName, Time, ZoneName};
+use stairward_limits::LimitOptions;
+use stairward_types::{BackendId, GroupId, NodeId, Revision, ServiceName, Time, ZoneName};
 
 use crate::callers::DATABASES;
 use crate::group::service;
@@ -87,6 +88,10 @@
         let options = EngineOptions {
             distances: distances.collect(),
             leadership_lease: leases.engine,
+            limits: LimitOptions {
+                started: now,
+                ..LimitOptions::new(NodeId(u64::try_from(index).unwrap_or(0)), life)
+            },
             ..EngineOptions::default()
         };
         let failover = FailoverOptions {
@@ -141,6 +146,7 @@
     content: u64,
     connections: u32,
     synchronous_replicas: u32,
+    tenants: Option<TenantDirectory>,
 ) -> Arc<RoutingTable> {
     let route = |consistency| {
         Arc::new(Route {
@@ -173,7 +179,7 @@
         revision: Revision(revision),
         routes,
         services: BTreeMap::from([(service(), limits)]),
-        tenants: None,
+        tenants,
         transaction_idle_timeout: Duration::from_millis(3_000),
     })
 }
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -92,11 +92,17 @@
     LongLease,
     /// What a leader answers is passed on without a confirmation.
     Withhold,
+    /// Connections are opened for one tenant and used for all.
+    Tenant,
+    /// A key that was withdrawn is still known.
+    Key,
+    /// A coordinator grants whatever is asked for.
+    Limit,
 }
 
 impl BrokenVariant {
     /// All variants.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 18] = [
         Self::Floor,
         Self::LeaderProof,
         Self::Promise,
@@ -112,6 +118,9 @@
         Self::NoWait,
         Self::LongLease,
         Self::Withhold,
+        Self::Tenant,
+        Self::Key,
+        Self::Limit,
     ];
 }
 
@@ -140,6 +149,10 @@
     pub synchronous_replicas: u32,
     /// Whether an old primary goes on after another was promoted.
     pub old_primaries_go_on: bool,
+    /// Tenants that callers belong to, in turn; with 0 they are not told apart.
+    pub tenants: u64,
+    /// Operations a second that each tenant may run, and as many at once; none where that is not limited.
+    pub tenant_rate: Option<u64>,
     /// A deliberate damage.
     pub broken: Option<BrokenVariant>,
 }
@@ -160,6 +173,8 @@
             connections: 40,
             synchronous_replicas: 0,
             old_primaries_go_on: false,
+            tenants: 0,
+            tenant_rate: None,
             broken: None,
         }
     }
--- /dev/null
+++ b/crates/stairward-simulation/src/tenants.rs
@@ -0,0 +1,178 @@
+//! Tenants of a run: whose statements run where, with which keys, and how many operations.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use stairward_engine::{Event, Tenant, TenantDirectory};
+use stairward_limits::RateLimit;
+use stairward_types::{ApiKey, NodeId, TenantName, Time};
+
+use crate::checker::Invariant;
+use crate::options::{BrokenVariant, Options};
+use crate::world::{CONFIGURATION_LIMIT, CONTACT, World};
+
+/// A key is withdrawn by the configuration that comes so many after the one that brought it.
+const KEY_LIFE: u64 = 2;
+/// How long after the bound of a configuration a statement that was sent before it may still run.
+const STATEMENT_TIME: Duration = Duration::from_millis(1_000);
+/// The window in which operations are counted.
+const WINDOW: Duration = Duration::from_secs(5);
+/// How much later than its admission an operation may run: the life of a grant and a statement's time.
+const ADMISSION_LEAD: Duration = Duration::from_millis(500 + 800);
+/// How much faster than the checker's a clock may run.
+const CLOCK_SPEED: f64 = 1.05;
+
+/// Whose session it is.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Owner {
+    pub tenant: u64,
+    /// The configuration that brought its key.
+    pub generation: u64,
+    pub node: (usize, u64),
+}
+
+/// What the checks of tenants need to remember.
+#[derive(Debug, Default)]
+pub(crate) struct TenantHistory {
+    /// Sessions by number.
+    pub owners: BTreeMap<u64, Owner>,
+    /// When each configuration was acknowledged.
+    pub acknowledged: BTreeMap<u64, Time>,
+    /// Operations that have run, by session and number.
+    seen: BTreeSet<(u64, u64)>,
+    /// When operations of each tenant first ran.
+    operations: BTreeMap<u64, Vec<Time>>,
+}
+
+/// A tenant's name.
+pub(crate) fn tenant_name(tenant: u64) -> TenantName {
+    TenantName::new(format!("tenant-{tenant}")).expect("a name")
+}
+
+/// The key that a configuration brings for a tenant.
+pub(crate) fn key_of(tenant: u64, generation: u64) -> ApiKey {
+    ApiKey::new(format!("key-{tenant}-{generation}"))
+}
+
+/// The tenants of a configuration; none where a run has no tenants.
+pub(crate) fn directory(options: &Options, content: u64) -> Option<TenantDirectory> {
+    if options.tenants == 0 {
+        return None;
+    }
+    let oldest = if options.broken == Some(BrokenVariant::Key) {
+        0
+    } else {
+        (content + 1).saturating_sub(KEY_LIFE)
+    };
+    let limit = options.tenant_rate.map(|rate| RateLimit {
+        rate_thousandths: rate * 1_000,
+        burst_thousandths: rate * 1_000,
+    });
+    let tenants = (0..options.tenants).map(|tenant| Tenant {
+        name: tenant_name(tenant),
+        keys: (oldest..=content)
+            .map(|generation| key_of(tenant, generation))
+            .collect(),
+        limit,
+    });
+    Some(TenantDirectory::new(tenants))
+}
+
+impl World {
+    /// Tells a node which others live, and how many there are on record.
+    pub(crate) fn show_members(&mut self, node: usize, life: u64) {
+        if self.options.tenants == 0 {
+            return;
+        }
+        let running = self.nodes.iter().enumerate();
+        let live = running
+            .filter(|(_, other)| other.is_running)
+            .map(|(index, _)| NodeId(u64::try_from(index).unwrap_or(0)))
+            .collect();
+        self.tell_engine(node, life, Event::FleetRecorded(self.options.nodes));
+        let members = Event::Members {
+            live,
+            leaving: BTreeSet::new(),
+        };
+        self.tell_engine(node, life, members);
+    }
+
+    /// Checks a statement that a database has run on a connection that was opened for a tenant.
+    pub(crate) fn check_tenant(&mut self, statement: &str, opened_for: Option<&TenantName>) {
+        if self.options.tenants == 0 {
+            return;
+        }
+        let Some((session, operation)) = self.checker.asked_by(statement) else {
+            return;
+        };
+        let Some(owner) = self.tenants.owners.get(&session).copied() else {
+            return;
+        };
+        let now = self.now();
+        self.checker.count(Invariant::OwnTenant);
+        if opened_for != Some(&tenant_name(owner.tenant)) {
+            let text = format!(
+                "{statement} of tenant {} ran for {opened_for:?}",
+                owner.tenant
+            );
+            self.checker.violate(now, Invariant::OwnTenant, text);
+        }
+        self.check_key(now, statement, owner);
+        if self.tenants.seen.insert((session, operation)) {
+            let operations = self.tenants.operations.entry(owner.tenant).or_default();
+            operations.push(now);
+        }
+    }
+
+    /// No statement runs with a key that was withdrawn, where its client's node is in touch.
+    fn check_key(&mut self, now: Time, statement: &str, owner: Owner) {
+        let withdrawn = owner.generation + KEY_LIFE;
+        let Some(since) = self.tenants.acknowledged.get(&withdrawn).copied() else {
+            return;
+        };
+        self.checker.count(Invariant::Key);
+        let (index, life) = owner.node;
+        let node = &self.nodes[index];
+        let is_in_touch = node.life == life
+            && node.in_touch_since <= since
+            && now >= node.in_touch_since + CONTACT
+            && !self.store.is_down;
+        if is_in_touch && now > since + CONFIGURATION_LIMIT + STATEMENT_TIME {
+            let text = format!("{statement} ran with a key that was withdrawn at {since:?}");
+            self.checker.violate(now, Invariant::Key, text);
+        }
+    }
+
+    /// Counts each tenant's operations in every window.
+    pub(crate) fn check_limits(&mut self) {
+        let Some(rate) = self.options.tenant_rate else {
+            return;
+        };
+        #[allow(clippy::cast_precision_loss, reason = "a small number")]
+        let rate = rate as f64;
+        let seconds = (WINDOW + ADMISSION_LEAD).as_secs_f64();
+        let bound = rate * seconds * CLOCK_SPEED + rate;
+        for (tenant, times) in std::mem::take(&mut self.tenants.operations) {
+            self.checker.count(Invariant::Limit);
+            let most = most_in_window(&times);
+            #[allow(clippy::cast_precision_loss, reason = "a count of a short run")]
+            let is_over = most as f64 > bound;
+            if is_over {
+                let text = format!("{most} operations of tenant {tenant}, allowed {bound}");
+                let now = self.now();
+                self.checker.violate(now, Invariant::Limit, text);
+            }
+        }
+    }
+}
+
+fn most_in_window(times: &[Time]) -> usize {
+    let mut first = 0;
+    let counts = times.iter().enumerate().map(|(last, at)| {
+        while *at >= times[first] + WINDOW {
+            first += 1;
+        }
+        last + 1 - first
+    });
+    counts.max().unwrap_or(0)
+}
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -8,7 +8,7 @@
 use stairward_engine::{BackendCommand, ConnectionId, Event, Response};
 use stairward_failover::{DutyRecord, Event as DutyEvent, RecordVersion, Via};
 use stairward_limits::Ask;
-use stairward_types::{BackendId, Freshness, NodeId, Term, Time};
+use stairward_types::{BackendId, Freshness, NodeId, TenantName, Term, Time};
 
 use crate::callers::Caller;
 use crate::checker::{Checker, Invariant, Violation};
@@ -18,6 +18,7 @@
 use crate::options::Options;
 use crate::queue::Queue;
 use crate::store::Store;
+use crate::tenants::TenantHistory;
 
 /// One way between a caller and a node.
 pub(crate) const CALLER_DELAY: Duration = Duration::from_millis(3);
@@ -66,7 +67,7 @@
     DutyTimer(usize, u64),
     PollStore(usize, u64),
     ShowStore(usize, u64),
-    OpenAt(usize, u64, ConnectionId, BackendId),
+    OpenAt(usize, u64, ConnectionId, BackendId, Option<TenantName>),
     CommandAt(usize, Link, BackendId, BackendCommand),
     CloseAt(Link, BackendId),
     RecordAt(usize, u64, RecordVersion, DutyRecord),
@@ -131,6 +132,7 @@
     pub nodes: Vec<Node>,
     pub group: Group,
     pub store: Store,
+    pub tenants: TenantHistory,
     pub checker: Checker,
     pub callers: Vec<Caller>,
     pub guests: crate::guests::Guests,
@@ -183,6 +185,7 @@
                 ..Store::default()
             },
             checker: Checker::new(STALENESS),
+            tenants: TenantHistory::default(),
             callers: callers.collect(),
             guests: crate::guests::Guests::default(),
             cuts: BTreeSet::new(),
@@ -271,8 +274,8 @@
             }
             Happening::PollStore(node, life) => self.poll_store(node, life),
             Happening::ShowStore(node, life) => self.show_store(node, life),
-            Happening::OpenAt(node, life, connection, backend) => {
-                self.open_at(node, life, connection, &backend);
+            Happening::OpenAt(node, life, connection, backend, tenant) => {
+                self.open_at(node, life, connection, &backend, tenant);
             }
             Happening::CommandAt(node, link, backend, command) => {
                 self.command_at(node, link, &backend, &command);
@@ -328,7 +331,10 @@
             Happening::CheckConfiguration(revision, since) => {
                 self.check_configuration(revision, since);
             }
-            Happening::End => self.is_over = true,
+            Happening::End => {
+                self.check_limits();
+                self.is_over = true;
+            }
         }
     }
 
--- a/crates/stairward-simulation/src/world_callers.rs
+++ b/crates/stairward-simulation/src/world_callers.rs
@@ -2,11 +2,12 @@
 
 use rand::RngExt as _;
 use stairward_engine::{Event, Response, SessionId};
-use stairward_types::{BackendId, BackendRole, GroupId, Time};
+use stairward_types::{ApiKey, BackendId, BackendRole, GroupId, Time};
 
 use crate::callers::{Caller, DATABASES, Step};
 use crate::checker::Invariant;
 use crate::nodes::{Leases, Node};
+use crate::tenants::{Owner, key_of};
 use crate::world::{
     CALLER_DELAY, CALLER_PATIENCE, CONFIGURATION_LIMIT, CONTACT, Happening, STORE_DELAY, World,
 };
@@ -77,15 +78,32 @@
         let database = self.random.random_range(0..DATABASES.len());
         self.sessions += 1;
         self.callers[index].connected(self.sessions, node, database);
+        let key = self.own_session(index, node);
         let event = Event::SessionOpened {
             session: SessionId(self.sessions),
             database: GroupId::new(DATABASES[database].0).expect("a name"),
-            key: None,
+            key,
         };
         let event = Happening::Engine(node.0, node.1, Box::new(event));
         self.queue.plan(CALLER_DELAY, event);
     }
 
+    /// Notes whose session a caller's new one is; its key is the newest one.
+    fn own_session(&mut self, index: usize, node: (usize, u64)) -> Option<ApiKey> {
+        if self.options.tenants == 0 {
+            return None;
+        }
+        let tenant = self.callers[index].number % self.options.tenants;
+        let generation = self.store.configuration;
+        let owner = Owner {
+            tenant,
+            generation,
+            node,
+        };
+        self.tenants.owners.insert(self.sessions, owner);
+        Some(key_of(tenant, generation))
+    }
+
     /// A caller closes its session.
     pub(crate) fn leave(&mut self, index: usize) {
         let session = SessionId(self.callers[index].session);
@@ -216,6 +234,7 @@
     pub(crate) fn change_configuration(&mut self) {
         self.store.configuration += 1;
         let (revision, now) = (self.store.configuration, self.now());
+        self.tenants.acknowledged.insert(revision, now);
         self.push_to_all();
         let check = Happening::CheckConfiguration(revision, now);
         self.queue.plan(CONFIGURATION_LIMIT, check);
--- a/crates/stairward-simulation/src/world_databases.rs
+++ b/crates/stairward-simulation/src/world_databases.rs
@@ -5,10 +5,10 @@
 use rand::RngExt as _;
 use stairward_engine::{BackendCommand, ConnectionId, Event, OpenFailure};
 use stairward_failover::{Event as DutyEvent, MemberStatus, Reach, Via};
-use stairward_types::{BackendId, BackendRole, Time};
+use stairward_types::{BackendId, BackendRole, TenantName, Time};
 
 use crate::checker::Invariant;
-use crate::database::Link;
+use crate::database::{ConnectionState, Link};
 use crate::options::BrokenVariant;
 use crate::world::{
     CONTACT, DRAIN_LIMIT, FAR_DELAY, Happening, NEAR_DELAY, Question, REPLICATION_TICK, USUAL_LAG,
@@ -47,6 +47,7 @@
         life: u64,
         connection: ConnectionId,
         backend: &BackendId,
+        tenant: Option<TenantName>,
     ) {
         if !self.is_running(node, life) {
             return;
@@ -75,7 +76,11 @@
                 failure: OpenFailure::ConnectionLimit,
             }
         } else {
-            database.connections.insert(link, Default::default());
+            let state = ConnectionState {
+                tenant,
+                ..ConnectionState::default()
+            };
+            database.connections.insert(link, state);
             Event::ConnectionOpened {
                 connection,
                 position: Some(database.position()),
@@ -112,6 +117,9 @@
         }
         if let Some(ran) = &outcome.ran {
             self.checker.ran(now, database, ran);
+            let state = database.connections.get(&link);
+            let opened_for = state.and_then(|state| state.tenant.clone());
+            self.check_tenant(&ran.id, opened_for.as_ref());
         }
         let is_lost =
             outcome.ran.is_some() && self.random.random_range(0..100) < self.answer_loss_percent;
--- a/crates/stairward-simulation/src/world_nodes.rs
+++ b/crates/stairward-simulation/src/world_nodes.rs
@@ -14,6 +14,7 @@
 use crate::database::Link;
 use crate::nodes::content_of;
 use crate::options::BrokenVariant;
+use crate::tenants::tenant_name;
 use crate::world::{CALLER_DELAY, FAR_DELAY, Happening, MULTIPLEX_ONE_IN, NEAR_DELAY, World};
 
 impl World {
@@ -141,7 +142,11 @@
                 self.nodes[index]
                     .connections
                     .insert(connection, target.backend.clone());
-                let open = Happening::OpenAt(index, life, connection, target.backend);
+                let tenant = match self.options.broken {
+                    Some(BrokenVariant::Tenant) => target.tenant.map(|_| tenant_name(0)),
+                    _ => target.tenant,
+                };
+                let open = Happening::OpenAt(index, life, connection, target.backend, tenant);
                 self.queue.plan(delay, open);
             }
             Effect::Send {
@@ -175,7 +180,13 @@
         let Some(answering) = self.nodes.get_mut(peer).filter(|peer| peer.is_running) else {
             return;
         };
-        let grant = answering.engine.answer_limit(now, asking, ask);
+        let mut grant = answering.engine.answer_limit(now, asking, ask);
+        if self.options.broken == Some(BrokenVariant::Limit) {
+            for (granted, want) in grant.granted.iter_mut().zip(&ask.wants) {
+                granted.count = want.waiting + want.ahead;
+                granted.unmet = 0;
+            }
+        }
         let granted = Event::LimitGranted(coordinator, grant);
         let granted = Happening::Engine(node, life, Box::new(granted));
         self.queue.plan(FAR_DELAY, granted);
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -12,6 +12,7 @@
 
 use crate::nodes::{node_name, routing_table};
 use crate::options::BrokenVariant;
+use crate::tenants::directory;
 use crate::world::{
     FAR_DELAY, Happening, PROMOTION_TIME, Question, STORE_DELAY, STORE_POLL, World,
 };
@@ -58,7 +59,9 @@
             content,
             self.options.connections,
             self.options.synchronous_replicas,
+            directory(&self.options, content),
         );
+        self.show_members(node, life);
         self.tell_engine(node, life, Event::Configured(table));
         let list: Vec<_> = self.group.listed.values().cloned().collect();
         self.tell_engine(node, life, Event::Backends(list.clone()));
--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -64,6 +64,43 @@
     }
 }
 
+/// A run whose callers belong to more tenants than a node holds connections to a database.
+fn with_tenants(options: Options) -> Options {
+    Options {
+        tenants: 7,
+        connections: 20,
+        ..options
+    }
+}
+
+/// A run whose tenants want more than their limits allow.
+fn with_limits(options: Options) -> Options {
+    Options {
+        tenant_rate: Some(6),
+        ..with_tenants(options)
+    }
+}
+
+#[test]
+fn everything_holds_where_connections_belong_to_tenants() {
+    for seed in SEEDS {
+        let report = assert_holds(&with_tenants(Options::new(seed)));
+        assert!(report.succeeded > report.failed, "seed {seed}");
+        assert!(report.checked[&Invariant::OwnTenant] > 0);
+    }
+}
+
+#[test]
+fn everything_holds_where_tenants_of_forwarding_nodes_are_limited() {
+    for seed in SEEDS {
+        let report = assert_holds(&Options {
+            connections: TWO_HOLDERS,
+            ..with_limits(Options::new(seed))
+        });
+        assert!(report.checked[&Invariant::Limit] > 0);
+    }
+}
+
 /// A run before databases whose old primaries go on after another was promoted.
 fn with_old_primaries(seed: u64) -> Options {
     Options {
@@ -226,6 +263,8 @@
             FaultKind::ReplicaDeaf,
             FaultKind::StoreCut,
         ],
+        BrokenVariant::Key => vec![FaultKind::ConfigurationChange],
+        BrokenVariant::Tenant | BrokenVariant::Limit => Vec::new(),
         _ => FaultKind::ALL.to_vec(),
     }
 }
@@ -246,6 +285,9 @@
         | BrokenVariant::NoWait
         | BrokenVariant::LongLease
         | BrokenVariant::Withhold => Invariant::OneLeader,
+        BrokenVariant::Tenant => Invariant::OwnTenant,
+        BrokenVariant::Key => Invariant::Key,
+        BrokenVariant::Limit => Invariant::Limit,
     }
 }
 
@@ -259,6 +301,11 @@
         old_primaries_go_on: caught_by(variant) == Invariant::OneLeader,
         ..Options::new(seed)
     };
+    let options = match variant {
+        BrokenVariant::Tenant | BrokenVariant::Key => with_tenants(options),
+        BrokenVariant::Limit => with_limits(options),
+        _ => options,
+    };
     let is_rare = matches!(
         variant,
         BrokenVariant::LeaderProof
