--- a/crates/stairward-failover/tests/reviews.rs
+++ b/crates/stairward-failover/tests/reviews.rs
@@ -63,11 +63,11 @@
         3 => Event::Evidence(backend, LeaderEvidence::Refused),
         4 => Event::Evidence(backend, LeaderEvidence::Answered),
         5 => Event::Suspicion(NodeId(u64::from(second % 4)), BTreeSet::from([backend])),
-        6 => Event::Lead(service(first), second % 2 == 0),
+        6 => Event::Lead(service(first), second.is_multiple_of(2)),
         7 => {
             let record = (
                 RecordVersion(token),
-                record_of(if second % 3 == 0 { "b" } else { "a" }),
+                record_of(if second.is_multiple_of(3) { "b" } else { "a" }),
             );
             Event::Records(BTreeMap::from([(service(first), record)]))
         }
