--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -67,7 +67,7 @@
     RequestRetried = 204, Debug;
     /// A read without an answer was also sent to another back end.
     RequestHedged = 205, Debug;
-    /// A session was refused or ended since its key is not known, or no longer.
+    /// A session was refused since its key is missing, not known, or withdrawn.
     KeyRefused = 206, Warn;
 
     /// A connection to another node was made.
