--- a/crates/stairward-engine/src/admission.rs
+++ b/crates/stairward-engine/src/admission.rs
@@ -41,11 +41,11 @@
             return;
         };
         request.stage = Stage::Admission;
-        let key = waiting_key(id, request);
+        let key = WaitingKey::of(id, request);
         self.admissions.entry(tenant).or_default().insert(key);
     }
 
-    pub(crate) fn refuse_over_limit(&mut self, now: Time, id: SessionId, retry_after: Duration) {
+    fn refuse_over_limit(&mut self, now: Time, id: SessionId, retry_after: Duration) {
         self.refuse(now, id, ResultCode::LimitReached, Some(retry_after));
     }
 
@@ -85,7 +85,7 @@
         let Some(tenant) = tenant.filter(|_| request.stage == Stage::Admission) else {
             return;
         };
-        let key = waiting_key(id, request);
+        let key = WaitingKey::of(id, request);
         let Some(queue) = self.admissions.get_mut(tenant) else {
             return;
         };
@@ -166,11 +166,3 @@
         self.limits.answer(now, node, ask)
     }
 }
-
-fn waiting_key(id: SessionId, request: &Request) -> WaitingKey {
-    WaitingKey {
-        priority: request.route.priority,
-        received: request.received,
-        session: id,
-    }
-}
--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -17,7 +17,7 @@
 use crate::pending::PendingSession;
 use crate::placement::Holder;
 use crate::relay::holder_count;
-use crate::session::Session;
+use crate::session::{Request, Session};
 use crate::settings::{BackendDescription, EngineOptions, RoutingTable};
 use crate::stopping::Stop;
 use crate::tenants::TenantDirectory;
@@ -55,6 +55,17 @@
     pub session: SessionId,
 }
 
+impl WaitingKey {
+    /// The place of a session's request.
+    pub fn of(session: SessionId, request: &Request) -> Self {
+        Self {
+            priority: request.route.priority,
+            received: request.received,
+            session,
+        }
+    }
+}
+
 /// The engine of one node.
 #[derive(Debug)]
 pub struct Engine {
--- a/crates/stairward-engine/src/requests.rs
+++ b/crates/stairward-engine/src/requests.rs
@@ -5,7 +5,7 @@
 use stairward_types::{AccessClass, BackendId, Freshness, OutcomeClass, ResultCode, Time};
 
 use crate::connection::{SentStep, User, step_of};
-use crate::engine::Engine;
+use crate::engine::{Engine, WaitingKey};
 use crate::event::{BackendCommand, Decision, Effect, Evidence, RequestMeasure, RequestRecord};
 use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
 use crate::reply::{Response, ResponseResult};
@@ -469,11 +469,7 @@
     }
 
     fn remove_from_queue(&mut self, id: SessionId, request: &Request) {
-        let key = crate::engine::WaitingKey {
-            priority: request.route.priority,
-            received: request.received,
-            session: id,
-        };
+        let key = WaitingKey::of(id, request);
         if let Some(queue) = self.waiting.get_mut(&request.route.service) {
             queue.remove(&key);
         }
--- a/crates/stairward-engine/src/waiting.rs
+++ b/crates/stairward-engine/src/waiting.rs
@@ -114,11 +114,7 @@
             return;
         };
         request.waits_for = reason;
-        let key = WaitingKey {
-            priority: request.route.priority,
-            received: request.received,
-            session: id,
-        };
+        let key = WaitingKey::of(id, request);
         let is_over = now >= request.hold_ends;
         let queue = self
             .waiting
@@ -136,11 +132,7 @@
         let Some(request) = self.sessions.get(&id).and_then(|s| s.request.as_ref()) else {
             return;
         };
-        let key = WaitingKey {
-            priority: request.route.priority,
-            received: request.received,
-            session: id,
-        };
+        let key = WaitingKey::of(id, request);
         if let Some(queue) = self.waiting.get_mut(&request.route.service) {
             queue.remove(&key);
         }
--- a/crates/stairward-limits/src/coordinator.rs
+++ b/crates/stairward-limits/src/coordinator.rs
@@ -132,13 +132,6 @@
             .map(|want| book.grant(now, want, limits.get(&want.tenant).copied()))
             .collect()
     }
-
-    /// The part of a shard that is lent at the moment; for figures.
-    pub fn fraction(&self, shard: Shard) -> f64 {
-        self.books
-            .get(&shard)
-            .map_or(0.0, |book| book.shares.fraction())
-    }
 }
 
 impl Book {
--- a/crates/stairward-limits/src/limiter.rs
+++ b/crates/stairward-limits/src/limiter.rs
@@ -247,12 +247,6 @@
         }
     }
 
-    /// The part of a shard that is lent to this node at the moment.
-    #[must_use]
-    pub fn lent_fraction(&self, shard: Shard) -> f64 {
-        self.coordinator.fraction(shard)
-    }
-
     fn note_members(&mut self, now: Time, live: &BTreeSet<NodeId>, leaving: &BTreeSet<NodeId>) {
         self.fleet.note(now, live, leaving, self.options.memory);
         let nodes: Vec<NodeId> = if self.options.lends {
