--- a/crates/stairward-engine/src/backend.rs
+++ b/crates/stairward-engine/src/backend.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use stairward_types::{Freshness, Term, Time};
+use stairward_types::{Freshness, RegionName, Term, Time};
 
 use crate::identifiers::ConnectionId;
 use crate::settings::{BackendDescription, ZoneDistance};
+use crate::warm_up::WarmUp;
 
 /// Weight of a new sample of a read's latency, as a divisor.
 const SAMPLE_WEIGHT: u64 = 8;
@@ -33,11 +34,26 @@
 /// Pause after a back end had too many connections.
 const CONNECTION_LIMIT_PAUSE: Duration = Duration::from_millis(400);
 
+/// For how long back ends that are to be left may still be used.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct UseLimits {
+    /// From when one began to leave.
+    pub leaving: Duration,
+    /// From when its zone's evacuation was heard of.
+    pub evacuation: Duration,
+}
+
 /// One back end.
 #[derive(Debug)]
 pub(crate) struct Backend {
     pub description: BackendDescription,
     pub distance: ZoneDistance,
+    /// The region that it runs in, where its zone is known.
+    pub region: Option<RegionName>,
+    /// Since when its zone has been evacuated.
+    pub evacuated_since: Option<Time>,
+    /// What it may get while it is cold.
+    pub warm_up: WarmUp,
     /// Since when it has been leaving or gone from discovery.
     pub leaving_since: Option<Time>,
     /// Whether discovery still lists it.
@@ -63,10 +79,17 @@
 }
 
 impl Backend {
-    pub fn new(description: BackendDescription, distance: ZoneDistance) -> Self {
+    pub fn new(
+        description: BackendDescription,
+        distance: ZoneDistance,
+        region: Option<RegionName>,
+    ) -> Self {
         let mut backend = Self {
             description,
             distance,
+            region,
+            evacuated_since: None,
+            warm_up: WarmUp::default(),
             leaving_since: None,
             is_listed: true,
             connections: BTreeSet::new(),
@@ -95,14 +118,16 @@
     }
 
     /// Whether new work may still be sent to it.
-    pub fn may_be_used(&self, now: Time, leaving_limit: Duration) -> bool {
-        self.leaving_since
-            .is_none_or(|since| now < since + leaving_limit)
+    pub fn may_be_used(&self, now: Time, limits: UseLimits) -> bool {
+        let is_before =
+            |since: Option<Time>, limit: Duration| since.is_none_or(|since| now < since + limit);
+        is_before(self.leaving_since, limits.leaving)
+            && is_before(self.evacuated_since, limits.evacuation)
     }
 
     /// Whether it is here to stay and answers.
     pub fn is_healthy(&self) -> bool {
-        self.leaving_since.is_none() && !self.is_silent
+        self.leaving_since.is_none() && self.evacuated_since.is_none() && !self.is_silent
     }
 
     /// Notes how long a read took.
--- a/crates/stairward-engine/src/choice.rs
+++ b/crates/stairward-engine/src/choice.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use stairward_types::{BackendId, BackendRole, Freshness, ServiceName, TenantName, Time};
+use stairward_types::{
+    BackendId, BackendRole, Freshness, ResultCode, ServiceName, TenantName, Time,
+};
 
 use crate::backend::Backend;
 use crate::connection::Connection;
@@ -20,6 +22,10 @@
 /// How long an opening may take before its back end counts as silent.
 const OPENING_SILENCE: Duration = Duration::from_millis(700);
 
+/// When a client should come back whose leader is in another region than its work is allowed in: it is moved, in
+/// about the time of a planned replacement.
+const RETRY_LEADER_ELSEWHERE: Duration = Duration::from_millis(500);
+
 /// What the choice came to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Choice {
@@ -29,6 +35,8 @@
     Wait(WaitReason),
     /// Every back end that could have taken it has refused it.
     Exhausted,
+    /// It can't be served here or now, and waiting would not help.
+    Refuse(ResultCode, Option<Duration>),
 }
 
 /// Whether a connection may be opened where none that is idle suits.
@@ -94,14 +102,14 @@
     /// one that was announced last.
     pub(crate) fn leader(&self, now: Time, service: &ServiceName) -> Option<BackendId> {
         let group = self.groups.get(service)?;
-        let limit = self.options.leaving_limit;
+        let limits = self.use_limits();
         let candidates = group.members.iter().filter_map(|id| {
             let backend = self.backends.get(id)?;
             let description = &backend.description;
             let is_denied = group.denied.get(id) == Some(&description.revision);
             let may_lead = description.role == BackendRole::Primary
                 && !is_denied
-                && backend.may_be_used(now, limit);
+                && backend.may_be_used(now, limits);
             may_lead.then_some((backend.is_listed, description.revision, id))
         });
         candidates.max().map(|(_, _, id)| id.clone())
@@ -122,7 +130,7 @@
             opening,
         };
         if request.need.is_leader_only() {
-            return self.choose_leader(now, service, &wanted);
+            return self.choose_leader(now, request, &wanted);
         }
         let staleness = request.route.consistency.staleness().unwrap_or_default();
         let own = session.commits.get(service).copied();
@@ -137,7 +145,8 @@
         self.choose_copy(now, request, floor, &wanted)
     }
 
-    fn choose_leader(&mut self, now: Time, service: &ServiceName, wanted: &Wanted<'_>) -> Choice {
+    fn choose_leader(&mut self, now: Time, request: &Request, wanted: &Wanted<'_>) -> Choice {
+        let service = &request.route.service;
         let Some(leader) = self.leader(now, service) else {
             return Choice::Wait(WaitReason::NoLeader);
         };
@@ -154,6 +163,13 @@
             self.keep_proof_fresh(now, service, Duration::ZERO);
             return Choice::Wait(WaitReason::NoLeader);
         }
+        if !self.is_allowed_at(request, &leader) {
+            let retry_after = Some(RETRY_LEADER_ELSEWHERE);
+            return Choice::Refuse(ResultCode::LeaderOutsideRegion, retry_after);
+        }
+        if let Err(choice) = self.check_room(now, &leader, request) {
+            return choice;
+        }
         match self.connection_to(now, &leader, wanted) {
             Some(connection) => Choice::Use(connection, None),
             None => Choice::Wait(WaitReason::NoConnection),
@@ -167,10 +183,13 @@
         floor: Freshness,
         wanted: &Wanted<'_>,
     ) -> Choice {
-        let candidates = self.copies(now, &request.route.service, floor, wanted.suitable);
+        let mut candidates = self.copies(now, request, floor, wanted.suitable);
         if candidates.is_empty() {
             return Choice::Wait(WaitReason::NoBackend);
         }
+        if let Err(choice) = self.leave_out_cold(now, &mut candidates, request) {
+            return choice;
+        }
         let mut reason = None;
         for id in candidates {
             if request.tried.contains(&id) {
@@ -200,20 +219,21 @@
     fn copies(
         &self,
         now: Time,
-        service: &ServiceName,
+        request: &Request,
         floor: Freshness,
         suitable: Suitable<'_>,
     ) -> Vec<BackendId> {
-        let Some(group) = self.groups.get(service) else {
+        let Some(group) = self.groups.get(&request.route.service) else {
             return Vec::new();
         };
-        let limit = self.options.leaving_limit;
+        let limits = self.use_limits();
         let mut copies: Vec<_> = group
             .members
             .iter()
             .filter_map(|id| {
                 let backend = self.backends.get(id)?;
-                let may_be_used = backend.may_be_used(now, limit);
+                let may_be_used = backend.may_be_used(now, limits)
+                    && request.residency.allows(backend.region.as_ref());
                 // Without tenants nearly every connection suits, and one is soon idle.
                 let is_connected = suitable.tenant().is_none()
                     || self
@@ -227,6 +247,12 @@
         copies.into_iter().map(|(_, _, id)| id.clone()).collect()
     }
 
+    /// Whether a request may run at a back end, where it is.
+    fn is_allowed_at(&self, request: &Request, id: &BackendId) -> bool {
+        let backend = self.backends.get(id);
+        backend.is_some_and(|backend| request.residency.allows(backend.region.as_ref()))
+    }
+
     /// An idle connection to a back end, best suited to the values. Opens one when there is none and that may be
     /// done.
     pub(crate) fn connection_to(
--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use stairward_limits::{Event as LimitEvent, Limiter};
-use stairward_types::{BackendId, NodeId, ServiceName, TenantName, Time};
+use stairward_types::{BackendId, NodeId, RegionName, ServiceName, TenantName, Time};
 
-use crate::backend::Backend;
+use crate::backend::{Backend, UseLimits};
 use crate::connection::Connection;
+use crate::evacuation::Evacuations;
 use crate::event::{Effect, Event, Evidence};
 use crate::group::Group;
 use crate::holder_watch::HolderWatch;
@@ -89,6 +90,11 @@
     /// Which node of the region is asked first about each service's lead; none where this node asks itself.
     pub(crate) lead_sources: BTreeMap<ServiceName, NodeId>,
     pub(crate) holder_watches: BTreeMap<NodeId, HolderWatch>,
+    /// The region of each node.
+    pub(crate) node_regions: BTreeMap<NodeId, RegionName>,
+    /// The node that ranks first as holder of each service: the one that sends to its cold back ends.
+    pub(crate) first_holders: BTreeMap<ServiceName, NodeId>,
+    pub(crate) evacuations: Evacuations,
     pub(crate) stop: Option<Stop>,
     pub(crate) limits: Limiter,
     /// Requests that wait for their tenant's limit to have room.
@@ -120,6 +126,9 @@
             places: BTreeMap::new(),
             lead_sources: BTreeMap::new(),
             holder_watches: BTreeMap::new(),
+            node_regions: BTreeMap::new(),
+            first_holders: BTreeMap::new(),
+            evacuations: Evacuations::default(),
             stop: None,
             limits,
             admissions: BTreeMap::new(),
@@ -197,6 +206,9 @@
             Event::Nodes(nodes) => self.note_nodes(now, nodes),
             Event::Holders(holders) => self.set_holders(holders),
             Event::HolderPlaces(places) => self.places = places,
+            Event::FirstHolders(first) => self.first_holders = first,
+            Event::NodeRegions(regions) => self.node_regions = regions,
+            Event::Evacuated(zones) => self.set_evacuated(now, &zones),
             Event::Forwarded { session, forwarded } => {
                 self.take_forwarded(now, session, *forwarded);
             }
@@ -259,6 +271,8 @@
                 }
                 Timer::PendingSession(session) => self.pending_session_due(session),
                 Timer::Lead(service) => self.lead_due(now, &service),
+                Timer::Warm(backend) => self.warm_up_due(now, &backend),
+                Timer::Evacuation => self.end_work_in_evacuated(now),
                 Timer::Backends => self.review_backends(now),
                 Timer::Stop => self.continue_stop(now),
             }
@@ -330,11 +344,15 @@
             .members
             .insert(id.clone());
         let distance = self.options.distance(&description.zone);
+        let region = self.options.regions.get(&description.zone).cloned();
+        let evacuated_since = self.evacuations.since(&description.zone);
         let is_leaving = description.is_leaving;
+        let is_new = self.backends.get(&id).is_none_or(|known| !known.is_listed);
         let backend = self
             .backends
-            .entry(id)
-            .or_insert_with(|| Backend::new(description.clone(), distance));
+            .entry(id.clone())
+            .or_insert_with(|| Backend::new(description.clone(), distance, region));
+        backend.evacuated_since = evacuated_since;
         let has_moved = backend.description.address != description.address;
         backend.description = description;
         backend.is_listed = true;
@@ -352,6 +370,15 @@
                 self.close_connection(connection);
             }
         }
+        self.note_cold(now, &id, is_new);
+    }
+
+    /// For how long back ends that are to be left may still be used.
+    pub(crate) const fn use_limits(&self) -> UseLimits {
+        UseLimits {
+            leaving: self.options.leaving_limit,
+            evacuation: self.options.evacuation_limit,
+        }
     }
 
     fn idle_connections_of(&self, connections: &BTreeSet<ConnectionId>) -> Vec<ConnectionId> {
@@ -481,6 +508,7 @@
             .filter(|(_, backend)| {
                 backend.connections.is_empty()
                     && backend.leaving_since.is_none()
+                    && backend.evacuated_since.is_none()
                     && services.contains(&backend.description.service)
                     && !self.holders.contains_key(&backend.description.service)
             })
--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -8,7 +8,7 @@
 use stairward_limits::{Ask, Grant, Shard};
 use stairward_types::{
     AccessClass, ApiKey, BackendId, BackendRole, Freshness, GroupId, NodeId, OutcomeClass,
-    ResultCode, ServiceName, TenantName, Term, Time,
+    RegionName, ResultCode, ServiceName, TenantName, Term, Time, ZoneName,
 };
 
 use crate::identifiers::{ConnectionId, SessionId};
@@ -98,6 +98,12 @@
     Holders(BTreeMap<ServiceName, Vec<NodeId>>),
     /// All nodes that hold connections of the services that not every node holds, this one among them where it does.
     HolderPlaces(BTreeMap<ServiceName, Vec<Holder>>),
+    /// The node that ranks first as holder of each service's connections.
+    FirstHolders(BTreeMap<ServiceName, NodeId>),
+    /// The region of each node that is seen.
+    NodeRegions(BTreeMap<NodeId, RegionName>),
+    /// The zones to whose back ends nothing is to be sent, whole.
+    Evacuated(BTreeSet<ZoneName>),
     /// Another node forwards a statement of one of its sessions.
     Forwarded {
         /// The session, by a number of this node.
@@ -274,6 +280,10 @@
     pub id: String,
     /// The service.
     pub service: Option<ServiceName>,
+    /// The tenant whose client it is.
+    pub tenant: Option<TenantName>,
+    /// When a refused client is told to come back.
+    pub retry_after: Option<Duration>,
     /// The back end concerned.
     pub backend: Option<BackendId>,
     /// What was decided.
@@ -426,6 +436,20 @@
         /// The one that is asked now; this node itself where no other answers.
         now: Option<NodeId>,
     },
+    /// A zone is evacuated, or is no longer, as this node has heard.
+    EvacuationObserved {
+        /// The zone.
+        zone: ZoneName,
+        /// Whether it is evacuated.
+        is_evacuated: bool,
+    },
+    /// A back end is cold, or is no longer.
+    WarmUpObserved {
+        /// The back end.
+        backend: BackendId,
+        /// For how much longer; none once it is warm.
+        left: Option<Duration>,
+    },
     /// A decision for the log.
     Record(RequestRecord),
     /// A request has ended.
--- a/crates/stairward-engine/src/holder_watch.rs
+++ b/crates/stairward-engine/src/holder_watch.rs
@@ -169,7 +169,8 @@
     /// Whether statements may be forwarded to a node.
     fn is_holder(&self, node: NodeId) -> bool {
         let mut places = self.places.values().flatten();
-        self.holders.values().any(|ranked| ranked.contains(&node))
+        self.first_holders.values().any(|first| *first == node)
+            || self.holders.values().any(|ranked| ranked.contains(&node))
             || places.any(|holder| holder.node == node)
     }
 
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -12,6 +12,7 @@
 mod confirmation;
 mod connection;
 mod engine;
+mod evacuation;
 mod event;
 mod group;
 mod holder_watch;
@@ -27,6 +28,7 @@
 mod replies;
 mod reply;
 mod requests;
+mod residency;
 mod revocation;
 mod session;
 mod settings;
@@ -36,9 +38,11 @@
 mod tenants;
 mod timers;
 mod waiting;
+mod warm_up;
 mod withholding;
 
 pub use engine::{Engine, EngineStatistics};
+pub use evacuation::ZoneWork;
 pub use event::{
     BackendCommand, Decision, Effect, Event, Evidence, LeadChange, OpenFailure, OpenTarget,
     RequestMeasure, RequestRecord,
@@ -49,9 +53,11 @@
 pub use reply::{
     BackendError, BackendErrorCode, BackendReply, Response, ResponseResult, TransactionStatus,
 };
+pub use residency::Residency;
 pub use settings::{
     BackendDescription, Consistency, EngineOptions, Route, RoutingTable, ServiceLimits,
     ZoneDistance,
 };
 pub use statement::{PreparedStatement, Statement, StatementKind};
 pub use tenants::{Tenant, TenantDirectory};
+pub use warm_up::ColdBound;
--- a/crates/stairward-engine/src/node_count.rs
+++ b/crates/stairward-engine/src/node_count.rs
@@ -15,6 +15,8 @@
 #[derive(Debug)]
 pub(crate) struct NodeCount {
     seen: Vec<(Time, u32)>,
+    /// The number seen last.
+    newest: u32,
     /// Whether this node has seen its others once.
     is_known: bool,
 }
@@ -23,6 +25,7 @@
     fn default() -> Self {
         Self {
             seen: vec![(Time::ZERO, ASSUMED_AT_START)],
+            newest: 0,
             is_known: false,
         }
     }
@@ -32,6 +35,7 @@
     /// Notes how many nodes there are at the moment.
     pub fn note(&mut self, now: Time, nodes: u32) {
         self.is_known = true;
+        self.newest = nodes;
         self.seen.retain(|(at, _)| now.since(*at) < MEMORY);
         // A count is of no further use once a later one is as large.
         self.seen.retain(|(_, seen)| *seen > nodes);
@@ -44,6 +48,18 @@
         self.is_known
     }
 
+    /// The number seen last; 0 before any was.
+    pub const fn newest(&self) -> u32 {
+        self.newest
+    }
+
+    /// The largest number seen lately, without the one that is assumed at first.
+    pub fn most_seen(&self) -> u32 {
+        let seen = self.seen.iter().filter(|(at, _)| *at > Time::ZERO);
+        let most = seen.map(|(_, nodes)| *nodes).max();
+        most.unwrap_or(self.newest)
+    }
+
     /// The number to share by, at least 1.
     pub fn most(&self) -> u32 {
         let most = self.seen.iter().map(|(_, nodes)| *nodes).max();
--- a/crates/stairward-engine/src/placement.rs
+++ b/crates/stairward-engine/src/placement.rs
@@ -1,10 +1,10 @@
 //! Which holder of a service's connections a session's statements go to first.
 
-use stairward_types::{NodeId, ServiceName, TenantName};
+use stairward_types::{NodeId, ServiceName, TenantName, Time};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::engine::Engine;
-use crate::session::Session;
+use crate::session::{Request, Session};
 
 /// A node that holds connections to a service's back ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,7 +19,30 @@
     /// The holders in the order in which a session's statements go to them; empty where this node serves all by
     /// itself. A tenant's statements meet where its connections are open: all nodes of a region name the same
     /// holder for it (rendezvous hashing), and that is this node itself for some tenants.
-    pub(crate) fn holders_for(&self, session: &Session, service: &ServiceName) -> Vec<NodeId> {
+    pub(crate) fn holders_for(
+        &self,
+        now: Time,
+        session: &Session,
+        request: &Request,
+    ) -> Vec<NodeId> {
+        let service = &request.route.service;
+        let mut holders = match self.sender_to_cold(now, request) {
+            Some(first) => vec![first],
+            None => self.ranked_holders(session, service),
+        };
+        if request.residency.is_bound() {
+            holders.retain(|holder| request.residency.allows(self.node_regions.get(holder)));
+        }
+        holders
+    }
+
+    /// The node that sends to a service's cold back ends, where only these can take a request.
+    fn sender_to_cold(&self, now: Time, request: &Request) -> Option<NodeId> {
+        let first = self.first_holders.get(&request.route.service).copied()?;
+        self.needs_cold(now, request).then_some(first)
+    }
+
+    fn ranked_holders(&self, session: &Session, service: &ServiceName) -> Vec<NodeId> {
         let places = self.places.get(service);
         let (Some(tenant), Some(places)) = (session.identity.tenant(), places) else {
             return self.holders.get(service).cloned().unwrap_or_default();
@@ -40,11 +63,11 @@
     }
 
     /// Whether a session's statements for a service go to another node.
-    pub(crate) fn goes_elsewhere(&self, session: &Session, service: &ServiceName) -> bool {
+    pub(crate) fn goes_elsewhere(&self, now: Time, session: &Session, request: &Request) -> bool {
         if session.is_forwarded {
             return false;
         }
-        let holders = self.holders_for(session, service);
+        let holders = self.holders_for(now, session, request);
         let first = holders
             .iter()
             .min_by_key(|holder| self.is_silent_holder(**holder));
--- a/crates/stairward-engine/src/relay.rs
+++ b/crates/stairward-engine/src/relay.rs
@@ -92,7 +92,7 @@
             Transaction::Relayed(relayed) => Some(relayed.holder),
             _ => None,
         };
-        let Some(holder) = bound.or_else(|| self.next_holder(session)) else {
+        let Some(holder) = bound.or_else(|| self.next_holder(now, session)) else {
             return self.refuse(now, id, ResultCode::NotOwner, Some(RETRY_NO_HOLDER));
         };
         let Some(session) = self.sessions.get_mut(&id) else {
@@ -140,12 +140,12 @@
     }
 
     /// The next holder for the session's request; a silent one is better than none.
-    fn next_holder(&self, session: &Session) -> Option<NodeId> {
+    fn next_holder(&self, now: Time, session: &Session) -> Option<NodeId> {
         let request = session.request.as_ref()?;
         if request.tried_holders.len() >= MOST_HOLDERS {
             return None;
         }
-        let holders = self.holders_for(session, &request.route.service);
+        let holders = self.holders_for(now, session, request);
         let untried = holders
             .into_iter()
             .filter(|holder| !request.tried_holders.contains(holder));
--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -214,14 +214,29 @@
         let Some((session, request)) = self.request_on(id) else {
             return self.free_connection(now, id);
         };
-        match request.need {
+        let need = request.need;
+        match need {
             Need::LeaderTransaction | Need::FreshTransaction => {
                 self.transaction_begun(now, session, id);
             }
+            _ if self.is_on_evacuated(now, id) => self.leave_evacuated(now, session, id),
+            Need::Write | Need::LeaderRead | Need::FreshRead if !self.has_room_on(now, id) => {
+                self.wait_for_room(now, session, id);
+            }
             _ => self.send_statement(now, session, id),
         }
     }
 
+    /// A request's connection was set up too late: its zone takes nothing any more.
+    fn leave_evacuated(&mut self, now: Time, session: SessionId, id: ConnectionId) {
+        let need = self.request_on(id).map(|(_, request)| request.need);
+        self.free_connection(now, id);
+        match need {
+            Some(Need::InTransaction { .. } | Need::Commit) => self.lose_transaction(now, session),
+            _ => self.try_elsewhere(now, session, id, None),
+        }
+    }
+
     fn transaction_begun(&mut self, now: Time, session_id: SessionId, id: ConnectionId) {
         let position = self
             .connections
@@ -398,7 +413,7 @@
         let is_over = self
             .backends
             .get(&backend_id)
-            .is_none_or(|backend| !backend.may_be_used(now, self.options.leaving_limit));
+            .is_none_or(|backend| !backend.may_be_used(now, self.use_limits()));
         if is_over {
             self.close_connection(id);
         }
--- a/crates/stairward-engine/src/requests.rs
+++ b/crates/stairward-engine/src/requests.rs
@@ -44,6 +44,7 @@
             && let Some(backend) = self.backends.get_mut(&connection.backend)
         {
             backend.in_flight += 1;
+            backend.warm_up.sent(now);
         }
         if step == crate::connection::Step::Rollback {
             // Whatever was answered before is undone.
@@ -232,7 +233,7 @@
         code: ResultCode,
         retry_after: Option<Duration>,
     ) {
-        self.record(now, id, None, Decision::Refused(code));
+        self.record_with(now, id, None, Decision::Refused(code), retry_after);
         let result = ResponseResult::Refused { code, retry_after };
         self.finish_with(now, id, result);
     }
@@ -262,7 +263,21 @@
         backend: Option<BackendId>,
         decision: Decision,
     ) {
-        let Some(request) = self.sessions.get(&id).and_then(|s| s.request.as_ref()) else {
+        self.record_with(now, id, backend, decision, None);
+    }
+
+    fn record_with(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        backend: Option<BackendId>,
+        decision: Decision,
+        retry_after: Option<Duration>,
+    ) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        let Some(request) = &session.request else {
             return;
         };
         let service = &request.route.service;
@@ -273,6 +288,8 @@
         let record = RequestRecord {
             id: request.statement.id.clone(),
             service: Some(service.clone()),
+            tenant: session.identity.tenant().cloned(),
+            retry_after,
             backend: backend.or_else(|| request.last_backend.clone()),
             decision,
             attempts: request.attempts,
@@ -292,6 +309,14 @@
             WaitReason::NoLeader => (ResultCode::BackendUnavailable, RETRY_NO_LEADER),
             WaitReason::NotFresh => (ResultCode::NotFreshEnough, RETRY_NOT_FRESH),
             WaitReason::NoConnection => (ResultCode::Overloaded, RETRY_OVERLOADED),
+            WaitReason::Cold => {
+                let service = request.route.service.clone();
+                let retry_after = self.cold_retry(now, &service);
+                (
+                    ResultCode::Overloaded,
+                    retry_after.unwrap_or(RETRY_OVERLOADED),
+                )
+            }
         };
         self.refuse(now, id, code, Some(retry_after));
     }
--- a/crates/stairward-engine/src/session.rs
+++ b/crates/stairward-engine/src/session.rs
@@ -7,6 +7,7 @@
 
 use crate::identifiers::{ConnectionId, RequestNumber};
 use crate::reply::{Response, ResponseResult, TransactionStatus};
+use crate::residency::Residency;
 use crate::settings::Route;
 use crate::statement::{PreparedStatement, Statement};
 use crate::tenants::Identity;
@@ -199,6 +200,8 @@
     NotFresh,
     /// All connections are in use.
     NoConnection,
+    /// The back end that could take it is cold and has had its share.
+    Cold,
 }
 
 /// A request under way.
@@ -207,6 +210,8 @@
     pub number: RequestNumber,
     pub statement: Statement,
     pub route: Arc<Route>,
+    /// Where it may run.
+    pub residency: Residency,
     pub need: Need,
     pub received: Time,
     pub deadline: Time,
--- a/crates/stairward-engine/src/settings.rs
+++ b/crates/stairward-engine/src/settings.rs
@@ -6,9 +6,13 @@
 use std::time::Duration;
 
 use stairward_limits::LimitOptions;
-use stairward_types::{BackendId, BackendRole, GroupId, NodeId, Revision, ServiceName, ZoneName};
+use stairward_types::{
+    BackendId, BackendRole, GroupId, NodeId, RegionName, Revision, ServiceName, ZoneName,
+};
 
+use crate::residency::Residency;
 use crate::tenants::TenantDirectory;
+use crate::warm_up::ColdBound;
 
 /// What a read on a route must see.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,6 +59,8 @@
     pub attempts: u32,
     /// Whether clients need no key on it.
     pub is_public: bool,
+    /// Where its statements may run.
+    pub residency: Residency,
 }
 
 /// Limits of a service's back ends.
@@ -64,6 +70,9 @@
     pub connections: u32,
     /// Replicas that must have received a commit before it is acknowledged.
     pub synchronous_replicas: u32,
+    /// Requests a second, in thousandths, that a cold back end gets from all nodes together; none where that is not
+    /// limited.
+    pub cold_rate_thousandths: Option<u64>,
 }
 
 /// A whole configuration.
@@ -96,6 +105,8 @@
     pub is_leaving: bool,
     /// Its role as it sees itself.
     pub role: BackendRole,
+    /// How much longer it is slow from its start, as it last said.
+    pub cold_left: Duration,
     /// Grows with every change of the description.
     pub revision: Revision,
 }
@@ -116,8 +127,14 @@
 pub struct EngineOptions {
     /// Distances of the zones from this node; an unknown zone counts as remote.
     pub distances: BTreeMap<ZoneName, ZoneDistance>,
+    /// The region of each zone.
+    pub regions: BTreeMap<ZoneName, RegionName>,
     /// How long after a back end began to leave new work may still be sent to it.
     pub leaving_limit: Duration,
+    /// How long after a zone's evacuation was heard of its leaders and open transactions may still be used.
+    pub evacuation_limit: Duration,
+    /// How much cold back ends may get beside their service's rate.
+    pub cold_bound: ColdBound,
     /// How long a leader's lead counts as confirmed after a replica was asked. None where a leader that was
     /// replaced accepts nothing any more, so that its own word is enough.
     pub leadership_lease: Option<Duration>,
@@ -146,7 +163,10 @@
     fn default() -> Self {
         Self {
             distances: BTreeMap::new(),
+            regions: BTreeMap::new(),
             leaving_limit: Duration::from_secs(4),
+            evacuation_limit: Duration::from_secs(1),
+            cold_bound: ColdBound::default(),
             leadership_lease: None,
             stop_grace: Duration::from_secs(6),
             session_queue_limit: 32,
--- a/crates/stairward-engine/src/statements.rs
+++ b/crates/stairward-engine/src/statements.rs
@@ -9,6 +9,7 @@
 use crate::event::{BackendCommand, Effect};
 use crate::identifiers::SessionId;
 use crate::reply::ResponseResult;
+use crate::residency::Residency;
 use crate::session::{Need, OpenTransaction, Request, Session, Stage, Transaction, WaitReason};
 use crate::settings::{Consistency, Route};
 use crate::statement::{Statement, StatementKind};
@@ -290,6 +291,11 @@
         need: Need,
     ) {
         self.insert_request(now, id, statement, route, need);
+        let request = self.sessions.get(&id).and_then(|s| s.request.as_ref());
+        let starts_work = !matches!(need, Need::InTransaction { .. } | Need::Commit);
+        if starts_work && request.is_some_and(|request| request.residency.is_nowhere()) {
+            return self.refuse(now, id, ResultCode::NoCommonRegion, None);
+        }
         self.admit(now, id);
     }
 
@@ -302,7 +308,7 @@
             return;
         };
         let is_relayed = matches!(session.transaction, Transaction::Relayed(_));
-        if is_relayed || self.goes_elsewhere(session, &request.route.service) {
+        if is_relayed || self.goes_elsewhere(now, session, request) {
             self.forward(now, id);
         } else {
             self.attempt(now, id);
@@ -319,6 +325,10 @@
     ) {
         self.stop_resting(id, open);
         self.insert_request(now, id, statement, Arc::clone(&open.route), need);
+        if self.is_on_evacuated(now, open.connection) {
+            self.roll_back_connection(now, open.connection);
+            return self.lose_transaction(now, id);
+        }
         self.prepare(now, id, open.connection, None);
     }
 
@@ -344,6 +354,7 @@
         let request = Request {
             number,
             statement,
+            residency: self.residency_of(id, &route),
             route,
             need,
             received: now,
@@ -365,6 +376,14 @@
         }
     }
 
+    fn residency_of(&self, id: SessionId, route: &Route) -> Residency {
+        let tenant = self.sessions.get(&id).and_then(|s| s.identity.tenant());
+        match &self.table {
+            Some(table) => table.residency(route, tenant),
+            None => route.residency.clone(),
+        }
+    }
+
     /// Takes back the timer of a resting transaction.
     pub(crate) fn stop_resting(&mut self, id: SessionId, open: &OpenTransaction) {
         if let Some((at, number)) = open.rests {
--- a/crates/stairward-engine/src/tenants.rs
+++ b/crates/stairward-engine/src/tenants.rs
@@ -6,6 +6,7 @@
 use stairward_limits::RateLimit;
 use stairward_types::{ApiKey, ResultCode, TenantName};
 
+use crate::residency::Residency;
 use crate::settings::{Route, RoutingTable};
 
 /// A tenant of the configuration in force.
@@ -17,6 +18,8 @@
     pub keys: Vec<ApiKey>,
     /// How many operations it may run over all nodes; none where that is not limited.
     pub limit: Option<RateLimit>,
+    /// Where its statements may run.
+    pub residency: Residency,
 }
 
 /// The tenants of one configuration, by key and by name.
@@ -65,6 +68,16 @@
         has_key.then_some(tenant)
     }
 
+    /// Where a tenant's statements may run; none for a tenant that is not known.
+    pub(crate) fn residency(&self, name: &TenantName) -> Option<&Residency> {
+        self.by_name.get(name).map(|tenant| &tenant.residency)
+    }
+
+    /// All tenants.
+    pub(crate) fn tenants(&self) -> impl Iterator<Item = &Tenant> {
+        self.by_name.values().map(AsRef::as_ref)
+    }
+
     /// The tenants that have a limit.
     pub(crate) fn limits(&self) -> BTreeMap<TenantName, RateLimit> {
         let limited = self.by_name.iter();
--- a/crates/stairward-engine/src/timers.rs
+++ b/crates/stairward-engine/src/timers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use stairward_types::{NodeId, ServiceName, Time};
+use stairward_types::{BackendId, NodeId, ServiceName, Time};
 
 use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
 
@@ -27,6 +27,10 @@
     Lead(ServiceName),
     /// Requests that wait for a service are tried again.
     TryWaiting(ServiceName),
+    /// A cold back end's time may be over.
+    Warm(BackendId),
+    /// What is open in evacuated zones is ended.
+    Evacuation,
     /// Leaving and lost back ends are looked at.
     Backends,
     /// The next step of a planned stop.
--- a/crates/stairward-engine/src/waiting.rs
+++ b/crates/stairward-engine/src/waiting.rs
@@ -1,8 +1,9 @@
 //! Requests that wait for a back end, a connection or a proof.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
-use stairward_types::{ServiceName, TenantName, Time};
+use stairward_types::{ResultCode, ServiceName, TenantName, Time};
 
 use crate::choice::{Choice, Opening};
 use crate::engine::{Engine, WaitingKey};
@@ -93,6 +94,10 @@
             }
             Some(Choice::Wait(reason)) => self.enter_queue(now, id, reason),
             Some(Choice::Exhausted) => self.exhausted(now, id),
+            Some(Choice::Refuse(code, retry_after)) => {
+                self.leave_queue(id);
+                self.refuse_unless_sent(now, id, code, retry_after);
+            }
             None => {}
         }
     }
@@ -108,6 +113,23 @@
         }
     }
 
+    /// It can't be served; a back end that it was sent to may still answer.
+    fn refuse_unless_sent(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        code: ResultCode,
+        retry_after: Option<Duration>,
+    ) {
+        let Some(request) = self.sessions.get_mut(&id).and_then(|s| s.request.as_mut()) else {
+            return;
+        };
+        match request.unanswered.first() {
+            Some(connection) => request.stage = Stage::Sent(*connection),
+            None => self.refuse(now, id, code, retry_after),
+        }
+    }
+
     fn enter_queue(&mut self, now: Time, id: SessionId, reason: WaitReason) {
         let limit = self.options.waiting_limit;
         let Some(request) = self.sessions.get_mut(&id).and_then(|s| s.request.as_mut()) else {
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -9,14 +9,16 @@
 use stairward_engine::{
     BackendCommand, BackendDescription, BackendError, BackendErrorCode, BackendReply, ConnectionId,
     Consistency, Effect, Engine, EngineOptions, Event, Evidence, Forwarded, LeadChange,
-    OpenFailure, OpenTarget, Response, ResponseResult, Route, RoutingTable, ServiceLimits,
-    SessionId, Statement, StatementKind, TransactionStatus, ZoneDistance,
+    OpenFailure, OpenTarget, Residency, Response, ResponseResult, Route, RoutingTable,
+    ServiceLimits, SessionId, Statement, StatementKind, TransactionStatus, ZoneDistance,
 };
 use stairward_types::{
-    BackendId, BackendRole, Freshness, GroupId, LogPosition, NodeId, ResultCode, Revision,
-    ServiceName, Term, Time, ZoneName,
+    BackendId, BackendRole, Freshness, GroupId, LogPosition, NodeId, RegionName, ResultCode,
+    Revision, ServiceName, Term, Time, ZoneName,
 };
 
+pub const NEAR_REGION: &str = "region-a";
+pub const FAR_REGION: &str = "region-b";
 pub const SERVICE: &str = "core";
 pub const PRIMARY: &str = "db-1";
 pub const NEAR_REPLICA: &str = "db-2";
@@ -57,6 +59,7 @@
         zone: ZoneName::new(zone).unwrap(),
         is_leaving: false,
         role,
+        cold_left: Duration::ZERO,
         revision: Revision(revision),
     }
 }
@@ -79,6 +82,7 @@
             priority: 1,
             attempts: 2,
             is_public: false,
+            residency: Residency::Anywhere,
         })
     };
     let routes = [
@@ -107,6 +111,7 @@
             ServiceLimits {
                 connections: CONNECTION_LIMIT,
                 synchronous_replicas: 0,
+                cold_rate_thousandths: None,
             },
         )]),
         tenants: None,
@@ -126,6 +131,10 @@
     let near = ZoneName::new("zone-a").unwrap();
     let far = ZoneName::new("zone-b").unwrap();
     EngineOptions {
+        regions: BTreeMap::from([
+            (near.clone(), RegionName::new(NEAR_REGION).unwrap()),
+            (far.clone(), RegionName::new(FAR_REGION).unwrap()),
+        ]),
         distances: BTreeMap::from([(near, ZoneDistance::Same), (far, ZoneDistance::Remote)]),
         ..EngineOptions::default()
     }
@@ -257,6 +266,8 @@
                 | Effect::RecordFleet(_)
                 | Effect::CoordinatorChanged { .. }
                 | Effect::HolderObserved { .. }
+                | Effect::EvacuationObserved { .. }
+                | Effect::WarmUpObserved { .. }
                 | Effect::Record(_)
                 | Effect::Measured(_) => {}
             }
--- a/crates/stairward-engine/tests/tenants.rs
+++ b/crates/stairward-engine/tests/tenants.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use stairward_engine::{
-    BackendCommand, ConnectionId, Effect, EngineOptions, Event, Forwarded, Holder, ResponseResult,
-    RoutingTable, SessionId, Statement, StatementKind, Tenant, TenantDirectory, TransactionStatus,
+    BackendCommand, ConnectionId, Effect, EngineOptions, Event, Forwarded, Holder, Residency,
+    ResponseResult, RoutingTable, SessionId, Statement, StatementKind, Tenant, TenantDirectory,
+    TransactionStatus,
 };
 use stairward_limits::RateLimit;
 use stairward_testing::check;
@@ -28,6 +29,7 @@
         name: name(tenant),
         keys: keys.iter().map(|key| ApiKey::new(*key)).collect(),
         limit: None,
+        residency: Residency::Anywhere,
     }
 }
 
--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -58,6 +58,8 @@
     /// Whether an earlier promotion had no answer, so that it may still be carried out. A decision with a
     /// higher token must be answered before this attempt may end.
     pub must_fence: bool,
+    /// Members where less of the service's work is allowed are not chosen: the leader moves for more.
+    pub least_work: u64,
 }
 
 /// A replica chosen for promotion.
@@ -87,6 +89,7 @@
             target_led: false,
             announced_at: now,
             must_fence: false,
+            least_work: 0,
         }
     }
 
@@ -178,18 +181,27 @@
         answered.saturating_add(synchronous) >= needed && chosen == most
     }
 
-    /// The replica that has received most of those that answered and stay.
+    /// The replica that has received most of those that answered and may lead; of several, a warm one, then one where
+    /// more of the work is allowed.
     pub fn choose(&self, group: &GroupState) -> Option<Chosen> {
         let stays = |id: &BackendId| {
             let member = group.members.get(id);
             Some(id) != self.old.as_ref()
-                && member.is_some_and(|member| member.is_listed && !member.is_leaving)
+                && member.is_some_and(|member| {
+                    member.may_lead() && member.placement.allowed_work >= self.least_work
+                })
+        };
+        let placement = |id: &BackendId| {
+            let member = group.members.get(id);
+            member.map(|member| member.placement).unwrap_or_default()
         };
         let answered = self.answers.iter().filter(|(id, _)| stays(id));
         let best = answered.max_by_key(|(id, status)| {
             (
                 status.received.term,
                 status.received.position,
+                !placement(id).is_cold,
+                placement(id).allowed_work,
                 std::cmp::Reverse(*id),
             )
         });
--- a/crates/stairward-failover/src/duty.rs
+++ b/crates/stairward-failover/src/duty.rs
@@ -28,8 +28,8 @@
     groups: BTreeMap<ServiceName, GroupState>,
     /// The service of each member.
     service_of: BTreeMap<BackendId, ServiceName>,
-    /// Services whose leader is about to end.
-    leaving: BTreeSet<ServiceName>,
+    /// Services whose leader is to give way as planned.
+    moving: BTreeSet<ServiceName>,
     /// Services whose members have changed since they were looked at.
     changed: BTreeSet<ServiceName>,
     nodes: u32,
@@ -63,7 +63,7 @@
             options,
             groups: BTreeMap::new(),
             service_of: BTreeMap::new(),
-            leaving: BTreeSet::new(),
+            moving: BTreeSet::new(),
             changed: BTreeSet::new(),
             nodes: 1,
             peers: Vec::new(),
@@ -111,7 +111,7 @@
         unsettled.extend(self.missing_since.keys().cloned());
         unsettled.extend(self.revoked_since.keys().cloned());
         unsettled.extend(self.triggered_since.keys().cloned());
-        unsettled.extend(self.leaving.iter().cloned());
+        unsettled.extend(self.moving.iter().cloned());
         let suspects = self.evidence.refused().iter().chain(self.evidence.silent());
         unsettled.extend(suspects.filter_map(|id| self.service_of.get(id).cloned()));
         unsettled.retain(|service| self.groups.contains_key(service));
@@ -129,7 +129,7 @@
             && self.missing_since.is_empty()
             && self.revoked_since.is_empty()
             && self.evidence.silent().is_empty()
-            && self.leaving.is_empty()
+            && self.moving.is_empty()
             && !self.evidence.refused().iter().any(is_refused);
         (!is_idle).then(|| now + POLL)
     }
@@ -150,11 +150,11 @@
             members.map(move |id| (id.clone(), service.clone()))
         });
         self.service_of = members.collect();
-        let leaving = self.groups.iter().filter(|(_, group)| {
-            let leader = Self::announced_leader(group).and_then(|id| group.members.get(id));
-            leader.is_some_and(|leader| leader.is_leaving && leader.is_listed)
+        let moving = self.groups.iter().filter(|(_, group)| {
+            let leader = Self::announced_leader(group);
+            leader.is_some_and(|leader| trigger::must_move(group, leader))
         });
-        self.leaving = leaving.map(|(service, _)| service.clone()).collect();
+        self.moving = moving.map(|(service, _)| service.clone()).collect();
     }
 
     fn apply(&mut self, now: Time, event: Event) {
--- a/crates/stairward-failover/src/duty/claim.rs
+++ b/crates/stairward-failover/src/duty/claim.rs
@@ -5,6 +5,7 @@
 use stairward_types::{ServiceName, Term, Time};
 
 use super::FailoverDuty;
+use super::trigger::Trigger;
 use crate::attempt::{Attempt, Stage};
 use crate::event::{Action, DutyRecord, Effect, FencingToken, RecordVersion};
 use crate::turn::turn;
@@ -37,11 +38,16 @@
         let can_be_replaced = group
             .members
             .iter()
-            .any(|(id, member)| Some(id) != old.as_ref() && member.is_listed && !member.is_leaving);
+            .any(|(id, member)| Some(id) != old.as_ref() && member.may_lead());
         if !can_be_replaced {
             return;
         }
-        let attempt = Attempt::new(old, trigger.is_planned(), now);
+        let mut attempt = Attempt::new(old.clone(), trigger.is_planned(), now);
+        if trigger == Trigger::Misplaced {
+            let leader = old.as_ref().and_then(|old| group.members.get(old));
+            let allowed = leader.map_or(0, |leader| leader.placement.allowed_work);
+            attempt.least_work = allowed.saturating_add(1);
+        }
         self.attempts.insert(service.clone(), attempt);
         let reason = trigger.reason();
         self.log(service, Action::Began { reason });
--- a/crates/stairward-failover/src/duty/trigger.rs
+++ b/crates/stairward-failover/src/duty/trigger.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use stairward_types::{ServiceName, Time};
+use stairward_types::{BackendId, ServiceName, Time};
 
 use super::FailoverDuty;
 use crate::event::GroupState;
@@ -13,9 +13,11 @@
     Refused,
     Silent,
     Leaving,
+    Evacuated,
     Missing,
     Leaderless,
     Held,
+    Misplaced,
 }
 
 impl Trigger {
@@ -24,17 +26,29 @@
             Self::Refused => "nothing listens at the primary's address",
             Self::Silent => "enough nodes find the primary silent",
             Self::Leaving => "the primary is leaving",
+            Self::Evacuated => "the primary's zone is evacuated",
             Self::Missing => "discovery no longer lists the primary",
             Self::Leaderless => "no member calls itself primary",
             Self::Held => "replicas wait for a later term that does not begin",
+            Self::Misplaced => "more of the work is allowed in another region",
         }
     }
 
     pub(super) const fn is_planned(self) -> bool {
-        matches!(self, Self::Leaving | Self::Missing | Self::Held)
+        match self {
+            Self::Leaving | Self::Evacuated | Self::Missing | Self::Held | Self::Misplaced => true,
+            Self::Refused | Self::Silent | Self::Leaderless => false,
+        }
     }
 }
 
+/// Whether a group's leader, which may be well, is to give way to another.
+pub(super) fn must_move(group: &GroupState, leader: &BackendId) -> bool {
+    let member = group.members.get(leader);
+    let is_leaving = member.is_some_and(|member| member.is_leaving && member.is_listed);
+    is_leaving || group.must_leave_zone(leader) || group.is_misplaced(leader)
+}
+
 /// Nodes that must find a primary silent at most, however many there are.
 const MOST_NEEDED: u32 = 3;
 /// So many entries at the least must be listed for the loss of half of them to count as a lapse: a group's.
@@ -78,13 +92,19 @@
         if member.is_leaving && member.is_listed {
             return Some(Trigger::Leaving);
         }
+        if group.must_leave_zone(leader) {
+            return Some(Trigger::Evacuated);
+        }
         if is_missing_long {
             return Some(Trigger::Missing);
         }
         let revoked_since = self.revoked_since.get(service);
         let is_revoked_long =
             revoked_since.is_some_and(|since| now >= *since + self.options.missing_patience);
-        is_revoked_long.then_some(Trigger::Held)
+        if is_revoked_long {
+            return Some(Trigger::Held);
+        }
+        group.is_misplaced(leader).then_some(Trigger::Misplaced)
     }
 
     pub(super) fn suspicion_quorum(&self) -> usize {
--- a/crates/stairward-failover/src/event.rs
+++ b/crates/stairward-failover/src/event.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::ending::EndProof;
+use crate::placement::Placement;
 
 /// The version of a service's record in the store; 0 where there is none yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
@@ -50,17 +51,25 @@
     pub is_listed: bool,
     /// Grows with every change of its description.
     pub revision: u64,
+    /// What else speaks for or against it as leader.
+    pub placement: Placement,
 }
 
 impl MemberState {
     /// A member that discovery lists.
     #[must_use]
-    pub const fn listed(role: BackendRole, is_leaving: bool, revision: Revision) -> Self {
+    pub const fn listed(
+        role: BackendRole,
+        is_leaving: bool,
+        revision: Revision,
+        placement: Placement,
+    ) -> Self {
         Self {
             role,
             is_leaving,
             is_listed: true,
             revision: revision.0,
+            placement,
         }
     }
 }
--- a/crates/stairward-failover/src/lib.rs
+++ b/crates/stairward-failover/src/lib.rs
@@ -15,6 +15,7 @@
 mod evidence;
 mod leader_memory;
 mod options;
+mod placement;
 mod records;
 mod turn;
 
@@ -26,4 +27,5 @@
 };
 pub use leader_memory::LeaderMemory;
 pub use options::{FailoverOptions, LEADERSHIP_LEASE};
+pub use placement::Placement;
 pub use stairward_types::MemberStatus;
--- a/crates/stairward-failover/tests/ending.rs
+++ b/crates/stairward-failover/tests/ending.rs
@@ -6,8 +6,8 @@
 
 use stairward_failover::{
     Action, DutyRecord, Effect, EndProof, Event, FailoverDuty, FailoverOptions, FencingToken,
-    GroupState, LeaderEvidence, MemberState, MemberStatus, PromotionOutcome, Reach, RecordVersion,
-    Via,
+    GroupState, LeaderEvidence, MemberState, MemberStatus, Placement, PromotionOutcome, Reach,
+    RecordVersion, Via,
 };
 use stairward_types::{
     BackendId, BackendRole, Freshness, LogPosition, NodeId, ServiceName, Term, Time,
@@ -34,6 +34,7 @@
         is_leaving,
         is_listed: true,
         revision: 1,
+        placement: Placement::default(),
     };
     GroupState {
         members: BTreeMap::from([
--- a/crates/stairward-failover/tests/reviews.rs
+++ b/crates/stairward-failover/tests/reviews.rs
@@ -7,7 +7,7 @@
 
 use stairward_failover::{
     Event, FailoverDuty, FailoverOptions, FencingToken, GroupState, LEADERSHIP_LEASE,
-    LeaderEvidence, MemberState, PromotionOutcome, Reach, RecordVersion, Via,
+    LeaderEvidence, MemberState, Placement, PromotionOutcome, Reach, RecordVersion, Via,
 };
 use stairward_testing::check;
 use stairward_types::{BackendId, BackendRole, NodeId, ServiceName, Term, Time};
@@ -45,6 +45,15 @@
                 is_leaving: is_struck && leads && shape & 16 != 0,
                 is_listed: !(is_struck && leads && shape & 32 != 0),
                 revision: u64::from(shape) + 1,
+                placement: Placement {
+                    is_evacuated: shape & 64 != 0 && place == detail % 3,
+                    is_cold: shape & 8 != 0 && place == detail / 3 % 3,
+                    allowed_work: u64::from(if shape & 4 != 0 {
+                        detail / (place + 1)
+                    } else {
+                        0
+                    }),
+                },
             };
             group
                 .members
--- a/crates/stairward-failover/tests/support/mod.rs
+++ b/crates/stairward-failover/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 use stairward_failover::{
     DutyRecord, Effect, Event, FailoverDuty, FailoverOptions, FencingToken, GroupState,
-    LeaderEvidence, MemberState, MemberStatus, RecordVersion,
+    LeaderEvidence, MemberState, MemberStatus, Placement, RecordVersion,
 };
 use stairward_types::{BackendId, BackendRole, Freshness, LogPosition, ServiceName, Term, Time};
 
@@ -29,6 +29,7 @@
         is_leaving: false,
         is_listed: true,
         revision: 1,
+        placement: Placement::default(),
     }
 }
 
--- a/crates/stairward-runtime/src/duty.rs
+++ b/crates/stairward-runtime/src/duty.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stairward_engine::OpenTarget;
+use stairward_engine::{BackendDescription, OpenTarget};
 use stairward_failover::{
-    DutyRecord, Effect, Event, GroupState, LeaderEvidence, MemberState, Reach, RecordVersion, Via,
+    DutyRecord, Effect, Event, GroupState, LeaderEvidence, MemberState, Placement, Reach,
+    RecordVersion, Via,
 };
 use stairward_types::{BackendId, ServiceName};
 
@@ -158,6 +159,21 @@
         }
     }
 
+    /// Where a member stands, for the choice of a leader.
+    fn placement(&self, description: &BackendDescription) -> Placement {
+        let region = self.zone_regions.get(&description.zone);
+        let allowed = self.allowed_work.borrow();
+        let work = allowed.get(&description.service);
+        Placement {
+            is_evacuated: self.evacuated.borrow().contains(&description.zone),
+            is_cold: self.engine.borrow().is_cold(self.now(), &description.id),
+            allowed_work: region
+                .zip(work)
+                .and_then(|(region, work)| work.get(region).copied())
+                .unwrap_or_default(),
+        }
+    }
+
     /// Tells the duty of services, members and their state.
     pub(crate) fn tell_duty_of_groups(self: &Rc<Self>) {
         let Some(table) = self.routing_table() else {
@@ -173,7 +189,8 @@
                 continue;
             };
             let (role, is_leaving) = (description.role, description.is_leaving);
-            let member = MemberState::listed(role, is_leaving, description.revision);
+            let placement = self.placement(description);
+            let member = MemberState::listed(role, is_leaving, description.revision, placement);
             group.members.insert(description.id.clone(), member);
         }
         self.leader_memory.borrow_mut().keep_missing(&mut groups);
--- a/crates/stairward-runtime/src/log.rs
+++ b/crates/stairward-runtime/src/log.rs
@@ -7,7 +7,8 @@
 use stairward_failover::{Action, Reach, Via};
 use stairward_limits::Shard;
 use stairward_types::{
-    BackendId, Duration, LogEvent, NodeId, OutcomeClass, ResultCode, ServiceName, Term, Time,
+    BackendId, Duration, LogEvent, NodeId, OutcomeClass, ResultCode, ServiceName, TenantName, Term,
+    Time, ZoneName,
 };
 
 /// Lines of one kind a second; the rest are counted and the count is told with the next line.
@@ -30,6 +31,16 @@
     pub age: Option<Duration>,
 }
 
+/// An evacuation that was heard of, or its end.
+pub(crate) struct EvacuationLine<'a> {
+    pub zone: &'a ZoneName,
+    pub is_evacuated: bool,
+    /// Back ends that stand there.
+    pub backends: usize,
+    /// Whether the node's settings name the zone.
+    pub is_known: bool,
+}
+
 /// Writes log lines.
 #[derive(Debug, Default)]
 pub(crate) struct DecisionLog {
@@ -77,6 +88,8 @@
             name = event.name(),
             request = record.id,
             service = record.service.as_ref().map(ServiceName::as_str),
+            tenant = record.tenant.as_ref().map(TenantName::as_str),
+            retry_ms = record.retry_after.map(|after| after.as_millis()),
             backend = record.backend.as_ref().map(BackendId::as_str),
             code,
             attempts = record.attempts,
@@ -98,6 +111,33 @@
         }
     }
 
+    /// A zone is evacuated, or is no longer.
+    pub fn evacuation(&self, now: Time, line: &EvacuationLine<'_>) {
+        let event = LogEvent::EvacuationChanged;
+        if let Some(left_out) = self.admit(now, event) {
+            tracing::warn!(
+                event = event.number(),
+                name = event.name(),
+                zone = line.zone.as_str(),
+                is_evacuated = line.is_evacuated,
+                backends = line.backends,
+                is_known = line.is_known,
+                left_out
+            );
+        }
+    }
+
+    /// A back end is cold, or has warmed up.
+    pub fn warm_up(&self, now: Time, backend: &BackendId, left: Option<Duration>) {
+        let event = LogEvent::WarmUpChanged;
+        if let Some(left_out) = self.admit(now, event) {
+            let (number, name) = (event.number(), event.name());
+            let left_ms = left.map_or(0, |left| left.as_millis());
+            let backend = backend.as_str();
+            tracing::info!(event = number, name, backend, left_ms, left_out);
+        }
+    }
+
     /// A coordinator of tenants' limits did not answer, and another is asked.
     pub fn coordinator(&self, now: Time, shard: Shard, silent: NodeId, next: Option<NodeId>) {
         let event = LogEvent::LimitCoordinatorSilent;
--- a/crates/stairward-runtime/src/membership.rs
+++ b/crates/stairward-runtime/src/membership.rs
@@ -168,13 +168,20 @@
         let mut elsewhere: BTreeMap<ServiceName, Vec<NodeId>> = BTreeMap::new();
         let mut sources: BTreeMap<ServiceName, NodeId> = BTreeMap::new();
         let mut places: BTreeMap<ServiceName, Vec<Holder>> = BTreeMap::new();
+        let mut first_holders: BTreeMap<ServiceName, NodeId> = BTreeMap::new();
+        let regions: BTreeMap<NodeId, RegionName>;
         {
             let members = self.members.borrow();
+            let of_member = |member: &Profile| (member.node, member.region.clone());
+            regions = members.iter().map(of_member).collect();
             let index = HolderIndex::new(members.iter().map(candidate));
             let distances = self.distances(&members);
             for (service, limits) in &table.services {
                 let count = usize::try_from(holder_count(limits.connections)).unwrap_or(1);
                 let holders = index.holders(service, count);
+                if let Some(first) = holders.first() {
+                    first_holders.insert(service.clone(), *first);
+                }
                 if let Some(source) = self.lead_source(&distances, &holders) {
                     sources.insert(service.clone(), source);
                 }
@@ -187,6 +194,8 @@
                 }
             }
         }
+        self.handle(stairward_engine::Event::NodeRegions(regions));
+        self.handle(stairward_engine::Event::FirstHolders(first_holders));
         self.handle(stairward_engine::Event::LeadSources(sources));
         self.handle(stairward_engine::Event::HolderPlaces(places));
         if *self.holders.borrow() != elsewhere {
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -1,7 +1,7 @@
 //! The node: engine and duty, and the carrying out of what they decide.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,7 +17,9 @@
 use stairward_limits::{Ask, Grant, LimitOptions};
 use stairward_membership::Profile;
 use stairward_protocol::neighbour::NeighbourMessage;
-use stairward_types::{BackendId, Freshness, LogEvent, NodeId, ServiceName, Term, Time};
+use stairward_types::{
+    BackendId, Freshness, LogEvent, NodeId, RegionName, ServiceName, Term, Time, ZoneName,
+};
 use tokio::sync::Notify;
 
 use crate::coordination::{Coordination, FleetWrite};
@@ -25,7 +27,7 @@
 use crate::figures;
 use crate::health::Readiness;
 use crate::limit_messages::ask_message;
-use crate::log::{DecisionLog, LeadLine};
+use crate::log::{DecisionLog, EvacuationLine, LeadLine};
 use crate::members::KeptConnections;
 use crate::membership::PeerIdentity;
 use crate::neighbours::{Guests, Link};
@@ -55,7 +57,7 @@
 
 /// One node. Use it within a `LocalSet`.
 pub struct Node<W: Wire> {
-    engine: RefCell<Engine>,
+    pub(crate) engine: RefCell<Engine>,
     pub(crate) duty: RefCell<FailoverDuty>,
     pub(crate) coordination: Rc<dyn Coordination>,
     readiness: Arc<Readiness>,
@@ -81,6 +83,12 @@
     pub(crate) users: RefCell<BTreeMap<NodeId, User>>,
     /// The version of the record of the number of nodes.
     fleet_version: Cell<RecordVersion>,
+    /// The zones to whose back ends nothing is to be sent.
+    pub(crate) evacuated: RefCell<BTreeSet<ZoneName>>,
+    /// The region of each zone.
+    pub(crate) zone_regions: BTreeMap<ZoneName, RegionName>,
+    /// The weight of each service's work that is allowed in each region; empty where none is bound to regions.
+    pub(crate) allowed_work: RefCell<BTreeMap<ServiceName, BTreeMap<RegionName, u64>>>,
     pub(crate) feeds: Feeds,
     pub(crate) log: DecisionLog,
     last_session: Cell<u64>,
@@ -103,6 +111,7 @@
     /// A node that knows nothing yet.
     #[must_use]
     pub fn new(options: NodeOptions) -> Rc<Self> {
+        let zone_regions = options.engine.regions.clone();
         let engine = EngineOptions {
             leadership_lease: options.leadership_lease,
             limits: LimitOptions::new(options.peer.node, rand::random()),
@@ -132,6 +141,9 @@
             question_peers: RefCell::default(),
             users: RefCell::default(),
             fleet_version: Cell::default(),
+            evacuated: RefCell::default(),
+            zone_regions,
+            allowed_work: RefCell::default(),
             feeds: Feeds::default(),
             log: DecisionLog::default(),
             last_session: Cell::new(0),
@@ -158,6 +170,7 @@
             // Before the engine opens connections: other nodes may hold them.
             self.update_holders(&table);
         }
+        *self.allowed_work.borrow_mut() = table.allowed_work(self.zone_regions.values());
         self.handle(Event::Configured(Arc::new(table)));
         tracing::info!(
             event = LogEvent::ConfigurationApplied.number(),
@@ -167,6 +180,16 @@
         self.tell_duty_of_groups();
     }
 
+    /// Takes in the zones to whose back ends nothing is to be sent, whole.
+    pub fn set_evacuated(self: &Rc<Self>, zones: BTreeSet<ZoneName>) {
+        if *self.evacuated.borrow() == zones {
+            return;
+        }
+        self.evacuated.borrow_mut().clone_from(&zones);
+        self.handle(Event::Evacuated(zones));
+        self.tell_duty_of_groups();
+    }
+
     /// Takes discovery's whole present list in.
     pub fn set_backends(self: &Rc<Self>, list: Vec<BackendDescription>) {
         self.remember_descriptions(&list);
@@ -411,6 +434,13 @@
                 }
             }
             Effect::Observed { backend, evidence } => self.observed(now, backend, evidence),
+            Effect::EvacuationObserved { zone, is_evacuated } => {
+                self.evacuation_observed(now, &zone, is_evacuated);
+            }
+            Effect::WarmUpObserved { backend, left } => {
+                self.log.warm_up(now, &backend, left);
+                self.tell_duty_of_groups();
+            }
             Effect::Record(record) => self.log.request(now, &record),
             Effect::Measured(measure) => figures::count(&measure),
             Effect::Stopped => {
@@ -472,6 +502,18 @@
         }
     }
 
+    fn evacuation_observed(self: &Rc<Self>, now: Time, zone: &ZoneName, is_evacuated: bool) {
+        let backends = self.backends.borrow();
+        let there = backends.values().filter(|backend| backend.zone == *zone);
+        let line = EvacuationLine {
+            zone,
+            is_evacuated,
+            backends: there.count(),
+            is_known: self.zone_regions.contains_key(zone),
+        };
+        self.log.evacuation(now, &line);
+    }
+
     fn observed(self: &Rc<Self>, now: Time, backend: BackendId, evidence: Evidence) {
         let (event, evidence) = match evidence {
             Evidence::Answered => (LogEvent::BackendReachable, Some(LeaderEvidence::Answered)),
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use stairward_engine::{
-    BackendDescription, ConnectionId, Consistency, Engine, EngineOptions, Route, RoutingTable,
-    ServiceLimits, TenantDirectory, ZoneDistance,
+    BackendDescription, ConnectionId, Consistency, Engine, EngineOptions, Residency, Route,
+    RoutingTable, ServiceLimits, TenantDirectory, ZoneDistance,
 };
 use stairward_failover::{
     FailoverDuty, FailoverOptions, GroupState, LEADERSHIP_LEASE, LeaderMemory, MemberState,
+    Placement,
 };
 use stairward_limits::LimitOptions;
 use stairward_types::{BackendId, GroupId, NodeId, Revision, ServiceName, Time, ZoneName};
@@ -126,7 +127,8 @@
         };
         for description in list {
             let (role, is_leaving) = (description.role, description.is_leaving);
-            let member = MemberState::listed(role, is_leaving, description.revision);
+            let member =
+                MemberState::listed(role, is_leaving, description.revision, Placement::default());
             group.members.insert(description.id.clone(), member);
         }
         let mut groups = BTreeMap::from([(service(), group)]);
@@ -157,6 +159,7 @@
             priority: 1,
             attempts: 2,
             is_public: false,
+            residency: Residency::Anywhere,
         })
     };
     let staleness = STALENESS;
@@ -174,6 +177,7 @@
     let limits = ServiceLimits {
         connections,
         synchronous_replicas,
+        cold_rate_thousandths: None,
     };
     Arc::new(RoutingTable {
         revision: Revision(revision),
--- a/crates/stairward-simulation/src/tenants.rs
+++ b/crates/stairward-simulation/src/tenants.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use stairward_engine::{Event, Tenant, TenantDirectory};
+use stairward_engine::{Event, Residency, Tenant, TenantDirectory};
 use stairward_limits::RateLimit;
 use stairward_types::{ApiKey, NodeId, TenantName, Time};
 
@@ -74,6 +74,7 @@
             .map(|generation| key_of(tenant, generation))
             .collect(),
         limit,
+        residency: Residency::Anywhere,
     });
     Some(TenantDirectory::new(tenants))
 }
--- a/crates/stairward-simulation/src/world_nodes.rs
+++ b/crates/stairward-simulation/src/world_nodes.rs
@@ -75,6 +75,8 @@
             | Effect::Record(_)
             | Effect::Measured(_)
             | Effect::HolderObserved { .. }
+            | Effect::EvacuationObserved { .. }
+            | Effect::WarmUpObserved { .. }
             | Effect::RecordFleet(_)
             | Effect::CoordinatorChanged { .. }
             | Effect::Stopped => {}
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -119,6 +119,10 @@
     LeadRevoked = 417, Warn;
     /// A replica confirms the leader again.
     LeadConfirmed = 418, Info;
+    /// An operator asks that nothing be sent to a zone's back ends, or no longer does.
+    EvacuationChanged = 419, Warn;
+    /// A back end has just started and gets few requests, or has warmed up.
+    WarmUpChanged = 420, Info;
 
     /// A coordinator of tenants' limits did not answer: another node is asked.
     LimitCoordinatorSilent = 450, Warn;
--- a/crates/stairward-types/src/result_code.rs
+++ b/crates/stairward-types/src/result_code.rs
@@ -124,7 +124,12 @@
     /// The client's key is missing, unknown or withdrawn.
     NotAuthenticated = 2027, NotRun, "28000", "not run: the key is not known";
     /// The tenant has used up its limit for now.
+    /// The tenant has used up its limit for now.
     LimitReached = 2028, NotRun, "53400", "not run: the tenant's limit is reached";
+    /// The regions of the route and those of the tenant have none in common.
+    NoCommonRegion = 2029, NotRun, "42501", "not run: no region allows both the route's and the tenant's work";
+    /// The leader is in a region where this work is not allowed.
+    LeaderOutsideRegion = 2030, NotRun, "57P03", "not run: the leader is in a region where this work is not allowed";
 
     /// The connection to the back end was lost after the request was sent.
     BackendLostAfterSend = 3001, OutcomeUnknown, "08007", "outcome unknown: the back end was lost while the request ran";
