--- a/crates/stairward-engine/src/choice.rs
+++ b/crates/stairward-engine/src/choice.rs
@@ -267,12 +267,40 @@
             .filter(|(_, connection)| wanted.suitable.includes(connection))
             .map(|(id, connection)| (connection.setup_cost(wanted.values), id));
         let best = suiting.min().map(|(_, connection)| connection);
-        if best.is_none() && wanted.opening == Opening::Allowed {
-            self.open_connection(now, id, wanted.suitable.tenant());
+        let tenant = wanted.suitable.tenant();
+        let may_open = best.is_none() && wanted.opening == Opening::Allowed;
+        if may_open && !self.has_openings_enough(id, tenant) {
+            self.open_connection(now, id, tenant);
         }
         best
     }
 
+    /// Whether as many connections to a back end are being opened for a tenant as requests of its wait, the present
+    /// one among them: each try of the same request would open another one otherwise, and an opening holds a slot of
+    /// the back end for longer than many statements do.
+    fn has_openings_enough(&self, id: &BackendId, tenant: Option<&TenantName>) -> bool {
+        let Some(backend) = self.backends.get(id) else {
+            return true;
+        };
+        let opening = backend.connections.iter().filter(|connection| {
+            let connection = self.connections.get(connection);
+            connection.is_some_and(|connection| {
+                connection.opening_since.is_some() && connection.tenant.as_ref() == tenant
+            })
+        });
+        let opening = opening.count();
+        if opening == 0 {
+            return false;
+        }
+        // The session whose request is tried at the moment is not among these.
+        let waiting = self.waiting.get(&backend.description.service);
+        let of_tenant = waiting.into_iter().flatten().filter(|key| {
+            let session = self.sessions.get(&key.session);
+            session.is_some_and(|session| session.identity.tenant() == tenant)
+        });
+        of_tenant.take(opening).count() < opening
+    }
+
     fn idle_connections<'a>(
         &'a self,
         backend: &'a Backend,
@@ -350,7 +378,7 @@
         let Some(backend) = self.backends.get(id) else {
             return false;
         };
-        let share = self.connection_share(&backend.description.service);
+        let share = self.connection_share(id);
         let held = backend.connections.len();
         let own = backend.connections.iter().filter(|connection| {
             let connection = self.connections.get(connection);
--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -476,19 +476,27 @@
         }
     }
 
-    /// The connections this node may hold to each back end of a service: one before it has seen the others, since
+    /// The connections this node may hold to a back end: one before it has seen the others, since
     /// hundreds of nodes that start together would fill all slots with opening connections.
-    pub(crate) fn connection_share(&self, service: &ServiceName) -> usize {
-        if !self.nodes.is_known() {
+    pub(crate) fn connection_share(&self, id: &BackendId) -> usize {
+        let service = self
+            .backends
+            .get(id)
+            .map(|backend| &backend.description.service);
+        let Some(service) = service.filter(|_| self.nodes.is_known()) else {
             return 1;
-        }
+        };
         let limits = self
             .table
             .as_ref()
             .and_then(|table| table.services.get(service));
         let limit = limits.map_or(1, |limits| limits.connections);
+        let available = limit.saturating_sub(RESERVED_CONNECTIONS);
+        if let Some(share) = self.share_beside(id, available) {
+            return usize::try_from(share).unwrap_or(1);
+        }
         let sharing = self.nodes.most().min(holder_count(limit));
-        let shared = limit.saturating_sub(RESERVED_CONNECTIONS) / sharing;
+        let shared = available / sharing;
         usize::try_from(shared.max(1)).unwrap_or(1)
     }
 
--- a/crates/stairward-engine/src/placement.rs
+++ b/crates/stairward-engine/src/placement.rs
@@ -1,34 +1,42 @@
 //! Which holder of a service's connections a session's statements go to first.
 
-use stairward_types::{NodeId, ServiceName, TenantName, Time};
+use stairward_types::{BackendId, NodeId, TenantName, Time, ZoneName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::backend::Backend;
 use crate::engine::Engine;
 use crate::session::{Request, Session};
+use crate::settings::ZoneDistance;
 
 /// A node that holds connections to a service's back ends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holder {
     /// The node.
     pub node: NodeId,
     /// Whether it is in the region of this node.
     pub is_near: bool,
+    /// Its zone.
+    pub zone: ZoneName,
 }
 
+/// Connections to a back end that each holder elsewhere has while tenants are told apart: for questions, and for
+/// what a holder beside the back end can't take.
+const SHARE_ELSEWHERE: u32 = 1;
+
 impl Engine {
     /// The holders in the order in which a session's statements go to them; empty where this node serves all by
-    /// itself. A tenant's statements meet where its connections are open: all nodes of a region name the same
-    /// holder for it (rendezvous hashing), and that is this node itself for some tenants.
+    /// itself. A tenant's statements meet where its connections are open: in the zone of the back end that will most
+    /// likely take them, all nodes name the same holder for it (rendezvous hashing), and that is this node itself for
+    /// some tenants. So statements cross to another zone once, and a back end's connections lie with few holders.
     pub(crate) fn holders_for(
         &self,
         now: Time,
         session: &Session,
         request: &Request,
     ) -> Vec<NodeId> {
-        let service = &request.route.service;
         let mut holders = match self.sender_to_cold(now, request) {
             Some(first) => vec![first],
-            None => self.ranked_holders(session, service),
+            None => self.ranked_holders(now, session, request),
         };
         if request.residency.is_bound() {
             holders.retain(|holder| request.residency.allows(self.node_regions.get(holder)));
@@ -42,19 +50,100 @@
         self.needs_cold(now, request).then_some(first)
     }
 
-    fn ranked_holders(&self, session: &Session, service: &ServiceName) -> Vec<NodeId> {
+    fn ranked_holders(&self, now: Time, session: &Session, request: &Request) -> Vec<NodeId> {
+        let service = &request.route.service;
         let places = self.places.get(service);
         let (Some(tenant), Some(places)) = (session.identity.tenant(), places) else {
             return self.holders.get(service).cloned().unwrap_or_default();
         };
+        let target = self.expected_backend(now, request);
+        let zone = target.map(|backend| &backend.description.zone);
+        let region = target.and_then(|backend| backend.region.as_ref());
         let mut ranked: Vec<_> = places
             .iter()
-            .map(|holder| (!holder.is_near, score(tenant, holder.node), holder.node))
+            .map(|holder| {
+                let is_beside = zone == Some(&holder.zone);
+                let is_in_region =
+                    region.is_some() && self.options.regions.get(&holder.zone) == region;
+                let distance = (!is_beside, !is_in_region, !holder.is_near);
+                (distance, score(tenant, holder.node), holder.node)
+            })
             .collect();
         ranked.sort_unstable();
         ranked.into_iter().map(|(_, _, node)| node).collect()
     }
 
+    /// The back end that will most likely take a request: the leader, or for what any copy can take the nearest
+    /// one that is well.
+    fn expected_backend(&self, now: Time, request: &Request) -> Option<&Backend> {
+        let service = &request.route.service;
+        if request.need.is_leader_only() || request.is_for_leader {
+            let leader = self.leader(now, service)?;
+            return self.backends.get(&leader);
+        }
+        let limits = self.use_limits();
+        let members = self.groups.get(service)?.members.iter();
+        let copies = members.filter_map(|id| Some((id, self.backends.get(id)?)));
+        let usable = copies.filter(|(id, backend)| {
+            backend.is_healthy()
+                && backend.may_be_used(now, limits)
+                && !self.is_cold(now, id)
+                && request.residency.allows(backend.region.as_ref())
+        });
+        let nearest = usable.min_by_key(|(id, backend)| (backend.distance, *id));
+        nearest.map(|(_, backend)| backend)
+    }
+
+    /// Whether a read that another node forwarded here has no copy left beside this node: its client's node knows a
+    /// better one than this.
+    pub(crate) fn is_no_copy_left_beside(&self, session: &Session, request: &Request) -> bool {
+        let service = &request.route.service;
+        let Some(group) = self.groups.get(service).filter(|_| session.is_forwarded) else {
+            return false;
+        };
+        let is_shared_by_zone = self
+            .table
+            .as_ref()
+            .is_some_and(|table| table.tenants.is_some())
+            && self.places.contains_key(service);
+        let mut untried = group
+            .members
+            .iter()
+            .filter(|id| !request.tried.contains(*id));
+        is_shared_by_zone && !untried.any(|id| self.is_beside(id))
+    }
+
+    /// Whether a back end is in this node's zone.
+    fn is_beside(&self, id: &BackendId) -> bool {
+        let backend = self.backends.get(id);
+        backend.is_some_and(|backend| backend.distance == ZoneDistance::Same)
+    }
+
+    /// The connections that this node may hold to a back end where tenants are told apart: the holders beside it share
+    /// nearly all. None where not told apart, where every node holds connections, or where no holder is beside it.
+    pub(crate) fn share_beside(&self, id: &BackendId, limit: u32) -> Option<u32> {
+        self.table.as_ref()?.tenants.as_ref()?;
+        let backend = self.backends.get(id)?;
+        let places = self.places.get(&backend.description.service)?;
+        let is_beside = |holder: &&Holder| holder.zone == backend.description.zone;
+        let beside = u32::try_from(places.iter().filter(is_beside).count()).unwrap_or(u32::MAX);
+        let all = u32::try_from(places.len()).unwrap_or(u32::MAX);
+        if beside == 0 {
+            return None;
+        }
+        let is_own = places
+            .iter()
+            .filter(is_beside)
+            .any(|holder| holder.node == self.options.limits.node);
+        let elsewhere = all.saturating_sub(beside).saturating_mul(SHARE_ELSEWHERE);
+        let shared = limit.saturating_sub(elsewhere) / beside;
+        Some(if is_own {
+            shared.max(SHARE_ELSEWHERE)
+        } else {
+            SHARE_ELSEWHERE
+        })
+    }
+
     /// Whether a holder gives no sign of life.
     pub(crate) fn is_silent_holder(&self, holder: NodeId) -> bool {
         self.holder_watches
--- a/crates/stairward-engine/src/relay.rs
+++ b/crates/stairward-engine/src/relay.rs
@@ -252,8 +252,12 @@
         }
         let need = request.need;
         let route = Arc::clone(&request.route);
+        let has_tenant = session.identity.tenant().is_some();
         self.holder_settled(holder, id);
         let starts_nothing = !matches!(need, Need::InTransaction { .. } | Need::Commit);
+        if has_tenant && may_have_found_copies_behind(need, &response) {
+            return self.forward_to_leader(now, id, response);
+        }
         if starts_nothing && is_refused_by_holder(&response) {
             self.record(now, id, None, Decision::Retried);
             return self.forward(now, id);
@@ -278,6 +282,21 @@
         self.finish(now, id, Response { status, ..response });
     }
 
+    /// A holder's copy was behind what a read must see: the read goes on to a holder beside the leader, once.
+    fn forward_to_leader(&mut self, now: Time, id: SessionId, response: Response) {
+        let Some(request) = self.sessions.get_mut(&id).and_then(|s| s.request.as_mut()) else {
+            return;
+        };
+        let was_for_leader = std::mem::replace(&mut request.is_for_leader, true);
+        let may_go_on =
+            !was_for_leader && request.tried_holders.len() < MOST_HOLDERS && now < request.deadline;
+        if !may_go_on {
+            return self.finish(now, id, response);
+        }
+        self.record(now, id, None, Decision::Retried);
+        self.forward(now, id);
+    }
+
     /// The connection to a holder has ended: what it had is lost.
     pub(crate) fn holder_lost(&mut self, now: Time, holder: NodeId) {
         self.forget_owed(holder);
@@ -333,6 +352,19 @@
     }
 }
 
+/// Whether a read was refused since the copies beside its holder are behind.
+fn may_have_found_copies_behind(need: Need, response: &Response) -> bool {
+    let is_fresh = matches!(need, Need::FreshRead | Need::FreshTransaction);
+    let is_behind = matches!(
+        response.result,
+        ResponseResult::Refused {
+            code: ResultCode::NotFreshEnough,
+            ..
+        }
+    );
+    is_fresh && is_behind
+}
+
 /// Whether a holder did not take the statement at all, so that another may.
 fn is_refused_by_holder(response: &Response) -> bool {
     matches!(
--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use stairward_types::{Freshness, ResultCode, Time};
+use stairward_types::{BackendId, Freshness, ResultCode, Time};
 
 use crate::connection::{SentStep, Step, User};
 use crate::engine::Engine;
@@ -370,10 +370,34 @@
                 _ => self.give_up(now, session),
             };
         }
+        let is_behind = error.is_some_and(|error| error.code == BackendErrorCode::NotFresh);
+        if is_behind && !is_leader_only {
+            return self.leave_copy_behind(now, session, backend);
+        }
         self.record(now, session, backend, Decision::Retried);
         self.attempt(now, session);
     }
 
+    /// A copy was behind what a read must see. Where connections lie with the holders beside each back end, the read
+    /// goes to one beside the leader; a forwarded one by way of its client's node.
+    fn leave_copy_behind(&mut self, now: Time, id: SessionId, backend: Option<BackendId>) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        if let Some(request) = &mut session.request {
+            request.is_for_leader = true;
+        }
+        let session = self.sessions.get(&id);
+        let request = session.and_then(|session| Some((session, session.request.as_ref()?)));
+        let must_go_back =
+            request.is_some_and(|(session, request)| self.is_no_copy_left_beside(session, request));
+        if must_go_back {
+            return self.refuse(now, id, ResultCode::NotFreshEnough, Some(RETRY_BUSY));
+        }
+        self.record(now, id, backend, Decision::Retried);
+        self.send_out(now, id);
+    }
+
     fn take_rollback_reply(&mut self, now: Time, id: ConnectionId, reply: &BackendReply) {
         if reply.status != TransactionStatus::Idle {
             return self.drop_connection(now, id);
--- a/crates/stairward-engine/src/session.rs
+++ b/crates/stairward-engine/src/session.rs
@@ -225,6 +225,8 @@
     pub attempts: u32,
     /// How often a back end was tried in any way.
     pub tries: u32,
+    /// Whether the copies near by were found to be behind what it must see: the leader is not.
+    pub is_for_leader: bool,
     /// Back ends not to be tried again.
     pub tried: BTreeSet<BackendId>,
     /// Nodes that it was forwarded to.
--- a/crates/stairward-engine/src/statements.rs
+++ b/crates/stairward-engine/src/statements.rs
@@ -366,6 +366,7 @@
             waits_for: WaitReason::NoConnection,
             attempts: 0,
             tries: 0,
+            is_for_leader: false,
             tried: BTreeSet::new(),
             tried_holders: BTreeSet::new(),
             last_backend: None,
--- a/crates/stairward-engine/tests/residency.rs
+++ b/crates/stairward-engine/tests/residency.rs
@@ -12,7 +12,7 @@
 };
 use stairward_testing::check;
 use stairward_types::{
-    ApiKey, BackendRole, GroupId, NodeId, RegionName, ResultCode, Revision, TenantName,
+    ApiKey, BackendRole, GroupId, NodeId, RegionName, ResultCode, Revision, TenantName, ZoneName,
 };
 use support::{
     BOUNDED, FAR_REGION, FAR_REPLICA, LEADER_READS, NEAR_REGION, PRIMARY, World, at, describe,
@@ -165,8 +165,12 @@
         (FAR_HOLDER, region(FAR_REGION)),
     ])));
     let holders = vec![NEAR_HOLDER, FAR_HOLDER];
-    let places = [(NEAR_HOLDER, true), (FAR_HOLDER, false)];
-    let places = places.map(|(node, is_near)| Holder { node, is_near });
+    let places = [(NEAR_HOLDER, true, "zone-a"), (FAR_HOLDER, false, "zone-b")];
+    let places = places.map(|(node, is_near, zone)| Holder {
+        node,
+        is_near,
+        zone: ZoneName::new(zone).unwrap(),
+    });
     world.tell(Event::HolderPlaces(BTreeMap::from([(
         service(),
         places.to_vec(),
--- a/crates/stairward-engine/tests/tenants.rs
+++ b/crates/stairward-engine/tests/tenants.rs
@@ -8,14 +8,18 @@
 use std::time::Duration;
 
 use stairward_engine::{
-    BackendCommand, ConnectionId, Effect, EngineOptions, Event, Forwarded, Holder, Residency,
-    ResponseResult, RoutingTable, SessionId, Statement, StatementKind, Tenant, TenantDirectory,
-    TransactionStatus,
+    BackendCommand, BackendErrorCode, BackendReply, ConnectionId, Effect, EngineOptions, Event,
+    Forwarded, Holder, Residency, Response, ResponseResult, RoutingTable, SessionId, Statement,
+    StatementKind, Tenant, TenantDirectory, TransactionStatus,
 };
 use stairward_limits::RateLimit;
 use stairward_testing::check;
-use stairward_types::{ApiKey, GroupId, NodeId, ResultCode, Revision, TenantName};
-use support::{LEADER_READS, OWN_READS, World, at, done, service, table};
+use stairward_types::{
+    ApiKey, BackendRole, GroupId, NodeId, ResultCode, Revision, TenantName, ZoneName,
+};
+use support::{
+    LEADER_READS, OWN_READS, PRIMARY, World, at, done, failed, service, table, usual_backends,
+};
 
 const FIRST: &str = "tenant-1";
 const SECOND: &str = "tenant-2";
@@ -425,6 +429,7 @@
             .map(|node| Holder {
                 node: *node,
                 is_near,
+                zone: ZoneName::new(if is_near { "zone-a" } else { "zone-b" }).unwrap(),
             })
             .collect()
     };
@@ -460,6 +465,135 @@
     assert!(elsewhere.iter().all(|node| far.contains(node)));
 }
 
+/// A world whose leader is in the far zone, and whose leader's position is known.
+fn led_from_afar() -> World {
+    let mut world = world();
+    let mut members = usual_backends();
+    members[0].role = BackendRole::Replica;
+    members[2].role = BackendRole::Primary;
+    world.tell(Event::Backends(members));
+    world
+}
+
+#[test]
+fn what_the_leader_must_take_goes_to_a_holder_beside_it_and_reads_to_one_near_by() {
+    let mut world = led_from_afar();
+    places(&mut world, &[NodeId(7)], &[NodeId(20), NodeId(21)]);
+    let session = world.open_with(1, LEADER_READS, Some("key-1"));
+    world.say(session, StatementKind::Write);
+    let (holder, ..) = world.forwarded.pop().unwrap();
+    assert!([NodeId(20), NodeId(21)].contains(&holder), "{holder:?}");
+    let session = world.open_with(2, OWN_READS, Some("key-1"));
+    world.say(session, StatementKind::Read);
+    let (holder, ..) = world.forwarded.pop().unwrap();
+    assert_eq!(holder, NodeId(7));
+}
+
+/// A read of a tenant as another node forwards it.
+fn forwarded_read() -> Event {
+    let statement = Statement {
+        id: "x1".to_owned(),
+        kind: StatementKind::Read,
+        text: "r".to_owned(),
+    };
+    Event::Forwarded {
+        session: SessionId(900),
+        forwarded: Box::new(Forwarded {
+            database: GroupId::new(OWN_READS).unwrap(),
+            revision: Revision(1),
+            tenant: Some(name(FIRST)),
+            in_transaction: false,
+            values: BTreeMap::new(),
+            prepared: None,
+            commit: None,
+            statement,
+        }),
+    }
+}
+
+fn behind() -> BackendReply {
+    failed(BackendErrorCode::NotFresh, TransactionStatus::Idle)
+}
+
+#[test]
+fn a_holder_whose_copies_are_behind_sends_a_forwarded_read_back_at_once() {
+    let mut world = led_from_afar();
+    places(&mut world, &[OWN], &[NodeId(20)]);
+    world.tell(Event::PeerPosition {
+        service: service(),
+        freshness: at(1, 5),
+        asked_at: world.now,
+        age: Duration::ZERO,
+    });
+    world.tell(forwarded_read());
+    // Both copies of this zone are behind; the leader is in the other one.
+    for _ in 0..2 {
+        let sent = world.sent.iter().position(|sent| is_run(&sent.command));
+        let sent = world.sent.remove(sent.expect("sent"));
+        world.tell(Event::Reply {
+            connection: sent.connection,
+            reply: behind(),
+        });
+    }
+    assert_eq!(world.refusal(), ResultCode::NotFreshEnough);
+}
+
+fn is_run(command: &BackendCommand) -> bool {
+    matches!(command, BackendCommand::Run { .. })
+}
+
+#[test]
+fn a_read_that_found_copies_behind_goes_on_to_a_holder_beside_the_leader_once() {
+    let mut world = led_from_afar();
+    places(&mut world, &[NodeId(7)], &[NodeId(20)]);
+    let session = world.open_with(1, OWN_READS, Some("key-1"));
+    world.say(session, StatementKind::Read);
+    let refused = Response {
+        rows: Vec::new(),
+        result: ResponseResult::Refused {
+            code: ResultCode::NotFreshEnough,
+            retry_after: None,
+        },
+        status: TransactionStatus::Idle,
+        position: None,
+    };
+    for expected in [NodeId(7), NodeId(20)] {
+        let (holder, session, request, _) = world.forwarded.pop().unwrap();
+        assert_eq!(holder, expected);
+        let response = refused.clone();
+        world.tell(Event::ForwardAnswered {
+            holder,
+            session,
+            request,
+            response,
+        });
+    }
+    assert!(world.forwarded.is_empty());
+    assert_eq!(world.refusal(), ResultCode::NotFreshEnough);
+}
+
+#[test]
+fn the_holders_beside_a_back_end_share_its_connections() {
+    let mut world = world();
+    places(&mut world, &[OWN], &[NodeId(20)]);
+    // Of 11, one is for the holder in the other zone, and of the rest one is left to other tenants.
+    for number in 0..12 {
+        let session = world.open_with(number + 1, LEADER_READS, Some("key-1"));
+        world.say(session, StatementKind::Write);
+    }
+    let to = |world: &World, name: &str| {
+        let opened = world.opened.iter();
+        opened.filter(|(_, id)| id.as_str() == name).count()
+    };
+    assert!(to(&world, PRIMARY) >= 9, "{:?}", world.opened);
+    // One that stands elsewhere keeps to a single connection.
+    places(&mut world, &[NodeId(7)], &[OWN, NodeId(20)]);
+    let before = to(&world, PRIMARY);
+    let session = world.open_with(20, LEADER_READS, Some("key-1"));
+    world.say(session, StatementKind::Write);
+    assert_eq!(to(&world, PRIMARY), before);
+}
+
 #[test]
 fn a_tenant_whose_holder_is_lost_goes_to_the_next_one() {
     let mut world = world();
--- a/crates/stairward-runtime/src/membership.rs
+++ b/crates/stairward-runtime/src/membership.rs
@@ -176,6 +176,7 @@
             regions = members.iter().map(of_member).collect();
             let index = HolderIndex::new(members.iter().map(candidate));
             let distances = self.distances(&members);
+            let by_node = members.iter().map(|member| (member.node, member)).collect();
             for (service, limits) in &table.services {
                 let count = usize::try_from(holder_count(limits.connections)).unwrap_or(1);
                 let holders = index.holders(service, count);
@@ -188,7 +189,10 @@
                 if members.len() <= count {
                     continue;
                 }
-                places.insert(service.clone(), holder_places(&distances, &holders));
+                places.insert(
+                    service.clone(),
+                    holder_places(&distances, &by_node, &holders),
+                );
                 if !holders.contains(&self.peer.node) {
                     elsewhere.insert(service.clone(), self.by_nearness(&distances, holders));
                 }
@@ -255,16 +259,21 @@
     }
 }
 
-fn holder_places(distances: &BTreeMap<NodeId, Distance>, holders: &[NodeId]) -> Vec<Holder> {
-    let holders = holders.iter();
-    holders
-        .map(|node| Holder {
+fn holder_places(
+    distances: &BTreeMap<NodeId, Distance>,
+    members: &BTreeMap<NodeId, &Profile>,
+    holders: &[NodeId],
+) -> Vec<Holder> {
+    let place = |node: &NodeId| {
+        let member = members.get(node)?;
+        let distance = distances.get(node);
+        Some(Holder {
             node: *node,
-            is_near: distances
-                .get(node)
-                .is_some_and(|distance| *distance < Distance::Elsewhere),
+            is_near: distance.is_some_and(|distance| *distance < Distance::Elsewhere),
+            zone: member.zone.clone(),
         })
-        .collect()
+    };
+    holders.iter().filter_map(place).collect()
 }
 
 /// How far a node is from this one.
