Connections to back ends that others hold are given back; clients without a key go to the same holders; a full back end is logged

Clients on a public route went to holders of their own region, which have one connection elsewhere (591 of 2,808 refusals).

Event 421 when a back end takes no more.

--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -422,21 +422,24 @@
         }
     }
 
-    /// Closes connections that nobody has needed lately, but for one to each back end.
+    /// Closes connections that nobody has needed lately, but for one to each back end of the services that this node
+    /// holds. What it opened while it did not know the other holders is theirs: 72 nodes that keep one connection each
+    /// leave them none of 36.
     fn trim(&mut self, now: Time) {
         let mut unused = Vec::new();
         for backend in self.backends.values() {
             let mut idle = self.idle_connections_of(&backend.connections);
             let is_any_in_use = idle.len() < backend.connections.len();
-            if !is_any_in_use && !idle.is_empty() {
+            let is_held_here = !self.holders.contains_key(&backend.description.service);
+            if is_held_here && !is_any_in_use && !idle.is_empty() {
                 idle.remove(0);
             }
             unused.extend(idle.into_iter().filter(|id| {
                 let connection = self.connections.get(id);
                 connection.is_some_and(|connection| {
                     let limit = match connection.tenant {
-                        Some(_) => TENANT_IDLE_LIMIT,
-                        None => IDLE_LIMIT,
+                        Some(_) if is_held_here => TENANT_IDLE_LIMIT,
+                        _ => IDLE_LIMIT,
                     };
                     now.since(connection.idle_since) >= limit
                 })
--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -233,6 +233,8 @@
     Silent,
     /// It said that it does not lead.
     NotLeader,
+    /// It takes no more connections.
+    Full,
 }
 
 /// What a node believes of a service's lead.
--- a/crates/stairward-engine/src/placement.rs
+++ b/crates/stairward-engine/src/placement.rs
@@ -53,9 +53,19 @@
     fn ranked_holders(&self, now: Time, session: &Session, request: &Request) -> Vec<NodeId> {
         let service = &request.route.service;
         let places = self.places.get(service);
-        let (Some(tenant), Some(places)) = (session.identity.tenant(), places) else {
+        let is_by_tenant = self
+            .table
+            .as_ref()
+            .is_some_and(|table| table.tenants.is_some());
+        let Some(places) = places.filter(|_| is_by_tenant) else {
             return self.holders.get(service).cloned().unwrap_or_default();
         };
+        // Clients without a key share the connections of nobody: those of one database meet.
+        let database = session.database.as_str();
+        let tenant = session
+            .identity
+            .tenant()
+            .map_or(database, TenantName::as_str);
         let target = self.expected_backend(now, request);
         let zone = target.map(|backend| &backend.description.zone);
         let region = target.and_then(|backend| backend.region.as_ref());
@@ -164,6 +174,6 @@
     }
 }
 
-fn score(tenant: &TenantName, node: NodeId) -> u64 {
-    xxh3_64_with_seed(tenant.as_str().as_bytes(), node.0)
+fn score(tenant: &str, node: NodeId) -> u64 {
+    xxh3_64_with_seed(tenant.as_bytes(), node.0)
 }
--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -61,7 +61,8 @@
                     backend.leaving_since.get_or_insert(now);
                 }
             }
-            OpenFailure::ConnectionLimit | OpenFailure::Other => {}
+            OpenFailure::ConnectionLimit => self.observe(&backend_id, Evidence::Full),
+            OpenFailure::Other => {}
         }
         self.changed.insert(service);
     }
--- a/crates/stairward-engine/tests/tenants.rs
+++ b/crates/stairward-engine/tests/tenants.rs
@@ -605,3 +605,35 @@
     let (second, ..) = world.forwarded.pop().unwrap();
     assert_ne!(first, second);
 }
+
+#[test]
+fn a_node_keeps_no_connection_to_back_ends_that_others_hold() {
+    let mut world = world();
+    places(&mut world, &[OWN], &[NodeId(20)]);
+    let session = world.open_with(1, LEADER_READS, Some("key-1"));
+    world.say(session, StatementKind::Write);
+    // While the statement runs, others turn out to hold the service.
+    places(&mut world, &[NodeId(7)], &[NodeId(20)]);
+    let holders = BTreeMap::from([(service(), vec![NodeId(7), NodeId(20)])]);
+    world.tell(Event::Holders(holders));
+    while !world.sent.is_empty() {
+        world.answer(done(TransactionStatus::Idle, at(1, 5)));
+    }
+    world.response();
+    world.pass(Duration::from_secs(2));
+    assert_eq!(world.engine.statistics().connections, 0);
+}
+
+#[test]
+fn clients_without_a_key_go_to_a_holder_beside_the_leader_too() {
+    let mut world = led_from_afar();
+    let mut open = table_of(3, vec![tenant(FIRST, &["key-1"])]);
+    for route in open.routes.values_mut() {
+        Arc::make_mut(route).is_public = true;
+    }
+    world.tell(Event::Configured(Arc::new(open)));
+    places(&mut world, &[NodeId(7)], &[NodeId(20)]);
+    let session = world.open_with(1, LEADER_READS, None);
+    world.say(session, StatementKind::Write);
+    assert_eq!(world.forwarded.pop().unwrap().0, NodeId(20));
+}
--- a/crates/stairward-simulation/src/world_nodes.rs
+++ b/crates/stairward-simulation/src/world_nodes.rs
@@ -167,7 +167,7 @@
                     Evidence::Answered => LeaderEvidence::Answered,
                     Evidence::Refused => LeaderEvidence::Refused,
                     Evidence::Silent => LeaderEvidence::Silent,
-                    Evidence::NotLeader => return,
+                    Evidence::NotLeader | Evidence::Full => return,
                 };
                 self.tell_duty(index, life, DutyEvent::Evidence(backend, evidence));
             }
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -123,6 +123,8 @@
     EvacuationChanged = 419, Warn;
     /// A back end has just started and gets few requests, or has warmed up.
     WarmUpChanged = 420, Info;
+    /// A back end takes no more connections: other nodes hold more than their share.
+    BackendFull = 421, Warn;
 
     /// A coordinator of tenants' limits did not answer: another node is asked.
     LimitCoordinatorSilent = 450, Warn;
