--- a/crates/stairward-runtime/src/duty.rs
+++ b/crates/stairward-runtime/src/duty.rs
@@ -47,6 +47,9 @@
             Self::pause(pause.min(IDLE_PAUSE)).await;
             self.tell_duty(Event::Tick);
             figures::show(self.statistics());
+            for (zone, work) in self.engine.borrow().work_in_evacuated() {
+                figures::show_evacuated(&zone, work);
+            }
         }
     }
 
--- a/crates/stairward-runtime/src/figures.rs
+++ b/crates/stairward-runtime/src/figures.rs
@@ -1,9 +1,9 @@
 //! The node's figures: counters and latency histograms, shown as text for Prometheus.
 
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
-use stairward_engine::{Consistency, EngineStatistics, RequestMeasure};
+use stairward_engine::{Consistency, EngineStatistics, RequestMeasure, ZoneWork};
 use stairward_failover::Action;
-use stairward_types::{AccessClass, BackendRole, OutcomeClass};
+use stairward_types::{AccessClass, BackendRole, OutcomeClass, ZoneName};
 
 /// Requests that ended, by what their reads must see, access and outcome.
 const REQUESTS: &str = "stairward_requests_total";
@@ -17,6 +17,10 @@
 const SESSIONS: &str = "stairward_sessions";
 /// Connections to back ends.
 const CONNECTIONS: &str = "stairward_backend_connections";
+/// Connections to back ends of an evacuated zone, by zone.
+const EVACUATED_CONNECTIONS: &str = "stairward_evacuated_connections";
+/// Statements under way at back ends of an evacuated zone, by zone.
+const EVACUATED_STATEMENTS: &str = "stairward_evacuated_statements";
 /// Requests that wait.
 const WAITING: &str = "stairward_requests_waiting";
 /// Upper ends of the histogram's buckets, in seconds.
@@ -88,9 +92,19 @@
     metrics::counter!(FAILOVER_STEPS, "step" => step).increment(1);
 }
 
+fn gauge(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+/// Shows what still goes on in an evacuated zone; nothing once it is taken back.
+pub(crate) fn show_evacuated(zone: &ZoneName, work: ZoneWork) {
+    let zone = zone.as_str().to_owned();
+    metrics::gauge!(EVACUATED_CONNECTIONS, "zone" => zone.clone()).set(gauge(work.connections));
+    metrics::gauge!(EVACUATED_STATEMENTS, "zone" => zone).set(gauge(work.statements));
+}
+
 /// Shows how much is open.
 pub(crate) fn show(statistics: EngineStatistics) {
-    let gauge = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
     metrics::gauge!(SESSIONS).set(gauge(statistics.sessions));
     metrics::gauge!(CONNECTIONS).set(gauge(statistics.connections));
     metrics::gauge!(WAITING).set(gauge(statistics.waiting));
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -9,7 +9,7 @@
 use bytes::BytesMut;
 use stairward_engine::{
     BackendDescription, ConnectionId, Effect, Engine, EngineOptions, EngineStatistics, Event,
-    Evidence, LeadChange, RoutingTable, SessionId,
+    Evidence, LeadChange, RoutingTable, SessionId, ZoneWork,
 };
 use stairward_failover::{
     FailoverDuty, FailoverOptions, LeaderEvidence, LeaderMemory, RecordVersion,
@@ -515,6 +515,9 @@
             is_known: self.zone_regions.contains_key(zone),
         };
         self.log.evacuation(now, &line);
+        if !is_evacuated {
+            figures::show_evacuated(zone, ZoneWork::default());
+        }
     }
 
     fn observed(self: &Rc<Self>, now: Time, backend: BackendId, evidence: Evidence) {
--- a/crates/stairward-simulation/src/checker.rs
+++ b/crates/stairward-simulation/src/checker.rs
@@ -38,6 +38,8 @@
     Key,
     /// No tenant runs more operations than its limit allows.
     Limit,
+    /// No work reaches a database of a zone that has been evacuated for long.
+    Evacuated,
 }
 
 /// A violation.
--- /dev/null
+++ b/crates/stairward-simulation/src/evacuations.rs
@@ -0,0 +1,81 @@
+//! Evacuated zones: what the store says, what nodes are shown of it, and the check that nothing arrives there.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt as _;
+use stairward_engine::{BackendCommand, Event};
+use stairward_types::{BackendId, Time, ZoneName};
+
+use crate::checker::Invariant;
+use crate::options::BrokenVariant;
+use crate::world::{CONTACT, World};
+
+/// From an evacuation's acknowledgement to the last work that may arrive in the zone.
+const EVACUATION_LIMIT: Duration = Duration::from_secs(5);
+/// Databases, one in each zone.
+const ZONES: u32 = 3;
+
+impl World {
+    /// The operator asks that nothing be sent to a zone's databases. Returns the zone, if it is not evacuated yet.
+    pub(crate) fn evacuate(&mut self) -> Option<ZoneName> {
+        let number = self.random.random_range(1..=ZONES);
+        let zone = ZoneName::new(format!("zone-{number}")).expect("a name");
+        if self.store.evacuated.contains_key(&zone) {
+            return None;
+        }
+        let now = self.now();
+        self.store.evacuated.insert(zone.clone(), now);
+        self.push_to_all();
+        Some(zone)
+    }
+
+    /// The operator takes an evacuation back.
+    pub(crate) fn end_evacuation(&mut self, zone: &ZoneName) {
+        self.store.evacuated.remove(zone);
+        self.push_to_all();
+    }
+
+    /// The evacuated zones as a node is shown them. A broken node forgets them when it starts anew.
+    pub(crate) fn show_evacuated(&mut self, node: usize, life: u64) {
+        let has_forgotten = self.options.broken == Some(BrokenVariant::Evacuation)
+            && self.nodes[node].in_touch_since > Time::ZERO;
+        let zones: BTreeMap<ZoneName, Time> = if has_forgotten {
+            BTreeMap::new()
+        } else {
+            self.store.evacuated.clone()
+        };
+        let zones: std::collections::BTreeSet<_> = zones.into_keys().collect();
+        self.nodes[node].evacuated.clone_from(&zones);
+        self.tell_engine(node, life, Event::Evacuated(zones));
+    }
+
+    /// No work of a node in touch reaches a database whose zone has been evacuated for long.
+    pub(crate) fn check_evacuated(
+        &mut self,
+        node: usize,
+        backend: &BackendId,
+        command: &BackendCommand,
+    ) {
+        let is_work = matches!(
+            command,
+            BackendCommand::Run { .. } | BackendCommand::Execute { .. }
+        );
+        let zone = self.group.listed.get(backend).map(|entry| &entry.zone);
+        let since = zone
+            .and_then(|zone| self.store.evacuated.get(zone))
+            .copied();
+        let now = self.now();
+        let is_in_touch = now >= self.nodes[node].in_touch_since + CONTACT;
+        let Some(since) = since.filter(|_| is_work && is_in_touch) else {
+            return;
+        };
+        self.checker.count(Invariant::Evacuated);
+        // It counts from when the store took it, which it does only while it is up.
+        let since = since.max(self.store.up_since);
+        if now > since + EVACUATION_LIMIT {
+            let text = format!("{backend}, evacuated at {since:?}, got work of node {node}");
+            self.checker.violate(now, Invariant::Evacuated, text);
+        }
+    }
+}
--- a/crates/stairward-simulation/src/faults.rs
+++ b/crates/stairward-simulation/src/faults.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rand::RngExt as _;
-use stairward_types::BackendId;
+use stairward_types::{BackendId, ZoneName};
 
 use crate::options::FaultKind;
 use crate::world::{DRAIN_LIMIT, Happening, World};
@@ -32,6 +32,7 @@
     AnswersReturn,
     PromotionsReturn,
     StoreAnswers,
+    EvacuationEnds(ZoneName),
 }
 
 impl World {
@@ -79,6 +80,11 @@
                 self.end_after(length, Ending::AnswersReturn);
             }
             FaultKind::ConfigurationChange => self.change_configuration(),
+            FaultKind::Evacuation => {
+                if let Some(zone) = self.evacuate() {
+                    self.end_after(length * 2, Ending::EvacuationEnds(zone));
+                }
+            }
         }
     }
 
@@ -267,6 +273,7 @@
             Ending::AnswersReturn => self.answer_loss_percent = 0,
             Ending::PromotionsReturn => self.promotions_are_late = false,
             Ending::StoreAnswers => self.store.loses_answers = false,
+            Ending::EvacuationEnds(zone) => self.end_evacuation(&zone),
         }
     }
 }
--- a/crates/stairward-simulation/src/lib.rs
+++ b/crates/stairward-simulation/src/lib.rs
@@ -10,6 +10,7 @@
 mod callers;
 mod checker;
 mod database;
+mod evacuations;
 mod faults;
 mod group;
 mod guests;
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -38,6 +38,8 @@
     /// Since when it has been able to reach the store without a fault.
     pub in_touch_since: Time,
     pub leader_memory: LeaderMemory,
+    /// The evacuated zones, as it was last shown them.
+    pub evacuated: BTreeSet<ZoneName>,
     /// The newest configuration that it has had in force, by its content.
     pub newest_content: u64,
     pub timer_at: Time,
@@ -109,6 +111,7 @@
             is_cut_from_store: false,
             in_touch_since: now,
             leader_memory: LeaderMemory::default(),
+            evacuated: BTreeSet::new(),
             newest_content: 0,
             timer_at: Time::NEVER,
             duty_timer_at: Time::NEVER,
@@ -127,8 +130,11 @@
         };
         for description in list {
             let (role, is_leaving) = (description.role, description.is_leaving);
-            let member =
-                MemberState::listed(role, is_leaving, description.revision, Placement::default());
+            let placement = Placement {
+                is_evacuated: self.evacuated.contains(&description.zone),
+                ..Placement::default()
+            };
+            let member = MemberState::listed(role, is_leaving, description.revision, placement);
             group.members.insert(description.id.clone(), member);
         }
         let mut groups = BTreeMap::from([(service(), group)]);
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -35,10 +35,19 @@
     AnswerLost,
     /// The configuration changes.
     ConfigurationChange,
+    /// A zone is evacuated for a while.
+    Evacuation,
 }
 
 impl FaultKind {
-    /// All kinds.
+    /// The kinds where zones are evacuated too.
+    #[must_use]
+    pub fn with_evacuations() -> Vec<Self> {
+        let evacuations = [Self::Evacuation; 3];
+        Self::ALL.into_iter().chain(evacuations).collect()
+    }
+
+    /// All kinds but evacuations, which are drawn apart, so that a seed goes on standing for the same run.
     pub const ALL: [Self; 15] = [
         Self::PrimaryCrash,
         Self::PrimaryDark,
@@ -98,11 +107,13 @@
     Key,
     /// A coordinator grants whatever is asked for.
     Limit,
+    /// A node that has started anew does not know of evacuations.
+    Evacuation,
 }
 
 impl BrokenVariant {
     /// All variants.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Floor,
         Self::LeaderProof,
         Self::Promise,
@@ -121,6 +132,7 @@
         Self::Tenant,
         Self::Key,
         Self::Limit,
+        Self::Evacuation,
     ];
 }
 
--- a/crates/stairward-simulation/src/store.rs
+++ b/crates/stairward-simulation/src/store.rs
@@ -1,7 +1,9 @@
 //! The metadata store: the configuration and the record of the one service.
 
+use std::collections::BTreeMap;
+
 use stairward_failover::{DutyRecord, RecordVersion};
-use stairward_types::Time;
+use stairward_types::{Time, ZoneName};
 
 /// The store.
 #[derive(Debug, Default)]
@@ -14,6 +16,8 @@
     pub record: Option<DutyRecord>,
     /// The newest configuration's revision.
     pub configuration: u64,
+    /// Evacuated zones, and since when.
+    pub evacuated: BTreeMap<ZoneName, Time>,
     /// Whether the route for own reads exists in it.
     pub revisions: u64,
 }
--- a/crates/stairward-simulation/src/world_databases.rs
+++ b/crates/stairward-simulation/src/world_databases.rs
@@ -104,6 +104,7 @@
             return;
         }
         self.check_leaving(node, backend, command);
+        self.check_evacuated(node, backend, command);
         let now = self.now();
         let Some(database) = self.group.databases.get_mut(backend) else {
             return;
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -65,6 +65,7 @@
         self.tell_engine(node, life, Event::Configured(table));
         let list: Vec<_> = self.group.listed.values().cloned().collect();
         self.tell_engine(node, life, Event::Backends(list.clone()));
+        self.show_evacuated(node, life);
         let nodes = u32::try_from(self.nodes.len()).unwrap_or(1);
         self.tell_engine(node, life, Event::Nodes(nodes));
         let holders = self.holders_for(node);
--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -4,6 +4,8 @@
 use stairward_simulation::{BrokenVariant, FaultKind, Invariant, Options, Report, simulate};
 
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=60;
+/// Seeds beyond these in which variants show that few runs catch: two in a hundred catch `NoWait`.
+const RARE_SEEDS: [u64; 2] = [164, 219];
 
 #[track_caller]
 fn assert_holds(options: &Options) -> Report {
@@ -227,6 +229,30 @@
     }
 }
 
+#[test]
+fn everything_holds_where_zones_are_evacuated() {
+    let mut checked = 0;
+    for seed in SEEDS.into_iter().take(6) {
+        let report = simulate(&Options {
+            faults: FaultKind::with_evacuations(),
+            strikes: 20,
+            old_primaries_go_on: true,
+            ..Options::new(seed)
+        });
+        assert!(
+            report.violations.is_empty(),
+            "seed {seed}: {:?}",
+            report.violations
+        );
+        checked += report
+            .checked
+            .get(&Invariant::Evacuated)
+            .copied()
+            .unwrap_or(0);
+    }
+    assert!(checked > 20, "{checked}");
+}
+
 #[test]
 fn one_seed_is_one_run() {
     let runs = [(); 2].map(|()| simulate(&Options::new(7)).fingerprint);
@@ -264,6 +290,7 @@
             FaultKind::StoreCut,
         ],
         BrokenVariant::Key => vec![FaultKind::ConfigurationChange],
+        BrokenVariant::Evacuation => vec![FaultKind::NodeKill, FaultKind::Evacuation],
         BrokenVariant::Tenant | BrokenVariant::Limit => Vec::new(),
         _ => FaultKind::ALL.to_vec(),
     }
@@ -288,6 +315,7 @@
         BrokenVariant::Tenant => Invariant::OwnTenant,
         BrokenVariant::Key => Invariant::Key,
         BrokenVariant::Limit => Invariant::Limit,
+        BrokenVariant::Evacuation => Invariant::Evacuated,
     }
 }
 
@@ -337,7 +365,7 @@
 fn each_broken_variant_is_caught() {
     for variant in BrokenVariant::ALL {
         let wanted = caught_by(variant);
-        let is_caught = SEEDS.into_iter().any(|seed| {
+        let is_caught = SEEDS.into_iter().chain(RARE_SEEDS).any(|seed| {
             let report = simulate(&broken(variant, seed));
             report
                 .violations
