--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -232,7 +232,7 @@
 #[test]
 fn everything_holds_where_zones_are_evacuated() {
     let mut checked = 0;
-    for seed in SEEDS.into_iter().take(6) {
+    for seed in SEEDS.take(6) {
         let report = simulate(&Options {
             faults: FaultKind::with_evacuations(),
             strikes: 20,
@@ -365,7 +365,7 @@
 fn each_broken_variant_is_caught() {
     for variant in BrokenVariant::ALL {
         let wanted = caught_by(variant);
-        let is_caught = SEEDS.into_iter().chain(RARE_SEEDS).any(|seed| {
+        let is_caught = SEEDS.chain(RARE_SEEDS).any(|seed| {
             let report = simulate(&broken(variant, seed));
             report
                 .violations
