--- a/crates/stairward-limits/src/allowance.rs
+++ b/crates/stairward-limits/src/allowance.rs
@@ -78,6 +78,13 @@
         self.waiting.saturating_sub(self.available(now))
     }
 
+    /// Whether more operations wait than there are grants, counting those whose life may be over: they are dropped with
+    /// the next renewal.
+    pub fn lacks_grants(&self) -> bool {
+        let granted: u32 = self.granted.iter().map(|(_, count)| *count).sum();
+        self.waiting > granted
+    }
+
     /// Takes a grant in.
     pub fn grant(&mut self, until: Time, count: u32) {
         if count > 0 {
--- a/crates/stairward-limits/src/limiter.rs
+++ b/crates/stairward-limits/src/limiter.rs
@@ -173,7 +173,7 @@
         let openings = self
             .allowances
             .iter()
-            .filter(|(tenant, allowance)| allowance.waiting > 0 && may_ask(tenant))
+            .filter(|(tenant, allowance)| allowance.lacks_grants() && may_ask(tenant))
             .map(|(_, allowance)| allowance.closed_until.max(allowance.quiet_until));
         renewals.chain(openings).min()
     }
