--- a/crates/stairward-engine/tests/residency.rs
+++ b/crates/stairward-engine/tests/residency.rs
@@ -7,16 +7,16 @@
 use std::time::Duration;
 
 use stairward_engine::{
-    BackendErrorCode, Event, Forwarded, Holder, Residency, ResponseResult, Route, RoutingTable,
-    SessionId, Statement, StatementKind, Tenant, TenantDirectory, TransactionStatus,
+    BackendErrorCode, Event, Holder, Residency, ResponseResult, Route, RoutingTable, SessionId,
+    StatementKind, Tenant, TenantDirectory, TransactionStatus,
 };
 use stairward_testing::check;
 use stairward_types::{
-    ApiKey, BackendRole, GroupId, NodeId, RegionName, ResultCode, Revision, TenantName, ZoneName,
+    ApiKey, BackendRole, GroupId, NodeId, RegionName, ResultCode, TenantName, ZoneName,
 };
 use support::{
     BOUNDED, FAR_REGION, FAR_REPLICA, LEADER_READS, NEAR_REGION, PRIMARY, World, at, describe,
-    done, failed, service, table, usual_backends,
+    done, failed, forwarded, service, table, usual_backends,
 };
 
 const NEAR_HOLDER: NodeId = NodeId(7);
@@ -217,23 +217,7 @@
 #[test]
 fn a_holder_works_residency_out_by_itself() {
     let mut world = world(&within(&[FAR_REGION]));
-    world.tell(Event::Forwarded {
-        session: SessionId(900),
-        forwarded: Box::new(Forwarded {
-            database: GroupId::new(BOUNDED).unwrap(),
-            revision: Revision(1),
-            tenant: None,
-            in_transaction: false,
-            values: BTreeMap::new(),
-            prepared: None,
-            commit: None,
-            statement: Statement {
-                id: "x1".to_owned(),
-                kind: StatementKind::Read,
-                text: "r".to_owned(),
-            },
-        }),
-    });
+    world.tell(forwarded(BOUNDED, None, StatementKind::Read));
     assert_eq!(world.sent[0].backend.as_str(), FAR_REPLICA);
 }
 
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -14,7 +14,7 @@
 };
 use stairward_types::{
     BackendId, BackendRole, Freshness, GroupId, LogPosition, NodeId, RegionName, ResultCode,
-    Revision, ServiceName, Term, Time, ZoneName,
+    Revision, ServiceName, TenantName, Term, Time, ZoneName,
 };
 
 pub const NEAR_REGION: &str = "region-a";
@@ -381,6 +381,29 @@
     }
 }
 
+/// A statement of one of its sessions that another node forwards; the session's number here is the same each time.
+pub fn forwarded(database: &str, tenant: Option<TenantName>, kind: StatementKind) -> Event {
+    let statement = Statement {
+        id: "x1".to_owned(),
+        text: format!("{kind:?}"),
+        kind,
+    };
+    let forwarded = Forwarded {
+        database: GroupId::new(database).unwrap(),
+        revision: Revision(1),
+        tenant,
+        in_transaction: false,
+        values: BTreeMap::new(),
+        prepared: None,
+        commit: None,
+        statement,
+    };
+    Event::Forwarded {
+        session: SessionId(900),
+        forwarded: Box::new(forwarded),
+    }
+}
+
 pub fn done(status: TransactionStatus, position: Freshness) -> BackendReply {
     BackendReply {
         rows: Vec::new(),
--- a/crates/stairward-engine/tests/tenants.rs
+++ b/crates/stairward-engine/tests/tenants.rs
@@ -489,28 +489,6 @@
     assert_eq!(holder, NodeId(7));
 }
 
-/// A read of a tenant as another node forwards it.
-fn forwarded_read() -> Event {
-    let statement = Statement {
-        id: "x1".to_owned(),
-        kind: StatementKind::Read,
-        text: "r".to_owned(),
-    };
-    Event::Forwarded {
-        session: SessionId(900),
-        forwarded: Box::new(Forwarded {
-            database: GroupId::new(OWN_READS).unwrap(),
-            revision: Revision(1),
-            tenant: Some(name(FIRST)),
-            in_transaction: false,
-            values: BTreeMap::new(),
-            prepared: None,
-            commit: None,
-            statement,
-        }),
-    }
-}
-
 fn behind() -> BackendReply {
     failed(BackendErrorCode::NotFresh, TransactionStatus::Idle)
 }
@@ -525,7 +503,11 @@
         asked_at: world.now,
         age: Duration::ZERO,
     });
-    world.tell(forwarded_read());
+    world.tell(support::forwarded(
+        OWN_READS,
+        Some(name(FIRST)),
+        StatementKind::Read,
+    ));
     // Both copies of this zone are behind; the leader is in the other one.
     for _ in 0..2 {
         let sent = world.sent.iter().position(|sent| is_run(&sent.command));
--- a/crates/stairward-engine/tests/warm_up.rs
+++ b/crates/stairward-engine/tests/warm_up.rs
@@ -7,14 +7,14 @@
 use std::time::Duration;
 
 use stairward_engine::{
-    BackendCommand, BackendDescription, Event, Forwarded, ResponseResult, RoutingTable,
-    ServiceLimits, SessionId, Statement, StatementKind, TransactionStatus,
+    BackendCommand, BackendDescription, Event, ResponseResult, RoutingTable, ServiceLimits,
+    StatementKind, TransactionStatus,
 };
 use stairward_testing::check;
-use stairward_types::{GroupId, NodeId, ResultCode, Revision, Time};
+use stairward_types::{NodeId, ResultCode, Time};
 use support::{
     BOUNDED, CONNECTION_LIMIT, FAR_REPLICA, LEADER_READS, NEAR_REPLICA, PRIMARY, World, at, done,
-    service, table, usual_backends,
+    forwarded, service, table, usual_backends,
 };
 
 /// Requests a second that a cold back end may get from all nodes; one node spends half.
@@ -143,23 +143,7 @@
 fn a_node_that_is_not_the_first_holder_sends_nothing_for_others() {
     let mut world = world(&[PRIMARY]);
     world.tell(Event::FirstHolders(BTreeMap::from([(service(), OTHER)])));
-    world.tell(Event::Forwarded {
-        session: SessionId(900),
-        forwarded: Box::new(Forwarded {
-            database: GroupId::new(LEADER_READS).unwrap(),
-            revision: Revision(1),
-            tenant: None,
-            in_transaction: false,
-            values: BTreeMap::new(),
-            prepared: None,
-            commit: None,
-            statement: Statement {
-                id: "x1".to_owned(),
-                kind: StatementKind::Write,
-                text: "w".to_owned(),
-            },
-        }),
-    });
+    world.tell(forwarded(LEADER_READS, None, StatementKind::Write));
     assert_eq!(world.refusal(), ResultCode::NotOwner);
     assert!(world.sent.is_empty());
 }
