--- a/crates/stairward-engine/src/choice.rs
+++ b/crates/stairward-engine/src/choice.rs
@@ -279,6 +279,14 @@
     /// one among them: each try of the same request would open another one otherwise, and an opening holds a slot of
     /// the back end for longer than many statements do.
     fn has_openings_enough(&self, id: &BackendId, tenant: Option<&TenantName>) -> bool {
+        let has_tenants = self
+            .table
+            .as_ref()
+            .is_some_and(|table| table.tenants.is_some());
+        if !has_tenants {
+            // Any connection serves any request there, and the next one to come finds it.
+            return false;
+        }
         let Some(backend) = self.backends.get(id) else {
             return true;
         };
