A planned stop refuses new work in the last quarter of its grace

Clients go on coming where most nodes of a zone stop at once, and nothing kept late work from being begun.

Ruled out: sessions that are not closed at rest (all are, from 36% on).

--- a/crates/stairward-engine/src/statements.rs
+++ b/crates/stairward-engine/src/statements.rs
@@ -293,6 +293,9 @@
         self.insert_request(now, id, statement, route, need);
         let request = self.sessions.get(&id).and_then(|s| s.request.as_ref());
         let starts_work = !matches!(need, Need::InTransaction { .. } | Need::Commit);
+        if starts_work && self.is_too_late_to_begin(now) {
+            return self.refuse(now, id, ResultCode::ProxyStopping, None);
+        }
         if starts_work && request.is_some_and(|request| request.residency.is_nowhere()) {
             return self.refuse(now, id, ResultCode::NoCommonRegion, None);
         }
--- a/crates/stairward-engine/src/stopping.rs
+++ b/crates/stairward-engine/src/stopping.rs
@@ -15,6 +15,9 @@
 const CLOSING_PERCENT: u32 = 36;
 /// When resting transactions are ended.
 const TRANSACTIONS_PERCENT: u32 = 52;
+/// From when new work is refused as not run, so that the client goes elsewhere: what is sent later would be cut by the
+/// end. Clients come until the end where most nodes of a zone stop at once.
+const REFUSING_PERCENT: u32 = 75;
 /// When everything is over, whatever is under way.
 const END_PERCENT: u32 = 92;
 /// How often sessions are looked at meanwhile.
@@ -95,6 +98,12 @@
         }
     }
 
+    /// Whether a planned stop has come so far that new work would be cut by its end.
+    pub(crate) fn is_too_late_to_begin(&self, now: Time) -> bool {
+        let refusing = self.options.stop_grace * REFUSING_PERCENT / 100;
+        self.stop.is_some_and(|stop| now >= stop.began + refusing)
+    }
+
     fn close_session(&mut self, now: Time, id: SessionId) {
         self.effects.push(Effect::CloseSession { session: id });
         self.session_closed(now, id);
--- a/crates/stairward-engine/tests/sessions.rs
+++ b/crates/stairward-engine/tests/sessions.rs
@@ -228,6 +228,17 @@
     assert_eq!(world.closed_sessions, sessions);
 }
 
+#[test]
+fn a_planned_stop_refuses_late_work_that_its_end_would_cut() {
+    let (mut world, _) = stop_with(1);
+    world.pass(Duration::from_millis(4_600));
+    let late = world.open(LEADER_READS);
+    world.say(late, StatementKind::Write);
+    assert_eq!(world.refusal(), ResultCode::ProxyStopping);
+    assert!(world.sent.is_empty(), "{:?}", world.sent);
+    assert!(world.closed_sessions.contains(&late));
+}
+
 #[test]
 fn a_planned_stop_gives_an_open_transaction_half_of_its_time() {
     let (mut world, sessions) = stop_with(1);
