An attempt at a lease that is ended by the holder is no failed probe

Cause: whoever gets a back end's lock ends all other sessions of the role, also the control connection of a node that is only asking for the lock. Ruled out: a slow machine alone; the answer is decided by the order of the two nodes' messages. Change: a session ended on command (57P01) counts as "not locked", and an answer that another session holds the lock clears a failed probe. A pool test brings the second about and failed before it. Conclusion: traced and mended.

--- a/crates/stairward-pool/src/pool/message.rs
+++ b/crates/stairward-pool/src/pool/message.rs
@@ -104,6 +104,8 @@
     Probed(BackendState),
     /// The back end did not answer a health probe.
     ProbeFailed,
+    /// The back end answered that another session holds the lease's lock: it lives, and another node serves it.
+    LockHeldElsewhere,
     /// The newest term known of the group, from whatever source.
     NewestTerm(Term),
     /// The limits or the admin state have changed.
--- a/crates/stairward-pool/src/pool/mod.rs
+++ b/crates/stairward-pool/src/pool/mod.rs
@@ -169,6 +169,7 @@
                 self.conditions.state = None;
                 self.conditions.probe_failed = true;
             }
+            PoolEvent::LockHeldElsewhere => self.conditions.probe_failed = false,
             PoolEvent::NewestTerm(term) => {
                 self.conditions.newest_term = self.conditions.newest_term.max(term);
             }
--- a/crates/stairward-pool/tests/lost_backend.rs
+++ b/crates/stairward-pool/tests/lost_backend.rs
@@ -66,3 +66,13 @@
     let effects = ask(&mut pool());
     assert!(refused_with(&effects, ResultCode::NotOwner), "{effects:?}");
 }
+
+#[test]
+fn a_back_end_that_names_another_holder_after_a_failed_attempt_is_not_owned() {
+    let mut pool = pool();
+    let now = Time::from_millis(1);
+    pool.handle(now, PoolEvent::ProbeFailed);
+    pool.handle(now, PoolEvent::LockHeldElsewhere);
+    let effects = ask(&mut pool);
+    assert!(refused_with(&effects, ResultCode::NotOwner), "{effects:?}");
+}
--- a/crates/stairward-proxy/src/owner/control.rs
+++ b/crates/stairward-proxy/src/owner/control.rs
@@ -129,7 +129,20 @@
                 self.connection = Some(connection);
                 self.backend.lease_event(LeaseEvent::Locked { sent_at });
             }
-            Ok(None) => self.backend.lease_event(LeaseEvent::NotLocked),
+            Ok(None) => {
+                self.backend.handle(PoolEvent::LockHeldElsewhere);
+                self.backend.lease_event(LeaseEvent::NotLocked);
+            }
+            // Whoever got the lock first ends the other sessions of the role, also one that only asks for it. The
+            // next attempt finds out whether the back end itself is going down.
+            Err(error) if error.is_termination() => {
+                tracing::debug!(
+                    backend = %self.backend.identity.name,
+                    %error,
+                    "an attempt at the lock was ended by the back end"
+                );
+                self.backend.lease_event(LeaseEvent::NotLocked);
+            }
             Err(error) => {
                 self.unreachable(&error);
                 self.backend.lease_event(LeaseEvent::NotLocked);
--- a/crates/stairward-proxy/src/owner/error.rs
+++ b/crates/stairward-proxy/src/owner/error.rs
@@ -3,6 +3,9 @@
 use pgwire::error::PgWireError;
 use snafu::Snafu;
 
+/// PostgreSQL's `admin_shutdown`: the session was ended on somebody's command.
+const ADMIN_SHUTDOWN: &str = "57P01";
+
 /// Why a connection to a back end failed.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(super)))]
@@ -63,3 +66,10 @@
         reason: &'static str,
     },
 }
+
+impl BackendError {
+    /// Whether the back end ended the session on somebody's command.
+    pub(super) fn is_termination(&self) -> bool {
+        matches!(self, Self::Server { sqlstate, .. } if sqlstate == ADMIN_SHUTDOWN)
+    }
+}
