The simulation knows cold databases; one that starts again under its old entry is a known red

Cause: nothing but the engine's own tests brought about what warm-up promises. Change: databases that start anew are cold for a while (Options::cold); a checker counts what reaches them from all nodes in any second; broken variant Cold, which it catches; what runs a client's statement is told by one function. Ruled out: one that only fell silent has not started anew, and open transactions on it go on; that was the simulation's.

--- a/crates/stairward-simulation/src/checker.rs
+++ b/crates/stairward-simulation/src/checker.rs
@@ -40,6 +40,8 @@
     Limit,
     /// No work reaches a database of a zone that has been evacuated for long.
     Evacuated,
+    /// A database that has just started gets no more requests in a second than its service allows.
+    WarmUp,
 }
 
 /// A violation.
--- a/crates/stairward-simulation/src/database.rs
+++ b/crates/stairward-simulation/src/database.rs
@@ -1,6 +1,7 @@
 //! One database: its log, its connections, and how it runs statements.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use stairward_engine::{
     BackendCommand, BackendError, BackendErrorCode, BackendReply, PreparedStatement,
@@ -85,6 +86,14 @@
     pub committed: Option<Entry>,
 }
 
+/// Whether a command runs a client's statement.
+pub(crate) fn is_work(command: &BackendCommand) -> bool {
+    matches!(
+        command,
+        BackendCommand::Run { .. } | BackendCommand::Execute { .. }
+    )
+}
+
 /// One database.
 #[derive(Debug)]
 pub struct Database {
@@ -106,6 +115,12 @@
     pub connections: BTreeMap<Link, ConnectionState>,
     /// Connections it takes.
     pub connection_limit: usize,
+    /// Until when it is cold after its last start.
+    pub cold_until: Time,
+    /// How long it said at its last start that it would be.
+    pub told_cold: Duration,
+    /// When requests reached it while it was cold, within the last second.
+    pub cold_arrivals: Vec<Time>,
     /// Since when discovery says that it leaves or is gone, as the store took it.
     pub leaving_since: Option<Time>,
     /// Whether nothing passes between it and the other members.
@@ -131,6 +146,9 @@
             applied: 0,
             connections: BTreeMap::new(),
             connection_limit,
+            cold_until: Time::ZERO,
+            told_cold: Duration::ZERO,
+            cold_arrivals: Vec::new(),
             leaving_since: None,
             is_deaf: false,
             held: Term(0),
--- a/crates/stairward-simulation/src/group.rs
+++ b/crates/stairward-simulation/src/group.rs
@@ -81,7 +81,7 @@
             zone: ZoneName::new(format!("zone-{number}")).expect("a name"),
             is_leaving: database.leaving_since.is_some(),
             role: database.role,
-            cold_left: Duration::ZERO,
+            cold_left: database.told_cold,
             revision: Revision(self.revision),
         };
         self.listed.insert(id.clone(), description);
--- a/crates/stairward-simulation/src/lib.rs
+++ b/crates/stairward-simulation/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod callers;
 mod checker;
+mod cold;
 mod database;
 mod evacuations;
 mod faults;
@@ -27,6 +28,7 @@
 
 pub use callers::{Caller, DATABASES, Step};
 pub use checker::{Asked, Checker, Invariant, ReadKind, Violation};
+pub use cold::ColdStart;
 pub use database::{ConnectionState, Database, Entry, Link, Outcome, Ran};
 pub use group::{Group, SERVICE, service};
 pub use options::{BrokenVariant, FaultKind, Options};
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use stairward_engine::{
-    BackendDescription, ConnectionId, Consistency, Engine, EngineOptions, Residency, Route,
-    RoutingTable, ServiceLimits, TenantDirectory, ZoneDistance,
+    BackendDescription, ColdBound, ConnectionId, Consistency, Engine, EngineOptions, Residency,
+    Route, RoutingTable, ServiceLimits, TenantDirectory, ZoneDistance,
 };
 use stairward_failover::{
     FailoverDuty, FailoverOptions, GroupState, LEADERSHIP_LEASE, LeaderMemory, MemberState,
@@ -16,6 +16,7 @@
 use stairward_types::{BackendId, GroupId, NodeId, Revision, ServiceName, Time, ZoneName};
 
 use crate::callers::DATABASES;
+use crate::cold::{ColdStart, EXCESS, SLACK};
 use crate::group::service;
 use crate::options::{BrokenVariant, Options};
 
@@ -91,6 +92,10 @@
         let options = EngineOptions {
             distances: distances.collect(),
             leadership_lease: leases.engine,
+            cold_bound: ColdBound {
+                excess: EXCESS,
+                slack: SLACK,
+            },
             limits: LimitOptions {
                 started: now,
                 ..LimitOptions::new(NodeId(u64::try_from(index).unwrap_or(0)), life)
@@ -155,6 +160,7 @@
     connections: u32,
     synchronous_replicas: u32,
     tenants: Option<TenantDirectory>,
+    cold: Option<ColdStart>,
 ) -> Arc<RoutingTable> {
     let route = |consistency| {
         Arc::new(Route {
@@ -183,7 +189,7 @@
     let limits = ServiceLimits {
         connections,
         synchronous_replicas,
-        cold_rate_thousandths: None,
+        cold_rate_thousandths: cold.map(|cold| u64::from(cold.rate) * 1_000),
     };
     Arc::new(RoutingTable {
         revision: Revision(revision),
--- a/crates/stairward-simulation/src/world_callers.rs
+++ b/crates/stairward-simulation/src/world_callers.rs
@@ -200,14 +200,22 @@
 
     /// A database's process starts again, with its log.
     pub(crate) fn start_database(&mut self, id: &BackendId) {
+        let now = self.now();
         let newest = self.group.databases.values().map(|d| d.term).max();
         let Some(database) = self.group.databases.get_mut(id) else {
             return;
         };
+        // One that only fell silent has not started anew.
+        let has_restarted = !database.is_alive;
         database.is_alive = true;
         database.is_silent = false;
         database.resume();
         database.leaving_since = None;
+        if let Some(cold) = self.options.cold.filter(|_| has_restarted) {
+            database.cold_until = now + cold.lasts;
+            database.told_cold = cold.lasts;
+            database.cold_arrivals.clear();
+        }
         if Some(database.term) < newest {
             database.role = BackendRole::Replica;
         }
--- a/crates/stairward-simulation/src/world_databases.rs
+++ b/crates/stairward-simulation/src/world_databases.rs
@@ -105,6 +105,7 @@
         }
         self.check_leaving(node, backend, command);
         self.check_evacuated(node, backend, command);
+        self.check_cold(node, backend, command);
         let now = self.now();
         let Some(database) = self.group.databases.get_mut(backend) else {
             return;
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -60,6 +60,7 @@
             self.options.connections,
             self.options.synchronous_replicas,
             directory(&self.options, content),
+            self.options.cold,
         );
         self.show_members(node, life);
         self.tell_engine(node, life, Event::Configured(table));
@@ -72,6 +73,7 @@
         self.tell_engine(node, life, Event::Holders(holders));
         let sources = self.lead_sources_for(node);
         self.tell_engine(node, life, Event::LeadSources(sources));
+        self.show_first_holder(node, life);
         let peers: Vec<_> = (0..self.nodes.len())
             .filter(|peer| *peer != node)
             .map(|peer| NodeId(u64::try_from(peer).unwrap_or(0)))
