--- a/crates/stairward-membership/src/config.rs
+++ b/crates/stairward-membership/src/config.rs
@@ -18,7 +18,7 @@
     /// How long a suspected node has to refute while nobody else confirms the suspicion.
     pub suspicion_maximum: Duration,
     /// Whether both times grow with the logarithm (base 10) of the number of members. A few members that all others
-    /// ask first when a fleet starts answer late then: 300 nodes held 28 of them for failed after 1 s.
+    /// ask first when a fleet starts answer late then: in a fleet of 300, 28 of them were declared failed after 1 s.
     pub suspicion_grows: bool,
     /// How many other accusers bring the time down to its minimum.
     pub confirmations: usize,
