--- a/crates/stairward-membership/src/feed/followers.rs
+++ b/crates/stairward-membership/src/feed/followers.rs
@@ -2,7 +2,7 @@
 //!
 //! Followers in step get every change at once. One that lacks more, since it has just begun to follow or since the
 //! watcher itself had lost touch, waits for its turn: a fleet that starts asks a watcher within a moment for more than
-//! its link carries in seconds, and behind that its packets and probes would be lost, so that the others hold it for
+//! its link carries in seconds, and behind that its packets and probes would be lost, so that the others declare it
 //! failed.
 
 use std::collections::{BTreeMap, VecDeque};
