--- a/crates/stairward-engine/src/backend.rs
+++ b/crates/stairward-engine/src/backend.rs
@@ -6,6 +6,7 @@
 use stairward_types::{Freshness, RegionName, Term, Time};
 
 use crate::identifiers::ConnectionId;
+use crate::leaving::Leaving;
 use crate::settings::{BackendDescription, ZoneDistance};
 use crate::warm_up::WarmUp;
 
@@ -34,15 +35,6 @@
 /// Pause after a back end had too many connections.
 const CONNECTION_LIMIT_PAUSE: Duration = Duration::from_millis(400);
 
-/// For how long back ends that are to be left may still be used.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct UseLimits {
-    /// From when one began to leave.
-    pub leaving: Duration,
-    /// From when its zone's evacuation was heard of.
-    pub evacuation: Duration,
-}
-
 /// One back end.
 #[derive(Debug)]
 pub(crate) struct Backend {
@@ -50,12 +42,12 @@
     pub distance: ZoneDistance,
     /// The region that it runs in, where its zone is known.
     pub region: Option<RegionName>,
-    /// Since when its zone has been evacuated.
-    pub evacuated_since: Option<Time>,
+    /// When it gets the last work, since its zone is evacuated.
+    pub evacuated_until: Option<Time>,
     /// What it may get while it is cold.
     pub warm_up: WarmUp,
-    /// Since when it has been leaving or gone from discovery.
-    pub leaving_since: Option<Time>,
+    /// What is known of its leaving, where it leaves or has gone from discovery.
+    pub leaving: Option<Leaving>,
     /// Whether discovery still lists it.
     pub is_listed: bool,
     /// Its connections.
@@ -88,9 +80,9 @@
             description,
             distance,
             region,
-            evacuated_since: None,
+            evacuated_until: None,
             warm_up: WarmUp::default(),
-            leaving_since: None,
+            leaving: None,
             is_listed: true,
             connections: BTreeSet::new(),
             in_flight: 0,
@@ -118,16 +110,30 @@
     }
 
     /// Whether new work may still be sent to it.
-    pub fn may_be_used(&self, now: Time, limits: UseLimits) -> bool {
-        let is_before =
-            |since: Option<Time>, limit: Duration| since.is_none_or(|since| now < since + limit);
-        is_before(self.leaving_since, limits.leaving)
-            && is_before(self.evacuated_since, limits.evacuation)
+    pub fn may_be_used(&self, now: Time) -> bool {
+        let leaving_until = self.leaving.map(|leaving| leaving.ends_at);
+        let ends = [leaving_until, self.evacuated_until];
+        ends.into_iter().flatten().all(|ends_at| now < ends_at)
+    }
+
+    /// Whether it leaves, has gone, or its zone is evacuated.
+    pub fn is_to_be_left(&self) -> bool {
+        self.leaving.is_some() || self.evacuated_until.is_some()
     }
 
     /// Whether it is here to stay and answers.
     pub fn is_healthy(&self) -> bool {
-        self.leaving_since.is_none() && self.evacuated_since.is_none() && !self.is_silent
+        !self.is_to_be_left() && !self.is_silent
+    }
+
+    /// Notes that a statement is sent to it.
+    pub fn statement_sent(&mut self, now: Time) {
+        self.in_flight += 1;
+        self.warm_up.sent(now);
+        if let Some(leaving) = &mut self.leaving {
+            leaving.sent += 1;
+            leaving.last_sent_at = now;
+        }
     }
 
     /// Notes how long a read took.
--- a/crates/stairward-engine/src/choice.rs
+++ b/crates/stairward-engine/src/choice.rs
@@ -102,14 +102,12 @@
     /// one that was announced last.
     pub(crate) fn leader(&self, now: Time, service: &ServiceName) -> Option<BackendId> {
         let group = self.groups.get(service)?;
-        let limits = self.use_limits();
         let candidates = group.members.iter().filter_map(|id| {
             let backend = self.backends.get(id)?;
             let description = &backend.description;
             let is_denied = group.denied.get(id) == Some(&description.revision);
-            let may_lead = description.role == BackendRole::Primary
-                && !is_denied
-                && backend.may_be_used(now, limits);
+            let may_lead =
+                description.role == BackendRole::Primary && !is_denied && backend.may_be_used(now);
             may_lead.then_some((backend.is_listed, description.revision, id))
         });
         candidates.max().map(|(_, _, id)| id.clone())
@@ -226,14 +224,13 @@
         let Some(group) = self.groups.get(&request.route.service) else {
             return Vec::new();
         };
-        let limits = self.use_limits();
         let mut copies: Vec<_> = group
             .members
             .iter()
             .filter_map(|id| {
                 let backend = self.backends.get(id)?;
-                let may_be_used = backend.may_be_used(now, limits)
-                    && request.residency.allows(backend.region.as_ref());
+                let may_be_used =
+                    backend.may_be_used(now) && request.residency.allows(backend.region.as_ref());
                 // Without tenants nearly every connection suits, and one is soon idle.
                 let is_connected = suitable.tenant().is_none()
                     || self
--- /dev/null
+++ b/crates/stairward-engine/src/discovery.rs
@@ -0,0 +1,191 @@
+//! Takes in what discovery lists, and lets go of back ends that leave.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use stairward_types::{BackendId, Time};
+
+use crate::backend::Backend;
+use crate::engine::Engine;
+use crate::event::Effect;
+use crate::leaving::{Leaving, LeavingChange};
+use crate::settings::BackendDescription;
+use crate::timers::Timer;
+
+/// How often leaving back ends are looked at.
+const BACKEND_REVIEW: Duration = Duration::from_millis(500);
+/// How long after a gone back end may no longer be used its connections are closed.
+const GONE_CLOSE_DELAY: Duration = Duration::from_secs(4);
+
+impl Engine {
+    /// Takes discovery's whole list in. What is new in it came about after `since`, or at any time.
+    pub(crate) fn take_backends(
+        &mut self,
+        now: Time,
+        list: Vec<BackendDescription>,
+        since: Option<Time>,
+    ) {
+        let mut listed = BTreeSet::new();
+        for description in list {
+            listed.insert(description.id.clone());
+            self.take_backend(now, description, since);
+        }
+        let is_gone =
+            |(id, backend): &(&BackendId, &Backend)| backend.is_listed && !listed.contains(*id);
+        let gone: Vec<_> = self
+            .backends
+            .iter()
+            .filter(is_gone)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            if let Some(backend) = self.backends.get_mut(&id) {
+                backend.is_listed = false;
+                self.changed.insert(backend.description.service.clone());
+            }
+            self.leaves(now, &id, since);
+        }
+        self.plan_review(now);
+        self.warm_up(now);
+    }
+
+    fn take_backend(&mut self, now: Time, description: BackendDescription, since: Option<Time>) {
+        let id = description.id.clone();
+        let service = description.service.clone();
+        self.changed.insert(service.clone());
+        self.groups
+            .entry(service)
+            .or_default()
+            .members
+            .insert(id.clone());
+        let distance = self.options.distance(&description.zone);
+        let region = self.options.regions.get(&description.zone).cloned();
+        let evacuated_until = self.evacuations.ends_at(&description.zone);
+        let is_leaving = description.is_leaving;
+        let is_new = self.backends.get(&id).is_none_or(|known| !known.is_listed);
+        let backend = self
+            .backends
+            .entry(id.clone())
+            .or_insert_with(|| Backend::new(description.clone(), distance, region));
+        backend.evacuated_until = evacuated_until;
+        let has_moved = backend.description.address != description.address;
+        backend.description = description;
+        backend.is_listed = true;
+        if has_moved {
+            backend.is_silent = false;
+            backend.open_after = Time::ZERO;
+            let connections = backend.connections.clone();
+            let idle = self.idle_connections_of(&connections);
+            for connection in idle {
+                self.close_connection(connection);
+            }
+        }
+        if is_leaving {
+            self.leaves(now, &id, since);
+        } else {
+            self.stays(&id);
+        }
+        self.note_cold(now, &id, is_new);
+    }
+
+    /// A back end leaves, or has gone, as this node hears.
+    pub(crate) fn leaves(&mut self, now: Time, id: &BackendId, since: Option<Time>) {
+        let limit = self.options.leaving_limit;
+        let Some(backend) = self.backends.get_mut(id).filter(|b| b.leaving.is_none()) else {
+            return;
+        };
+        let ends_at = limit.ends_at(now, since);
+        backend.leaving = Some(Leaving::new(now, ends_at));
+        let change = LeavingChange::Began {
+            age: since.map(|since| now.since(since)),
+            used_for: ends_at.since(now),
+        };
+        self.leaving_observed(id, change);
+    }
+
+    /// A back end is there to stay.
+    fn stays(&mut self, id: &BackendId) {
+        let Some(backend) = self.backends.get_mut(id) else {
+            return;
+        };
+        if backend.leaving.take().is_some() {
+            self.leaving_observed(id, LeavingChange::TakenBack);
+        }
+    }
+
+    fn leaving_observed(&mut self, id: &BackendId, change: LeavingChange) {
+        self.effects.push(Effect::LeavingObserved {
+            backend: id.clone(),
+            change,
+        });
+    }
+
+    pub(crate) fn plan_review(&mut self, now: Time) {
+        if !std::mem::replace(&mut self.is_reviewing, true) {
+            self.timers.set(now + BACKEND_REVIEW, Timer::Backends);
+        }
+    }
+
+    /// Lets go of back ends whose time is over, and of connections that nobody needs.
+    pub(crate) fn review_backends(&mut self, now: Time) {
+        self.is_reviewing = false;
+        let mut over = Vec::new();
+        let mut is_any_leaving = false;
+        for (id, backend) in &self.backends {
+            let Some(leaving) = backend.leaving else {
+                continue;
+            };
+            is_any_leaving = true;
+            if now < leaving.ends_at {
+                continue;
+            }
+            let is_forgotten = !backend.is_listed && now >= leaving.ends_at + GONE_CLOSE_DELAY;
+            over.push((id.clone(), is_forgotten));
+        }
+        for (id, is_forgotten) in over {
+            self.tell_over(&id);
+            self.let_go(&id, is_forgotten);
+        }
+        self.trim(now);
+        if is_any_leaving || !self.connections.is_empty() {
+            self.plan_review(now);
+        }
+    }
+
+    /// Tells, once, that a back end gets no more work.
+    fn tell_over(&mut self, id: &BackendId) {
+        let leaving = self.backends.get_mut(id).and_then(|b| b.leaving.as_mut());
+        let Some(leaving) = leaving else {
+            return;
+        };
+        if std::mem::replace(&mut leaving.is_over_told, true) {
+            return;
+        }
+        let change = LeavingChange::Over {
+            sent: leaving.sent,
+            last_after: leaving.last_sent_at.since(leaving.heard_at),
+        };
+        self.leaving_observed(id, change);
+    }
+
+    fn let_go(&mut self, id: &BackendId, is_forgotten: bool) {
+        let Some(backend) = self.backends.get(id) else {
+            return;
+        };
+        let connections = backend.connections.clone();
+        for connection in self.idle_connections_of(&connections) {
+            self.close_connection(connection);
+        }
+        let Some(backend) = self.backends.get(id) else {
+            return;
+        };
+        if is_forgotten && backend.connections.is_empty() {
+            let service = backend.description.service.clone();
+            self.backends.remove(id);
+            if let Some(group) = self.groups.get_mut(&service) {
+                group.members.remove(id);
+                group.denied.remove(id);
+            }
+        }
+    }
+}
--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -7,7 +7,7 @@
 use stairward_limits::{Event as LimitEvent, Limiter};
 use stairward_types::{BackendId, NodeId, RegionName, ServiceName, TenantName, Time};
 
-use crate::backend::{Backend, UseLimits};
+use crate::backend::Backend;
 use crate::connection::Connection;
 use crate::evacuation::Evacuations;
 use crate::event::{Effect, Event, Evidence};
@@ -19,21 +19,17 @@
 use crate::placement::Holder;
 use crate::relay::holder_count;
 use crate::session::{Request, Session};
-use crate::settings::{BackendDescription, EngineOptions, RoutingTable};
+use crate::settings::{EngineOptions, RoutingTable};
 use crate::stopping::Stop;
 use crate::tenants::TenantDirectory;
 use crate::timers::{Timer, Timers};
 
-/// How often leaving back ends are looked at.
-const BACKEND_REVIEW: Duration = Duration::from_millis(500);
 /// A connection that nobody has used for this long is closed, but for one to each back end: what a node
 /// holds without need its successor can't have when it loses power.
 const IDLE_LIMIT: Duration = Duration::from_millis(800);
 /// A tenant's connection is kept for longer: it serves nobody else, most tenants come seldom, and where room is
 /// needed the one that was used least recently gives way.
 const TENANT_IDLE_LIMIT: Duration = Duration::from_secs(10);
-/// How long after a gone back end may no longer be used its connections are closed.
-const GONE_CLOSE_DELAY: Duration = Duration::from_secs(4);
 /// Connections per back end kept back for nodes that are not counted yet.
 const RESERVED_CONNECTIONS: u32 = 1;
 
@@ -99,7 +95,7 @@
     pub(crate) limits: Limiter,
     /// Requests that wait for their tenant's limit to have room.
     pub(crate) admissions: BTreeMap<TenantName, BTreeSet<WaitingKey>>,
-    is_reviewing: bool,
+    pub(crate) is_reviewing: bool,
     last_connection: u64,
     last_request: u64,
 }
@@ -202,13 +198,13 @@
             Event::Reply { connection, reply } => self.take_reply(now, connection, reply),
             Event::ConnectionLost { connection } => self.connection_lost(now, connection),
             Event::Configured(table) => self.configure(now, table),
-            Event::Backends(list) => self.take_backends(now, list),
+            Event::Backends { list, since } => self.take_backends(now, list, since),
             Event::Nodes(nodes) => self.note_nodes(now, nodes),
             Event::Holders(holders) => self.set_holders(holders),
             Event::HolderPlaces(places) => self.places = places,
             Event::FirstHolders(first) => self.first_holders = first,
             Event::NodeRegions(regions) => self.node_regions = regions,
-            Event::Evacuated(zones) => self.set_evacuated(now, &zones),
+            Event::Evacuated { zones, since } => self.set_evacuated(now, &zones, since),
             Event::Forwarded { session, forwarded } => {
                 self.take_forwarded(now, session, *forwarded);
             }
@@ -317,71 +313,10 @@
         self.warm_up(now);
     }
 
-    fn take_backends(&mut self, now: Time, list: Vec<BackendDescription>) {
-        let mut listed = BTreeSet::new();
-        for description in list {
-            listed.insert(description.id.clone());
-            self.take_backend(now, description);
-        }
-        for (id, backend) in &mut self.backends {
-            if !listed.contains(id) {
-                backend.is_listed = false;
-                backend.leaving_since.get_or_insert(now);
-                self.changed.insert(backend.description.service.clone());
-            }
-        }
-        self.plan_review(now);
-        self.warm_up(now);
-    }
-
-    fn take_backend(&mut self, now: Time, description: BackendDescription) {
-        let id = description.id.clone();
-        let service = description.service.clone();
-        self.changed.insert(service.clone());
-        self.groups
-            .entry(service)
-            .or_default()
-            .members
-            .insert(id.clone());
-        let distance = self.options.distance(&description.zone);
-        let region = self.options.regions.get(&description.zone).cloned();
-        let evacuated_since = self.evacuations.since(&description.zone);
-        let is_leaving = description.is_leaving;
-        let is_new = self.backends.get(&id).is_none_or(|known| !known.is_listed);
-        let backend = self
-            .backends
-            .entry(id.clone())
-            .or_insert_with(|| Backend::new(description.clone(), distance, region));
-        backend.evacuated_since = evacuated_since;
-        let has_moved = backend.description.address != description.address;
-        backend.description = description;
-        backend.is_listed = true;
-        if is_leaving {
-            backend.leaving_since.get_or_insert(now);
-        } else {
-            backend.leaving_since = None;
-        }
-        if has_moved {
-            backend.is_silent = false;
-            backend.open_after = Time::ZERO;
-            let connections = backend.connections.clone();
-            let idle = self.idle_connections_of(&connections);
-            for connection in idle {
-                self.close_connection(connection);
-            }
-        }
-        self.note_cold(now, &id, is_new);
-    }
-
-    /// For how long back ends that are to be left may still be used.
-    pub(crate) const fn use_limits(&self) -> UseLimits {
-        UseLimits {
-            leaving: self.options.leaving_limit,
-            evacuation: self.options.evacuation_limit,
-        }
-    }
-
-    fn idle_connections_of(&self, connections: &BTreeSet<ConnectionId>) -> Vec<ConnectionId> {
+    pub(crate) fn idle_connections_of(
+        &self,
+        connections: &BTreeSet<ConnectionId>,
+    ) -> Vec<ConnectionId> {
         let is_idle = |connection: &&ConnectionId| {
             self.connections
                 .get(connection)
@@ -390,42 +325,10 @@
         connections.iter().filter(is_idle).copied().collect()
     }
 
-    fn plan_review(&mut self, now: Time) {
-        if !std::mem::replace(&mut self.is_reviewing, true) {
-            self.timers.set(now + BACKEND_REVIEW, Timer::Backends);
-        }
-    }
-
-    /// Lets go of back ends whose time is over, and of connections that nobody needs.
-    fn review_backends(&mut self, now: Time) {
-        self.is_reviewing = false;
-        let mut over = Vec::new();
-        let mut is_any_leaving = false;
-        for (id, backend) in &self.backends {
-            let Some(since) = backend.leaving_since else {
-                continue;
-            };
-            is_any_leaving = true;
-            if now < since + self.options.leaving_limit {
-                continue;
-            }
-            let is_over =
-                !backend.is_listed && now >= since + self.options.leaving_limit + GONE_CLOSE_DELAY;
-            over.push((id.clone(), is_over));
-        }
-        for (id, is_over) in over {
-            self.let_go(&id, is_over);
-        }
-        self.trim(now);
-        if is_any_leaving || !self.connections.is_empty() {
-            self.plan_review(now);
-        }
-    }
-
     /// Closes connections that nobody has needed lately, but for one to each back end of the services that this node
     /// holds. What it opened while it did not know the other holders is theirs: 72 nodes that keep one connection each
     /// leave them none of 36.
-    fn trim(&mut self, now: Time) {
+    pub(crate) fn trim(&mut self, now: Time) {
         let mut unused = Vec::new();
         for backend in self.backends.values() {
             let mut idle = self.idle_connections_of(&backend.connections);
@@ -450,27 +353,6 @@
         }
     }
 
-    fn let_go(&mut self, id: &BackendId, is_over: bool) {
-        let Some(backend) = self.backends.get(id) else {
-            return;
-        };
-        let connections = backend.connections.clone();
-        for connection in self.idle_connections_of(&connections) {
-            self.close_connection(connection);
-        }
-        let Some(backend) = self.backends.get(id) else {
-            return;
-        };
-        if is_over && backend.connections.is_empty() {
-            let service = backend.description.service.clone();
-            self.backends.remove(id);
-            if let Some(group) = self.groups.get_mut(&service) {
-                group.members.remove(id);
-                group.denied.remove(id);
-            }
-        }
-    }
-
     fn note_nodes(&mut self, now: Time, nodes: u32) {
         let is_first = !self.nodes.is_known();
         self.nodes.note(now, nodes);
@@ -505,7 +387,7 @@
 
     /// Opens a first connection to each back end that routes lead to, so that the first requests find one. Not
     /// before the others are seen: most of the back ends may be for others to hold.
-    fn warm_up(&mut self, now: Time) {
+    pub(crate) fn warm_up(&mut self, now: Time) {
         if !self.nodes.is_known() {
             return;
         }
@@ -518,8 +400,7 @@
             .iter()
             .filter(|(_, backend)| {
                 backend.connections.is_empty()
-                    && backend.leaving_since.is_none()
-                    && backend.evacuated_since.is_none()
+                    && !backend.is_to_be_left()
                     && services.contains(&backend.description.service)
                     && !self.holders.contains_key(&backend.description.service)
             })
--- a/crates/stairward-engine/src/evacuation.rs
+++ b/crates/stairward-engine/src/evacuation.rs
@@ -14,27 +14,32 @@
 /// How often connections that are still in use in an evacuated zone are looked at.
 const REVIEW: Duration = Duration::from_millis(250);
 
-/// The evacuated zones, by when this node heard of it.
+/// The evacuated zones, each with when the use of its back ends ends.
 #[derive(Debug, Default)]
 pub(crate) struct Evacuations {
-    heard_at: BTreeMap<ZoneName, Time>,
+    ends_at: BTreeMap<ZoneName, Time>,
 }
 
 impl Evacuations {
-    /// Since when a zone is evacuated, as far as this node has heard.
-    pub fn since(&self, zone: &ZoneName) -> Option<Time> {
-        self.heard_at.get(zone).copied()
+    /// When the use of a zone's back ends ends; none where it is not evacuated, as far as this node has heard.
+    pub fn ends_at(&self, zone: &ZoneName) -> Option<Time> {
+        self.ends_at.get(zone).copied()
     }
 
-    /// Takes the evacuated zones in, whole. Returns those that came and those that were taken back.
-    fn replace(&mut self, now: Time, zones: &BTreeSet<ZoneName>) -> (Vec<ZoneName>, Vec<ZoneName>) {
-        let is_new = |zone: &&ZoneName| !self.heard_at.contains_key(*zone);
+    /// Takes the evacuated zones in, whole; for new ones the use ends then. Returns those that came and those that were
+    /// taken back.
+    fn replace(
+        &mut self,
+        zones: &BTreeSet<ZoneName>,
+        ends_at: Time,
+    ) -> (Vec<ZoneName>, Vec<ZoneName>) {
+        let is_new = |zone: &&ZoneName| !self.ends_at.contains_key(*zone);
         let added: Vec<_> = zones.iter().filter(is_new).cloned().collect();
         let is_over = |zone: &&ZoneName| !zones.contains(*zone);
-        let removed: Vec<_> = self.heard_at.keys().filter(is_over).cloned().collect();
-        self.heard_at.retain(|zone, _| zones.contains(zone));
-        self.heard_at
-            .extend(added.iter().map(|zone| (zone.clone(), now)));
+        let removed: Vec<_> = self.ends_at.keys().filter(is_over).cloned().collect();
+        self.ends_at.retain(|zone, _| zones.contains(zone));
+        self.ends_at
+            .extend(added.iter().map(|zone| (zone.clone(), ends_at)));
         (added, removed)
     }
 }
@@ -49,19 +54,24 @@
 }
 
 impl Engine {
-    /// Takes the evacuated zones in, whole.
-    pub(crate) fn set_evacuated(&mut self, now: Time, zones: &BTreeSet<ZoneName>) {
-        let (added, removed) = self.evacuations.replace(now, zones);
+    /// Takes the evacuated zones in, whole. What is new in them was said after `since`, or at any time.
+    pub(crate) fn set_evacuated(
+        &mut self,
+        now: Time,
+        zones: &BTreeSet<ZoneName>,
+        since: Option<Time>,
+    ) {
+        let ends_at = self.options.evacuation_limit.ends_at(now, since);
+        let (added, removed) = self.evacuations.replace(zones, ends_at);
         if added.is_empty() && removed.is_empty() {
             return;
         }
         for backend in self.backends.values_mut() {
-            backend.evacuated_since = self.evacuations.since(&backend.description.zone);
+            backend.evacuated_until = self.evacuations.ends_at(&backend.description.zone);
             self.changed.insert(backend.description.service.clone());
         }
         if !added.is_empty() {
-            let limit = now + self.options.evacuation_limit;
-            self.timers.set(limit, Timer::Evacuation);
+            self.timers.set(ends_at, Timer::Evacuation);
         }
         let observed = |zone, is_evacuated| Effect::EvacuationObserved { zone, is_evacuated };
         let added = added.into_iter().map(|zone| observed(zone, true));
@@ -71,9 +81,8 @@
 
     /// Whether a back end's zone has been evacuated for so long that nothing is sent there any more.
     pub(crate) fn is_evacuated(&self, now: Time, id: &BackendId) -> bool {
-        let limit = self.options.evacuation_limit;
-        let since = self.backends.get(id).and_then(|b| b.evacuated_since);
-        since.is_some_and(|since| now >= since + limit)
+        let ends_at = self.backends.get(id).and_then(|b| b.evacuated_until);
+        ends_at.is_some_and(|ends_at| now >= ends_at)
     }
 
     /// Whether the transaction on a connection may not go on, since its back end's zone is evacuated.
@@ -125,7 +134,7 @@
     /// What still goes on in each evacuated zone.
     #[must_use]
     pub fn work_in_evacuated(&self) -> BTreeMap<ZoneName, ZoneWork> {
-        let zones = self.evacuations.heard_at.keys();
+        let zones = self.evacuations.ends_at.keys();
         let mut work: BTreeMap<_, ZoneWork> = zones
             .map(|zone| (zone.clone(), ZoneWork::default()))
             .collect();
--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::identifiers::{ConnectionId, SessionId};
+use crate::leaving::LeavingChange;
 use crate::placement::Holder;
 use crate::relay::Forwarded;
 use crate::reply::{BackendReply, Response};
@@ -91,7 +92,12 @@
     /// A configuration was learnt.
     Configured(Arc<RoutingTable>),
     /// Discovery's whole present list.
-    Backends(Vec<BackendDescription>),
+    Backends {
+        /// The list.
+        list: Vec<BackendDescription>,
+        /// What differs from the last list came about after this moment; none where that is not known.
+        since: Option<Time>,
+    },
     /// How many nodes share the back ends' connections.
     Nodes(u32),
     /// The services whose connections only other nodes hold, and those nodes, best first.
@@ -102,8 +108,13 @@
     FirstHolders(BTreeMap<ServiceName, NodeId>),
     /// The region of each node that is seen.
     NodeRegions(BTreeMap<NodeId, RegionName>),
-    /// The zones to whose back ends nothing is to be sent, whole.
-    Evacuated(BTreeSet<ZoneName>),
+    /// The zones to whose back ends nothing is to be sent.
+    Evacuated {
+        /// All of them.
+        zones: BTreeSet<ZoneName>,
+        /// What differs from the last such word came about after this moment; none where that is not known.
+        since: Option<Time>,
+    },
     /// Another node forwards a statement of one of its sessions.
     Forwarded {
         /// The session, by a number of this node.
@@ -445,6 +456,13 @@
         /// Whether it is evacuated.
         is_evacuated: bool,
     },
+    /// A back end leaves, is there to stay again, or gets no more work.
+    LeavingObserved {
+        /// The back end.
+        backend: BackendId,
+        /// What is known.
+        change: LeavingChange,
+    },
     /// A back end is cold, or is no longer.
     WarmUpObserved {
         /// The back end.
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -11,6 +11,7 @@
 mod choice;
 mod confirmation;
 mod connection;
+mod discovery;
 mod engine;
 mod evacuation;
 mod event;
@@ -18,6 +19,7 @@
 mod holder_watch;
 mod identifiers;
 mod lead;
+mod leaving;
 mod lost_connections;
 mod node_count;
 mod pending;
@@ -48,6 +50,7 @@
     RequestMeasure, RequestRecord,
 };
 pub use identifiers::{ConnectionId, SessionId};
+pub use leaving::{LeavingChange, UseLimit};
 pub use placement::Holder;
 pub use relay::{Forwarded, holder_count};
 pub use reply::{
--- a/crates/stairward-engine/src/placement.rs
+++ b/crates/stairward-engine/src/placement.rs
@@ -91,12 +91,11 @@
             let leader = self.leader(now, service)?;
             return self.backends.get(&leader);
         }
-        let limits = self.use_limits();
         let members = self.groups.get(service)?.members.iter();
         let copies = members.filter_map(|id| Some((id, self.backends.get(id)?)));
         let usable = copies.filter(|(id, backend)| {
             backend.is_healthy()
-                && backend.may_be_used(now, limits)
+                && backend.may_be_used(now)
                 && !self.is_cold(now, id)
                 && request.residency.allows(backend.region.as_ref())
         });
--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -57,9 +57,7 @@
             OpenFailure::Silent => self.observe(&backend_id, Evidence::Silent),
             OpenFailure::WrongBackend => {
                 // Another one answers there: what discovery told is over.
-                if let Some(backend) = self.backends.get_mut(&backend_id) {
-                    backend.leaving_since.get_or_insert(now);
-                }
+                self.leaves(now, &backend_id, Some(now));
             }
             OpenFailure::ConnectionLimit => self.observe(&backend_id, Evidence::Full),
             OpenFailure::Other => {}
@@ -438,7 +436,7 @@
         let is_over = self
             .backends
             .get(&backend_id)
-            .is_none_or(|backend| !backend.may_be_used(now, self.use_limits()));
+            .is_none_or(|backend| !backend.may_be_used(now));
         if is_over {
             self.close_connection(id);
         }
--- a/crates/stairward-engine/src/requests.rs
+++ b/crates/stairward-engine/src/requests.rs
@@ -43,8 +43,7 @@
         if step == crate::connection::Step::Statement
             && let Some(backend) = self.backends.get_mut(&connection.backend)
         {
-            backend.in_flight += 1;
-            backend.warm_up.sent(now);
+            backend.statement_sent(now);
         }
         if step == crate::connection::Step::Rollback {
             // Whatever was answered before is undone.
--- a/crates/stairward-engine/src/settings.rs
+++ b/crates/stairward-engine/src/settings.rs
@@ -10,6 +10,7 @@
     BackendId, BackendRole, GroupId, NodeId, RegionName, Revision, ServiceName, ZoneName,
 };
 
+use crate::leaving::UseLimit;
 use crate::residency::Residency;
 use crate::tenants::TenantDirectory;
 use crate::warm_up::ColdBound;
@@ -129,10 +130,10 @@
     pub distances: BTreeMap<ZoneName, ZoneDistance>,
     /// The region of each zone.
     pub regions: BTreeMap<ZoneName, RegionName>,
-    /// How long after a back end began to leave new work may still be sent to it.
-    pub leaving_limit: Duration,
-    /// How long after a zone's evacuation was heard of its leaders and open transactions may still be used.
-    pub evacuation_limit: Duration,
+    /// For how long new work may still be sent to a back end that leaves.
+    pub leaving_limit: UseLimit,
+    /// For how long the leaders and open transactions of an evacuated zone may still be used.
+    pub evacuation_limit: UseLimit,
     /// How much cold back ends may get beside their service's rate.
     pub cold_bound: ColdBound,
     /// How long a leader's lead counts as confirmed after a replica was asked. None where a leader that was
@@ -164,8 +165,14 @@
         Self {
             distances: BTreeMap::new(),
             regions: BTreeMap::new(),
-            leaving_limit: Duration::from_secs(4),
-            evacuation_limit: Duration::from_secs(1),
+            leaving_limit: UseLimit {
+                after_hearing: Duration::from_secs(4),
+                after_begin: Duration::from_secs(6),
+            },
+            evacuation_limit: UseLimit {
+                after_hearing: Duration::from_secs(1),
+                after_begin: Duration::from_secs(4),
+            },
             cold_bound: ColdBound::default(),
             leadership_lease: None,
             stop_grace: Duration::from_secs(6),
--- a/crates/stairward-engine/src/warm_up.rs
+++ b/crates/stairward-engine/src/warm_up.rs
@@ -214,10 +214,9 @@
         let Some(group) = self.groups.get(service) else {
             return false;
         };
-        let limits = self.use_limits();
         let mut usable = group.members.iter().filter(|id| {
             let backend = self.backends.get(*id);
-            backend.is_some_and(|backend| backend.may_be_used(now, limits))
+            backend.is_some_and(|backend| backend.may_be_used(now))
         });
         let is_any_usable = usable.clone().next().is_some();
         is_any_usable && usable.all(|id| self.is_cold(now, id))
--- a/crates/stairward-engine/tests/evacuation.rs
+++ b/crates/stairward-engine/tests/evacuation.rs
@@ -10,7 +10,7 @@
 };
 use stairward_testing::check;
 use stairward_types::{ResultCode, Time, ZoneName};
-use support::{BOUNDED, FAR_REPLICA, LEADER_READS, PRIMARY, Sent, World, at, done};
+use support::{BOUNDED, FAR_REPLICA, LEADER_READS, PRIMARY, Sent, World, at, done, evacuated};
 
 /// Where the primary and the near replica are.
 const NEAR: &str = "zone-a";
@@ -21,7 +21,7 @@
 
 fn evacuate(world: &mut World, zones: &[&str]) {
     let zones = zones.iter().map(|zone| ZoneName::new(*zone).unwrap());
-    world.tell(Event::Evacuated(zones.collect()));
+    world.tell(evacuated(zones.collect()));
 }
 
 fn proved() -> World {
--- a/crates/stairward-engine/tests/lead.rs
+++ b/crates/stairward-engine/tests/lead.rs
@@ -12,8 +12,8 @@
 use stairward_types::{BackendRole, MemberStatus, NodeId, ResultCode, Term};
 
 use support::{
-    FAR_REPLICA, LEADER_READS, NEAR_REPLICA, PRIMARY, Sent, World, at, done, service, table,
-    usual_backends,
+    FAR_REPLICA, LEADER_READS, NEAR_REPLICA, PRIMARY, Sent, World, at, done, listed, service,
+    table, usual_backends,
 };
 
 const LEASE: Duration = Duration::from_millis(1_000);
@@ -27,7 +27,7 @@
     };
     world.engine = Engine::new(options);
     world.tell(Event::Configured(Arc::new(table(1))));
-    world.tell(Event::Backends(usual_backends()));
+    world.tell(listed(usual_backends()));
     world
 }
 
@@ -198,7 +198,7 @@
     answer_work(&mut world, done(TransactionStatus::Idle, at(1, 11)));
     world.response();
     world.tell(Event::LeadRevoked(service(), Term(2)));
-    world.tell(Event::Backends(vec![
+    world.tell(listed(vec![
         usual_backends()[0].clone(),
         usual_backends()[2].clone(),
     ]));
@@ -254,7 +254,7 @@
 #[test]
 fn a_leader_without_replicas_needs_no_confirmation() {
     let mut world = world();
-    world.tell(Event::Backends(vec![usual_backends()[0].clone()]));
+    world.tell(listed(vec![usual_backends()[0].clone()]));
     write(&mut world);
     answer_work(&mut world, done(TransactionStatus::Idle, at(1, 11)));
     let result = world.response().result;
--- a/crates/stairward-engine/tests/outcomes.rs
+++ b/crates/stairward-engine/tests/outcomes.rs
@@ -10,6 +10,7 @@
 use stairward_types::{OutcomeClass, ResultCode};
 use support::{
     BOUNDED, LEADER_READS, PRIMARY, TIMEOUT, TRANSACTION_IDLE, World, at, backend, done, failed,
+    listed,
 };
 
 const IDLE: TransactionStatus = TransactionStatus::Idle;
@@ -97,7 +98,7 @@
     let mut world = World::empty();
     world.opens = false;
     world.tell(Event::Configured(std::sync::Arc::new(support::table(1))));
-    world.tell(Event::Backends(support::usual_backends()));
+    world.tell(listed(support::usual_backends()));
     let session = world.open(LEADER_READS);
     world.say(session, StatementKind::Write);
     world.pass(support::TARGET / 4);
--- a/crates/stairward-engine/tests/reads.rs
+++ b/crates/stairward-engine/tests/reads.rs
@@ -8,7 +8,7 @@
 use stairward_types::{BackendRole, Freshness, ResultCode, Time};
 use support::{
     BOUNDED, FAR_REPLICA, LEADER_READS, NEAR_REPLICA, OWN_READS, PRIMARY, STALENESS, World, at,
-    backend, describe, done, failed, usual_backends,
+    backend, describe, done, failed, listed, usual_backends,
 };
 
 const IDLE: TransactionStatus = TransactionStatus::Idle;
@@ -89,7 +89,7 @@
     let mut backends = usual_backends();
     backends[0] = describe(PRIMARY, BackendRole::Replica, 10);
     backends[1] = describe(NEAR_REPLICA, BackendRole::Primary, 11);
-    world.tell(Event::Backends(backends));
+    world.tell(listed(backends));
     world.prove(at(2, 80));
     let session = world.open(BOUNDED);
     world.say(session, StatementKind::Read);
@@ -127,7 +127,7 @@
     let mut backends = usual_backends();
     backends[0] = describe(PRIMARY, BackendRole::Replica, 10);
     backends[1] = describe(NEAR_REPLICA, BackendRole::Primary, 11);
-    world.tell(Event::Backends(backends));
+    world.tell(listed(backends));
     world.prove(at(2, 80));
     world.say(session, StatementKind::Read);
     assert_eq!(floor(&world.sent[0].command), Some(at(2, 80)));
@@ -237,7 +237,7 @@
     world.tell(Event::ConnectionLost {
         connection: far.unwrap(),
     });
-    world.tell(Event::Backends(usual_backends()));
+    world.tell(listed(usual_backends()));
     world.refuse_openings();
     world.answer(failed(BackendErrorCode::Busy, IDLE));
     world.answer(failed(BackendErrorCode::Busy, IDLE));
@@ -252,7 +252,7 @@
     let mut world = World::new();
     let mut backends = usual_backends();
     backends.remove(0);
-    world.tell(Event::Backends(backends));
+    world.tell(listed(backends));
     world.pass(Duration::from_millis(4_100));
     let session = world.open(BOUNDED);
     world.say(session, StatementKind::Read);
--- a/crates/stairward-engine/tests/residency.rs
+++ b/crates/stairward-engine/tests/residency.rs
@@ -16,7 +16,7 @@
 };
 use support::{
     BOUNDED, FAR_REGION, FAR_REPLICA, LEADER_READS, NEAR_REGION, PRIMARY, World, at, describe,
-    done, failed, forwarded, service, table, usual_backends,
+    done, failed, forwarded, listed, service, table, usual_backends,
 };
 
 const NEAR_HOLDER: NodeId = NodeId(7);
@@ -91,7 +91,7 @@
     let mut members = usual_backends();
     members[0] = describe(PRIMARY, BackendRole::Replica, 4);
     members[2] = describe(FAR_REPLICA, BackendRole::Primary, 5);
-    world.tell(Event::Backends(members));
+    world.tell(listed(members));
     world.say(session, StatementKind::Write);
     assert_eq!(world.sent[0].backend.as_str(), FAR_REPLICA);
 }
--- a/crates/stairward-engine/tests/sessions.rs
+++ b/crates/stairward-engine/tests/sessions.rs
@@ -11,7 +11,7 @@
 use stairward_types::{AccessClass, BackendRole, GroupId, ResultCode};
 use support::{
     BOUNDED, CONNECTION_LIMIT, FAR_REPLICA, LEADER_READS, NEAR_REPLICA, PRIMARY, World, at,
-    backend, describe, done, table, usual_backends,
+    backend, describe, done, listed, table, usual_backends,
 };
 
 const IDLE: TransactionStatus = TransactionStatus::Idle;
@@ -173,7 +173,7 @@
     let mut world = World::new();
     let mut backends = usual_backends();
     backends[1].is_leaving = true;
-    world.tell(Event::Backends(backends));
+    world.tell(listed(backends));
     world.prove(at(1, 7));
     let session = world.open(BOUNDED);
     world.say(session, StatementKind::Read);
@@ -183,11 +183,7 @@
 #[test]
 fn nothing_is_sent_to_a_back_end_after_its_leaving_limit() {
     let mut world = World::new();
-    world.tell(Event::Backends(vec![describe(
-        FAR_REPLICA,
-        BackendRole::Replica,
-        3,
-    )]));
+    world.tell(listed(vec![describe(FAR_REPLICA, BackendRole::Replica, 3)]));
     world.pass(Duration::from_millis(4_100));
     let session = world.open(LEADER_READS);
     world.say(session, StatementKind::Write);
@@ -262,7 +258,7 @@
         limits.connections = 41;
     }
     world.tell(Event::Configured(Arc::new(wide)));
-    world.tell(Event::Backends(usual_backends()));
+    world.tell(listed(usual_backends()));
     world.tell(Event::Nodes(1));
     for _ in 0..40 {
         let session = world.open(LEADER_READS);
@@ -288,7 +284,7 @@
 fn a_node_that_has_not_seen_the_others_opens_only_what_it_needs() {
     let mut world = World::empty();
     world.tell(Event::Configured(Arc::new(table(1))));
-    world.tell(Event::Backends(usual_backends()));
+    world.tell(listed(usual_backends()));
     assert!(world.opened.is_empty(), "{:?}", world.opened);
     for _ in 0..5 {
         let session = world.open(LEADER_READS);
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -119,6 +119,22 @@
     }
 }
 
+/// Discovery's list, of which all that is new has just come about.
+pub fn listed(list: Vec<BackendDescription>) -> Event {
+    Event::Backends {
+        list,
+        since: Some(Time::NEVER),
+    }
+}
+
+/// The evacuated zones, of which all that is new has just come about.
+pub fn evacuated(zones: BTreeSet<ZoneName>) -> Event {
+    Event::Evacuated {
+        zones,
+        since: Some(Time::NEVER),
+    }
+}
+
 /// A command that was sent and not answered.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sent {
@@ -209,7 +225,7 @@
     pub fn new() -> Self {
         let mut world = Self::empty();
         world.tell(Event::Configured(Arc::new(table(1))));
-        world.tell(Event::Backends(usual_backends()));
+        world.tell(listed(usual_backends()));
         world.tell(Event::Nodes(1));
         world
     }
@@ -267,6 +283,7 @@
                 | Effect::CoordinatorChanged { .. }
                 | Effect::HolderObserved { .. }
                 | Effect::EvacuationObserved { .. }
+                | Effect::LeavingObserved { .. }
                 | Effect::WarmUpObserved { .. }
                 | Effect::Record(_)
                 | Effect::Measured(_) => {}
--- a/crates/stairward-engine/tests/tenants.rs
+++ b/crates/stairward-engine/tests/tenants.rs
@@ -18,7 +18,8 @@
     ApiKey, BackendRole, GroupId, NodeId, ResultCode, Revision, TenantName, ZoneName,
 };
 use support::{
-    LEADER_READS, OWN_READS, PRIMARY, World, at, done, failed, service, table, usual_backends,
+    LEADER_READS, OWN_READS, PRIMARY, World, at, done, failed, listed, service, table,
+    usual_backends,
 };
 
 const FIRST: &str = "tenant-1";
@@ -471,7 +472,7 @@
     let mut members = usual_backends();
     members[0].role = BackendRole::Replica;
     members[2].role = BackendRole::Primary;
-    world.tell(Event::Backends(members));
+    world.tell(listed(members));
     world
 }
 
--- a/crates/stairward-engine/tests/warm_up.rs
+++ b/crates/stairward-engine/tests/warm_up.rs
@@ -14,7 +14,7 @@
 use stairward_types::{NodeId, ResultCode, Time};
 use support::{
     BOUNDED, CONNECTION_LIMIT, FAR_REPLICA, LEADER_READS, NEAR_REPLICA, PRIMARY, World, at, done,
-    forwarded, service, table, usual_backends,
+    forwarded, listed, service, table, usual_backends,
 };
 
 /// Requests a second that a cold back end may get from all nodes; one node spends half.
@@ -55,7 +55,7 @@
     world.tell(Event::Configured(Arc::new(limited(2))));
     world.tell(Event::FirstHolders(BTreeMap::from([(service(), OWN)])));
     world.prove(at(1, 5));
-    world.tell(Event::Backends(backends(cold, COLD)));
+    world.tell(listed(backends(cold, COLD)));
     world.sent.clear();
     world
 }
@@ -110,7 +110,7 @@
     // In the next second there is room again, and a warm leader has no limit.
     world.pass(Duration::from_millis(1_300));
     assert!(is_done(write(&mut world)));
-    world.tell(Event::Backends(backends(&[], Duration::ZERO)));
+    world.tell(listed(backends(&[], Duration::ZERO)));
     for _ in 0..20 {
         assert!(is_done(write(&mut world)));
     }
@@ -163,7 +163,7 @@
     let mut world = World::empty();
     world.now = Time::from_millis(10);
     world.tell(Event::Configured(Arc::new(limited(1))));
-    world.tell(Event::Backends(backends(&[PRIMARY], COLD)));
+    world.tell(listed(backends(&[PRIMARY], COLD)));
     world.tell(Event::Nodes(3));
     world.tell(Event::FirstHolders(BTreeMap::from([(service(), OWN)])));
     let refused = write(&mut world).expect("answered");
@@ -176,16 +176,16 @@
 fn an_entry_that_only_repeats_itself_does_not_prolong_it() {
     let mut world = world(&[PRIMARY]);
     world.pass(COLD / 2);
-    world.tell(Event::Backends(backends(&[PRIMARY], COLD)));
+    world.tell(listed(backends(&[PRIMARY], COLD)));
     world.pass(COLD / 2);
     assert!(!world.engine.is_cold(world.now, &support::backend(PRIMARY)));
     // It was gone, and is back: cold anew.
-    world.tell(Event::Backends(backends(&[], Duration::ZERO)[1..].to_vec()));
-    world.tell(Event::Backends(backends(&[PRIMARY], COLD)));
+    world.tell(listed(backends(&[], Duration::ZERO)[1..].to_vec()));
+    world.tell(listed(backends(&[PRIMARY], COLD)));
     assert!(world.engine.is_cold(world.now, &support::backend(PRIMARY)));
     // A value that grows is believed.
     world.pass(COLD / 2);
-    world.tell(Event::Backends(backends(&[PRIMARY], COLD * 2)));
+    world.tell(listed(backends(&[PRIMARY], COLD * 2)));
     world.pass(COLD);
     assert!(world.engine.is_cold(world.now, &support::backend(PRIMARY)));
 }
--- a/crates/stairward-membership/src/feed/follower.rs
+++ b/crates/stairward-membership/src/feed/follower.rs
@@ -53,6 +53,9 @@
     confirmed_by_store: Option<Time>,
     /// When a watcher's word last did.
     confirmed_by_source: Option<Time>,
+    /// The latest moment at which what is held was certainly the newest: what is not held came later. A confirmation
+    /// that was held up on its way, or by this node's own pause, does not move it further than to when it was given.
+    current_at: Option<Time>,
     sources: BTreeMap<NodeId, Source>,
     followers: Followers,
 }
@@ -72,6 +75,7 @@
             at: None,
             confirmed_by_store: None,
             confirmed_by_source: None,
+            current_at: None,
             sources: BTreeMap::new(),
             followers: Followers::default(),
         }
@@ -85,15 +89,25 @@
             Event::StaleListing { at, objects } => {
                 self.take(at, FeedContent::Whole(objects), &mut effects);
             }
-            Event::StoreAnswered { at, content } => {
-                self.store_answered(now, at, content, &mut effects);
+            Event::StoreAnswered {
+                at,
+                current_at,
+                content,
+            } => {
+                self.store_answered(now, at, content, current_at, &mut effects);
+                self.current_at = self.current_at.max(Some(current_at));
             }
             Event::SourceAnswered {
                 source,
                 at,
                 age,
+                current_at,
                 content,
-            } => self.source_answered(now, source, at, age, content, &mut effects),
+            } => {
+                if self.source_answered(now, source, at, age, content, &mut effects) {
+                    self.current_at = self.current_at.max(current_at);
+                }
+            }
             Event::SourceLost(source) => self.source_lost(now, source),
             Event::FollowerAsked { follower, known } => self.followers.asked(follower, known),
             Event::FollowerLeft(follower) => self.followers.remove(follower),
@@ -101,6 +115,7 @@
             // All is asked for anew.
             Event::ContentRefused => {
                 self.at = None;
+                self.current_at = None;
                 self.sources.clear();
             }
             Event::Tick => {}
@@ -177,6 +192,7 @@
         now: Time,
         at: Revision,
         content: FeedContent,
+        current_at: Time,
         effects: &mut Vec<Effect>,
     ) {
         let goes_in_turn = match &content {
@@ -198,6 +214,8 @@
                 followers,
                 at,
                 age: Duration::ZERO,
+                // Of the state that is told, which may be older than what is held.
+                current_at: Some(current_at),
                 content: told,
             });
         }
@@ -214,11 +232,13 @@
                 followers,
                 at,
                 age: now.since(confirmed),
+                current_at: self.current_at,
                 content,
             });
         }
     }
 
+    /// Takes a watcher's word over. Returns whether it could be.
     fn source_answered(
         &mut self,
         now: Time,
@@ -227,9 +247,9 @@
         age: Duration,
         content: FeedContent,
         effects: &mut Vec<Effect>,
-    ) {
+    ) -> bool {
         if !self.sources.contains_key(&source) {
-            return;
+            return false;
         }
         self.sources.insert(source, Source::InStep);
         // What follows on something that is not held can't be taken over.
@@ -238,12 +258,13 @@
         if lacks_base {
             self.at = None;
             self.sources.clear();
-            return;
+            return false;
         }
         self.take(at, content, effects);
         // A watcher that is behind confirms all the same: what it has not seen came later than its confirmation.
         let confirmed = Time(now.0.saturating_sub(microseconds(age)));
         self.confirmed_by_source = self.confirmed_by_source.max(Some(confirmed));
+        true
     }
 
     /// Takes over what is newer than what is held.
@@ -251,7 +272,10 @@
         let is_newer = self.at.is_none_or(|held| at > held);
         self.at = self.at.max(Some(at));
         if is_newer && content != FeedContent::Unchanged {
-            effects.push(Effect::Take(content));
+            effects.push(Effect::Take {
+                content,
+                since: self.current_at,
+            });
         }
     }
 
--- a/crates/stairward-membership/src/feed/message.rs
+++ b/crates/stairward-membership/src/feed/message.rs
@@ -1,6 +1,6 @@
 //! What goes into a feed's decisions and what comes out.
 
-use stairward_types::{Duration, NodeId, Revision};
+use stairward_types::{Duration, NodeId, Revision, Time};
 
 use crate::configuration::PeerPlace;
 
@@ -37,6 +37,8 @@
     StoreAnswered {
         /// The revision.
         at: Revision,
+        /// A moment at which that state was the newest: not later than when the store read it.
+        current_at: Time,
         /// What came with it.
         content: FeedContent,
     },
@@ -53,8 +55,10 @@
         source: NodeId,
         /// The revision of its state.
         at: Revision,
-        /// How long ago the store confirmed that state.
+        /// How long ago the store confirmed that state, but for the time that the word was on its way.
         age: Duration,
+        /// A moment at which that state was the newest, however long the word was on its way; none where none is known.
+        current_at: Option<Time>,
         /// What came with it.
         content: FeedContent,
     },
@@ -97,7 +101,13 @@
     /// Tell a watcher that it is no longer followed.
     Unfollow(NodeId),
     /// Take content over: replace all objects, or change some.
-    Take(FeedContent),
+    Take {
+        /// What to take over.
+        content: FeedContent,
+        /// What it changes came about after this moment, at which what was held before was the newest. None where no
+        /// such moment is known: it may have come about at any time.
+        since: Option<Time>,
+    },
     /// Tell followers of the state here. [`FeedContent::Whole`] comes empty and stands for all objects held;
     /// [`FeedContent::Since`] comes empty and stands for those changed after its revision.
     Tell {
@@ -107,6 +117,8 @@
         at: Revision,
         /// How long ago the store confirmed it.
         age: Duration,
+        /// A moment at which it was the newest; none where none is known.
+        current_at: Option<Time>,
         /// What to send along.
         content: FeedContent,
     },
--- a/crates/stairward-membership/tests/feed.rs
+++ b/crates/stairward-membership/tests/feed.rs
@@ -72,13 +72,18 @@
         source,
         at: Revision(at),
         age: Duration::from_millis(age),
+        current_at: None,
         content,
     }
 }
 
 fn from_store(at: u64, content: FeedContent) -> Event {
     let at = Revision(at);
-    Event::StoreAnswered { at, content }
+    Event::StoreAnswered {
+        at,
+        current_at: Time::ZERO,
+        content,
+    }
 }
 
 fn reads(effects: &[Effect]) -> Option<bool> {
@@ -90,7 +95,7 @@
 
 fn taken(effects: &[Effect]) -> Vec<&FeedContent> {
     let taken = effects.iter().filter_map(|effect| match effect {
-        Effect::Take(content) => Some(content),
+        Effect::Take { content, .. } => Some(content),
         _ => None,
     });
     taken.collect()
@@ -271,6 +276,7 @@
         followers: vec![follower],
         at: Revision(5),
         age: Duration::from_millis(300),
+        current_at: Some(Time::ZERO),
         content: whole(""),
     };
     assert_eq!(effects, [told]);
@@ -289,6 +295,7 @@
         followers: vec![follower],
         at: Revision(7),
         age: Duration::ZERO,
+        current_at: Some(Time::ZERO),
         content: changes("seven"),
     };
     assert!(effects.contains(&told), "a follower in step would miss it");
--- /dev/null
+++ b/crates/stairward-membership/tests/feed_age.rs
@@ -0,0 +1,186 @@
+//! How old what a feed takes over can be: never younger than it is, whoever held it up.
+
+use stairward_membership::configuration::PeerPlace;
+use stairward_membership::feed::{Effect, Event, Feed, FeedContent, FeedParameters, FollowerId};
+use stairward_types::{Duration, NodeId, RegionName, Revision, Time};
+
+fn members() -> Vec<PeerPlace> {
+    let place = |number| PeerPlace {
+        node: NodeId(number),
+        region: RegionName::new("north").expect("a region's name"),
+        leaving: false,
+    };
+    (1..=24).map(place).collect()
+}
+
+fn feed(number: u64) -> Feed {
+    let parameters = FeedParameters {
+        node: NodeId(number),
+        region: RegionName::new("north").expect("a region's name"),
+        reads_after: Duration::from_millis(2_000),
+        listing_patience: Duration::ZERO,
+        follows_after: Duration::from_millis(3_000),
+    };
+    let mut feed = Feed::new(parameters, Time::ZERO);
+    feed.handle(Time::ZERO, Event::Members(members()));
+    feed
+}
+
+fn at(milliseconds: u64) -> Time {
+    Time::from_millis(milliseconds)
+}
+
+fn changes() -> FeedContent {
+    FeedContent::Changes(Vec::new())
+}
+
+fn from_store(revision: u64, current_at: u64, content: FeedContent) -> Event {
+    Event::StoreAnswered {
+        at: Revision(revision),
+        current_at: at(current_at),
+        content,
+    }
+}
+
+/// After which moment what was taken over came about; the outer none where nothing was.
+fn taken_since(effects: &[Effect]) -> Option<Option<Time>> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Take { since, .. } => Some(*since),
+        _ => None,
+    })
+}
+
+#[test]
+fn what_a_node_that_starts_finds_may_be_of_any_age() {
+    let listing = Event::StaleListing {
+        at: Revision(5),
+        objects: Vec::new(),
+    };
+    assert_eq!(taken_since(&feed(1).handle(at(10), listing)), Some(None));
+    let first = from_store(6, 5, FeedContent::Whole(Vec::new()));
+    assert_eq!(taken_since(&feed(1).handle(at(10), first)), Some(None));
+}
+
+#[test]
+fn what_differs_from_a_stale_listing_may_be_of_any_age() {
+    let mut feed = feed(1);
+    let listing = Event::StaleListing {
+        at: Revision(5),
+        objects: Vec::new(),
+    };
+    feed.handle(at(10), listing);
+    let first = from_store(6, 5, FeedContent::Whole(Vec::new()));
+    assert_eq!(taken_since(&feed.handle(at(20), first)), Some(None));
+}
+
+#[test]
+fn a_change_came_after_the_last_moment_at_which_the_store_knew_nothing_newer() {
+    let mut feed = feed(1);
+    feed.handle(at(10), from_store(5, 5, FeedContent::Whole(Vec::new())));
+    feed.handle(at(3_010), from_store(5, 3_000, FeedContent::Unchanged));
+    // The answer was on its way for long, or the node stood still.
+    let effects = feed.handle(at(9_000), from_store(6, 3_010, changes()));
+    assert_eq!(taken_since(&effects), Some(Some(at(3_000))));
+    let effects = feed.handle(at(9_100), from_store(7, 9_010, changes()));
+    assert_eq!(taken_since(&effects), Some(Some(at(3_010))));
+}
+
+#[test]
+fn a_confirmation_that_comes_late_counts_from_when_it_was_given() {
+    let mut feed = feed(1);
+    feed.handle(at(10), from_store(5, 5, FeedContent::Whole(Vec::new())));
+    feed.handle(at(8_000), from_store(5, 1_000, FeedContent::Unchanged));
+    feed.handle(at(8_001), from_store(5, 900, FeedContent::Unchanged));
+    let effects = feed.handle(at(8_010), from_store(6, 8_000, changes()));
+    assert_eq!(taken_since(&effects), Some(Some(at(1_000))));
+}
+
+fn follower() -> (Feed, NodeId) {
+    for number in 1..=24 {
+        let mut feed = feed(number);
+        let effects = feed.handle(Time::ZERO, Event::Tick);
+        let source = effects.iter().find_map(|effect| match effect {
+            Effect::Follow { source, .. } => Some(*source),
+            _ => None,
+        });
+        let followed = source.or_else(|| feed.sources().next());
+        if let (Some(source), false) = (followed, feed.is_watcher()) {
+            return (feed, source);
+        }
+    }
+    panic!("no follower");
+}
+
+fn from_source(
+    source: NodeId,
+    revision: u64,
+    current_at: Option<u64>,
+    content: FeedContent,
+) -> Event {
+    Event::SourceAnswered {
+        source,
+        at: Revision(revision),
+        // It takes itself for up to date; the word was on its way for as long as the test says.
+        age: Duration::ZERO,
+        current_at: current_at.map(at),
+        content,
+    }
+}
+
+#[test]
+fn a_watchers_word_counts_from_when_its_state_was_the_newest_not_from_when_it_came() {
+    let (mut feed, source) = follower();
+    let whole = FeedContent::Whole(Vec::new());
+    feed.handle(at(50), from_source(source, 5, Some(40), whole));
+    // Held up by a cut: it comes 4 s late, and what follows on it right after.
+    let word = from_source(source, 5, Some(1_600), FeedContent::Unchanged);
+    feed.handle(at(5_600), word);
+    let effects = feed.handle(at(5_601), from_source(source, 6, Some(2_000), changes()));
+    assert_eq!(taken_since(&effects), Some(Some(at(1_600))));
+}
+
+#[test]
+fn a_watcher_whose_clock_is_not_known_tells_no_age() {
+    let (mut feed, source) = follower();
+    let whole = FeedContent::Whole(Vec::new());
+    feed.handle(at(50), from_source(source, 5, None, whole));
+    let effects = feed.handle(at(100), from_source(source, 6, None, changes()));
+    assert_eq!(taken_since(&effects), Some(None));
+}
+
+#[test]
+fn objects_that_did_not_match_say_nothing_of_any_moment() {
+    let (mut feed, source) = follower();
+    let whole = || FeedContent::Whole(Vec::new());
+    feed.handle(at(50), from_source(source, 5, Some(40), whole()));
+    feed.handle(at(60), Event::ContentRefused);
+    let effects = feed.handle(at(90), from_source(source, 6, Some(80), whole()));
+    assert_eq!(taken_since(&effects), Some(None));
+}
+
+/// What a watcher tells of the moment at which its state was the newest.
+fn told(effects: &[Effect]) -> Vec<(Revision, Option<Time>)> {
+    let told = effects.iter().filter_map(|effect| match effect {
+        Effect::Tell { at, current_at, .. } => Some((*at, *current_at)),
+        _ => None,
+    });
+    told.collect()
+}
+
+#[test]
+fn a_watcher_tells_the_moment_of_the_state_that_it_tells() {
+    let mut feed = feed(1);
+    let follower = FollowerId(1);
+    feed.handle(at(10), from_store(5, 5, FeedContent::Whole(Vec::new())));
+    let asked = Event::FollowerAsked {
+        follower,
+        known: None,
+    };
+    let effects = feed.handle(at(300), asked);
+    assert_eq!(told(&effects), [(Revision(5), Some(at(5)))]);
+    let effects = feed.handle(at(1_700), from_store(5, 1_610, FeedContent::Unchanged));
+    assert_eq!(told(&effects), [(Revision(5), Some(at(1_610)))]);
+    // Of an answer that was under way while others came, the moment of its own state is told.
+    let effects = feed.handle(at(1_800), from_store(4, 700, FeedContent::Unchanged));
+    assert_eq!(told(&effects), [(Revision(4), Some(at(700)))]);
+}
--- a/crates/stairward-membership/tests/feed_deliveries.rs
+++ b/crates/stairward-membership/tests/feed_deliveries.rs
@@ -45,6 +45,7 @@
 fn from_store(at: u64, content: FeedContent) -> Event {
     Event::StoreAnswered {
         at: Revision(at),
+        current_at: Time::ZERO,
         content,
     }
 }
@@ -250,6 +251,7 @@
             source: first,
             at: Revision(7),
             age: Duration::ZERO,
+            current_at: None,
             content: since(5),
         };
         let effects = feed.handle(Time::from_millis(300), answered);
@@ -304,13 +306,14 @@
         source: first,
         at: Revision(7),
         age: Duration::ZERO,
+        current_at: None,
         content: since(5),
     };
     let effects = feed.handle(Time::from_millis(700), answered);
     assert!(
         !effects
             .iter()
-            .any(|effect| matches!(effect, Effect::Take(_)))
+            .any(|effect| matches!(effect, Effect::Take { .. }))
     );
     assert!(followed(&effects).contains(&(first, None)));
 }
@@ -322,6 +325,7 @@
         source: first,
         at: Revision(7),
         age: Duration::ZERO,
+        current_at: None,
         content,
     };
     let whole = answered(FeedContent::Whole(Vec::new()));
--- a/crates/stairward-protocol/src/neighbour.rs
+++ b/crates/stairward-protocol/src/neighbour.rs
@@ -177,6 +177,8 @@
     pub at: u64,
     /// How long before this message the store confirmed it, in microseconds.
     pub age_microseconds: u64,
+    /// A moment at which it was the newest, on the watcher's own clock, in microseconds; 0 where none is known.
+    pub current_at_microseconds: u64,
     /// What `content` is: [`Self::UNCHANGED`], [`Self::CHANGES`], [`Self::WHOLE`] or [`Self::SINCE`].
     pub kind: u8,
     /// With [`Self::SINCE`]: the revision that the receiver held; else 0.
@@ -392,6 +394,20 @@
         /// The revision that the sender holds now.
         held: u64,
     },
+    /// Asks for the receiver's clock, against which moments in its words are placed.
+    #[deku(id = "28")]
+    AskClock {
+        /// The sender's own moment; the answer carries it back.
+        asked_at_microseconds: u64,
+    },
+    /// The clock's reading.
+    #[deku(id = "29")]
+    Clock {
+        /// From the question.
+        asked_at_microseconds: u64,
+        /// The moment of the answer, on the answerer's own clock.
+        told_at_microseconds: u64,
+    },
     /// Asks for a sign of life.
     #[deku(id = "11")]
     AskAlive,
--- a/crates/stairward-runtime/src/feeds.rs
+++ b/crates/stairward-runtime/src/feeds.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use stairward_membership::PeerClock;
 use stairward_membership::configuration::PeerPlace;
 use stairward_membership::feed::{
     Effect, Event, Feed, FeedContent, FeedParameters, FollowerId, MOST_AT_ONCE,
@@ -34,8 +35,9 @@
 pub trait FeedObjects {
     /// Replaces all objects, or changes some. Returns whether the objects are now those that the content is about.
     fn take(&self, content: &FeedContent) -> bool;
-    /// Acts on the objects as they are. Called after `take`, once for all that came within [`SHOW_PAUSE`].
-    fn show(&self);
+    /// Acts on the objects as they are. Called after `take`, once for all that came within [`SHOW_PAUSE`]. What differs
+    /// from the last showing came about after `since`, or at any time where that is not known.
+    fn show(&self, since: Option<Time>);
     /// All objects; empty while there are none.
     fn whole(&self) -> Vec<u8>;
     /// What has changed after a revision, in the form of changes.
@@ -56,16 +58,28 @@
     reading: watch::Sender<bool>,
     /// When the objects were last shown, or will be.
     shown_at: Cell<Option<Time>>,
+    /// After which moment what has not been shown yet came about; the outer none where all has been shown.
+    unshown_since: Cell<Option<Option<Time>>>,
 }
 
 impl OpenFeed {
-    /// Replaces all objects, or changes some.
-    fn take(&self, content: &FeedContent) -> bool {
+    /// Replaces all objects, or changes some. The change came about after `since`.
+    fn take(&self, content: &FeedContent, since: Option<Time>) -> bool {
+        // Not known is before all that is.
+        let earliest = self
+            .unshown_since
+            .get()
+            .map_or(since, |unshown| unshown.min(since));
+        self.unshown_since.set(Some(earliest));
         *self.packed.borrow_mut() = None;
         *self.packed_since.borrow_mut() = None;
         self.objects.take(content)
     }
 
+    fn show(&self) {
+        self.objects.show(self.unshown_since.take().flatten());
+    }
+
     /// What has changed after a revision, compressed.
     fn packed_since(&self, revision: Revision) -> Vec<u8> {
         let mut packed = self.packed_since.borrow_mut();
@@ -94,11 +108,21 @@
     }
 }
 
+/// The state of a feed that followers are told.
+#[derive(Clone, Copy)]
+struct ToldState {
+    at: Revision,
+    age: Duration,
+    current_at: Option<Time>,
+}
+
 /// The feeds of a node, and the links over which other nodes follow them.
 #[derive(Default)]
 pub(crate) struct Feeds {
     by_name: RefCell<BTreeMap<&'static str, Rc<OpenFeed>>>,
     follower_links: RefCell<BTreeMap<FollowerId, Rc<Outgoing>>>,
+    /// Clocks of the watchers that are followed.
+    source_clocks: RefCell<BTreeMap<NodeId, PeerClock>>,
     rescheduled: Notify,
 }
 
@@ -120,6 +144,17 @@
         self.get(name).map(|feed| feed.packed())
     }
 
+    /// A watcher told what its clock says.
+    pub(crate) fn clock_told(&self, source: NodeId, clock: PeerClock) {
+        self.source_clocks.borrow_mut().insert(source, clock);
+    }
+
+    /// A moment of this node's clock that is no later than one of a watcher's; none where its clock is not known yet.
+    fn on_own_clock(&self, source: NodeId, theirs: Time) -> Option<Time> {
+        let clocks = self.source_clocks.borrow();
+        clocks.get(&source)?.no_later_than(theirs)
+    }
+
     fn next_wake(&self, now: Time) -> Option<Time> {
         let feeds = self.by_name.borrow();
         let deadlines = feeds.values();
@@ -156,15 +191,28 @@
             packed: RefCell::new(None),
             reading,
             shown_at: Cell::new(None),
+            unshown_since: Cell::new(None),
         });
         self.feeds.by_name.borrow_mut().insert(name, feed);
         self.feed_event(name, Event::Tick);
         is_reading
     }
 
-    /// The store answered for a feed: its state at a revision, and what came with it.
-    pub fn store_answered(self: &Rc<Self>, name: &'static str, at: Revision, content: FeedContent) {
-        self.feed_event(name, Event::StoreAnswered { at, content });
+    /// The store answered for a feed: its state at a revision, a moment at which that was certainly the newest, and what
+    /// came with it.
+    pub fn store_answered(
+        self: &Rc<Self>,
+        name: &'static str,
+        at: Revision,
+        current_at: Time,
+        content: FeedContent,
+    ) {
+        let answered = Event::StoreAnswered {
+            at,
+            current_at,
+            content,
+        };
+        self.feed_event(name, answered);
     }
 
     /// The store listed a feed's objects as they were a while ago.
@@ -175,8 +223,8 @@
     /// Takes over what a peer last read, until the store or a watcher answers.
     pub fn take_word_of_peer(&self, name: &str, content: Vec<u8>) {
         if let Some(feed) = self.feeds.get(name) {
-            feed.take(&FeedContent::Whole(content));
-            feed.objects.show();
+            feed.take(&FeedContent::Whole(content), None);
+            feed.show();
         }
     }
 
@@ -228,6 +276,7 @@
 
     /// A link over which watchers may have been followed has ended.
     pub(crate) fn source_lost(self: &Rc<Self>, source: NodeId) {
+        self.feeds.source_clocks.borrow_mut().remove(&source);
         for (name, _) in self.feeds.all() {
             self.feed_event(name, Event::SourceLost(source));
         }
@@ -308,18 +357,39 @@
             FeedContent::Changes(bytes) => bytes.len() > MOST_AT_ONCE,
             FeedContent::Unchanged => false,
         };
+        let current_at = Some(message.current_at_microseconds)
+            .filter(|told| *told > 0)
+            .and_then(|told| self.feeds.on_own_clock(source, Time(told)));
         let answered = Event::SourceAnswered {
             source,
             at: Revision(message.at),
             age: Duration::from_micros(message.age_microseconds),
+            current_at,
             content,
         };
         self.feed_event(message.name.as_str(), answered);
+        self.keep_clock_known(source);
         if came_in_turn {
             self.tell_sources_what_is_held(&message.name);
         }
     }
 
+    fn ask_clock(self: &Rc<Self>, source: NodeId) {
+        let question = NeighbourMessage::AskClock {
+            asked_at_microseconds: self.now().0,
+        };
+        self.tell_neighbour(source, &question);
+    }
+
+    /// Asks a watcher for its clock again where that is due.
+    fn keep_clock_known(self: &Rc<Self>, source: NodeId) {
+        let now = self.now();
+        let clock = self.feeds.source_clocks.borrow().get(&source).copied();
+        if clock.is_some_and(|clock| clock.is_old(now)) {
+            self.ask_clock(source);
+        }
+    }
+
     fn feed_event(self: &Rc<Self>, name: &str, event: Event) {
         let Some(open) = self.feeds.get(name) else {
             return;
@@ -343,12 +413,12 @@
                 let open = Rc::clone(open);
                 tokio::task::spawn_local(async move {
                     tokio::time::sleep(due.since(now)).await;
-                    open.objects.show();
+                    open.show();
                 });
             }
             _ => {
                 open.shown_at.set(Some(now));
-                open.objects.show();
+                open.show();
             }
         }
     }
@@ -365,6 +435,8 @@
                 open.reading.send_replace(is_reading);
             }
             Effect::Follow { source, known } => {
+                // Its answer comes before the watcher's first word.
+                self.ask_clock(source);
                 let message = NeighbourMessage::FollowFeed {
                     name: Text::new(name),
                     known: known.map_or(0, |revision| revision.0),
@@ -377,8 +449,8 @@
                     self.tell_neighbour(source, &NeighbourMessage::UnfollowFeed { name });
                 }
             }
-            Effect::Take(content) => {
-                let is_consistent = open.take(&content);
+            Effect::Take { content, since } => {
+                let is_consistent = open.take(&content, since);
                 self.show(open);
                 if !is_consistent {
                     let event = LogEvent::FeedInconsistent;
@@ -390,8 +462,16 @@
                 followers,
                 at,
                 age,
+                current_at,
                 content,
-            } => self.tell_followers(name, open, &followers, at, age, &content),
+            } => {
+                let state = ToldState {
+                    at,
+                    age,
+                    current_at,
+                };
+                self.tell_followers(name, open, &followers, state, &content);
+            }
         }
     }
 
@@ -400,14 +480,14 @@
         name: &str,
         open: &OpenFeed,
         followers: &[FollowerId],
-        at: Revision,
-        age: Duration,
+        state: ToldState,
         content: &FeedContent,
     ) {
         let mut message = FeedStateMessage {
             name: Text::new(name),
-            at: at.0,
-            age_microseconds: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
+            at: state.at.0,
+            age_microseconds: u64::try_from(state.age.as_micros()).unwrap_or(u64::MAX),
+            current_at_microseconds: state.current_at.map_or(0, |at| at.0),
             kind: FeedStateMessage::UNCHANGED,
             since: 0,
             digest: 0,
--- a/crates/stairward-runtime/src/figures.rs
+++ b/crates/stairward-runtime/src/figures.rs
@@ -23,6 +23,8 @@
 const EVACUATED_CONNECTIONS: &str = "stairward_evacuated_connections";
 /// Statements under way at back ends of an evacuated zone, by zone.
 const EVACUATED_STATEMENTS: &str = "stairward_evacuated_statements";
+/// Statements sent to back ends that were leaving, counted when their time was over.
+const SENT_TO_LEAVING: &str = "stairward_statements_to_leaving_total";
 /// Requests that wait.
 const WAITING: &str = "stairward_requests_waiting";
 /// Messages between nodes, by kind and direction.
@@ -71,6 +73,11 @@
     }
 }
 
+/// Counts what was sent to a back end from when it was heard that it leaves.
+pub(crate) fn count_sent_to_leaving(statements: u64) {
+    metrics::counter!(SENT_TO_LEAVING).increment(statements);
+}
+
 /// Counts a request that ended.
 pub(crate) fn count(measure: &RequestMeasure) {
     let consistency = consistency_name(measure.consistency);
--- a/crates/stairward-runtime/src/log.rs
+++ b/crates/stairward-runtime/src/log.rs
@@ -3,7 +3,9 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
-use stairward_engine::{Decision, EngineStatistics, LeadChange, RequestRecord, SessionId};
+use stairward_engine::{
+    Decision, EngineStatistics, LeadChange, LeavingChange, RequestRecord, SessionId,
+};
 use stairward_failover::{Action, Reach, Via};
 use stairward_limits::Shard;
 use stairward_types::{
@@ -129,6 +131,33 @@
         }
     }
 
+    /// What is known of a back end that leaves.
+    pub fn leaving(&self, now: Time, backend: &BackendId, change: LeavingChange) {
+        let event = match change {
+            LeavingChange::Began { .. } => LogEvent::BackendLeaving,
+            LeavingChange::Over { .. } => LogEvent::BackendLeft,
+            LeavingChange::TakenBack => LogEvent::BackendStays,
+        };
+        let Some(left_out) = self.admit(now, event) else {
+            return;
+        };
+        let (number, name, backend) = (event.number(), event.name(), backend.as_str());
+        match change {
+            LeavingChange::Began { age, used_for } => {
+                let age_ms = age.map(|age| age.as_millis());
+                let used_for_ms = used_for.as_millis();
+                tracing::info!(event = number, name, backend, age_ms, used_for_ms, left_out);
+            }
+            LeavingChange::Over { sent, last_after } => {
+                let last_after_ms = last_after.as_millis();
+                tracing::info!(event = number, name, backend, sent, last_after_ms, left_out);
+            }
+            LeavingChange::TakenBack => {
+                tracing::info!(event = number, name, backend, left_out);
+            }
+        }
+    }
+
     /// A back end is cold, or has warmed up.
     pub fn warm_up(&self, now: Time, backend: &BackendId, left: Option<Duration>) {
         let event = LogEvent::WarmUpChanged;
--- a/crates/stairward-runtime/src/neighbours.rs
+++ b/crates/stairward-runtime/src/neighbours.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use rand::seq::IndexedRandom as _;
 use stairward_engine::{Event, Forwarded, Response, SessionId};
+use stairward_membership::PeerClock;
 use stairward_protocol::neighbour::{ForwardedStatement, LimitAsk, NeighbourMessage};
 use stairward_protocol::{OptionalFreshness, Text};
 use stairward_types::{BackendId, Freshness, LogEvent, NodeId, ServiceName, Term, Time};
@@ -119,6 +120,12 @@
                 None
             }
             NeighbourMessage::AskAlive => Some(NeighbourMessage::Alive),
+            NeighbourMessage::AskClock {
+                asked_at_microseconds,
+            } => Some(NeighbourMessage::Clock {
+                asked_at_microseconds,
+                told_at_microseconds: self.now().0,
+            }),
             NeighbourMessage::AskLead {
                 service,
                 asked_at_microseconds,
@@ -166,6 +173,7 @@
             | NeighbourMessage::MemberReach(_)
             | NeighbourMessage::GrantLimit(_)
             | NeighbourMessage::Alive
+            | NeighbourMessage::Clock { .. }
             | NeighbourMessage::FeedState(_)
             | NeighbourMessage::Position { .. }
             | NeighbourMessage::Answer(_) => return false,
@@ -375,6 +383,13 @@
                     self.handle(Event::LimitGranted(holder, grant));
                 }
                 NeighbourMessage::Alive => self.handle(Event::HolderHeard(holder)),
+                NeighbourMessage::Clock {
+                    asked_at_microseconds,
+                    told_at_microseconds,
+                } => {
+                    let (asked, told) = (Time(asked_at_microseconds), Time(told_at_microseconds));
+                    self.feeds.clock_told(holder, PeerClock::new(asked, told));
+                }
                 NeighbourMessage::FeedState(message) => self.source_answered(holder, message),
                 _ => break,
             }
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -9,7 +9,7 @@
 use bytes::BytesMut;
 use stairward_engine::{
     BackendDescription, ConnectionId, Effect, Engine, EngineOptions, EngineStatistics, Event,
-    Evidence, LeadChange, RoutingTable, SessionId, ZoneWork,
+    Evidence, LeadChange, LeavingChange, RoutingTable, SessionId, ZoneWork,
 };
 use stairward_failover::{
     FailoverDuty, FailoverOptions, LeaderEvidence, LeaderMemory, RecordVersion,
@@ -189,24 +189,26 @@
         self.tell_duty_of_groups();
     }
 
-    /// Takes in the zones to whose back ends nothing is to be sent, whole.
-    pub fn set_evacuated(self: &Rc<Self>, zones: BTreeSet<ZoneName>) {
+    /// Takes in the zones to whose back ends nothing is to be sent, whole. What is new in them came about after
+    /// `since`, or at any time where that is not known.
+    pub fn set_evacuated(self: &Rc<Self>, zones: BTreeSet<ZoneName>, since: Option<Time>) {
         if *self.evacuated.borrow() == zones {
             return;
         }
         self.evacuated.borrow_mut().clone_from(&zones);
-        self.handle(Event::Evacuated(zones));
+        self.handle(Event::Evacuated { zones, since });
         self.tell_duty_of_groups();
     }
 
-    /// Takes discovery's whole present list in.
-    pub fn set_backends(self: &Rc<Self>, list: Vec<BackendDescription>) {
+    /// Takes discovery's whole present list in. What is new in it came about after `since`, or at any time where that
+    /// is not known.
+    pub fn set_backends(self: &Rc<Self>, list: Vec<BackendDescription>, since: Option<Time>) {
         self.remember_descriptions(&list);
         let known = list
             .iter()
             .map(|description| (description.id.clone(), description.clone()));
         *self.backends.borrow_mut() = known.collect();
-        self.handle(Event::Backends(list));
+        self.handle(Event::Backends { list, since });
         self.tell_duty_of_groups();
     }
 
@@ -446,6 +448,12 @@
             Effect::EvacuationObserved { zone, is_evacuated } => {
                 self.evacuation_observed(now, &zone, is_evacuated);
             }
+            Effect::LeavingObserved { backend, change } => {
+                if let LeavingChange::Over { sent, .. } = change {
+                    figures::count_sent_to_leaving(sent);
+                }
+                self.log.leaving(now, &backend, change);
+            }
             Effect::WarmUpObserved { backend, left } => {
                 self.log.warm_up(now, &backend, left);
                 self.tell_duty_of_groups();
--- a/crates/stairward-runtime/src/traffic.rs
+++ b/crates/stairward-runtime/src/traffic.rs
@@ -56,6 +56,8 @@
             NeighbourMessage::FollowFeed { .. }
             | NeighbourMessage::UnfollowFeed { .. }
             | NeighbourMessage::FeedTaken { .. }
+            | NeighbourMessage::AskClock { .. }
+            | NeighbourMessage::Clock { .. }
             | NeighbourMessage::FeedState(_) => Self::Feed,
             NeighbourMessage::AskDocument { .. } | NeighbourMessage::Document { .. } => {
                 Self::Document
--- a/crates/stairward-simulation/src/evacuations.rs
+++ b/crates/stairward-simulation/src/evacuations.rs
@@ -38,7 +38,7 @@
     }
 
     /// The evacuated zones as a node is shown them. A broken node forgets them when it starts anew.
-    pub(crate) fn show_evacuated(&mut self, node: usize, life: u64) {
+    pub(crate) fn show_evacuated(&mut self, node: usize, life: u64, since: Option<Time>) {
         let has_forgotten = self.options.broken == Some(BrokenVariant::Evacuation)
             && self.nodes[node].in_touch_since > Time::ZERO;
         let zones: BTreeMap<ZoneName, Time> = if has_forgotten {
@@ -48,7 +48,7 @@
         };
         let zones: std::collections::BTreeSet<_> = zones.into_keys().collect();
         self.nodes[node].evacuated.clone_from(&zones);
-        self.tell_engine(node, life, Event::Evacuated(zones));
+        self.tell_engine(node, life, Event::Evacuated { zones, since });
     }
 
     /// No work of a node in touch reaches a database whose zone has been evacuated for long.
--- a/crates/stairward-simulation/src/faults.rs
+++ b/crates/stairward-simulation/src/faults.rs
@@ -6,7 +6,7 @@
 use stairward_types::{BackendId, ZoneName};
 
 use crate::options::FaultKind;
-use crate::world::{DRAIN_LIMIT, Happening, World};
+use crate::world::{Happening, World};
 
 /// How much later than its time a leaving database ends.
 const LINGER: Duration = Duration::from_secs(2);
@@ -59,6 +59,7 @@
             FaultKind::PrimaryCrash => self.crash_primary(length),
             FaultKind::PrimaryDark => self.darken_primary(length),
             FaultKind::PrimaryLeaves => self.leave_primary(),
+            FaultKind::GroupLeaves => self.leave_all(),
             FaultKind::PrimaryIsolated => self.isolate_primary(length),
             FaultKind::ReplicaLag => self.slow_replica(length),
             FaultKind::ReplicaDeaf => self.deafen_replica(length),
@@ -145,15 +146,31 @@
     }
 
     fn leave_primary(&mut self) {
-        let now = self.now();
         if let Some(id) = self.live_primary() {
-            if let Some(database) = self.group.databases.get_mut(&id) {
-                database.leaving_since = Some(now);
-            }
-            self.group.announce(&id);
-            self.push_to_all();
-            self.end_after(DRAIN_LIMIT + LINGER, Ending::DatabaseEnds(id));
+            self.begin_leaving(id);
+        }
+    }
+
+    fn leave_all(&mut self) {
+        let staying = self.group.databases.values().filter(|database| {
+            database.is_alive && !database.is_silent && database.leaving_since.is_none()
+        });
+        let staying: Vec<_> = staying.map(|database| database.id.clone()).collect();
+        for id in staying {
+            self.begin_leaving(id);
+        }
+    }
+
+    /// A database says that it leaves, and ends after its time.
+    fn begin_leaving(&mut self, id: BackendId) {
+        let now = self.now();
+        if let Some(database) = self.group.databases.get_mut(&id) {
+            database.leaving_since = Some(now);
         }
+        self.group.announce(&id);
+        self.push_to_all();
+        let drain_limit = self.options.drain_limit;
+        self.end_after(drain_limit + LINGER, Ending::DatabaseEnds(id));
     }
 
     fn isolate_primary(&mut self, length: Duration) {
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -6,7 +6,7 @@
 
 use stairward_engine::{
     BackendDescription, ColdBound, ConnectionId, Consistency, Engine, EngineOptions, Residency,
-    Route, RoutingTable, ServiceLimits, TenantDirectory, ZoneDistance,
+    Route, RoutingTable, ServiceLimits, TenantDirectory, UseLimit, ZoneDistance,
 };
 use stairward_failover::{
     FailoverDuty, FailoverOptions, GroupState, LEADERSHIP_LEASE, LeaderMemory, MemberState,
@@ -25,6 +25,11 @@
 /// Connections each database takes.
 pub(crate) const CONNECTION_LIMIT: u32 = 40;
 
+/// How much shorter than it may a node uses back ends that leave: from when it heard, and from when they can have said
+/// so.
+const HEARING_MARGIN: Duration = Duration::from_secs(3);
+const SEND_MARGIN: Duration = Duration::from_secs(1);
+
 /// One node.
 #[derive(Debug)]
 pub(crate) struct Node {
@@ -38,6 +43,8 @@
     pub is_cut_from_store: bool,
     /// Since when it has been able to reach the store without a fault.
     pub in_touch_since: Time,
+    /// When it was last shown the store.
+    pub shown_at: Option<Time>,
     pub leader_memory: LeaderMemory,
     /// The evacuated zones, as it was last shown them.
     pub evacuated: BTreeSet<ZoneName>,
@@ -78,7 +85,8 @@
 }
 
 impl Node {
-    pub fn start(index: usize, life: u64, now: Time, leases: Leases) -> Self {
+    pub fn start(index: usize, life: u64, now: Time, run: &Options) -> Self {
+        let leases = Leases::of(run);
         let zone = |number: usize| ZoneName::new(format!("zone-{number}")).expect("a name");
         let own = index % 3 + 1;
         let distances = (1..=3).map(|number| {
@@ -92,6 +100,10 @@
         let options = EngineOptions {
             distances: distances.collect(),
             leadership_lease: leases.engine,
+            leaving_limit: UseLimit {
+                after_hearing: run.drain_limit.saturating_sub(HEARING_MARGIN),
+                after_begin: run.drain_limit.saturating_sub(SEND_MARGIN),
+            },
             cold_bound: ColdBound {
                 excess: EXCESS,
                 slack: SLACK,
@@ -115,6 +127,7 @@
             connections: BTreeMap::new(),
             is_cut_from_store: false,
             in_touch_since: now,
+            shown_at: None,
             leader_memory: LeaderMemory::default(),
             evacuated: BTreeSet::new(),
             newest_content: 0,
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -39,6 +39,8 @@
     ConfigurationChange,
     /// A zone is evacuated for a while.
     Evacuation,
+    /// All databases of the group say that they leave, close upon each other, and end after their time.
+    GroupLeaves,
 }
 
 impl FaultKind {
@@ -49,7 +51,7 @@
         Self::ALL.into_iter().chain(evacuations).collect()
     }
 
-    /// All kinds but evacuations, which are drawn apart, so that a seed goes on standing for the same run.
+    /// All kinds but evacuations and groups that leave, which are drawn apart, so that a seed goes on standing for the same run.
     pub const ALL: [Self; 15] = [
         Self::PrimaryCrash,
         Self::PrimaryDark,
@@ -172,6 +174,8 @@
     pub tenant_rate: Option<u64>,
     /// How databases that have just started are to be treated; none where they are like all others.
     pub cold: Option<ColdStart>,
+    /// How long a back end that leaves may get new work, from when the store took that.
+    pub drain_limit: Duration,
     /// A deliberate damage.
     pub broken: Option<BrokenVariant>,
 }
@@ -195,6 +199,7 @@
             tenants: 0,
             tenant_rate: None,
             cold: None,
+            drain_limit: Duration::from_secs(7),
             broken: None,
         }
     }
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -14,7 +14,7 @@
 use crate::checker::{Checker, Invariant, Violation};
 use crate::database::Link;
 use crate::group::Group;
-use crate::nodes::{CONNECTION_LIMIT, Leases, Node, STALENESS};
+use crate::nodes::{CONNECTION_LIMIT, Node, STALENESS};
 use crate::options::Options;
 use crate::queue::Queue;
 use crate::store::Store;
@@ -43,8 +43,6 @@
 pub(crate) const CONFIGURATION_LIMIT: Duration = Duration::from_secs(4);
 /// A node is in touch when nothing has been wrong with it for this long.
 pub(crate) const CONTACT: Duration = Duration::from_secs(5);
-/// A back end that has been leaving for this long gets nothing new.
-pub(crate) const DRAIN_LIMIT: Duration = Duration::from_secs(7);
 /// One in so many statements of a transaction is sent to another connection by a broken node.
 pub(crate) const MULTIPLEX_ONE_IN: u32 = 12;
 
@@ -216,7 +214,7 @@
                 index,
                 self.lives,
                 self.queue.now(),
-                Leases::of(&self.options),
+                &self.options,
             ));
             self.queue
                 .plan(STORE_DELAY, Happening::PollStore(index, self.lives));
--- a/crates/stairward-simulation/src/world_callers.rs
+++ b/crates/stairward-simulation/src/world_callers.rs
@@ -6,7 +6,7 @@
 
 use crate::callers::{Caller, DATABASES, Step};
 use crate::checker::Invariant;
-use crate::nodes::{Leases, Node};
+use crate::nodes::Node;
 use crate::tenants::{Owner, key_of};
 use crate::world::{
     CALLER_DELAY, CALLER_PATIENCE, CONFIGURATION_LIMIT, CONTACT, Happening, STORE_DELAY, World,
@@ -172,7 +172,7 @@
         let now = self.now();
         let cut = self.nodes[index].is_cut_from_store;
         let in_touch_since = self.nodes[index].in_touch_since.max(now);
-        self.nodes[index] = Node::start(index, self.lives, now, Leases::of(&self.options));
+        self.nodes[index] = Node::start(index, self.lives, now, &self.options);
         self.nodes[index].is_cut_from_store = cut;
         self.nodes[index].in_touch_since = in_touch_since;
         self.queue
--- a/crates/stairward-simulation/src/world_databases.rs
+++ b/crates/stairward-simulation/src/world_databases.rs
@@ -11,8 +11,7 @@
 use crate::database::{ConnectionState, Link};
 use crate::options::BrokenVariant;
 use crate::world::{
-    CONTACT, DRAIN_LIMIT, FAR_DELAY, Happening, NEAR_DELAY, Question, REPLICATION_TICK, USUAL_LAG,
-    World,
+    CONTACT, FAR_DELAY, Happening, NEAR_DELAY, Question, REPLICATION_TICK, USUAL_LAG, World,
 };
 
 /// How long a member that is not reached is waited for.
@@ -206,7 +205,7 @@
             self.checker.count(Invariant::Leaving);
             // It counts from when the store took it, which it does only while it is up.
             let since = since.max(self.store.up_since);
-            if now > since + DRAIN_LIMIT {
+            if now > since + self.options.drain_limit {
                 let text = format!("{backend}, leaving since {since:?}, got work of node {node}");
                 self.checker.violate(now, Invariant::Leaving, text);
             }
--- a/crates/stairward-simulation/src/world_nodes.rs
+++ b/crates/stairward-simulation/src/world_nodes.rs
@@ -42,7 +42,7 @@
     /// A broken node does not know that back ends leave.
     pub(crate) fn damage_event(&self, mut event: Event) -> Event {
         if self.options.broken == Some(BrokenVariant::Drain)
-            && let Event::Backends(list) = &mut event
+            && let Event::Backends { list, .. } = &mut event
         {
             for description in list {
                 description.is_leaving = false;
@@ -76,6 +76,7 @@
             | Effect::Measured(_)
             | Effect::HolderObserved { .. }
             | Effect::EvacuationObserved { .. }
+            | Effect::LeavingObserved { .. }
             | Effect::WarmUpObserved { .. }
             | Effect::RecordFleet(_)
             | Effect::CoordinatorChanged { .. }
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -65,8 +65,14 @@
         self.show_members(node, life);
         self.tell_engine(node, life, Event::Configured(table));
         let list: Vec<_> = self.group.listed.values().cloned().collect();
-        self.tell_engine(node, life, Event::Backends(list.clone()));
-        self.show_evacuated(node, life);
+        let now = self.now();
+        let since = self.nodes[node].shown_at.replace(now);
+        let backends = Event::Backends {
+            list: list.clone(),
+            since,
+        };
+        self.tell_engine(node, life, backends);
+        self.show_evacuated(node, life, since);
         let nodes = u32::try_from(self.nodes.len()).unwrap_or(1);
         self.tell_engine(node, life, Event::Nodes(nodes));
         let holders = self.holders_for(node);
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -99,7 +99,7 @@
     TermChanged = 405, Info;
     /// A commit could not be proved to survive in time.
     FenceFailed = 406, Warn;
-    /// A back end has stopped taking new work because operators marked it as leaving.
+    /// A back end leaves, with how long ago it can have said so at the most and for how much longer it gets work.
     BackendLeaving = 407, Info;
     /// A back end taken for the primary says that it is not.
     LeadershipDenied = 408, Info;
@@ -132,6 +132,10 @@
 
     /// A back end that another node finds silent was looked at by this node, which says whether it is silent to it too.
     SilenceVerified = 422, Info;
+    /// A back end that was leaving gets no more work, with what was sent to it since this node had heard.
+    BackendLeft = 423, Info;
+    /// A back end that was leaving is there to stay again.
+    BackendStays = 424, Info;
     /// A coordinator of tenants' limits did not answer: another node is asked.
     LimitCoordinatorSilent = 450, Warn;
 
