--- a/crates/stairward-engine/src/backend.rs
+++ b/crates/stairward-engine/src/backend.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use stairward_types::{Freshness, RegionName, Term, Time};
+use stairward_types::{BackendRole, Freshness, LogPosition, RegionName, Term, Time};
 
 use crate::identifiers::ConnectionId;
 use crate::leaving::Leaving;
@@ -60,6 +60,12 @@
     pub answered_at: Option<Time>,
     /// How far its log had come when it last answered.
     pub position: Option<Freshness>,
+    /// What its log holds at the least if it is the primary that it has called itself without a break: a primary's log
+    /// never shrinks. None while it calls itself a replica.
+    pub log_floor: Option<Freshness>,
+    /// Whether it calls itself primary and lacks commits that it had answered with: it has lost its log, and must not
+    /// lead.
+    pub has_lost_log: bool,
     /// The newest term that it was seen to follow.
     pub term: Term,
     /// No connection is opened before this.
@@ -89,6 +95,8 @@
             is_silent: false,
             answered_at: None,
             position: None,
+            log_floor: None,
+            has_lost_log: false,
             term: Term::default(),
             open_after: Time::ZERO,
             lagging_until: Time::ZERO,
@@ -124,6 +132,26 @@
         micros(latency)
     }
 
+    /// Takes in its role as discovery tells it.
+    pub fn take_role(&mut self, role: BackendRole) {
+        if role == BackendRole::Replica {
+            // Whoever leads next decides what its log holds.
+            self.log_floor = None;
+            self.has_lost_log = false;
+        }
+    }
+
+    /// Judges a primary's log by its word on a connection that was asked for when the log held `floor`. Returns whether
+    /// it is found to have lost it.
+    pub fn judge_log(&mut self, floor: Option<Freshness>, position: Option<Freshness>) -> bool {
+        let is_judged = self.description.role == BackendRole::Primary && floor.is_some();
+        if !is_judged {
+            return false;
+        }
+        let lacks = position.map(order) < floor.map(order);
+        !std::mem::replace(&mut self.has_lost_log, lacks) && lacks
+    }
+
     /// Whether new work may still be sent to it.
     pub fn may_be_used(&self, now: Time) -> bool {
         let leaving_until = self.leaving.map(|leaving| leaving.ends_at);
@@ -216,12 +244,22 @@
         self.answered_at = Some(now);
         if let Some(known) = position {
             self.position = position;
+            if self.description.role == BackendRole::Primary {
+                let higher = self.log_floor.filter(|floor| order(*floor) > order(known));
+                self.has_lost_log &= higher.is_some();
+                self.log_floor = higher.or(position);
+            }
             self.term = self.term.max(known.term);
         }
         std::mem::take(&mut self.is_silent)
     }
 }
 
+/// The order of positions in one log.
+fn order(freshness: Freshness) -> (Term, LogPosition) {
+    (freshness.term, freshness.position)
+}
+
 fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/stairward-engine/src/choice.rs
+++ b/crates/stairward-engine/src/choice.rs
@@ -106,8 +106,10 @@
             let backend = self.backends.get(id)?;
             let description = &backend.description;
             let is_denied = group.denied.get(id) == Some(&description.revision);
-            let may_lead =
-                description.role == BackendRole::Primary && !is_denied && backend.may_be_used(now);
+            let may_lead = description.role == BackendRole::Primary
+                && !backend.has_lost_log
+                && !is_denied
+                && backend.may_be_used(now);
             may_lead.then_some((backend.is_listed, description.revision, id))
         });
         candidates.max().map(|(_, _, id)| id.clone())
@@ -364,8 +366,10 @@
             address: backend.description.address,
             tenant: tenant.cloned(),
         };
+        let log_floor = backend.log_floor;
         let connection = self.next_connection();
-        let state = Connection::new(id.clone(), service.clone(), tenant.cloned(), now);
+        let mut state = Connection::new(id.clone(), service.clone(), tenant.cloned(), now);
+        state.log_floor = log_floor;
         self.connections.insert(connection, state);
         if let Some(backend) = self.backends.get_mut(id) {
             backend.connections.insert(connection);
--- a/crates/stairward-engine/src/connection.rs
+++ b/crates/stairward-engine/src/connection.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use stairward_types::{BackendId, ServiceName, TenantName, Time};
+use stairward_types::{BackendId, Freshness, ServiceName, TenantName, Time};
 
 use crate::event::BackendCommand;
 use crate::identifiers::{RequestNumber, SessionId};
@@ -49,6 +49,8 @@
     /// The tenant that it was opened for and serves alone; none where it carries the system's own questions or
     /// tenants are not told apart.
     pub tenant: Option<TenantName>,
+    /// What its back end's log held at the least when it was asked for.
+    pub log_floor: Option<Freshness>,
     /// When it was asked for; none once it is open.
     pub opening_since: Option<Time>,
     /// The values set on it.
@@ -82,6 +84,7 @@
             backend,
             service,
             tenant,
+            log_floor: None,
             opening_since: Some(now),
             values: BTreeMap::new(),
             prepared: BTreeSet::new(),
--- a/crates/stairward-engine/src/discovery.rs
+++ b/crates/stairward-engine/src/discovery.rs
@@ -72,6 +72,7 @@
         backend.evacuated_until = evacuated_until;
         let has_moved = backend.description.address != description.address;
         let is_new_start = description.is_new_start_after(&backend.description);
+        backend.take_role(description.role);
         backend.description = description;
         backend.is_listed = true;
         if is_new_start {
--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -244,6 +244,8 @@
     Silent,
     /// It said that it does not lead.
     NotLeader,
+    /// It calls itself primary and lacks commits that it had answered with.
+    LostLog,
     /// It takes no more connections.
     Full,
 }
--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -30,8 +30,13 @@
         };
         connection.opening_since = None;
         connection.idle_since = now;
+        let log_floor = connection.log_floor;
         let service = connection.service.clone();
         let backend_id = connection.backend.clone();
+        let backend = self.backends.get_mut(&backend_id);
+        if backend.is_some_and(|backend| backend.judge_log(log_floor, position)) {
+            self.observe(&backend_id, Evidence::LostLog);
+        }
         self.backend_answered(now, &backend_id, position);
         self.changed.insert(service);
     }
--- a/crates/stairward-engine/tests/starts.rs
+++ b/crates/stairward-engine/tests/starts.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use stairward_engine::{BackendDescription, EngineOptions, StatementKind};
-use stairward_types::{Incarnation, ResultCode};
+use stairward_engine::{BackendDescription, EngineOptions, Evidence, StatementKind};
+use stairward_types::{BackendRole, Freshness, Incarnation, ResultCode};
 use support::{LEADER_READS, NEAR_REPLICA, PRIMARY, World, at, backend, listed, usual_backends};
 
 fn born(times: [u64; 3]) -> Vec<BackendDescription> {
@@ -81,3 +81,78 @@
     world.lose();
     assert_eq!(world.refusal(), ResultCode::TransactionLost);
 }
+
+/// The primary's process starts again with this log, and its connections end.
+fn restart_primary(world: &mut World, position: Option<Freshness>) {
+    match position {
+        Some(position) => world.positions.insert(backend(PRIMARY), position),
+        None => world.positions.remove(&backend(PRIMARY)),
+    };
+    let there: Vec<_> = world
+        .targets
+        .iter()
+        .filter(|(id, target)| {
+            target.backend == backend(PRIMARY) && !world.closed_connections.contains(id)
+        })
+        .map(|(id, _)| *id)
+        .collect();
+    for connection in there {
+        world.lose_connection(connection);
+    }
+}
+
+fn is_written_at_primary(world: &mut World) -> bool {
+    world.sent.clear();
+    let session = world.open(LEADER_READS);
+    world.say(session, StatementKind::Write);
+    world.pass(Duration::from_millis(50));
+    world
+        .sent
+        .iter()
+        .any(|sent| sent.backend == backend(PRIMARY))
+}
+
+#[test]
+fn a_primary_that_starts_again_with_its_log_leads() {
+    for position in [at(1, 5), at(1, 6)] {
+        let mut world = proved();
+        restart_primary(&mut world, Some(position));
+        assert!(is_written_at_primary(&mut world));
+        assert!(
+            !world
+                .observed
+                .contains(&(backend(PRIMARY), Evidence::LostLog))
+        );
+    }
+}
+
+#[test]
+fn a_primary_that_starts_again_without_its_log_does_not_lead_whether_it_says_so_or_not() {
+    for position in [None, Some(at(0, 0)), Some(at(1, 0)), Some(at(1, 4))] {
+        for list in [born([1, 1, 1]), born([2, 1, 1])] {
+            let mut world = proved();
+            restart_primary(&mut world, position);
+            world.tell(listed(list));
+            assert!(!is_written_at_primary(&mut world), "{position:?}");
+            let lost = (backend(PRIMARY), Evidence::LostLog);
+            assert!(world.observed.contains(&lost), "{position:?}");
+        }
+    }
+}
+
+#[test]
+fn one_that_lost_its_log_leads_once_it_was_a_replica_and_is_promoted() {
+    let mut world = proved();
+    restart_primary(&mut world, None);
+    world.tell(listed(born([2, 1, 1])));
+    assert!(!is_written_at_primary(&mut world));
+    let mut list = born([2, 1, 1]);
+    list[0].role = BackendRole::Replica;
+    list[0].revision.0 = 8;
+    world.tell(listed(list.clone()));
+    list[0].role = BackendRole::Primary;
+    list[0].revision.0 = 9;
+    world.positions.insert(backend(PRIMARY), at(2, 5));
+    world.tell(listed(list));
+    assert!(is_written_at_primary(&mut world));
+}
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -184,6 +184,8 @@
     pub targets: BTreeMap<ConnectionId, OpenTarget>,
     /// Which session each statement is of.
     pub asked_by: BTreeMap<String, SessionId>,
+    /// How far each back end's log had come when it last answered; it says so on new connections.
+    pub positions: BTreeMap<BackendId, Freshness>,
     /// Whether connections open by themselves.
     pub opens: bool,
     next_session: u64,
@@ -221,6 +223,7 @@
             connections: BTreeMap::new(),
             targets: BTreeMap::new(),
             asked_by: BTreeMap::new(),
+            positions: BTreeMap::new(),
             opens: true,
             next_session: 0,
             next_statement: 0,
@@ -298,9 +301,11 @@
         }
         if self.opens {
             for connection in opening {
+                let backend = &self.connections[&connection];
+                let position = self.positions.get(backend).copied();
                 self.tell(Event::ConnectionOpened {
                     connection,
-                    position: None,
+                    position,
                 });
             }
         }
@@ -346,6 +351,9 @@
     pub fn answer(&mut self, reply: BackendReply) -> Sent {
         let sent = self.sent.remove(0);
         let connection = sent.connection;
+        if let Some(position) = reply.position {
+            self.positions.insert(sent.backend.clone(), position);
+        }
         self.tell(Event::Reply { connection, reply });
         sent
     }
--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -109,6 +109,21 @@
         status.role == BackendRole::Primary && status.term >= self.newest_term()
     }
 
+    /// Whether a replica holds more than the old primary says that it does. A primary's replicas never do, unless it has
+    /// lost its log.
+    pub fn old_holds_less(&self) -> bool {
+        let Some(old) = self.old.as_ref().and_then(|old| self.answers.get(old)) else {
+            return false;
+        };
+        let order = |status: &MemberStatus| (status.received.term, status.received.position);
+        let replicas = self
+            .answers
+            .iter()
+            .filter(|(id, _)| Some(*id) != self.old.as_ref());
+        let most = replicas.map(|(_, status)| order(status)).max();
+        most > Some(order(old))
+    }
+
     /// A member other than the old one that already leads.
     pub fn other_leader(&self) -> Option<&BackendId> {
         let mut others = self
--- a/crates/stairward-failover/src/duty.rs
+++ b/crates/stairward-failover/src/duty.rs
@@ -120,7 +120,9 @@
         unsettled.extend(self.revoked_since.keys().cloned());
         unsettled.extend(self.triggered_since.keys().cloned());
         unsettled.extend(self.moving.iter().cloned());
-        let suspects = self.evidence.refused().iter().chain(self.evidence.silent());
+        let suspects = self.evidence.refused().iter();
+        let suspects = suspects.chain(self.evidence.silent());
+        let suspects = suspects.chain(self.evidence.lost_log());
         unsettled.extend(suspects.filter_map(|id| self.service_of.get(id).cloned()));
         unsettled.retain(|service| self.groups.contains_key(service));
         unsettled
@@ -138,6 +140,7 @@
             && self.revoked_since.is_empty()
             && self.evidence.silent().is_empty()
             && self.moving.is_empty()
+            && self.evidence.lost_log().is_empty()
             && !self.evidence.refused().iter().any(is_refused);
         (!is_idle).then(|| now + POLL)
     }
@@ -158,6 +161,11 @@
             members.map(move |id| (id.clone(), service.clone()))
         });
         self.service_of = members.collect();
+        let (groups, service_of) = (&self.groups, &self.service_of);
+        self.evidence.keep_lost_logs_of(|id| {
+            let group = service_of.get(id).and_then(|service| groups.get(service));
+            group.and_then(Self::announced_leader) == Some(id)
+        });
         let moving = self.groups.iter().filter(|(_, group)| {
             let leader = Self::announced_leader(group);
             leader.is_some_and(|leader| trigger::must_move(group, leader))
--- a/crates/stairward-failover/src/duty/asking.rs
+++ b/crates/stairward-failover/src/duty/asking.rs
@@ -112,8 +112,15 @@
             // The node may have been paused: another may hold the duty by now.
             return self.give_up(now, service, "the answers are too old");
         }
+        let has_old_lost_log = attempt.old_holds_less()
+            && attempt
+                .old
+                .as_ref()
+                .is_some_and(|old| self.evidence.has_lost_log(old));
+        let present_leader = attempt.present_leader().cloned();
         if attempt.must_fence
-            && let Some(leader) = attempt.present_leader().cloned()
+            && let Some(leader) = present_leader
+            && !(has_old_lost_log && Some(&leader) == attempt.old.as_ref())
         {
             return self.fence_off(now, service, leader);
         }
@@ -121,7 +128,7 @@
             self.evidence.forget(&leader);
             return self.give_up(now, service, "another member leads already");
         }
-        if !attempt.is_planned && attempt.old_still_leads() {
+        if !attempt.is_planned && attempt.old_still_leads() && !has_old_lost_log {
             if let Some(old) = attempt.old.clone() {
                 self.evidence.forget(&old);
             }
--- a/crates/stairward-failover/src/duty/trigger.rs
+++ b/crates/stairward-failover/src/duty/trigger.rs
@@ -12,6 +12,7 @@
 pub(super) enum Trigger {
     Refused,
     Silent,
+    LostLog,
     Leaving,
     Evacuated,
     Missing,
@@ -25,6 +26,7 @@
         match self {
             Self::Refused => "nothing listens at the primary's address",
             Self::Silent => "enough nodes find the primary silent",
+            Self::LostLog => "the primary lacks commits that it had answered with",
             Self::Leaving => "the primary is leaving",
             Self::Evacuated => "the primary's zone is evacuated",
             Self::Missing => "discovery no longer lists the primary",
@@ -37,7 +39,7 @@
     pub(super) const fn is_planned(self) -> bool {
         match self {
             Self::Leaving | Self::Evacuated | Self::Missing | Self::Held | Self::Misplaced => true,
-            Self::Refused | Self::Silent | Self::Leaderless => false,
+            Self::Refused | Self::Silent | Self::LostLog | Self::Leaderless => false,
         }
     }
 }
@@ -89,6 +91,9 @@
         if self.evidence.suspecting(now, leader) >= self.suspicion_quorum() {
             return Some(Trigger::Silent);
         }
+        if self.evidence.has_lost_log(leader) {
+            return Some(Trigger::LostLog);
+        }
         if member.is_leaving && member.is_listed {
             return Some(Trigger::Leaving);
         }
--- a/crates/stairward-failover/src/event.rs
+++ b/crates/stairward-failover/src/event.rs
@@ -38,6 +38,8 @@
     Refused,
     /// It leaves questions without an answer.
     Silent,
+    /// It calls itself primary and lacks commits that it had answered with.
+    LostLog,
 }
 
 /// A member as discovery shows it.
--- a/crates/stairward-failover/src/evidence.rs
+++ b/crates/stairward-failover/src/evidence.rs
@@ -12,6 +12,7 @@
 pub(crate) struct EvidenceLedger {
     refused: BTreeSet<BackendId>,
     silent: BTreeSet<BackendId>,
+    lost_log: BTreeSet<BackendId>,
     others: BTreeMap<NodeId, OtherReport>,
     /// Nodes that have looked at a back end for this one and found it silent, and when they said so.
     verified: BTreeMap<(BackendId, NodeId), Time>,
@@ -40,6 +41,10 @@
                 false
             }
             LeaderEvidence::Silent => self.silent.insert(backend),
+            LeaderEvidence::LostLog => {
+                self.lost_log.insert(backend);
+                false
+            }
         }
     }
 
@@ -64,6 +69,21 @@
     /// Forgets what was found out about a back end.
     pub fn forget(&mut self, backend: &BackendId) {
         self.refused.remove(backend);
+        self.lost_log.remove(backend);
+    }
+
+    /// Keeps in mind that a log was lost only of these members, which call themselves primary.
+    pub fn keep_lost_logs_of(&mut self, is_primary: impl Fn(&BackendId) -> bool) {
+        self.lost_log.retain(is_primary);
+    }
+
+    /// The members that call themselves primary and have lost their log.
+    pub fn lost_log(&self) -> &BTreeSet<BackendId> {
+        &self.lost_log
+    }
+
+    pub fn has_lost_log(&self, backend: &BackendId) -> bool {
+        self.lost_log.contains(backend)
     }
 
     /// The back ends that this node finds silent.
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -545,6 +545,7 @@
             Evidence::Refused => (LogEvent::BackendUnreachable, Some(LeaderEvidence::Refused)),
             Evidence::Silent => (LogEvent::BackendUnreachable, Some(LeaderEvidence::Silent)),
             Evidence::NotLeader => (LogEvent::LeadershipDenied, None),
+            Evidence::LostLog => (LogEvent::LogLost, Some(LeaderEvidence::LostLog)),
             Evidence::Full => (LogEvent::BackendFull, None),
         };
         self.log.backend(now, event, backend.as_str());
--- a/crates/stairward-simulation/src/database.rs
+++ b/crates/stairward-simulation/src/database.rs
@@ -160,6 +160,15 @@
         }
     }
 
+    /// Starts again and knows nothing of before; a primary goes on calling itself that.
+    pub fn forget_all(&mut self) {
+        self.log.clear();
+        self.applied = 0;
+        self.term = Term(0);
+        self.held = Term(0);
+        self.reaches_successor_since = None;
+    }
+
     /// How far it has applied the log, with the term of the last entry.
     pub fn position(&self) -> Freshness {
         self.log[..self.applied]
@@ -178,10 +187,10 @@
         }
     }
 
-    /// Whether other members receive its log.
+    /// Whether other members receive its log. What has forgotten all is in no term, and others are in a later one.
     #[must_use]
     pub const fn passes_log(&self) -> bool {
-        self.is_alive && !self.is_silent && !self.is_deaf
+        self.is_alive && !self.is_silent && !self.is_deaf && self.term.0 > 0
     }
 
     /// Is told not to receive in any term below this one.
--- a/crates/stairward-simulation/src/faults.rs
+++ b/crates/stairward-simulation/src/faults.rs
@@ -5,6 +5,7 @@
 use rand::RngExt as _;
 use stairward_types::{BackendId, ZoneName};
 
+use crate::database::Entry;
 use crate::options::FaultKind;
 use crate::world::{Happening, World};
 
@@ -23,6 +24,8 @@
 #[derive(Debug)]
 pub(crate) enum Ending {
     DatabaseStarts(BackendId),
+    /// It starts and knows nothing of before.
+    DatabaseReborn(BackendId),
     DatabaseForgotten(BackendId, u64),
     DatabaseEnds(BackendId),
     ReplicaRecovers(BackendId),
@@ -60,6 +63,16 @@
             FaultKind::PrimaryDark => self.darken_primary(length),
             FaultKind::PrimaryLeaves => self.leave_primary(),
             FaultKind::GroupLeaves => self.leave_all(),
+            FaultKind::PrimaryReborn => {
+                if let Some(id) = self.live_primary() {
+                    self.bear_again(id, length / 4);
+                }
+            }
+            FaultKind::ReplicaReborn => {
+                if let Some(id) = self.some_replica() {
+                    self.bear_again(id, length / 4);
+                }
+            }
             FaultKind::PrimaryIsolated => self.isolate_primary(length),
             FaultKind::ReplicaLag => self.slow_replica(length),
             FaultKind::ReplicaDeaf => self.deafen_replica(length),
@@ -151,6 +164,19 @@
         }
     }
 
+    /// A database's process ends and starts again a while later, without its log. At most one in a run does while the
+    /// others hold theirs: two would lose what was acknowledged.
+    fn bear_again(&mut self, id: BackendId, pause: Duration) {
+        let are_others_whole = self.group.databases.values().all(|database| {
+            database.id == id || (database.is_alive && !database.is_silent && !database.is_deaf)
+        });
+        let is_alive = self.group.databases.get(&id).is_some_and(|d| d.is_alive);
+        if is_alive && are_others_whole {
+            self.stop_database(&id);
+            self.end_after(pause, Ending::DatabaseReborn(id));
+        }
+    }
+
     fn leave_all(&mut self) {
         let staying = self.group.databases.values().filter(|database| {
             database.is_alive && !database.is_silent && database.leaving_since.is_none()
@@ -243,10 +269,35 @@
         self.end_after(length, Ending::StoreReturns);
     }
 
+    /// A database starts again in its old role and knows nothing of before.
+    fn start_without_log(&mut self, id: &BackendId) {
+        let now = self.now();
+        let Some(database) = self.group.databases.get_mut(id) else {
+            return;
+        };
+        let role = database.role;
+        let log = std::mem::take(&mut database.log);
+        database.forget_all();
+        // What nobody else has is gone.
+        let is_kept = |entry: &Entry| self.group.databases.values().any(|d| d.log.contains(entry));
+        let lost: Vec<Entry> = log.into_iter().filter(|entry| !is_kept(entry)).collect();
+        self.checker.rolled_back(&lost);
+        self.start_database(id);
+        if let Some(database) = self.group.databases.get_mut(id) {
+            database.role = role;
+        }
+        self.group.announce(id);
+        self.push_to_all();
+        self.decisions.push(format!(
+            "{now:?} {id} starts again without its log as {role:?}"
+        ));
+    }
+
     /// A fault ends.
     pub fn fault_ends(&mut self, ending: Ending) {
         match ending {
             Ending::DatabaseStarts(id) => self.start_database(&id),
+            Ending::DatabaseReborn(id) => self.start_without_log(&id),
             Ending::DatabaseForgotten(id, revision) => {
                 let is_unchanged = self
                     .group
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -39,6 +39,10 @@
     ConfigurationChange,
     /// A zone is evacuated for a while.
     Evacuation,
+    /// The primary's process ends and starts again under its id, calls itself primary, and knows nothing of before.
+    PrimaryReborn,
+    /// A replica's does, and calls itself replica.
+    ReplicaReborn,
     /// All databases of the group say that they leave, close upon each other, and end after their time.
     GroupLeaves,
 }
@@ -51,7 +55,7 @@
         Self::ALL.into_iter().chain(evacuations).collect()
     }
 
-    /// All kinds but evacuations and groups that leave, which are drawn apart, so that a seed goes on standing for the same run.
+    /// All kinds but evacuations, groups that leave and databases that forget, which are drawn apart, so that a seed goes on standing for the same run.
     pub const ALL: [Self; 15] = [
         Self::PrimaryCrash,
         Self::PrimaryDark,
@@ -115,11 +119,13 @@
     Evacuation,
     /// Every node takes itself for the one that sends to databases that have just started.
     Cold,
+    /// Nodes don't see that a primary has lost its log.
+    LostLog,
 }
 
 impl BrokenVariant {
     /// All variants.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::Floor,
         Self::LeaderProof,
         Self::Promise,
@@ -140,6 +146,7 @@
         Self::Limit,
         Self::Evacuation,
         Self::Cold,
+        Self::LostLog,
     ];
 }
 
--- a/crates/stairward-simulation/src/world_nodes.rs
+++ b/crates/stairward-simulation/src/world_nodes.rs
@@ -8,7 +8,7 @@
 };
 use stairward_failover::{Event as DutyEvent, LeaderEvidence};
 use stairward_limits::Ask;
-use stairward_types::{BackendId, NodeId};
+use stairward_types::{BackendId, Freshness, LogPosition, NodeId};
 
 use crate::checker::Invariant;
 use crate::database::Link;
@@ -24,6 +24,7 @@
         }
         let now = self.now();
         let event = self.damage_event(event);
+        let event = self.hide_lost_log(index, event);
         let node = &mut self.nodes[index];
         let effects = node.engine.handle(now, event);
         if let Some(wake) = node.engine.next_wake()
@@ -51,6 +52,28 @@
         event
     }
 
+    /// A broken node does not see that a primary has lost its log.
+    fn hide_lost_log(&self, index: usize, mut event: Event) -> Event {
+        if self.options.broken == Some(BrokenVariant::LostLog)
+            && let Event::ConnectionOpened {
+                connection,
+                position,
+            } = &mut event
+            && let Some(backend) = self.nodes[index].connections.get(connection)
+            && self.group.primary() == Some(backend)
+        {
+            let databases = || self.group.databases.values();
+            let term = databases().map(|database| database.term).max();
+            let longest = databases().map(|database| database.log.len()).max();
+            let longest = u64::try_from(longest.unwrap_or(0)).unwrap_or(u64::MAX);
+            *position = Some(Freshness::new(
+                term.unwrap_or_default(),
+                LogPosition(longest),
+            ));
+        }
+        event
+    }
+
     pub(crate) fn note_configuration(&mut self, index: usize) {
         let now = self.now();
         let node = &mut self.nodes[index];
@@ -169,6 +192,7 @@
                     Evidence::Answered => LeaderEvidence::Answered,
                     Evidence::Refused => LeaderEvidence::Refused,
                     Evidence::Silent => LeaderEvidence::Silent,
+                    Evidence::LostLog => LeaderEvidence::LostLog,
                     Evidence::NotLeader | Evidence::Full => return,
                 };
                 self.tell_duty(index, life, DutyEvent::Evidence(backend, evidence));
--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -346,6 +346,7 @@
         BrokenVariant::Key => vec![FaultKind::ConfigurationChange],
         BrokenVariant::Evacuation => vec![FaultKind::NodeKill, FaultKind::Evacuation],
         BrokenVariant::Cold => vec![FaultKind::PrimaryLeaves],
+        BrokenVariant::LostLog => vec![FaultKind::PrimaryReborn],
         BrokenVariant::Tenant | BrokenVariant::Limit => Vec::new(),
         _ => FaultKind::ALL.to_vec(),
     }
@@ -354,7 +355,9 @@
 /// What a broken variant must be caught by.
 fn caught_by(variant: BrokenVariant) -> Invariant {
     match variant {
-        BrokenVariant::Floor | BrokenVariant::LeaderProof => Invariant::FreshRead,
+        BrokenVariant::Floor | BrokenVariant::LeaderProof | BrokenVariant::LostLog => {
+            Invariant::FreshRead
+        }
         BrokenVariant::Promise => Invariant::Promise,
         BrokenVariant::Resend => Invariant::Once,
         BrokenVariant::Reset | BrokenVariant::Multiplex => Invariant::OwnTransaction,
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -140,6 +140,8 @@
     BackendStarted = 425, Info;
     /// A back end's entry in discovery can't be used and is left out; the others hold.
     EntryRefused = 426, Warn;
+    /// A back end that calls itself primary lacks commits that it had answered with: it must not lead.
+    LogLost = 427, Warn;
     /// A coordinator of tenants' limits did not answer: another node is asked.
     LimitCoordinatorSilent = 450, Warn;
 
