--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -22,6 +22,7 @@
 mod leaving;
 mod lost_connections;
 mod node_count;
+mod openings;
 mod pending;
 mod placement;
 mod probes;
--- /dev/null
+++ b/crates/stairward-engine/src/openings.rs
@@ -0,0 +1,82 @@
+//! Connections to back ends that open or fail to, and what that tells of the back end.
+
+use stairward_types::{BackendId, Freshness, Time};
+
+use crate::engine::Engine;
+use crate::event::{Effect, Evidence, OpenFailure};
+use crate::identifiers::ConnectionId;
+
+impl Engine {
+    pub(crate) fn connection_opened(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        position: Option<Freshness>,
+    ) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return self
+                .effects
+                .push(Effect::CloseConnection { connection: id });
+        };
+        connection.opening_since = None;
+        connection.idle_since = now;
+        let log_floor = connection.log_floor;
+        let service = connection.service.clone();
+        let backend_id = connection.backend.clone();
+        let backend = self.backends.get_mut(&backend_id);
+        if backend.is_some_and(|backend| backend.judge_log(log_floor, position)) {
+            self.observe(&backend_id, Evidence::LostLog);
+        }
+        self.backend_answered(now, &backend_id, position);
+        self.changed.insert(service);
+    }
+
+    pub(crate) fn open_failed(&mut self, now: Time, id: ConnectionId, failure: OpenFailure) {
+        let Some(connection) = self.connections.get(&id) else {
+            return;
+        };
+        let backend_id = connection.backend.clone();
+        let service = connection.service.clone();
+        self.remove_connection(id);
+        if let Some(backend) = self.backends.get_mut(&backend_id) {
+            backend.opening_failed(now, failure == OpenFailure::ConnectionLimit);
+            if matches!(failure, OpenFailure::Refused | OpenFailure::Silent) {
+                backend.is_silent = true;
+            }
+        }
+        match failure {
+            OpenFailure::Refused => {
+                self.observe(&backend_id, Evidence::Refused);
+                self.take_refusal(now, &service, &backend_id);
+            }
+            OpenFailure::Silent => self.observe(&backend_id, Evidence::Silent),
+            OpenFailure::WrongBackend => {
+                // Another one answers there: what discovery told is over.
+                self.leaves(now, &backend_id, Some(now));
+            }
+            OpenFailure::ConnectionLimit => self.observe(&backend_id, Evidence::Full),
+            OpenFailure::Other => {}
+        }
+        self.changed.insert(service);
+    }
+
+    pub(crate) fn backend_answered(
+        &mut self,
+        now: Time,
+        id: &BackendId,
+        position: Option<Freshness>,
+    ) {
+        let Some(backend) = self.backends.get_mut(id) else {
+            return;
+        };
+        let was_silent = backend.answered(now, position);
+        let service = backend.description.service.clone();
+        if let (Some(position), Some(group)) = (position, self.groups.get_mut(&service)) {
+            group.newest_term = group.newest_term.max(position.term);
+        }
+        if was_silent {
+            self.changed.insert(service);
+            self.observe(id, Evidence::Answered);
+        }
+    }
+}
--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -1,4 +1,4 @@
-//! What back ends answer, and connections that open, fail or are lost.
+//! What back ends answer.
 
 use std::time::Duration;
 
@@ -6,7 +6,7 @@
 
 use crate::connection::{SentStep, Step, User};
 use crate::engine::Engine;
-use crate::event::{BackendCommand, Decision, Effect, Evidence, OpenFailure};
+use crate::event::{BackendCommand, Decision, Evidence};
 use crate::identifiers::{ConnectionId, SessionId};
 use crate::proofs::Proof;
 use crate::reply::TransactionStatus;
@@ -17,79 +17,6 @@
 const RETRY_BUSY: Duration = Duration::from_millis(200);
 
 impl Engine {
-    pub(crate) fn connection_opened(
-        &mut self,
-        now: Time,
-        id: ConnectionId,
-        position: Option<Freshness>,
-    ) {
-        let Some(connection) = self.connections.get_mut(&id) else {
-            return self
-                .effects
-                .push(Effect::CloseConnection { connection: id });
-        };
-        connection.opening_since = None;
-        connection.idle_since = now;
-        let log_floor = connection.log_floor;
-        let service = connection.service.clone();
-        let backend_id = connection.backend.clone();
-        let backend = self.backends.get_mut(&backend_id);
-        if backend.is_some_and(|backend| backend.judge_log(log_floor, position)) {
-            self.observe(&backend_id, Evidence::LostLog);
-        }
-        self.backend_answered(now, &backend_id, position);
-        self.changed.insert(service);
-    }
-
-    pub(crate) fn open_failed(&mut self, now: Time, id: ConnectionId, failure: OpenFailure) {
-        let Some(connection) = self.connections.get(&id) else {
-            return;
-        };
-        let backend_id = connection.backend.clone();
-        let service = connection.service.clone();
-        self.remove_connection(id);
-        if let Some(backend) = self.backends.get_mut(&backend_id) {
-            backend.opening_failed(now, failure == OpenFailure::ConnectionLimit);
-            if matches!(failure, OpenFailure::Refused | OpenFailure::Silent) {
-                backend.is_silent = true;
-            }
-        }
-        match failure {
-            OpenFailure::Refused => {
-                self.observe(&backend_id, Evidence::Refused);
-                self.take_refusal(now, &service, &backend_id);
-            }
-            OpenFailure::Silent => self.observe(&backend_id, Evidence::Silent),
-            OpenFailure::WrongBackend => {
-                // Another one answers there: what discovery told is over.
-                self.leaves(now, &backend_id, Some(now));
-            }
-            OpenFailure::ConnectionLimit => self.observe(&backend_id, Evidence::Full),
-            OpenFailure::Other => {}
-        }
-        self.changed.insert(service);
-    }
-
-    fn backend_answered(
-        &mut self,
-        now: Time,
-        id: &stairward_types::BackendId,
-        position: Option<Freshness>,
-    ) {
-        let Some(backend) = self.backends.get_mut(id) else {
-            return;
-        };
-        let was_silent = backend.answered(now, position);
-        let service = backend.description.service.clone();
-        if let (Some(position), Some(group)) = (position, self.groups.get_mut(&service)) {
-            group.newest_term = group.newest_term.max(position.term);
-        }
-        if was_silent {
-            self.changed.insert(service);
-            self.observe(id, Evidence::Answered);
-        }
-    }
-
     pub(crate) fn take_reply(&mut self, now: Time, id: ConnectionId, reply: BackendReply) {
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -152,7 +152,7 @@
     pub fn next_term(&self) -> Term {
         let terms = self.answers.values().map(MemberStatus::awaited_term);
         let newest = terms.max().unwrap_or_default().max(self.known_term);
-        Term(newest.0 + 1)
+        Term(newest.0.saturating_add(1))
     }
 
     /// Whether the old primary, and no other member, can lead: each other one that is listed says that it
