Holders of connections follow from what back ends can use, not from their limit

Cause: each service had (limit - 1) / 3 holders. At 428 connections and 3 slots these are 142 of 985 nodes: each node held connections to the back ends of 144 services, ranked 142,000 holders, and kept them four times over. Change: five holders a slot, two a zone at the least, and no more than the limit allows. Entries tell the slots. Where that leaves a larger share, a holder may open half of its part, so that the sets of two views that differ fit together (property test). Limits of up to 56 connections decide as before. Ruled out: a smaller share for each of as many holders; the lists and the openings stay.

--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -12,12 +12,12 @@
 use crate::evacuation::Evacuations;
 use crate::event::{Effect, Event, Evidence};
 use crate::group::Group;
+use crate::holder_demand::{HolderDemand, share_of};
 use crate::holder_watch::HolderWatch;
 use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
 use crate::node_count::NodeCount;
 use crate::pending::PendingSession;
 use crate::placement::Holder;
-use crate::relay::holder_count;
 use crate::session::{Request, Session};
 use crate::settings::{EngineOptions, RoutingTable};
 use crate::stopping::Stop;
@@ -380,9 +380,32 @@
         if let Some(share) = self.share_beside(id, available) {
             return usize::try_from(share).unwrap_or(1);
         }
-        let sharing = self.nodes.most().min(holder_count(limit));
-        let shared = available / sharing;
-        usize::try_from(shared.max(1)).unwrap_or(1)
+        let (nodes, holders) = (self.nodes.most(), self.holder_demand(service).holders());
+        let share = if nodes <= holders {
+            (available / nodes).max(1)
+        } else {
+            share_of(available, holders)
+        };
+        usize::try_from(share).unwrap_or(1)
+    }
+
+    /// What decides how many nodes hold connections to a service's back ends.
+    fn holder_demand(&self, service: &ServiceName) -> HolderDemand {
+        let limits = self
+            .table
+            .as_ref()
+            .and_then(|table| table.services.get(service));
+        let members = self
+            .groups
+            .get(service)
+            .into_iter()
+            .flat_map(|group| &group.members);
+        let slots = members.filter_map(|id| self.backends.get(id)?.description.slots);
+        HolderDemand {
+            connections: limits.map_or(1, |limits| limits.connections),
+            slots: slots.max(),
+            zones: self.options.zone_count(),
+        }
     }
 
     /// Opens a first connection to each back end that routes lead to, so that the first requests find one. Not
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -16,6 +16,7 @@
 mod evacuation;
 mod event;
 mod group;
+mod holder_demand;
 mod holder_watch;
 mod identifiers;
 mod lead;
@@ -50,10 +51,11 @@
     BackendCommand, Decision, Effect, Event, Evidence, LeadChange, OpenFailure, OpenTarget,
     RequestMeasure, RequestRecord,
 };
+pub use holder_demand::{HolderDemand, share_of};
 pub use identifiers::{ConnectionId, SessionId};
 pub use leaving::{LeavingChange, UseLimit};
 pub use placement::Holder;
-pub use relay::{Forwarded, holder_count};
+pub use relay::Forwarded;
 pub use reply::{
     BackendError, BackendErrorCode, BackendReply, Response, ResponseResult, TransactionStatus,
 };
--- a/crates/stairward-engine/src/relay.rs
+++ b/crates/stairward-engine/src/relay.rs
@@ -22,8 +22,6 @@
 const MOST_HOLDERS: usize = 3;
 /// When a caller should come back whose statement no holder took.
 const RETRY_NO_HOLDER: Duration = Duration::from_millis(300);
-/// The smallest number of connections to a back end that a node may usefully hold.
-pub(crate) const SMALLEST_SHARE: u32 = 3;
 /// The name under which a holder keeps what a forwarded statement runs.
 const FORWARDED_NAME: &str = "forwarded";
 
@@ -49,12 +47,6 @@
     pub statement: Statement,
 }
 
-/// How many nodes hold connections to a back end that takes so many from all of them.
-#[must_use]
-pub fn holder_count(connections: u32) -> u32 {
-    (connections.saturating_sub(1) / SMALLEST_SHARE).max(1)
-}
-
 impl Engine {
     /// Learns which services' connections are held by other nodes only, and by which.
     pub(crate) fn set_holders(&mut self, holders: BTreeMap<ServiceName, Vec<NodeId>>) {
--- a/crates/stairward-engine/src/settings.rs
+++ b/crates/stairward-engine/src/settings.rs
@@ -111,6 +111,8 @@
     pub incarnation: Option<Incarnation>,
     /// How much longer it is slow from its start, as it last said.
     pub cold_left: Duration,
+    /// Statements that it runs at once; none where it does not say.
+    pub slots: Option<u32>,
     /// Grows with every change of the description.
     pub revision: Revision,
 }
@@ -171,6 +173,11 @@
             .copied()
             .unwrap_or(ZoneDistance::Remote)
     }
+
+    /// How many zones there are.
+    pub(crate) fn zone_count(&self) -> u32 {
+        u32::try_from(self.regions.len()).unwrap_or(u32::MAX)
+    }
 }
 
 impl Default for EngineOptions {
--- /dev/null
+++ b/crates/stairward-engine/tests/holder_demand.rs
@@ -0,0 +1,70 @@
+//! How many nodes hold connections to a service's back ends: no more than they can use, and together never more than a
+//! back end takes, also while nodes see different fleets.
+
+use stairward_engine::{HolderDemand, share_of};
+use stairward_testing::check;
+
+const fn demand(connections: u32, slots: u32, zones: u32) -> HolderDemand {
+    HolderDemand {
+        connections,
+        slots: Some(slots),
+        zones,
+    }
+}
+
+#[test]
+fn a_small_limit_decides() {
+    assert_eq!(demand(36, 3, 3).holders(), 11);
+    assert_eq!(demand(50, 5, 3).holders(), 16);
+    assert_eq!(demand(2, 3, 3).holders(), 1);
+    assert_eq!(demand(0, 3, 3).holders(), 1);
+}
+
+#[test]
+fn a_large_limit_brings_no_more_holders_than_the_slots_can_occupy() {
+    let holders = demand(428, 3, 6).holders();
+    assert_eq!(holders, demand(1_000_000, 3, 6).holders());
+    assert!(holders < 20, "{holders}");
+}
+
+#[test]
+fn each_zone_has_a_second_holder() {
+    assert!(demand(428, 1, 14).holders() >= 28);
+}
+
+#[test]
+fn where_the_slots_are_not_known_the_limit_decides() {
+    let unknown = HolderDemand {
+        slots: None,
+        ..demand(428, 1, 6)
+    };
+    assert_eq!(unknown.holders(), 142);
+}
+
+/// Connections that a back end keeps back.
+const RESERVED: u32 = 1;
+
+#[test]
+fn one_view_never_passes_the_limit_and_two_do_not_where_the_slots_decide() {
+    check!()
+        .with_type::<(u16, u8, u8, u16)>()
+        .for_each(|(connections, slots, zones, nodes)| {
+            let demand = demand(
+                u32::from(*connections),
+                u32::from(*slots).max(1),
+                u32::from(*zones),
+            );
+            let available = demand.connections.saturating_sub(RESERVED);
+            // Fewer nodes than holders: all of them hold.
+            let holders = demand.holders().min(u32::from(*nodes).max(1));
+            let held = holders * share_of(available, holders);
+            assert!(held <= available.max(holders), "{demand:?}: {held}");
+            let allowed = HolderDemand {
+                slots: None,
+                ..demand
+            };
+            if 2 * holders <= allowed.holders() {
+                assert!(2 * held <= available, "{demand:?}: twice {held}");
+            }
+        });
+}
--- a/crates/stairward-engine/tests/relays.rs
+++ b/crates/stairward-engine/tests/relays.rs
@@ -7,7 +7,7 @@
 
 use stairward_engine::{
     Event, Forwarded, PreparedStatement, Response, ResponseResult, SessionId, Statement,
-    StatementKind, TransactionStatus, holder_count,
+    StatementKind, TransactionStatus,
 };
 use stairward_types::{AccessClass, Freshness, GroupId, NodeId, ResultCode, Revision};
 use support::{LEADER_READS, OWN_READS, World, at, done, service};
@@ -219,13 +219,6 @@
     assert!(world.forwarded.is_empty());
 }
 
-#[test]
-fn the_number_of_holders_follows_from_the_connections() {
-    assert_eq!(holder_count(36), 11);
-    assert_eq!(holder_count(50), 16);
-    assert_eq!(holder_count(2), 1);
-}
-
 /// A statement that its holder answered too late left a transaction open there, and the session's next
 /// statement ran inside it.
 #[test]
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -62,6 +62,7 @@
         role,
         incarnation: None,
         cold_left: Duration::ZERO,
+        slots: None,
         revision: Revision(revision),
     }
 }
--- a/crates/stairward-runtime/src/membership.rs
+++ b/crates/stairward-runtime/src/membership.rs
@@ -1,18 +1,19 @@
 //! Driving the membership state machine over UDP, and what follows from the view: how many nodes share the
 //! back ends, and which of them hold a service's connections.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rand::rngs::StdRng;
-use stairward_engine::{RoutingTable, holder_count};
+use stairward_engine::{HolderDemand, RoutingTable};
 use stairward_membership::{
     Effect, Event, MemberChange, Profile, SwimConfig, SwimMember, Version, decode, encode,
 };
 use stairward_protocol::ClusterKey;
 use stairward_protocol::datagram::MAXIMUM_DATAGRAM_BYTES;
-use stairward_types::{Incarnation, LogEvent, NodeId, RegionName, ZoneName};
+use stairward_types::{Incarnation, LogEvent, NodeId, RegionName, ServiceName, ZoneName};
 use tokio::net::UdpSocket;
 
 use crate::holders::OwnPlace;
@@ -168,8 +169,15 @@
 
     /// Takes a configuration's services in: how many nodes hold connections to each.
     pub(crate) fn update_services(self: &Rc<Self>, table: &RoutingTable) {
+        let slots = self.slots_of_services();
+        let zones = u32::try_from(self.zone_regions.len()).unwrap_or(u32::MAX);
         let counts = table.services.iter().map(|(service, limits)| {
-            let count = usize::try_from(holder_count(limits.connections)).unwrap_or(1);
+            let demand = HolderDemand {
+                connections: limits.connections,
+                slots: slots.get(service).copied(),
+                zones,
+            };
+            let count = usize::try_from(demand.holders()).unwrap_or(1);
             (service.clone(), count)
         });
         let has_changed = {
@@ -182,6 +190,18 @@
         }
     }
 
+    /// The most statements that a back end of each service runs at once, of those that say so.
+    fn slots_of_services(&self) -> BTreeMap<ServiceName, u32> {
+        let mut slots_of: BTreeMap<ServiceName, u32> = BTreeMap::new();
+        for backend in self.backends.borrow().values() {
+            if let Some(slots) = backend.slots {
+                let most = slots_of.entry(backend.service.clone()).or_default();
+                *most = slots.max(*most);
+            }
+        }
+        slots_of
+    }
+
     /// Takes the membership view in: who of them holds connections to which services.
     fn update_holders(self: &Rc<Self>) {
         let (regions, has_changed) = {
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -208,6 +208,10 @@
             .iter()
             .map(|description| (description.id.clone(), description.clone()));
         *self.backends.borrow_mut() = known.collect();
+        // Before the engine opens connections: how many nodes hold them follows from what the back ends can use.
+        if let Some(table) = self.routing_table() {
+            self.update_services(&table);
+        }
         self.handle(Event::Backends { list, since });
         self.tell_duty_of_groups();
     }
--- a/crates/stairward-simulation/src/group.rs
+++ b/crates/stairward-simulation/src/group.rs
@@ -85,6 +85,7 @@
             role: database.role,
             incarnation: Some(Incarnation(database.starts)),
             cold_left: database.told_cold,
+            slots: None,
             revision: Revision(self.revision),
         };
         self.listed.insert(id.clone(), description);
--- a/crates/stairward-simulation/src/guests.rs
+++ b/crates/stairward-simulation/src/guests.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rand::RngExt as _;
-use stairward_engine::{Event, Forwarded, Response, SessionId, holder_count};
+use stairward_engine::{Event, Forwarded, HolderDemand, Response, SessionId};
 use stairward_types::{NodeId, ServiceName};
 
 use crate::group::service;
@@ -36,7 +36,12 @@
 impl World {
     /// The holders that a node must forward to; none where it holds connections itself.
     pub(crate) fn holders_for(&self, node: usize) -> BTreeMap<ServiceName, Vec<NodeId>> {
-        let count = usize::try_from(holder_count(self.options.connections)).unwrap_or(1);
+        let demand = HolderDemand {
+            connections: self.options.connections,
+            slots: None,
+            zones: 0,
+        };
+        let count = usize::try_from(demand.holders()).unwrap_or(1);
         if self.nodes.len() <= count || node < count {
             return BTreeMap::new();
         }
