--- a/crates/stairward-engine/src/backend.rs
+++ b/crates/stairward-engine/src/backend.rs
@@ -1,6 +1,7 @@
 //! What the engine keeps of one back end, and what using it costs at the moment.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use stairward_types::{BackendRole, Freshness, LogPosition, RegionName, Term, Time};
@@ -38,7 +39,7 @@
 /// One back end.
 #[derive(Debug)]
 pub(crate) struct Backend {
-    pub description: BackendDescription,
+    pub description: Arc<BackendDescription>,
     pub distance: ZoneDistance,
     /// The region that it runs in, where its zone is known.
     pub region: Option<RegionName>,
@@ -78,7 +79,7 @@
 
 impl Backend {
     pub fn new(
-        description: BackendDescription,
+        description: Arc<BackendDescription>,
         distance: ZoneDistance,
         region: Option<RegionName>,
     ) -> Self {
--- a/crates/stairward-engine/src/discovery.rs
+++ b/crates/stairward-engine/src/discovery.rs
@@ -1,16 +1,17 @@
 //! Takes in what discovery lists, and lets go of back ends that leave.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
-use stairward_types::{BackendId, Time};
+use stairward_types::{BackendId, ServiceName, Time};
 
 use crate::backend::Backend;
 use crate::engine::Engine;
 use crate::event::Effect;
 use crate::identifiers::ConnectionId;
 use crate::leaving::{Leaving, LeavingChange};
-use crate::settings::BackendDescription;
+use crate::settings::{BackendDescription, DiscoveryChange};
 use crate::timers::Timer;
 
 /// How often leaving back ends are looked at.
@@ -26,31 +27,53 @@
         list: Vec<BackendDescription>,
         since: Option<Time>,
     ) {
-        let mut listed = BTreeSet::new();
-        for description in list {
-            listed.insert(description.id.clone());
-            self.take_backend(now, description, since);
-        }
+        let listed: BTreeSet<&BackendId> = list.iter().map(|description| &description.id).collect();
         let is_gone =
-            |(id, backend): &(&BackendId, &Backend)| backend.is_listed && !listed.contains(*id);
-        let gone: Vec<_> = self
-            .backends
+            |(id, backend): &(&BackendId, &Box<Backend>)| backend.is_listed && !listed.contains(id);
+        let gone = self.backends.iter().filter(is_gone);
+        let gone: Vec<_> = gone.map(|(id, _)| id.clone()).collect();
+        let described = list.into_iter().map(Arc::new).collect();
+        self.change_backends(now, DiscoveryChange { described, gone }, since);
+    }
+
+    /// Takes in what has changed in discovery's list. It came about after `since`, or at any time.
+    pub(crate) fn change_backends(
+        &mut self,
+        now: Time,
+        change: DiscoveryChange,
+        since: Option<Time>,
+    ) {
+        let services: BTreeSet<ServiceName> = change
+            .described
             .iter()
-            .filter(is_gone)
-            .map(|(id, _)| id.clone())
+            .map(|description| description.service.clone())
             .collect();
-        for id in gone {
-            if let Some(backend) = self.backends.get_mut(&id) {
-                backend.is_listed = false;
-                self.changed.insert(backend.description.service.clone());
-            }
-            self.leaves(now, &id, since);
+        for description in change.described {
+            self.take_backend(now, description, since);
+        }
+        for id in change.gone {
+            self.no_longer_listed(now, &id, since);
         }
         self.plan_review(now);
-        self.warm_up(now);
+        let services: Vec<_> = services.into_iter().collect();
+        self.warm_up_services(now, &services);
+    }
+
+    fn no_longer_listed(&mut self, now: Time, id: &BackendId, since: Option<Time>) {
+        let Some(backend) = self.backends.get_mut(id) else {
+            return;
+        };
+        backend.is_listed = false;
+        self.changed.insert(backend.description.service.clone());
+        self.leaves(now, id, since);
     }
 
-    fn take_backend(&mut self, now: Time, description: BackendDescription, since: Option<Time>) {
+    fn take_backend(
+        &mut self,
+        now: Time,
+        description: Arc<BackendDescription>,
+        since: Option<Time>,
+    ) {
         let id = description.id.clone();
         let service = description.service.clone();
         self.changed.insert(service.clone());
@@ -68,7 +91,7 @@
         let backend = self
             .backends
             .entry(id.clone())
-            .or_insert_with(|| Backend::new(description.clone(), distance, region));
+            .or_insert_with(|| Box::new(Backend::new(Arc::clone(&description), distance, region)));
         backend.evacuated_until = evacuated_until;
         let has_moved = backend.description.address != description.address;
         let is_new_start = description.is_new_start_after(&backend.description);
--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -72,7 +72,7 @@
     /// Sessions that came before the first configuration.
     pub(crate) pending: BTreeMap<SessionId, PendingSession>,
     pub(crate) connections: BTreeMap<ConnectionId, Connection>,
-    pub(crate) backends: BTreeMap<BackendId, Backend>,
+    pub(crate) backends: BTreeMap<BackendId, Box<Backend>>,
     pub(crate) groups: BTreeMap<ServiceName, Group>,
     pub(crate) timers: Timers,
     pub(crate) waiting: BTreeMap<ServiceName, BTreeSet<WaitingKey>>,
@@ -199,6 +199,7 @@
             Event::ConnectionLost { connection } => self.connection_lost(now, connection),
             Event::Configured(table) => self.configure(now, table),
             Event::Backends { list, since } => self.take_backends(now, list, since),
+            Event::BackendsChanged { change, since } => self.change_backends(now, change, since),
             Event::Nodes(nodes) => self.note_nodes(now, nodes),
             Event::Holders(holders) => self.set_holders(holders),
             Event::HolderPlaces(places) => self.places = places,
@@ -408,27 +409,36 @@
         }
     }
 
-    /// Opens a first connection to each back end that routes lead to, so that the first requests find one. Not
-    /// before the others are seen: most of the back ends may be for others to hold.
+    /// Opens a first connection to each back end of the services that this node holds and that routes lead to, so that
+    /// the first requests find one. Not before the others are seen: most of the back ends may be for others to hold.
     pub(crate) fn warm_up(&mut self, now: Time) {
+        let services: Vec<ServiceName> = self.groups.keys().cloned().collect();
+        self.warm_up_services(now, &services);
+    }
+
+    /// As [`Self::warm_up`], for these services.
+    pub(crate) fn warm_up_services(&mut self, now: Time, services: &[ServiceName]) {
         if !self.nodes.is_known() {
             return;
         }
-        let Some(table) = self.table.clone() else {
+        let is_held_here = |service: &&ServiceName| !self.holders.contains_key(*service);
+        let held: Vec<&ServiceName> = services.iter().filter(is_held_here).collect();
+        let Some(table) = self.table.as_ref().filter(|_| !held.is_empty()) else {
             return;
         };
-        let services: BTreeSet<_> = table.routes.values().map(|route| &route.service).collect();
-        let unconnected: Vec<BackendId> = self
-            .backends
-            .iter()
-            .filter(|(_, backend)| {
-                backend.connections.is_empty()
-                    && !backend.is_to_be_left()
-                    && services.contains(&backend.description.service)
-                    && !self.holders.contains_key(&backend.description.service)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
+        let routed: BTreeSet<&ServiceName> =
+            table.routes.values().map(|route| &route.service).collect();
+        let groups = held
+            .into_iter()
+            .filter(|service| routed.contains(service))
+            .filter_map(|service| self.groups.get(service));
+        let is_unconnected = |id: &&BackendId| {
+            let backend = self.backends.get(*id);
+            backend
+                .is_some_and(|backend| backend.connections.is_empty() && !backend.is_to_be_left())
+        };
+        let members = groups.flat_map(|group| &group.members);
+        let unconnected: Vec<BackendId> = members.filter(is_unconnected).cloned().collect();
         for id in unconnected {
             self.open_connection(now, &id, None);
         }
--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -16,7 +16,7 @@
 use crate::placement::Holder;
 use crate::relay::Forwarded;
 use crate::reply::{BackendReply, Response};
-use crate::settings::{BackendDescription, Consistency, RoutingTable};
+use crate::settings::{BackendDescription, Consistency, DiscoveryChange, RoutingTable};
 use crate::statement::{PreparedStatement, Statement};
 
 /// Why a connection to a back end could not be opened.
@@ -98,6 +98,13 @@
         /// What differs from the last list came about after this moment; none where that is not known.
         since: Option<Time>,
     },
+    /// Discovery's list has changed. What differs came about after `since`, or at any time where that is not known.
+    BackendsChanged {
+        /// What differs.
+        change: DiscoveryChange,
+        /// See above.
+        since: Option<Time>,
+    },
     /// How many nodes share the back ends' connections.
     Nodes(u32),
     /// The services whose connections only other nodes hold, and those nodes, best first.
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -61,8 +61,8 @@
 };
 pub use residency::Residency;
 pub use settings::{
-    BackendDescription, Consistency, EngineOptions, Route, RoutingTable, ServiceLimits,
-    ZoneDistance,
+    BackendDescription, Consistency, DiscoveryChange, EngineOptions, Route, RoutingTable,
+    ServiceLimits, ZoneDistance,
 };
 pub use statement::{PreparedStatement, Statement, StatementKind};
 pub use tenants::{Tenant, TenantDirectory};
--- a/crates/stairward-engine/src/placement.rs
+++ b/crates/stairward-engine/src/placement.rs
@@ -89,10 +89,10 @@
         let service = &request.route.service;
         if request.need.is_leader_only() || request.is_for_leader {
             let leader = self.leader(now, service)?;
-            return self.backends.get(&leader);
+            return self.backends.get(&leader).map(Box::as_ref);
         }
         let members = self.groups.get(service)?.members.iter();
-        let copies = members.filter_map(|id| Some((id, self.backends.get(id)?)));
+        let copies = members.filter_map(|id| Some((id, self.backends.get(id)?.as_ref())));
         let usable = copies.filter(|(id, backend)| {
             backend.is_healthy()
                 && backend.may_be_used(now)
--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -407,7 +407,7 @@
 
     fn backend_of(&mut self, id: ConnectionId) -> Option<&mut crate::backend::Backend> {
         let connection = self.connections.get(&id)?;
-        self.backends.get_mut(&connection.backend)
+        self.backends.get_mut(&connection.backend).map(Box::as_mut)
     }
 
     /// A statement by itself was answered.
--- a/crates/stairward-engine/src/settings.rs
+++ b/crates/stairward-engine/src/settings.rs
@@ -127,6 +127,15 @@
     }
 }
 
+/// What differs in discovery's list from what was known of it.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct DiscoveryChange {
+    /// Back ends that are new, or described otherwise than before.
+    pub described: Vec<Arc<BackendDescription>>,
+    /// Back ends that are no longer listed.
+    pub gone: Vec<BackendId>,
+}
+
 /// How far away a zone is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ZoneDistance {
--- a/crates/stairward-failover/src/duty.rs
+++ b/crates/stairward-failover/src/duty.rs
@@ -33,6 +33,8 @@
     groups: BTreeMap<ServiceName, GroupState>,
     /// The service of each member.
     service_of: BTreeMap<BackendId, ServiceName>,
+    /// How many members of all services are listed.
+    listed_members: usize,
     /// Services whose leader is to give way as planned.
     moving: BTreeSet<ServiceName>,
     /// Services whose members have changed since they were looked at.
@@ -70,6 +72,7 @@
             options,
             groups: BTreeMap::new(),
             service_of: BTreeMap::new(),
+            listed_members: 0,
             moving: BTreeSet::new(),
             changed: BTreeSet::new(),
             nodes: 1,
@@ -145,37 +148,77 @@
         (!is_idle).then(|| now + POLL)
     }
 
-    /// Takes the services and their members in, and notes which have changed.
+    /// Takes the services and their members in, whole.
     fn set_groups(&mut self, now: Time, groups: BTreeMap<ServiceName, GroupState>) {
-        self.note_lapse(now, &groups);
-        let changed = groups
-            .iter()
-            .filter(|(service, group)| self.groups.get(*service) != Some(*group))
-            .map(|(service, _)| service.clone());
-        self.changed.extend(changed);
-        self.groups = groups;
-        self.attempts
-            .retain(|service, _| self.groups.contains_key(service));
-        let members = self.groups.iter().flat_map(|(service, group)| {
-            let members = group.members.keys();
-            members.map(move |id| (id.clone(), service.clone()))
-        });
-        self.service_of = members.collect();
+        let is_over = |service: &&ServiceName| !groups.contains_key(*service);
+        let over: Vec<_> = self.groups.keys().filter(is_over).cloned().collect();
+        let listed_before = self.listed_members;
+        for service in over {
+            self.forget_group(&service);
+        }
+        self.take_groups(groups);
+        self.note_lapse(now, listed_before);
+    }
+
+    /// Takes in services of which something has changed.
+    fn change_groups(&mut self, now: Time, groups: BTreeMap<ServiceName, GroupState>) {
+        let listed_before = self.listed_members;
+        self.take_groups(groups);
+        self.note_lapse(now, listed_before);
+    }
+
+    fn take_groups(&mut self, groups: BTreeMap<ServiceName, GroupState>) {
+        for (service, group) in groups {
+            if self.groups.get(&service) != Some(&group) {
+                self.take_group(service, group);
+            }
+        }
         let (groups, service_of) = (&self.groups, &self.service_of);
         self.evidence.keep_lost_logs_of(|id| {
             let group = service_of.get(id).and_then(|service| groups.get(service));
             group.and_then(Self::announced_leader) == Some(id)
         });
-        let moving = self.groups.iter().filter(|(_, group)| {
-            let leader = Self::announced_leader(group);
-            leader.is_some_and(|leader| trigger::must_move(group, leader))
-        });
-        self.moving = moving.map(|(service, _)| service.clone()).collect();
+    }
+
+    fn take_group(&mut self, service: ServiceName, group: GroupState) {
+        self.forget_members(&service);
+        self.listed_members += group.listed_members();
+        for id in group.members.keys() {
+            self.service_of.insert(id.clone(), service.clone());
+        }
+        let leader = Self::announced_leader(&group);
+        if leader.is_some_and(|leader| trigger::must_move(&group, leader)) {
+            self.moving.insert(service.clone());
+        } else {
+            self.moving.remove(&service);
+        }
+        self.changed.insert(service.clone());
+        self.groups.insert(service, group);
+    }
+
+    fn forget_group(&mut self, service: &ServiceName) {
+        self.forget_members(service);
+        self.groups.remove(service);
+        self.moving.remove(service);
+        self.attempts.remove(service);
+    }
+
+    fn forget_members(&mut self, service: &ServiceName) {
+        let Some(group) = self.groups.get(service) else {
+            return;
+        };
+        self.listed_members = self.listed_members.saturating_sub(group.listed_members());
+        for id in group.members.keys() {
+            if self.service_of.get(id) == Some(service) {
+                self.service_of.remove(id);
+            }
+        }
     }
 
     fn apply(&mut self, now: Time, event: Event) {
         match event {
             Event::Groups(groups) => self.set_groups(now, groups),
+            Event::GroupsChanged(groups) => self.change_groups(now, groups),
             Event::Nodes(nodes) => self.nodes = nodes.max(1),
             Event::Peers(peers) => self.peers = peers,
             Event::Users(users) => self.users = users,
--- a/crates/stairward-failover/src/duty/trigger.rs
+++ b/crates/stairward-failover/src/duty/trigger.rs
@@ -1,7 +1,5 @@
 //! When a primary is to be replaced, and why.
 
-use std::collections::BTreeMap;
-
 use stairward_types::{BackendId, ServiceName, Time};
 
 use super::FailoverDuty;
@@ -58,9 +56,8 @@
 
 impl FailoverDuty {
     /// Entries that go together have lapsed: the store was away, and their members most likely are not.
-    pub(super) fn note_lapse(&mut self, now: Time, groups: &BTreeMap<ServiceName, GroupState>) {
-        let (before, after) = (listed_members(&self.groups), listed_members(groups));
-        if before >= FEWEST_THAT_LAPSE && after * 2 <= before {
+    pub(super) fn note_lapse(&mut self, now: Time, listed_before: usize) {
+        if listed_before >= FEWEST_THAT_LAPSE && self.listed_members * 2 <= listed_before {
             self.lapsed_at = Some(now);
         }
     }
@@ -134,8 +131,3 @@
         }
     }
 }
-
-fn listed_members(groups: &BTreeMap<ServiceName, GroupState>) -> usize {
-    let members = groups.values().flat_map(|group| group.members.values());
-    members.filter(|member| member.is_listed).count()
-}
--- a/crates/stairward-failover/src/event.rs
+++ b/crates/stairward-failover/src/event.rs
@@ -85,6 +85,14 @@
     pub synchronous_replicas: u32,
 }
 
+impl GroupState {
+    /// How many of the members discovery lists at the moment.
+    pub(crate) fn listed_members(&self) -> usize {
+        let listed = self.members.values().filter(|member| member.is_listed);
+        listed.count()
+    }
+}
+
 /// How a promotion ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PromotionOutcome {
@@ -136,6 +144,8 @@
 pub enum Event {
     /// The services and their members, whole.
     Groups(BTreeMap<ServiceName, GroupState>),
+    /// Services of which some members or their state have changed; all others are as they were.
+    GroupsChanged(BTreeMap<ServiceName, GroupState>),
     /// How many nodes there are.
     Nodes(u32),
     /// Nodes that may pass questions on to members, whole.
--- a/crates/stairward-failover/tests/reviews.rs
+++ b/crates/stairward-failover/tests/reviews.rs
@@ -142,3 +142,58 @@
             }
         });
 }
+
+/// The groups among these that differ from those known.
+fn changed_groups(
+    known: &BTreeMap<ServiceName, GroupState>,
+    groups: &BTreeMap<ServiceName, GroupState>,
+) -> BTreeMap<ServiceName, GroupState> {
+    let is_news =
+        |(service, group): &(&ServiceName, &GroupState)| known.get(*service) != Some(*group);
+    let news = groups.iter().filter(is_news);
+    news.map(|(service, group)| (service.clone(), group.clone()))
+        .collect()
+}
+
+#[test]
+fn hearing_of_changed_groups_decides_what_hearing_of_all_does() {
+    check!()
+        .with_type::<Vec<(u8, u8, u8, u8)>>()
+        .for_each(|steps| {
+            let options = FailoverOptions {
+                leadership_lease: Some(LEADERSHIP_LEASE),
+                ..FailoverOptions::new("a")
+            };
+            let mut told_changes = FailoverDuty::new(options.clone());
+            let mut told_all = FailoverDuty::new(options);
+            let mut now = Time::from_millis(60_000);
+            let mut known = groups(0, 0);
+            let begin = [
+                Event::Users(BTreeSet::from([NodeId(1), NodeId(2)])),
+                Event::Records(BTreeMap::new()),
+                Event::Groups(known.clone()),
+            ];
+            for event in begin {
+                told_changes.handle(now, event.clone());
+                told_all.handle(now, event);
+            }
+            for (number, (kind, first, second, pause)) in steps.iter().take(200).enumerate() {
+                now = now + Duration::from_millis(u64::from(*pause) * 5);
+                let token = u64::try_from(number).unwrap() + 1;
+                // A service goes only with its configuration, which is told whole.
+                let event = match event(*kind, *first, *second % 255, token) {
+                    Event::Groups(groups) => {
+                        let changed = changed_groups(&known, &groups);
+                        known.clone_from(&groups);
+                        let decided = told_changes.handle(now, Event::GroupsChanged(changed));
+                        assert_eq!(decided, told_all.handle(now, Event::Groups(groups)));
+                        continue;
+                    }
+                    event => event,
+                };
+                let decided = told_changes.handle(now, event.clone());
+                assert_eq!(decided, told_all.handle(now, event.clone()), "{event:?}");
+                assert_eq!(told_changes.next_wake(now), told_all.next_wake(now));
+            }
+        });
+}
--- a/crates/stairward-membership/src/holder_ranking.rs
+++ b/crates/stairward-membership/src/holder_ranking.rs
@@ -57,17 +57,24 @@
             .retain(|service, _| counts.contains_key(service));
         let mut changed = BTreeSet::new();
         for (service, count) in counts {
-            let known = self.services.get(service);
-            if known.is_some_and(|ranked| ranked.count == *count) {
-                continue;
+            if self.set_service(service, *count) {
+                changed.insert(service.clone());
             }
-            let ranked = rank(&self.zones, service, *count);
-            self.services.insert(service.clone(), ranked);
-            changed.insert(service.clone());
         }
         changed
     }
 
+    /// Takes in how many holders a service has at most. Returns whether that is news.
+    pub fn set_service(&mut self, service: &ServiceName, count: usize) -> bool {
+        let known = self.services.get(service);
+        if known.is_some_and(|ranked| ranked.count == count) {
+            return false;
+        }
+        let ranked = rank(&self.zones, service, count);
+        self.services.insert(service.clone(), ranked);
+        true
+    }
+
     /// Takes the members whole. Returns the services that have other holders now, or one in another place.
     pub fn set_members<'a>(
         &mut self,
--- /dev/null
+++ b/crates/stairward-runtime/src/discovered.rs
@@ -0,0 +1,127 @@
+//! The back ends that discovery lists, by id and by service, and those that it listed a while ago.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairward_engine::{BackendDescription, DiscoveryChange};
+use stairward_types::{BackendId, ServiceName, Time, ZoneName};
+
+/// How long a back end that discovery no longer lists is remembered: it may still have to be asked.
+const REMEMBERED_FOR: Duration = Duration::from_secs(60);
+
+/// Back ends by id.
+type Members = BTreeMap<BackendId, Arc<BackendDescription>>;
+
+/// What discovery tells. Changes cost what they touch, whatever the number of back ends.
+#[derive(Debug, Default)]
+pub struct Discovered {
+    service_of: BTreeMap<BackendId, ServiceName>,
+    by_service: BTreeMap<ServiceName, Members>,
+    /// Back ends that are listed no more, and since when.
+    gone: BTreeMap<BackendId, (Arc<BackendDescription>, Time)>,
+}
+
+impl Discovered {
+    /// Whether no back end is listed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.service_of.is_empty()
+    }
+
+    /// What differs in a whole list from what is known.
+    #[must_use]
+    pub fn difference(&self, list: Vec<BackendDescription>) -> DiscoveryChange {
+        let listed: BTreeSet<BackendId> = list.iter().map(|backend| backend.id.clone()).collect();
+        let gone = self.service_of.keys().filter(|id| !listed.contains(*id));
+        let gone = gone.cloned().collect();
+        let is_news = |backend: &BackendDescription| {
+            self.get(&backend.id)
+                .is_none_or(|known| **known != *backend)
+        };
+        let described = list.into_iter().filter(is_news).map(Arc::new).collect();
+        DiscoveryChange { described, gone }
+    }
+
+    /// Takes a change in. Returns the services that it touches.
+    pub fn apply(&mut self, now: Time, change: &DiscoveryChange) -> BTreeSet<ServiceName> {
+        self.gone
+            .retain(|_, (_, gone_at)| now.since(*gone_at) < REMEMBERED_FOR);
+        let mut touched = BTreeSet::new();
+        for description in &change.described {
+            let service = &description.service;
+            let before = self
+                .service_of
+                .insert(description.id.clone(), service.clone());
+            if let Some(before) = before.filter(|before| before != service) {
+                self.take_out(&before, &description.id);
+                touched.insert(before);
+            }
+            self.gone.remove(&description.id);
+            self.by_service
+                .entry(service.clone())
+                .or_default()
+                .insert(description.id.clone(), Arc::clone(description));
+            touched.insert(service.clone());
+        }
+        for id in &change.gone {
+            let Some(service) = self.service_of.remove(id) else {
+                continue;
+            };
+            if let Some(description) = self.take_out(&service, id) {
+                self.gone.insert(id.clone(), (description, now));
+            }
+            touched.insert(service);
+        }
+        touched
+    }
+
+    fn take_out(
+        &mut self,
+        service: &ServiceName,
+        id: &BackendId,
+    ) -> Option<Arc<BackendDescription>> {
+        let members = self.by_service.get_mut(service)?;
+        let description = members.remove(id);
+        if members.is_empty() {
+            self.by_service.remove(service);
+        }
+        description
+    }
+
+    /// A back end that is listed.
+    #[must_use]
+    pub fn get(&self, id: &BackendId) -> Option<&Arc<BackendDescription>> {
+        self.by_service.get(self.service_of.get(id)?)?.get(id)
+    }
+
+    /// A back end that is listed, or was a while ago.
+    #[must_use]
+    pub fn get_or_remembered(&self, id: &BackendId) -> Option<&Arc<BackendDescription>> {
+        let remembered = || self.gone.get(id).map(|(description, _)| description);
+        self.get(id).or_else(remembered)
+    }
+
+    /// The listed back ends of a service.
+    pub fn members(&self, service: &ServiceName) -> impl Iterator<Item = &Arc<BackendDescription>> {
+        self.by_service
+            .get(service)
+            .into_iter()
+            .flat_map(BTreeMap::values)
+    }
+
+    /// The most statements that a back end of a service runs at once, of those that say so.
+    #[must_use]
+    pub fn slots(&self, service: &ServiceName) -> Option<u32> {
+        self.members(service)
+            .filter_map(|backend| backend.slots)
+            .max()
+    }
+
+    /// How many listed back ends run in a zone.
+    #[must_use]
+    pub fn count_in(&self, zone: &ZoneName) -> usize {
+        let members = self.by_service.values().flat_map(BTreeMap::values);
+        members.filter(|backend| backend.zone == *zone).count()
+    }
+}
--- a/crates/stairward-runtime/src/duty.rs
+++ b/crates/stairward-runtime/src/duty.rs
@@ -1,11 +1,11 @@
 //! Driving the failover duty: its events come from the engine's use of back ends, from discovery and from
 //! the store; its effects are questions, writes and promotions.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use stairward_engine::{BackendDescription, OpenTarget};
+use stairward_engine::{BackendDescription, OpenTarget, RoutingTable};
 use stairward_failover::{
     DutyRecord, Effect, Event, GroupState, LeaderEvidence, MemberState, Placement, Reach,
     RecordVersion, Via,
@@ -126,11 +126,8 @@
     }
 
     pub(crate) fn target(&self, backend: &BackendId) -> Option<OpenTarget> {
-        let backends = self.backends.borrow();
-        let remembered = self.last_described.borrow();
-        let description = backends
-            .get(backend)
-            .or_else(|| remembered.get(backend).map(|(description, _)| description))?;
+        let discovered = self.discovered.borrow();
+        let description = discovered.get_or_remembered(backend)?;
         Some(OpenTarget {
             backend: backend.clone(),
             service: description.service.clone(),
@@ -190,26 +187,57 @@
         }
     }
 
-    /// Tells the duty of services, members and their state.
+    /// Tells the duty of all services, their members and their state.
     pub(crate) fn tell_duty_of_groups(self: &Rc<Self>) {
         let Some(table) = self.routing_table() else {
             return;
         };
-        let mut groups: BTreeMap<ServiceName, GroupState> = BTreeMap::new();
-        for (service, limits) in &table.services {
-            let group = groups.entry(service.clone()).or_default();
-            group.synchronous_replicas = limits.synchronous_replicas;
+        let groups = self.group_states(&table, table.services.keys());
+        self.tell_duty(Event::Groups(groups));
+    }
+
+    /// Tells the duty of these services, as far as they are configured.
+    pub(crate) fn tell_duty_of(self: &Rc<Self>, services: &BTreeSet<ServiceName>) {
+        let Some(table) = self.routing_table() else {
+            return;
+        };
+        let groups = self.group_states(&table, services);
+        if !groups.is_empty() {
+            self.tell_duty(Event::GroupsChanged(groups));
         }
-        for description in self.backends.borrow().values() {
-            let Some(group) = groups.get_mut(&description.service) else {
-                continue;
-            };
+    }
+
+    fn group_states<'a>(
+        &self,
+        table: &RoutingTable,
+        services: impl IntoIterator<Item = &'a ServiceName>,
+    ) -> BTreeMap<ServiceName, GroupState> {
+        let configured = services
+            .into_iter()
+            .filter_map(|service| Some((service, table.services.get(service)?)));
+        let mut groups: BTreeMap<_, _> = configured
+            .map(|(service, limits)| {
+                let members = self.member_states(service);
+                let synchronous_replicas = limits.synchronous_replicas;
+                let state = GroupState {
+                    members,
+                    synchronous_replicas,
+                };
+                (service.clone(), state)
+            })
+            .collect();
+        self.leader_memory.borrow_mut().keep_missing(&mut groups);
+        groups
+    }
+
+    fn member_states(&self, service: &ServiceName) -> BTreeMap<BackendId, MemberState> {
+        let discovered = self.discovered.borrow();
+        let members = discovered.members(service).map(|description| {
             let (role, is_leaving) = (description.role, description.is_leaving);
             let placement = self.placement(description);
             let member = MemberState::listed(role, is_leaving, description.revision, placement);
-            group.members.insert(description.id.clone(), member);
-        }
-        self.leader_memory.borrow_mut().keep_missing(&mut groups);
-        self.tell_duty(Event::Groups(groups));
+            (description.id.clone(), member)
+        });
+        members.collect()
     }
 }
--- a/crates/stairward-runtime/src/figures.rs
+++ b/crates/stairward-runtime/src/figures.rs
@@ -1,13 +1,9 @@
 //! The node's figures: counters and latency histograms, shown as text for Prometheus.
 
-use std::collections::BTreeMap;
-
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
-use stairward_engine::{
-    BackendDescription, Consistency, EngineStatistics, RequestMeasure, ZoneWork,
-};
+use stairward_engine::{Consistency, EngineStatistics, RequestMeasure, ZoneWork};
 use stairward_failover::Action;
-use stairward_types::{AccessClass, BackendId, BackendRole, OutcomeClass, ZoneName};
+use stairward_types::{AccessClass, BackendRole, OutcomeClass, ServiceName, ZoneName};
 
 use crate::traffic::Traffic;
 
@@ -87,11 +83,8 @@
 }
 
 /// Counts a start of a back end under the id that it had.
-pub(crate) fn count_start(id: &BackendId, listed: &BTreeMap<BackendId, BackendDescription>) {
-    if let Some(backend) = listed.get(id) {
-        let service = backend.service.to_string();
-        metrics::counter!(STARTS, "service" => service).increment(1);
-    }
+pub(crate) fn count_start(service: &ServiceName) {
+    metrics::counter!(STARTS, "service" => service.to_string()).increment(1);
 }
 
 /// Counts an entry of discovery that can't be used.
--- a/crates/stairward-runtime/src/holders.rs
+++ b/crates/stairward-runtime/src/holders.rs
@@ -77,6 +77,24 @@
         !changed.is_empty() || !gone.is_empty()
     }
 
+    /// Takes in how many nodes hold connections to these services at most. Returns whether anything has changed.
+    pub fn change_services(
+        &mut self,
+        own: &OwnPlace,
+        members: &[Profile],
+        counts: impl IntoIterator<Item = (ServiceName, usize)>,
+    ) -> bool {
+        let mut changed = BTreeSet::new();
+        for (service, count) in counts {
+            if self.ranking.set_service(&service, count) {
+                self.counts.insert(service.clone(), count);
+                changed.insert(service);
+            }
+        }
+        self.work_out(own, members, &changed);
+        !changed.is_empty()
+    }
+
     /// Takes the membership view in. Returns whether anything has changed.
     pub fn set_members(&mut self, own: &OwnPlace, members: &[Profile]) -> bool {
         let mut changed = self.ranking.set_members(members.iter().map(candidate));
--- a/crates/stairward-runtime/src/lib.rs
+++ b/crates/stairward-runtime/src/lib.rs
@@ -10,6 +10,7 @@
 mod callers;
 mod compression;
 mod coordination;
+pub mod discovered;
 mod duty;
 mod feeds;
 pub mod figures;
--- a/crates/stairward-runtime/src/membership.rs
+++ b/crates/stairward-runtime/src/membership.rs
@@ -1,13 +1,13 @@
 //! Driving the membership state machine over UDP, and what follows from the view: how many nodes share the
 //! back ends, and which of them hold a service's connections.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rand::rngs::StdRng;
-use stairward_engine::{HolderDemand, RoutingTable};
+use stairward_engine::{HolderDemand, RoutingTable, ServiceLimits};
 use stairward_membership::{
     Effect, Event, MemberChange, Profile, SwimConfig, SwimMember, Version, decode, encode,
 };
@@ -168,38 +168,58 @@
     }
 
     /// Takes a configuration's services in: how many nodes hold connections to each.
-    pub(crate) fn update_services(self: &Rc<Self>, table: &RoutingTable) {
-        let slots = self.slots_of_services();
-        let zones = u32::try_from(self.zone_regions.len()).unwrap_or(u32::MAX);
+    pub(crate) fn set_services(self: &Rc<Self>, table: &RoutingTable) {
         let counts = table.services.iter().map(|(service, limits)| {
-            let demand = HolderDemand {
-                connections: limits.connections,
-                slots: slots.get(service).copied(),
-                zones,
-            };
-            let count = usize::try_from(demand.holders()).unwrap_or(1);
-            (service.clone(), count)
+            let count = self.holder_demand(service, limits).holders();
+            (
+                service.clone(),
+                usize::try_from(count).unwrap_or(usize::MAX),
+            )
         });
+        let counts = counts.collect();
         let has_changed = {
             let members = self.members.borrow();
             let mut holders = self.holders.borrow_mut();
-            holders.set_services(&self.own_place(), &members, counts.collect())
+            holders.set_services(&self.own_place(), &members, counts)
         };
         if has_changed {
             self.show_holders();
         }
     }
 
-    /// The most statements that a back end of each service runs at once, of those that say so.
-    fn slots_of_services(&self) -> BTreeMap<ServiceName, u32> {
-        let mut slots_of: BTreeMap<ServiceName, u32> = BTreeMap::new();
-        for backend in self.backends.borrow().values() {
-            if let Some(slots) = backend.slots {
-                let most = slots_of.entry(backend.service.clone()).or_default();
-                *most = slots.max(*most);
-            }
+    /// Takes in what has been learnt of the back ends of these services: how many nodes hold connections to each.
+    pub(crate) fn update_services(self: &Rc<Self>, services: &BTreeSet<ServiceName>) {
+        let Some(table) = self.routing_table() else {
+            return;
+        };
+        let configured = services
+            .iter()
+            .filter_map(|service| Some((service, table.services.get(service)?)));
+        let counts: Vec<(ServiceName, usize)> = configured
+            .map(|(service, limits)| {
+                let count = self.holder_demand(service, limits).holders();
+                (
+                    service.clone(),
+                    usize::try_from(count).unwrap_or(usize::MAX),
+                )
+            })
+            .collect();
+        let has_changed = {
+            let members = self.members.borrow();
+            let mut holders = self.holders.borrow_mut();
+            holders.change_services(&self.own_place(), &members, counts)
+        };
+        if has_changed {
+            self.show_holders();
+        }
+    }
+
+    fn holder_demand(&self, service: &ServiceName, limits: &ServiceLimits) -> HolderDemand {
+        HolderDemand {
+            connections: limits.connections,
+            slots: self.discovered.borrow().slots(service),
+            zones: u32::try_from(self.zone_regions.len()).unwrap_or(u32::MAX),
         }
-        slots_of
     }
 
     /// Takes the membership view in: who of them holds connections to which services.
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -8,8 +8,9 @@
 
 use bytes::BytesMut;
 use stairward_engine::{
-    BackendDescription, ConnectionId, Effect, Engine, EngineOptions, EngineStatistics, Event,
-    Evidence, LeadChange, LeavingChange, RoutingTable, SessionId, ZoneWork,
+    BackendDescription, ConnectionId, DiscoveryChange, Effect, Engine, EngineOptions,
+    EngineStatistics, Event, Evidence, LeadChange, LeavingChange, RoutingTable, SessionId,
+    ZoneWork,
 };
 use stairward_failover::{
     FailoverDuty, FailoverOptions, LeaderEvidence, LeaderMemory, RecordVersion,
@@ -23,6 +24,7 @@
 use tokio::sync::Notify;
 
 use crate::coordination::{Coordination, FleetWrite};
+use crate::discovered::Discovered;
 use crate::feeds::Feeds;
 use crate::figures;
 use crate::health::Readiness;
@@ -37,9 +39,6 @@
 use crate::traffic::Traffic;
 use crate::wire::Wire;
 
-/// How long a back end that discovery no longer lists is remembered.
-const REMEMBERED_FOR: Duration = Duration::from_secs(60);
-
 /// How a node is set up.
 pub struct NodeOptions {
     /// For the engine.
@@ -66,10 +65,7 @@
     started: Instant,
     pub(crate) sessions: RefCell<BTreeMap<SessionId, Rc<Outgoing>>>,
     pub(crate) connections: RefCell<BTreeMap<ConnectionId, Rc<Outgoing>>>,
-    pub(crate) backends: RefCell<BTreeMap<BackendId, BackendDescription>>,
-    /// Back ends that are or were listed lately, and when: one that discovery has lost may still have to be
-    /// asked.
-    pub(crate) last_described: RefCell<BTreeMap<BackendId, (BackendDescription, Time)>>,
+    pub(crate) discovered: RefCell<Discovered>,
     pub(crate) leader_memory: RefCell<LeaderMemory>,
     pub(crate) peer: PeerIdentity,
     /// The membership view.
@@ -136,8 +132,7 @@
             started: Instant::now(),
             sessions: RefCell::default(),
             connections: RefCell::default(),
-            backends: RefCell::default(),
-            last_described: RefCell::default(),
+            discovered: RefCell::default(),
             leader_memory: RefCell::default(),
             peer: options.peer,
             members: RefCell::default(),
@@ -178,7 +173,7 @@
             return;
         }
         // Before the engine opens connections: other nodes may hold them.
-        self.update_services(&table);
+        self.set_services(&table);
         *self.allowed_work.borrow_mut() = table.allowed_work(self.zone_regions.values());
         self.handle(Event::Configured(Arc::new(table)));
         tracing::info!(
@@ -203,26 +198,17 @@
     /// Takes discovery's whole present list in. What is new in it came about after `since`, or at any time where that
     /// is not known.
     pub fn set_backends(self: &Rc<Self>, list: Vec<BackendDescription>, since: Option<Time>) {
-        self.remember_descriptions(&list);
-        let known = list
-            .iter()
-            .map(|description| (description.id.clone(), description.clone()));
-        *self.backends.borrow_mut() = known.collect();
-        // Before the engine opens connections: how many nodes hold them follows from what the back ends can use.
-        if let Some(table) = self.routing_table() {
-            self.update_services(&table);
-        }
-        self.handle(Event::Backends { list, since });
-        self.tell_duty_of_groups();
+        let change = self.discovered.borrow().difference(list);
+        self.change_backends(change, since);
     }
 
-    fn remember_descriptions(&self, list: &[BackendDescription]) {
-        let now = self.now();
-        let mut described = self.last_described.borrow_mut();
-        for description in list {
-            described.insert(description.id.clone(), (description.clone(), now));
-        }
-        described.retain(|_, (_, listed_at)| now.since(*listed_at) < REMEMBERED_FOR);
+    /// Takes in what differs in discovery's list. It came about after `since`, or at any time where that is not known.
+    pub fn change_backends(self: &Rc<Self>, change: DiscoveryChange, since: Option<Time>) {
+        let touched = self.discovered.borrow_mut().apply(self.now(), &change);
+        // Before the engine opens connections: how many nodes hold them follows from what the back ends can use.
+        self.update_services(&touched);
+        self.handle(Event::BackendsChanged { change, since });
+        self.tell_duty_of(&touched);
     }
 
     /// The number of nodes on record, as the store shows it; none where it shows no record.
@@ -327,7 +313,7 @@
             (effects, engine.next_wake(), engine.is_ready())
         };
         self.readiness
-            .set(is_ready && !self.backends.borrow().is_empty());
+            .set(is_ready && !self.discovered.borrow().is_empty());
         self.carry_out(now, effects);
         self.reschedule(wake_at);
     }
@@ -459,13 +445,20 @@
                 self.log.leaving(now, &backend, change);
             }
             Effect::StartObserved { backend } => {
-                figures::count_start(&backend, &self.backends.borrow());
+                if let Some(backend) = self.discovered.borrow().get(&backend) {
+                    figures::count_start(&backend.service);
+                }
                 let event = LogEvent::BackendStarted;
                 self.log.backend(now, event, backend.as_str());
             }
             Effect::WarmUpObserved { backend, left } => {
                 self.log.warm_up(now, &backend, left);
-                self.tell_duty_of_groups();
+                let service = self
+                    .discovered
+                    .borrow()
+                    .get(&backend)
+                    .map(|b| b.service.clone());
+                self.tell_duty_of(&service.into_iter().collect());
             }
             Effect::Record(record) => self.log.request(now, &record),
             Effect::Measured(measure) => figures::count(&measure),
@@ -529,12 +522,10 @@
     }
 
     fn evacuation_observed(self: &Rc<Self>, now: Time, zone: &ZoneName, is_evacuated: bool) {
-        let backends = self.backends.borrow();
-        let there = backends.values().filter(|backend| backend.zone == *zone);
         let line = EvacuationLine {
             zone,
             is_evacuated,
-            backends: there.count(),
+            backends: self.discovered.borrow().count_in(zone),
             is_known: self.zone_regions.contains_key(zone),
         };
         self.log.evacuation(now, &line);
--- /dev/null
+++ b/crates/stairward-runtime/tests/discovered.rs
@@ -0,0 +1,93 @@
+//! Discovery's list as changes: whatever came before, what is known is the last list, and a change is no larger than
+//! what differs.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use stairward_engine::BackendDescription;
+use stairward_runtime::discovered::Discovered;
+use stairward_testing::check;
+use stairward_types::{BackendId, BackendRole, Revision, ServiceName, Time, ZoneName};
+
+fn service(number: u8) -> ServiceName {
+    ServiceName::new(format!("core-{}", number % 3)).unwrap()
+}
+
+fn describe(number: u8, shape: u8) -> BackendDescription {
+    BackendDescription {
+        id: BackendId::new(format!("db-{number}")).unwrap(),
+        // Now and then one is described as another service's.
+        service: service(if shape.is_multiple_of(8) {
+            shape / 8
+        } else {
+            number
+        }),
+        address: SocketAddr::from(([10, 0, 0, number], 5_432)),
+        zone: ZoneName::new(if shape & 2 == 0 { "a" } else { "b" }).unwrap(),
+        is_leaving: shape & 1 != 0,
+        role: BackendRole::Replica,
+        incarnation: None,
+        cold_left: Duration::ZERO,
+        slots: (shape & 4 != 0).then_some(u32::from(shape)),
+        revision: Revision(u64::from(shape)),
+    }
+}
+
+/// A list: the back ends that each step names, as it shapes them.
+fn list(steps: &[(u8, u8)]) -> BTreeMap<BackendId, BackendDescription> {
+    let described = steps
+        .iter()
+        .map(|(number, shape)| describe(number % 8, *shape));
+    described
+        .map(|description| (description.id.clone(), description))
+        .collect()
+}
+
+#[test]
+fn after_any_changes_the_last_list_is_known() {
+    check!()
+        .with_type::<Vec<Vec<(u8, u8)>>>()
+        .for_each(|lists| {
+            let mut discovered = Discovered::default();
+            for steps in lists {
+                let list = list(steps);
+                let change = discovered.difference(list.values().cloned().collect());
+                discovered.apply(Time::ZERO, &change);
+                assert_eq!(discovered.is_empty(), list.is_empty());
+                for number in 0..8 {
+                    let id = BackendId::new(format!("db-{number}")).unwrap();
+                    assert_eq!(discovered.get(&id).map(|known| &**known), list.get(&id));
+                }
+                for number in 0..3 {
+                    let service = service(number);
+                    let of_service = list.values().filter(|backend| backend.service == service);
+                    let expected: Vec<_> = of_service.collect();
+                    let members: Vec<_> = discovered.members(&service).map(|b| &**b).collect();
+                    assert_eq!(members, expected);
+                    let slots = expected.iter().filter_map(|backend| backend.slots).max();
+                    assert_eq!(discovered.slots(&service), slots);
+                }
+                let again = discovered.difference(list.into_values().collect());
+                assert!(again.described.is_empty() && again.gone.is_empty());
+            }
+        });
+}
+
+#[test]
+fn one_that_is_gone_is_remembered_for_a_minute() {
+    let mut discovered = Discovered::default();
+    let both = vec![describe(1, 1), describe(2, 1)];
+    let change = discovered.difference(both);
+    discovered.apply(Time::ZERO, &change);
+    let id = BackendId::new("db-1").unwrap();
+    let change = discovered.difference(vec![describe(2, 1)]);
+    assert_eq!(change.gone, [id.clone()]);
+    let touched = discovered.apply(Time::from_millis(1_000), &change);
+    assert!(touched.contains(&service(1)) && !touched.contains(&service(2)));
+    assert!(discovered.get(&id).is_none());
+    assert!(discovered.get_or_remembered(&id).is_some());
+    let change = discovered.difference(vec![describe(2, 3)]);
+    discovered.apply(Time::from_millis(62_000), &change);
+    assert!(discovered.get_or_remembered(&id).is_none());
+}
