Holders are told per service when they change, and kept once

Cause: each change of the membership view, twice a second while a fleet starts, cloned four maps of all services and gave them to the engine, which kept them beside the view's own. Whether a node is a holder at all was answered by a walk over all services. Change: HolderView hands on what it worked out of the services that changed and keeps the ranking alone; the engine owns a HolderDirectory with a count of how often each node is named. Four events became one. Proof: the property test of the view applies what it is told and compares it with a view made anew; a view that stays the same tells nothing.

--- a/crates/stairward-engine/src/confirmation.rs
+++ b/crates/stairward-engine/src/confirmation.rs
@@ -116,7 +116,7 @@
     fn ask_source(&mut self, now: Time, service: &ServiceName) -> bool {
         let (Some(lease), Some(source)) = (
             self.options.leadership_lease,
-            self.lead_sources.get(service).copied(),
+            self.holders.lead_source(service),
         ) else {
             return false;
         };
--- a/crates/stairward-engine/src/discovery.rs
+++ b/crates/stairward-engine/src/discovery.rs
@@ -28,9 +28,10 @@
         since: Option<Time>,
     ) {
         let listed: BTreeSet<&BackendId> = list.iter().map(|description| &description.id).collect();
-        let is_gone =
-            |(id, backend): &(&BackendId, &Box<Backend>)| backend.is_listed && !listed.contains(id);
-        let gone = self.backends.iter().filter(is_gone);
+        let gone = self
+            .backends
+            .iter()
+            .filter(|(id, backend)| backend.is_listed && !listed.contains(id));
         let gone: Vec<_> = gone.map(|(id, _)| id.clone()).collect();
         let described = list.into_iter().map(Arc::new).collect();
         self.change_backends(now, DiscoveryChange { described, gone }, since);
--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -13,11 +13,11 @@
 use crate::event::{Effect, Event, Evidence};
 use crate::group::Group;
 use crate::holder_demand::{HolderDemand, share_of};
+use crate::holder_directory::HolderDirectory;
 use crate::holder_watch::HolderWatch;
 use crate::identifiers::{ConnectionId, RequestNumber, SessionId};
 use crate::node_count::NodeCount;
 use crate::pending::PendingSession;
-use crate::placement::Holder;
 use crate::session::{Request, Session};
 use crate::settings::{EngineOptions, RoutingTable};
 use crate::stopping::Stop;
@@ -79,17 +79,10 @@
     pub(crate) changed: BTreeSet<ServiceName>,
     pub(crate) effects: Vec<Effect>,
     pub(crate) nodes: NodeCount,
-    /// Services held by other nodes only.
-    pub(crate) holders: BTreeMap<ServiceName, Vec<NodeId>>,
-    /// All holders of the services that not every node holds.
-    pub(crate) places: BTreeMap<ServiceName, Vec<Holder>>,
-    /// Which node of the region is asked first about each service's lead; none where this node asks itself.
-    pub(crate) lead_sources: BTreeMap<ServiceName, NodeId>,
+    pub(crate) holders: HolderDirectory,
     pub(crate) holder_watches: BTreeMap<NodeId, HolderWatch>,
     /// The region of each node.
     pub(crate) node_regions: BTreeMap<NodeId, RegionName>,
-    /// The node that ranks first as holder of each service: the one that sends to its cold back ends.
-    pub(crate) first_holders: BTreeMap<ServiceName, NodeId>,
     pub(crate) evacuations: Evacuations,
     pub(crate) stop: Option<Stop>,
     pub(crate) limits: Limiter,
@@ -118,12 +111,9 @@
             changed: BTreeSet::new(),
             effects: Vec::new(),
             nodes: NodeCount::default(),
-            holders: BTreeMap::new(),
-            places: BTreeMap::new(),
-            lead_sources: BTreeMap::new(),
+            holders: HolderDirectory::default(),
             holder_watches: BTreeMap::new(),
             node_regions: BTreeMap::new(),
-            first_holders: BTreeMap::new(),
             evacuations: Evacuations::default(),
             stop: None,
             limits,
@@ -201,9 +191,7 @@
             Event::Backends { list, since } => self.take_backends(now, list, since),
             Event::BackendsChanged { change, since } => self.change_backends(now, change, since),
             Event::Nodes(nodes) => self.note_nodes(now, nodes),
-            Event::Holders(holders) => self.set_holders(holders),
-            Event::HolderPlaces(places) => self.places = places,
-            Event::FirstHolders(first) => self.first_holders = first,
+            Event::HoldersChanged(holders) => self.change_holders(holders),
             Event::NodeRegions(regions) => self.node_regions = regions,
             Event::Evacuated { zones, since } => self.set_evacuated(now, &zones, since),
             Event::Forwarded { session, forwarded } => {
@@ -221,7 +209,6 @@
                 asked_at,
                 age,
             } => self.take_peer_position(&service, freshness, asked_at, age),
-            Event::LeadSources(sources) => self.lead_sources = sources,
             Event::LeadRevoked(service, term) => self.revoke_lead(now, &service, term),
             Event::LeadSettled(service) => self.settle_lead(now, &service),
             Event::LeadAsked(service) => self.lead_asked(now, &service),
@@ -334,7 +321,7 @@
         for backend in self.backends.values() {
             let mut idle = self.idle_connections_of(&backend.connections);
             let is_any_in_use = idle.len() < backend.connections.len();
-            let is_held_here = !self.holders.contains_key(&backend.description.service);
+            let is_held_here = !self.holders.is_elsewhere(&backend.description.service);
             if is_held_here && !is_any_in_use && !idle.is_empty() {
                 idle.remove(0);
             }
@@ -421,7 +408,7 @@
         if !self.nodes.is_known() {
             return;
         }
-        let is_held_here = |service: &&ServiceName| !self.holders.contains_key(*service);
+        let is_held_here = |service: &&ServiceName| !self.holders.is_elsewhere(service);
         let held: Vec<&ServiceName> = services.iter().filter(is_held_here).collect();
         let Some(table) = self.table.as_ref().filter(|_| !held.is_empty()) else {
             return;
--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -11,9 +11,9 @@
     RegionName, ResultCode, ServiceName, TenantName, Term, Time, ZoneName,
 };
 
+use crate::holder_directory::ServiceHolders;
 use crate::identifiers::{ConnectionId, SessionId};
 use crate::leaving::LeavingChange;
-use crate::placement::Holder;
 use crate::relay::Forwarded;
 use crate::reply::{BackendReply, Response};
 use crate::settings::{BackendDescription, Consistency, DiscoveryChange, RoutingTable};
@@ -107,12 +107,8 @@
     },
     /// How many nodes share the back ends' connections.
     Nodes(u32),
-    /// The services whose connections only other nodes hold, and those nodes, best first.
-    Holders(BTreeMap<ServiceName, Vec<NodeId>>),
-    /// All nodes that hold connections of the services that not every node holds, this one among them where it does.
-    HolderPlaces(BTreeMap<ServiceName, Vec<Holder>>),
-    /// The node that ranks first as holder of each service's connections.
-    FirstHolders(BTreeMap<ServiceName, NodeId>),
+    /// Who holds the connections of these services now; all others are as they were.
+    HoldersChanged(BTreeMap<ServiceName, ServiceHolders>),
     /// The region of each node that is seen.
     NodeRegions(BTreeMap<NodeId, RegionName>),
     /// The zones to whose back ends nothing is to be sent.
@@ -151,8 +147,6 @@
         /// How old the peer's knowledge was when it answered, by its own clock.
         age: Duration,
     },
-    /// The services about whose lead another node of the region is asked first, and that node.
-    LeadSources(BTreeMap<ServiceName, NodeId>),
     /// A replica is about to be promoted in this term: no leader of a lower one is to be believed any more.
     LeadRevoked(ServiceName, Term),
     /// Whoever was about to have a replica promoted is done, with or without a promotion.
--- a/crates/stairward-engine/src/holder_watch.rs
+++ b/crates/stairward-engine/src/holder_watch.rs
@@ -88,7 +88,7 @@
 
     /// Looks at a holder that owed something a while ago.
     pub(crate) fn check_holder(&mut self, now: Time, holder: NodeId) {
-        let is_ranked = self.is_holder(holder);
+        let is_ranked = self.holders.is_holder(holder);
         let Some(watch) = self.holder_watches.get_mut(&holder) else {
             return;
         };
@@ -166,17 +166,9 @@
         self.hold_for_silent(now, holder);
     }
 
-    /// Whether statements may be forwarded to a node.
-    fn is_holder(&self, node: NodeId) -> bool {
-        let mut places = self.places.values().flatten();
-        self.first_holders.values().any(|first| *first == node)
-            || self.holders.values().any(|ranked| ranked.contains(&node))
-            || places.any(|holder| holder.node == node)
-    }
-
     /// Takes a holder for silent until it gives a sign of life.
     fn hold_for_silent(&mut self, now: Time, holder: NodeId) {
-        if !self.is_holder(holder) {
+        if !self.holders.is_holder(holder) {
             return;
         }
         let watch = self.holder_watches.entry(holder).or_default();
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -17,6 +17,7 @@
 mod event;
 mod group;
 mod holder_demand;
+mod holder_directory;
 mod holder_watch;
 mod identifiers;
 mod lead;
@@ -52,9 +53,9 @@
     RequestMeasure, RequestRecord,
 };
 pub use holder_demand::{HolderDemand, share_of};
+pub use holder_directory::{Holder, ServiceHolders};
 pub use identifiers::{ConnectionId, SessionId};
 pub use leaving::{LeavingChange, UseLimit};
-pub use placement::Holder;
 pub use relay::Forwarded;
 pub use reply::{
     BackendError, BackendErrorCode, BackendReply, Response, ResponseResult, TransactionStatus,
--- a/crates/stairward-engine/src/placement.rs
+++ b/crates/stairward-engine/src/placement.rs
@@ -1,24 +1,14 @@
 //! Which holder of a service's connections a session's statements go to first.
 
-use stairward_types::{BackendId, NodeId, TenantName, Time, ZoneName};
+use stairward_types::{BackendId, NodeId, TenantName, Time};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::backend::Backend;
 use crate::engine::Engine;
+use crate::holder_directory::Holder;
 use crate::session::{Request, Session};
 use crate::settings::ZoneDistance;
 
-/// A node that holds connections to a service's back ends.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Holder {
-    /// The node.
-    pub node: NodeId,
-    /// Whether it is in the region of this node.
-    pub is_near: bool,
-    /// Its zone.
-    pub zone: ZoneName,
-}
-
 /// Connections to a back end that each holder elsewhere has while tenants are told apart: for questions, and for
 /// what a holder beside the back end can't take.
 const SHARE_ELSEWHERE: u32 = 1;
@@ -46,19 +36,19 @@
 
     /// The node that sends to a service's cold back ends, where only these can take a request.
     fn sender_to_cold(&self, now: Time, request: &Request) -> Option<NodeId> {
-        let first = self.first_holders.get(&request.route.service).copied()?;
+        let first = self.holders.first(&request.route.service)?;
         self.needs_cold(now, request).then_some(first)
     }
 
     fn ranked_holders(&self, now: Time, session: &Session, request: &Request) -> Vec<NodeId> {
         let service = &request.route.service;
-        let places = self.places.get(service);
+        let places = self.holders.places(service);
         let is_by_tenant = self
             .table
             .as_ref()
             .is_some_and(|table| table.tenants.is_some());
         let Some(places) = places.filter(|_| is_by_tenant) else {
-            return self.holders.get(service).cloned().unwrap_or_default();
+            return self.holders.elsewhere(service).to_vec();
         };
         // Clients without a key share the connections of nobody: those of one database meet.
         let database = session.database.as_str();
@@ -114,7 +104,7 @@
             .table
             .as_ref()
             .is_some_and(|table| table.tenants.is_some())
-            && self.places.contains_key(service);
+            && self.holders.places(service).is_some();
         let mut untried = group
             .members
             .iter()
@@ -133,7 +123,7 @@
     pub(crate) fn share_beside(&self, id: &BackendId, limit: u32) -> Option<u32> {
         self.table.as_ref()?.tenants.as_ref()?;
         let backend = self.backends.get(id)?;
-        let places = self.places.get(&backend.description.service)?;
+        let places = self.holders.places(&backend.description.service)?;
         let is_beside = |holder: &&Holder| holder.zone == backend.description.zone;
         let beside = u32::try_from(places.iter().filter(is_beside).count()).unwrap_or(u32::MAX);
         let all = u32::try_from(places.len()).unwrap_or(u32::MAX);
--- a/crates/stairward-engine/src/relay.rs
+++ b/crates/stairward-engine/src/relay.rs
@@ -11,6 +11,7 @@
 
 use crate::engine::Engine;
 use crate::event::{Decision, Effect};
+use crate::holder_directory::ServiceHolders;
 use crate::identifiers::{RequestNumber, SessionId};
 use crate::reply::{Response, ResponseResult, TransactionStatus};
 use crate::session::{Need, RelayedTransaction, Session, Stage, Transaction};
@@ -48,25 +49,23 @@
 }
 
 impl Engine {
-    /// Learns which services' connections are held by other nodes only, and by which.
-    pub(crate) fn set_holders(&mut self, holders: BTreeMap<ServiceName, Vec<NodeId>>) {
-        let given_up: Vec<_> = holders
-            .keys()
-            .filter(|service| !self.holders.contains_key(*service))
-            .cloned()
-            .collect();
-        self.holders = holders;
-        for service in given_up {
-            self.close_idle_connections(&service);
+    /// Takes in who holds the connections of these services now. What this node holds of others' is closed.
+    pub(crate) fn change_holders(&mut self, holders: BTreeMap<ServiceName, ServiceHolders>) {
+        for (service, holders) in holders {
+            if self.holders.set(service.clone(), holders) {
+                self.close_idle_connections(&service);
+            }
         }
     }
 
     fn close_idle_connections(&mut self, service: &ServiceName) {
-        let idle: Vec<_> = self
-            .connections
-            .iter()
-            .filter(|(_, connection)| connection.service == *service && connection.is_idle())
-            .map(|(id, _)| *id)
+        let members = self.groups.get(service).map(|group| &group.members);
+        let backends = members
+            .into_iter()
+            .flatten()
+            .filter_map(|id| self.backends.get(id));
+        let idle: Vec<_> = backends
+            .flat_map(|backend| self.idle_connections_of(&backend.connections))
             .collect();
         for connection in idle {
             self.close_connection(connection);
--- a/crates/stairward-engine/src/warm_up.rs
+++ b/crates/stairward-engine/src/warm_up.rs
@@ -191,10 +191,8 @@
     /// Whether this node is the one that sends to a service's cold back ends.
     fn may_warm_up(&self, now: Time, service: &ServiceName) -> bool {
         // Where nobody was named yet, this node is one that knows of no other.
-        let is_first = self
-            .first_holders
-            .get(service)
-            .is_none_or(|first| *first == self.options.limits.node);
+        let first = self.holders.first(service);
+        let is_first = first.is_none_or(|first| first == self.options.limits.node);
         let is_settled = now >= self.options.limits.started + SETTLING;
         let seen = u64::from(self.nodes.newest()) * 100;
         let needed = u64::from(self.nodes.most_seen()) * u64::from(SEEN_PERCENT);
--- a/crates/stairward-engine/tests/lead.rs
+++ b/crates/stairward-engine/tests/lead.rs
@@ -7,13 +7,13 @@
 
 use stairward_engine::{
     BackendCommand, BackendReply, Engine, EngineOptions, Event, LeadChange, ResponseResult,
-    StatementKind, TransactionStatus,
+    ServiceHolders, StatementKind, TransactionStatus,
 };
 use stairward_types::{BackendRole, MemberStatus, NodeId, ResultCode, Term};
 
 use support::{
-    FAR_REPLICA, LEADER_READS, NEAR_REPLICA, PRIMARY, Sent, World, at, done, listed, service,
-    table, usual_backends,
+    FAR_REPLICA, LEADER_READS, NEAR_REPLICA, PRIMARY, Sent, World, at, done, held_by, listed,
+    service, table, usual_backends,
 };
 
 const LEASE: Duration = Duration::from_millis(1_000);
@@ -285,7 +285,10 @@
 fn a_node_of_the_region_is_asked_first_and_the_replicas_if_it_does_not_answer() {
     let mut world = world();
     let source = NodeId(5);
-    world.tell(Event::LeadSources([(service(), source)].into()));
+    world.tell(held_by(ServiceHolders {
+        lead_source: Some(source),
+        ..ServiceHolders::default()
+    }));
     write(&mut world);
     assert_eq!(world.asked_leads, [(source, service())]);
     assert!(question_to(&mut world, NEAR_REPLICA).is_none());
@@ -307,7 +310,10 @@
 #[test]
 fn a_peer_s_word_is_as_old_as_it_says() {
     let mut world = world();
-    world.tell(Event::LeadSources([(service(), NodeId(5))].into()));
+    world.tell(held_by(ServiceHolders {
+        lead_source: Some(NodeId(5)),
+        ..ServiceHolders::default()
+    }));
     write(&mut world);
     answer_work(&mut world, done(TransactionStatus::Idle, at(1, 11)));
     world.tell(Event::PeerLead {
--- a/crates/stairward-engine/tests/relays.rs
+++ b/crates/stairward-engine/tests/relays.rs
@@ -10,7 +10,7 @@
     StatementKind, TransactionStatus,
 };
 use stairward_types::{AccessClass, Freshness, GroupId, NodeId, ResultCode, Revision};
-use support::{LEADER_READS, OWN_READS, World, at, done, service};
+use support::{LEADER_READS, OWN_READS, World, at, done, held_elsewhere};
 
 const FIRST: NodeId = NodeId(7);
 const SECOND: NodeId = NodeId(8);
@@ -20,8 +20,7 @@
 /// A world in which two other nodes hold the service's connections.
 fn edge() -> World {
     let mut world = World::new();
-    let holders = BTreeMap::from([(service(), vec![FIRST, SECOND])]);
-    world.tell(Event::Holders(holders));
+    world.tell(held_elsewhere(&[FIRST, SECOND]));
     world.sent.clear();
     world
 }
@@ -109,7 +108,7 @@
     world.say(session, StatementKind::Begin { read_only: false });
     world.holder_answers(completed(TransactionStatus::Open, at(1, 1)));
     assert_eq!(world.response().status, TransactionStatus::Open);
-    world.tell(Event::Holders(BTreeMap::from([(service(), vec![SECOND])])));
+    world.tell(held_elsewhere(&[SECOND]));
     world.say(session, StatementKind::Write);
     assert_eq!(world.forwarded[0].0, FIRST);
     world.holder_answers(completed(TransactionStatus::Open, at(1, 1)));
@@ -198,8 +197,7 @@
 #[test]
 fn a_holder_runs_a_forwarded_statement_and_forwards_it_no_further() {
     let mut world = World::new();
-    let holders = BTreeMap::from([(service(), vec![FIRST])]);
-    world.tell(Event::Holders(holders));
+    world.tell(held_elsewhere(&[FIRST]));
     let execute = StatementKind::Execute {
         name: "s1".to_owned(),
         arguments: "a".to_owned(),
--- a/crates/stairward-engine/tests/residency.rs
+++ b/crates/stairward-engine/tests/residency.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use stairward_engine::{
-    BackendErrorCode, Event, Holder, Residency, ResponseResult, Route, RoutingTable, SessionId,
-    StatementKind, Tenant, TenantDirectory, TransactionStatus,
+    BackendErrorCode, Event, Holder, Residency, ResponseResult, Route, RoutingTable,
+    ServiceHolders, SessionId, StatementKind, Tenant, TenantDirectory, TransactionStatus,
 };
 use stairward_testing::check;
 use stairward_types::{
@@ -16,7 +16,7 @@
 };
 use support::{
     BOUNDED, FAR_REGION, FAR_REPLICA, LEADER_READS, NEAR_REGION, PRIMARY, World, at, describe,
-    done, failed, forwarded, listed, service, table, usual_backends,
+    done, failed, forwarded, held_by, listed, service, table, usual_backends,
 };
 
 const NEAR_HOLDER: NodeId = NodeId(7);
@@ -171,11 +171,11 @@
         is_near,
         zone: ZoneName::new(zone).unwrap(),
     });
-    world.tell(Event::HolderPlaces(BTreeMap::from([(
-        service(),
-        places.to_vec(),
-    )])));
-    world.tell(Event::Holders(BTreeMap::from([(service(), holders)])));
+    world.tell(held_by(ServiceHolders {
+        places: places.to_vec(),
+        elsewhere: holders,
+        ..ServiceHolders::default()
+    }));
     world.sent.clear();
     world
 }
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -10,8 +10,8 @@
     BackendCommand, BackendDescription, BackendError, BackendErrorCode, BackendReply, ConnectionId,
     Consistency, Effect, Engine, EngineOptions, Event, Evidence, Forwarded, LeadChange,
     LeavingChange, OpenFailure, OpenTarget, Residency, Response, ResponseResult, Route,
-    RoutingTable, ServiceLimits, SessionId, Statement, StatementKind, TransactionStatus,
-    ZoneDistance,
+    RoutingTable, ServiceHolders, ServiceLimits, SessionId, Statement, StatementKind,
+    TransactionStatus, ZoneDistance,
 };
 use stairward_types::{
     BackendId, BackendRole, Freshness, GroupId, LogPosition, NodeId, RegionName, ResultCode,
@@ -130,6 +130,19 @@
     }
 }
 
+/// The service's holders.
+pub fn held_by(holders: ServiceHolders) -> Event {
+    Event::HoldersChanged(BTreeMap::from([(service(), holders)]))
+}
+
+/// Only these nodes hold the service's connections, nearest first.
+pub fn held_elsewhere(nodes: &[NodeId]) -> Event {
+    held_by(ServiceHolders {
+        elsewhere: nodes.to_vec(),
+        ..ServiceHolders::default()
+    })
+}
+
 /// The evacuated zones, of which all that is new has just come about.
 pub fn evacuated(zones: BTreeSet<ZoneName>) -> Event {
     Event::Evacuated {
--- a/crates/stairward-engine/tests/tenants.rs
+++ b/crates/stairward-engine/tests/tenants.rs
@@ -9,8 +9,8 @@
 
 use stairward_engine::{
     BackendCommand, BackendErrorCode, BackendReply, ConnectionId, Effect, EngineOptions, Event,
-    Forwarded, Holder, Residency, Response, ResponseResult, RoutingTable, SessionId, Statement,
-    StatementKind, Tenant, TenantDirectory, TransactionStatus,
+    Forwarded, Holder, Residency, Response, ResponseResult, RoutingTable, ServiceHolders,
+    SessionId, Statement, StatementKind, Tenant, TenantDirectory, TransactionStatus,
 };
 use stairward_limits::RateLimit;
 use stairward_testing::check;
@@ -18,8 +18,8 @@
     ApiKey, BackendRole, GroupId, NodeId, ResultCode, Revision, TenantName, ZoneName,
 };
 use support::{
-    LEADER_READS, OWN_READS, PRIMARY, World, at, done, failed, listed, service, table,
-    usual_backends,
+    LEADER_READS, OWN_READS, PRIMARY, World, at, done, failed, held_by, held_elsewhere, listed,
+    service, table, usual_backends,
 };
 
 const FIRST: &str = "tenant-1";
@@ -298,8 +298,7 @@
 #[test]
 fn a_forwarded_statement_names_its_tenant_and_never_its_key() {
     let mut world = world();
-    let holders = BTreeMap::from([(service(), vec![NodeId(7)])]);
-    world.tell(Event::Holders(holders));
+    world.tell(held_elsewhere(&[NodeId(7)]));
     let session = world.open_with(1, OWN_READS, Some("key-1"));
     world.say(session, StatementKind::Write);
     let (_, _, _, forwarded) = world.forwarded.pop().unwrap();
@@ -435,7 +434,16 @@
             .collect()
     };
     let all = [place(near, true), place(far, false)].concat();
-    world.tell(Event::HolderPlaces(BTreeMap::from([(service(), all)])));
+    let others: Vec<_> = all.iter().map(|holder| holder.node).collect();
+    world.tell(held_by(ServiceHolders {
+        elsewhere: if others.contains(&OWN) {
+            Vec::new()
+        } else {
+            others
+        },
+        places: all,
+        ..ServiceHolders::default()
+    }));
 }
 
 /// Where the only statement of each of many tenants goes; the node itself where it is not forwarded.
@@ -597,8 +605,6 @@
     world.say(session, StatementKind::Write);
     // While the statement runs, others turn out to hold the service.
     places(&mut world, &[NodeId(7)], &[NodeId(20)]);
-    let holders = BTreeMap::from([(service(), vec![NodeId(7), NodeId(20)])]);
-    world.tell(Event::Holders(holders));
     while !world.sent.is_empty() {
         world.answer(done(TransactionStatus::Idle, at(1, 5)));
     }
--- a/crates/stairward-engine/tests/warm_up.rs
+++ b/crates/stairward-engine/tests/warm_up.rs
@@ -7,14 +7,14 @@
 use std::time::Duration;
 
 use stairward_engine::{
-    BackendCommand, BackendDescription, Event, ResponseResult, RoutingTable, ServiceLimits,
-    StatementKind, TransactionStatus,
+    BackendCommand, BackendDescription, Event, ResponseResult, RoutingTable, ServiceHolders,
+    ServiceLimits, StatementKind, TransactionStatus,
 };
 use stairward_testing::check;
 use stairward_types::{NodeId, ResultCode, Time};
 use support::{
     BOUNDED, CONNECTION_LIMIT, FAR_REPLICA, LEADER_READS, NEAR_REPLICA, PRIMARY, World, at, done,
-    forwarded, listed, service, table, usual_backends,
+    forwarded, held_by, listed, service, table, usual_backends,
 };
 
 /// Requests a second that a cold back end may get from all nodes; one node spends half.
@@ -53,7 +53,10 @@
     world.tell(Event::Nodes(3));
     world.pass(Duration::from_secs(2));
     world.tell(Event::Configured(Arc::new(limited(2))));
-    world.tell(Event::FirstHolders(BTreeMap::from([(service(), OWN)])));
+    world.tell(held_by(ServiceHolders {
+        first: Some(OWN),
+        ..ServiceHolders::default()
+    }));
     world.prove(at(1, 5));
     world.tell(listed(backends(cold, COLD)));
     world.sent.clear();
@@ -128,7 +131,10 @@
 #[test]
 fn others_forward_to_the_first_holder() {
     let mut world = world(&[PRIMARY]);
-    world.tell(Event::FirstHolders(BTreeMap::from([(service(), OTHER)])));
+    world.tell(held_by(ServiceHolders {
+        first: Some(OTHER),
+        ..ServiceHolders::default()
+    }));
     let session = world.open(LEADER_READS);
     world.say(session, StatementKind::Write);
     assert_eq!(world.forwarded.len(), 1);
@@ -142,7 +148,10 @@
 #[test]
 fn a_node_that_is_not_the_first_holder_sends_nothing_for_others() {
     let mut world = world(&[PRIMARY]);
-    world.tell(Event::FirstHolders(BTreeMap::from([(service(), OTHER)])));
+    world.tell(held_by(ServiceHolders {
+        first: Some(OTHER),
+        ..ServiceHolders::default()
+    }));
     world.tell(forwarded(LEADER_READS, None, StatementKind::Write));
     assert_eq!(world.refusal(), ResultCode::NotOwner);
     assert!(world.sent.is_empty());
@@ -165,7 +174,10 @@
     world.tell(Event::Configured(Arc::new(limited(1))));
     world.tell(listed(backends(&[PRIMARY], COLD)));
     world.tell(Event::Nodes(3));
-    world.tell(Event::FirstHolders(BTreeMap::from([(service(), OWN)])));
+    world.tell(held_by(ServiceHolders {
+        first: Some(OWN),
+        ..ServiceHolders::default()
+    }));
     let refused = write(&mut world).expect("answered");
     assert!(matches!(refused.result, ResponseResult::Refused { .. }));
     world.pass(Duration::from_secs(1));
--- a/crates/stairward-runtime/src/holders.rs
+++ b/crates/stairward-runtime/src/holders.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use stairward_engine::Holder;
+use stairward_engine::{Holder, ServiceHolders};
 use stairward_membership::{Candidate, HolderRanking, Profile};
 use stairward_types::{NodeId, RegionName, ServiceName, ZoneName};
 
@@ -38,52 +38,44 @@
     }
 }
 
-/// The holders of every service.
+/// What is worked out anew of some services.
+type Changes = BTreeMap<ServiceName, ServiceHolders>;
+
+/// Works out the holders of every service. What follows for a service is handed on when it changes, and not kept.
 #[derive(Debug, Default)]
 pub struct HolderView {
     ranking: HolderRanking,
     counts: BTreeMap<ServiceName, usize>,
-    /// The holders of the services that not every node holds, and their places.
-    pub places: BTreeMap<ServiceName, Vec<Holder>>,
-    /// Services whose connections only other nodes hold: these, nearest first.
-    pub elsewhere: BTreeMap<ServiceName, Vec<NodeId>>,
-    /// The node that ranks first for each service.
-    pub first_holders: BTreeMap<ServiceName, NodeId>,
-    /// The node that asks members about each service's lead for all others of the region; none where this one does.
-    pub lead_sources: BTreeMap<ServiceName, NodeId>,
+    /// How many members the view last had.
+    members: usize,
 }
 
 impl HolderView {
-    /// Takes the services in, each with the number of nodes that hold connections to it at most. Returns whether
-    /// anything has changed.
+    /// Takes the services in, each with the number of nodes that hold connections to it at most. Returns what has
+    /// changed; a service that is gone has no holders.
     pub fn set_services(
         &mut self,
         own: &OwnPlace,
         members: &[Profile],
         counts: BTreeMap<ServiceName, usize>,
-    ) -> bool {
+    ) -> Changes {
         let changed = self.ranking.set_services(&counts);
-        let gone: Vec<_> = self
-            .counts
-            .keys()
-            .filter(|service| !counts.contains_key(*service))
-            .cloned()
-            .collect();
-        for service in &gone {
-            self.forget(service);
-        }
+        let is_gone = |service: &&ServiceName| !counts.contains_key(*service);
+        let gone = self.counts.keys().filter(is_gone);
+        let gone = gone.map(|service| (service.clone(), ServiceHolders::default()));
+        let mut changes: Changes = gone.collect();
         self.counts = counts;
-        self.work_out(own, members, &changed);
-        !changed.is_empty() || !gone.is_empty()
+        changes.extend(self.work_out(own, members, changed));
+        changes
     }
 
-    /// Takes in how many nodes hold connections to these services at most. Returns whether anything has changed.
+    /// Takes in how many nodes hold connections to these services at most. Returns what has changed.
     pub fn change_services(
         &mut self,
         own: &OwnPlace,
         members: &[Profile],
         counts: impl IntoIterator<Item = (ServiceName, usize)>,
-    ) -> bool {
+    ) -> Changes {
         let mut changed = BTreeSet::new();
         for (service, count) in counts {
             if self.ranking.set_service(&service, count) {
@@ -91,73 +83,70 @@
                 changed.insert(service);
             }
         }
-        self.work_out(own, members, &changed);
-        !changed.is_empty()
+        self.work_out(own, members, changed)
     }
 
-    /// Takes the membership view in. Returns whether anything has changed.
-    pub fn set_members(&mut self, own: &OwnPlace, members: &[Profile]) -> bool {
+    /// Takes the membership view in. Returns what has changed.
+    pub fn set_members(&mut self, own: &OwnPlace, members: &[Profile]) -> Changes {
         let mut changed = self.ranking.set_members(members.iter().map(candidate));
+        let before = std::mem::replace(&mut self.members, members.len());
         // Where there are no more nodes than may hold connections, all do.
-        let turned = self.counts.iter().filter(|(service, count)| {
-            self.places.contains_key(*service) != (members.len() > **count)
-        });
+        let has_turned = |count: usize| (before > count) != (members.len() > count);
+        let turned = self.counts.iter().filter(|(_, count)| has_turned(**count));
         changed.extend(turned.map(|(service, _)| service.clone()));
-        self.work_out(own, members, &changed);
-        !changed.is_empty()
+        self.work_out(own, members, changed)
     }
 
-    fn forget(&mut self, service: &ServiceName) {
-        self.places.remove(service);
-        self.elsewhere.remove(service);
-        self.first_holders.remove(service);
-        self.lead_sources.remove(service);
-    }
-
-    fn work_out(&mut self, own: &OwnPlace, members: &[Profile], services: &BTreeSet<ServiceName>) {
+    fn work_out(
+        &self,
+        own: &OwnPlace,
+        members: &[Profile],
+        services: BTreeSet<ServiceName>,
+    ) -> Changes {
         if services.is_empty() {
-            return;
+            return Changes::new();
         }
         let by_node: BTreeMap<NodeId, &Profile> =
             members.iter().map(|member| (member.node, member)).collect();
-        for service in services {
-            self.forget(service);
-            self.work_out_one(own, &by_node, service);
-        }
+        let worked_out = services.into_iter().map(|service| {
+            let holders = self.work_out_one(own, &by_node, &service);
+            (service, holders)
+        });
+        worked_out.collect()
     }
 
     fn work_out_one(
-        &mut self,
+        &self,
         own: &OwnPlace,
         members: &BTreeMap<NodeId, &Profile>,
         service: &ServiceName,
-    ) {
+    ) -> ServiceHolders {
         let holders = self.ranking.holders(service);
         let count = self.counts.get(service).copied().unwrap_or(1);
         let of_holder = |node: &NodeId| members.get(node).copied();
         let holders: Vec<&Profile> = holders.iter().filter_map(of_holder).collect();
-        if let Some(first) = holders.first() {
-            self.first_holders.insert(service.clone(), first.node);
-        }
-        let is_near = |holder: &&&Profile| own.distance(holder) < Distance::Elsewhere;
-        let source = holders.iter().find(is_near);
-        if let Some(source) = source.filter(|source| source.node != own.node) {
-            self.lead_sources.insert(service.clone(), source.node);
-        }
+        let is_near = |holder: &Profile| own.distance(holder) < Distance::Elsewhere;
+        let source = holders.iter().find(|holder| is_near(holder));
+        let mut found = ServiceHolders {
+            first: holders.first().map(|first| first.node),
+            lead_source: source
+                .map(|source| source.node)
+                .filter(|source| *source != own.node),
+            ..ServiceHolders::default()
+        };
         if members.len() <= count {
-            return;
+            return found;
         }
         let place = |holder: &&Profile| Holder {
             node: holder.node,
-            is_near: own.distance(holder) < Distance::Elsewhere,
+            is_near: is_near(holder),
             zone: holder.zone.clone(),
         };
-        let places = holders.iter().map(place).collect();
-        self.places.insert(service.clone(), places);
+        found.places = holders.iter().map(place).collect();
         if !holders.iter().any(|holder| holder.node == own.node) {
-            let ranked = by_nearness(own, &holders);
-            self.elsewhere.insert(service.clone(), ranked);
+            found.elsewhere = by_nearness(own, &holders);
         }
+        found
     }
 }
 
--- a/crates/stairward-runtime/src/membership.rs
+++ b/crates/stairward-runtime/src/membership.rs
@@ -1,13 +1,13 @@
 //! Driving the membership state machine over UDP, and what follows from the view: how many nodes share the
 //! back ends, and which of them hold a service's connections.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rand::rngs::StdRng;
-use stairward_engine::{HolderDemand, RoutingTable, ServiceLimits};
+use stairward_engine::{HolderDemand, RoutingTable, ServiceHolders, ServiceLimits};
 use stairward_membership::{
     Effect, Event, MemberChange, Profile, SwimConfig, SwimMember, Version, decode, encode,
 };
@@ -177,14 +177,12 @@
             )
         });
         let counts = counts.collect();
-        let has_changed = {
+        let changes = {
             let members = self.members.borrow();
             let mut holders = self.holders.borrow_mut();
             holders.set_services(&self.own_place(), &members, counts)
         };
-        if has_changed {
-            self.show_holders();
-        }
+        self.show_holders(changes);
     }
 
     /// Takes in what has been learnt of the back ends of these services: how many nodes hold connections to each.
@@ -204,14 +202,12 @@
                 )
             })
             .collect();
-        let has_changed = {
+        let changes = {
             let members = self.members.borrow();
             let mut holders = self.holders.borrow_mut();
             holders.change_services(&self.own_place(), &members, counts)
         };
-        if has_changed {
-            self.show_holders();
-        }
+        self.show_holders(changes);
     }
 
     fn holder_demand(&self, service: &ServiceName, limits: &ServiceLimits) -> HolderDemand {
@@ -224,7 +220,7 @@
 
     /// Takes the membership view in: who of them holds connections to which services.
     fn update_holders(self: &Rc<Self>) {
-        let (regions, has_changed) = {
+        let (regions, changes) = {
             let members = self.members.borrow();
             let of_member = |member: &Profile| (member.node, member.region.clone());
             let regions = members.iter().map(of_member).collect();
@@ -232,9 +228,7 @@
             (regions, holders.set_members(&self.own_place(), &members))
         };
         self.handle(stairward_engine::Event::NodeRegions(regions));
-        if has_changed {
-            self.show_holders();
-        }
+        self.show_holders(changes);
     }
 
     fn own_place(&self) -> OwnPlace {
@@ -245,21 +239,11 @@
         }
     }
 
-    /// Shows the engine the holders as they are now.
-    fn show_holders(self: &Rc<Self>) {
-        let (first, sources, places, elsewhere) = {
-            let holders = self.holders.borrow();
-            (
-                holders.first_holders.clone(),
-                holders.lead_sources.clone(),
-                holders.places.clone(),
-                holders.elsewhere.clone(),
-            )
-        };
-        self.handle(stairward_engine::Event::FirstHolders(first));
-        self.handle(stairward_engine::Event::LeadSources(sources));
-        self.handle(stairward_engine::Event::HolderPlaces(places));
-        self.handle(stairward_engine::Event::Holders(elsewhere));
+    /// Shows the engine whose holders have changed.
+    fn show_holders(self: &Rc<Self>, changes: BTreeMap<ServiceName, ServiceHolders>) {
+        if !changes.is_empty() {
+            self.handle(stairward_engine::Event::HoldersChanged(changes));
+        }
     }
 }
 
--- a/crates/stairward-runtime/tests/discovered.rs
+++ b/crates/stairward-runtime/tests/discovered.rs
@@ -82,7 +82,7 @@
     discovered.apply(Time::ZERO, &change);
     let id = BackendId::new("db-1").unwrap();
     let change = discovered.difference(vec![describe(2, 1)]);
-    assert_eq!(change.gone, [id.clone()]);
+    assert_eq!(change.gone, std::slice::from_ref(&id));
     let touched = discovered.apply(Time::from_millis(1_000), &change);
     assert!(touched.contains(&service(1)) && !touched.contains(&service(2)));
     assert!(discovered.get(&id).is_none());
--- a/crates/stairward-runtime/tests/holders.rs
+++ b/crates/stairward-runtime/tests/holders.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use stairward_engine::ServiceHolders;
 use stairward_membership::{Profile, Version};
 use stairward_runtime::holders::{HolderView, OwnPlace};
 use stairward_testing::check;
@@ -40,13 +41,7 @@
     BTreeMap::from([(service("core"), holders), (service("other"), 2)])
 }
 
-/// Everything that a view says, to be compared.
-fn contents(view: &HolderView) -> String {
-    format!(
-        "{:?} {:?} {:?} {:?}",
-        view.places, view.elsewhere, view.first_holders, view.lead_sources
-    )
-}
+type Told = BTreeMap<ServiceName, ServiceHolders>;
 
 #[test]
 fn after_any_changes_the_view_is_that_of_the_last_members_alone() {
@@ -55,7 +50,7 @@
         .for_each(|(changes, holders)| {
             let counts = counts(usize::from(holders % 12));
             let mut changed = HolderView::default();
-            changed.set_services(&own(), &[], counts.clone());
+            let mut told = changed.set_services(&own(), &[], counts.clone());
             let mut present: BTreeMap<u8, Profile> = BTreeMap::new();
             for (node, place, change) in changes {
                 if change % 4 == 0 {
@@ -64,13 +59,10 @@
                     present.insert(*node, member(*node, place % 6, change % 4 == 1));
                 }
                 let members: Vec<_> = present.values().cloned().collect();
-                let before = contents(&changed);
-                let is_told = changed.set_members(&own(), &members);
+                told.extend(changed.set_members(&own(), &members));
                 let mut anew = HolderView::default();
                 anew.set_members(&own(), &members);
-                anew.set_services(&own(), &members, counts.clone());
-                assert_eq!(contents(&changed), contents(&anew));
-                assert!(is_told || before == contents(&changed));
+                assert_eq!(told, anew.set_services(&own(), &members, counts.clone()));
             }
         });
 }
@@ -80,8 +72,23 @@
     let members: Vec<_> = (1..=20).map(|node| member(node, node % 6, false)).collect();
     let mut view = HolderView::default();
     view.set_members(&own(), &members);
-    assert!(view.set_services(&own(), &members, counts(3)));
-    assert_eq!(view.places.len(), 2);
-    assert!(view.set_services(&own(), &members, BTreeMap::new()));
-    assert_eq!(contents(&view), contents(&HolderView::default()));
+    let mut told: Told = view.set_services(&own(), &members, counts(3));
+    assert_eq!(told.len(), 2);
+    assert!(told.values().all(|holders| !holders.places.is_empty()));
+    told.extend(view.set_services(&own(), &members, BTreeMap::new()));
+    assert_eq!(told.len(), 2);
+    assert!(
+        told.values()
+            .all(|holders| *holders == ServiceHolders::default())
+    );
+    assert!(view.set_members(&own(), &members[1..]).is_empty());
+}
+
+#[test]
+fn a_view_that_stays_the_same_changes_nothing() {
+    let members: Vec<_> = (1..=20).map(|node| member(node, node % 6, false)).collect();
+    let mut view = HolderView::default();
+    view.set_services(&own(), &[], counts(3));
+    assert_eq!(view.set_members(&own(), &members).len(), 2);
+    assert!(view.set_members(&own(), &members).is_empty());
 }
--- a/crates/stairward-simulation/src/cold.rs
+++ b/crates/stairward-simulation/src/cold.rs
@@ -1,10 +1,9 @@
 //! Databases that have just started: what discovery says of them, who is told to send there, and the check that all nodes
 //! together send no more than the service allows.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-use stairward_engine::{BackendCommand, Event};
+use stairward_engine::BackendCommand;
 use stairward_types::{BackendId, NodeId, Time};
 
 use crate::checker::Invariant;
@@ -44,18 +43,14 @@
 
 impl World {
     /// A node is told who sends to cold databases: the first node that runs. A broken one takes itself for it.
-    pub(crate) fn show_first_holder(&mut self, node: usize, life: u64) {
-        if self.options.cold.is_none() {
-            return;
-        }
+    pub(crate) fn first_holder_for(&self, node: usize) -> Option<NodeId> {
+        self.options.cold.as_ref()?;
         let running = self.nodes.iter().position(|other| other.is_running);
         let first = match self.options.broken {
             Some(BrokenVariant::Cold) => node,
             _ => running.unwrap_or(node),
         };
-        let first = NodeId(u64::try_from(first).unwrap_or(0));
-        let holders = BTreeMap::from([(crate::group::service(), first)]);
-        self.tell_engine(node, life, Event::FirstHolders(holders));
+        Some(NodeId(u64::try_from(first).unwrap_or(0)))
     }
 
     /// No more requests reach a cold database in any second than its service allows, from all nodes, in touch or not.
--- a/crates/stairward-simulation/src/guests.rs
+++ b/crates/stairward-simulation/src/guests.rs
@@ -5,9 +5,8 @@
 
 use rand::RngExt as _;
 use stairward_engine::{Event, Forwarded, HolderDemand, Response, SessionId};
-use stairward_types::{NodeId, ServiceName};
+use stairward_types::NodeId;
 
-use crate::group::service;
 use crate::world::{FAR_DELAY, Happening, World};
 
 /// One in so many signs of life is lost.
@@ -35,7 +34,7 @@
 
 impl World {
     /// The holders that a node must forward to; none where it holds connections itself.
-    pub(crate) fn holders_for(&self, node: usize) -> BTreeMap<ServiceName, Vec<NodeId>> {
+    pub(crate) fn holders_for(&self, node: usize) -> Vec<NodeId> {
         let demand = HolderDemand {
             connections: self.options.connections,
             slots: None,
@@ -43,10 +42,10 @@
         };
         let count = usize::try_from(demand.holders()).unwrap_or(1);
         if self.nodes.len() <= count || node < count {
-            return BTreeMap::new();
+            return Vec::new();
         }
         let holders = (0..count).map(|holder| NodeId(u64::try_from(holder).unwrap_or(0)));
-        BTreeMap::from([(service(), holders.collect())])
+        holders.collect()
     }
 
     pub(crate) fn forward(
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use rand::RngExt as _;
-use stairward_engine::Event;
+use stairward_engine::{Event, ServiceHolders};
 use stairward_failover::{
     DutyRecord, Effect as DutyEffect, Event as DutyEvent, PromotionOutcome, RecordVersion, Via,
 };
-use stairward_types::{BackendId, NodeId, ServiceName, Term};
+use stairward_types::{BackendId, NodeId, Term};
 
 use crate::nodes::{node_name, routing_table};
 use crate::options::BrokenVariant;
@@ -75,11 +75,14 @@
         self.show_evacuated(node, life, since);
         let nodes = u32::try_from(self.nodes.len()).unwrap_or(1);
         self.tell_engine(node, life, Event::Nodes(nodes));
-        let holders = self.holders_for(node);
-        self.tell_engine(node, life, Event::Holders(holders));
-        let sources = self.lead_sources_for(node);
-        self.tell_engine(node, life, Event::LeadSources(sources));
-        self.show_first_holder(node, life);
+        let holders = ServiceHolders {
+            first: self.first_holder_for(node),
+            lead_source: self.lead_source_for(node),
+            elsewhere: self.holders_for(node),
+            ..ServiceHolders::default()
+        };
+        let holders = BTreeMap::from([(crate::group::service(), holders)]);
+        self.tell_engine(node, life, Event::HoldersChanged(holders));
         let peers: Vec<_> = (0..self.nodes.len())
             .filter(|peer| *peer != node)
             .map(|peer| NodeId(u64::try_from(peer).unwrap_or(0)))
@@ -98,14 +101,10 @@
     }
 
     /// The first node of a zone asks members about the lead for the others of its zone.
-    fn lead_sources_for(&self, node: usize) -> BTreeMap<ServiceName, NodeId> {
+    fn lead_source_for(&self, node: usize) -> Option<NodeId> {
         let source = node % ZONES;
         let is_other = source != node;
-        let source = is_other.then(|| NodeId(u64::try_from(source).unwrap_or(0)));
-        source
-            .map(|source| (crate::group::service(), source))
-            .into_iter()
-            .collect()
+        is_other.then(|| NodeId(u64::try_from(source).unwrap_or(0)))
     }
 
     pub(crate) fn tell_duty(&mut self, index: usize, life: u64, event: DutyEvent) {
