A fleet that starts takes a large store's objects from watchers, not each node from the store

One that holds nothing leaves them the time of all turns, which follows from the followers a watcher has, not from the fleet; one that holds something reads as early as before. Ruled out: more watchers, whose own listings take the same link. Proof: test of the feed (fails before: a node of a region of 330 that holds nothing read after 2.0 s).

--- a/crates/stairward-engine/src/holder_directory.rs
+++ b/crates/stairward-engine/src/holder_directory.rs
@@ -29,11 +29,11 @@
 }
 
 impl ServiceHolders {
-    /// Every node that statements may go to.
-    fn nodes(&self) -> impl Iterator<Item = NodeId> {
-        let places = self.places.iter().map(|holder| holder.node);
-        let elsewhere = self.elsewhere.iter().copied();
-        places.chain(elsewhere).chain(self.first)
+    /// Whether statements may go to a node.
+    fn names(&self, node: NodeId) -> bool {
+        self.first == Some(node)
+            || self.elsewhere.contains(&node)
+            || self.places.iter().any(|holder| holder.node == node)
     }
 }
 
@@ -41,39 +41,19 @@
 #[derive(Debug, Default)]
 pub(crate) struct HolderDirectory {
     services: BTreeMap<ServiceName, ServiceHolders>,
-    /// How often each node is named.
-    named: BTreeMap<NodeId, usize>,
 }
 
 impl HolderDirectory {
     /// Takes in the holders of a service. Returns whether this node has ceased to be one of them.
     pub fn set(&mut self, service: ServiceName, holders: ServiceHolders) -> bool {
-        for node in holders.nodes() {
-            *self.named.entry(node).or_default() += 1;
-        }
         let is_elsewhere = !holders.elsewhere.is_empty();
         let before = self.services.insert(service, holders);
-        let was_elsewhere = before
-            .as_ref()
-            .is_some_and(|before| !before.elsewhere.is_empty());
-        for node in before.iter().flat_map(ServiceHolders::nodes) {
-            self.no_longer_named(node);
-        }
-        is_elsewhere && !was_elsewhere
+        is_elsewhere && before.is_none_or(|before| before.elsewhere.is_empty())
     }
 
-    fn no_longer_named(&mut self, node: NodeId) {
-        if let Some(count) = self.named.get_mut(&node) {
-            *count -= 1;
-            if *count == 0 {
-                self.named.remove(&node);
-            }
-        }
-    }
-
-    /// Whether statements may be forwarded to a node.
+    /// Whether statements may be forwarded to a node. Looks at all services: for what is asked seldom.
     pub fn is_holder(&self, node: NodeId) -> bool {
-        self.named.contains_key(&node)
+        self.services.values().any(|holders| holders.names(node))
     }
 
     /// Whether only other nodes hold a service's connections.
--- a/crates/stairward-membership/src/feed/follower.rs
+++ b/crates/stairward-membership/src/feed/follower.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use stairward_types::{Duration, NodeId, Revision, Time};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::followers::Followers;
 use super::message::{Effect, Event, FeedContent};
@@ -22,6 +23,12 @@
 /// last of some 50 followers in turn.
 const FIRST_PATIENCE: u32 = 2;
 
+/// What a watcher takes to tell one follower in turn all that it lacks, and the follower to take it over.
+const DELIVERY_TIME: Duration = Duration::from_millis(80);
+
+/// Moments among which nodes that give up waiting are spread.
+const SHARES: u64 = 1_024;
+
 /// A watcher that this node follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
@@ -58,6 +65,8 @@
     current_at: Option<Time>,
     sources: BTreeMap<NodeId, Source>,
     followers: Followers,
+    /// How long a watcher takes to tell all of its followers in turn what they lack.
+    turn_patience: Duration,
 }
 
 impl Feed {
@@ -78,6 +87,7 @@
             current_at: None,
             sources: BTreeMap::new(),
             followers: Followers::default(),
+            turn_patience: Duration::ZERO,
         }
     }
 
@@ -135,7 +145,7 @@
     /// When [`Event::Tick`] is next due.
     #[must_use]
     pub fn next_wake(&self, now: Time) -> Option<Time> {
-        let reads_at = self.last_source_word() + self.parameters.reads_after;
+        let reads_at = self.last_source_word() + self.reads_after();
         let settles_at = self.watcher_since.map(|since| since + VIEW_SETTLES);
         let follows_at = self
             .confirmed_by_store
@@ -191,6 +201,21 @@
         let is_watcher = watchers.is_empty() || watchers.contains(&node);
         self.watcher_since = is_watcher.then(|| self.watcher_since.unwrap_or(now));
         self.wanted_sources = ranking::sources(node, region, members);
+        self.turn_patience = DELIVERY_TIME * ranking::followers_each(region, members);
+    }
+
+    /// How long after the last word of its watchers this node reads the store itself. One that holds nothing can't act
+    /// on anything outdated and may be the last in turn of a watcher's followers: a fleet that starts and reads the store
+    /// as one takes all of its link.
+    fn reads_after(&self) -> Duration {
+        let usual = self.parameters.reads_after;
+        if self.at.is_some() || self.turn_patience <= usual {
+            return usual;
+        }
+        // Those who give up don't all read the store at once.
+        let share = xxh3_64(&self.parameters.node.0.to_be_bytes()) % SHARES;
+        let spread = microseconds(self.turn_patience - usual) * share / SHARES;
+        self.turn_patience + Duration::from_micros(spread)
     }
 
     fn store_answered(
@@ -353,7 +378,7 @@
         let is_settled_watcher = self
             .watcher_since
             .is_some_and(|since| now.since(since) >= VIEW_SETTLES);
-        let is_unconfirmed = now.since(self.last_source_word()) >= self.parameters.reads_after;
+        let is_unconfirmed = now.since(self.last_source_word()) >= self.reads_after();
         let wants = is_settled_watcher || is_unconfirmed;
         if wants != self.is_reading {
             self.is_reading = wants;
--- a/crates/stairward-membership/src/feed/ranking.rs
+++ b/crates/stairward-membership/src/feed/ranking.rs
@@ -13,6 +13,15 @@
     ranked_watchers(region, members, wanted.max(FEWEST_WATCHERS))
 }
 
+/// How many nodes of a region follow each of its watchers in the mean, rounded up.
+pub(super) fn followers_each(region: &RegionName, members: &[PeerPlace]) -> u32 {
+    let of_region = members.iter().filter(|member| member.region == *region);
+    let count = of_region.count();
+    let watchers = count.div_ceil(MEMBERS_PER_WATCHER).max(FEWEST_WATCHERS);
+    let followers = count.saturating_sub(watchers) * SOURCES;
+    u32::try_from(followers.div_ceil(watchers)).unwrap_or(u32::MAX)
+}
+
 /// The watchers that a node follows: those of its region, and where these are too few, any other members.
 /// Each node ranks them for itself, so that followers spread evenly.
 pub(super) fn sources(node: NodeId, region: &RegionName, members: &[PeerPlace]) -> Vec<NodeId> {
--- a/crates/stairward-membership/tests/feed.rs
+++ b/crates/stairward-membership/tests/feed.rs
@@ -384,3 +384,33 @@
     retry.answered();
     assert_eq!(retry.failed(false, 0.0), Duration::from_millis(75));
 }
+
+/// A follower in a region of so many, and how long after its start it reads the store where no watcher answers.
+fn reads_unanswered(count: u64, held: Option<u64>) -> Duration {
+    let (mut feed, _) = follower_among(count);
+    if let Some(held) = held {
+        let at = Revision(held);
+        let objects = Vec::new();
+        feed.handle(Time::ZERO, Event::StaleListing { at, objects });
+    }
+    let mut now = Time::ZERO;
+    loop {
+        now = feed
+            .next_wake(now)
+            .unwrap_or_else(|| panic!("no deadline after {now:?}: {count} {held:?}"));
+        if reads(&feed.handle(now, Event::Tick)) == Some(true) {
+            return now.since(Time::ZERO);
+        }
+    }
+}
+
+#[test]
+fn a_node_that_holds_nothing_waits_for_its_turn_and_one_that_holds_something_does_not() {
+    assert_eq!(reads_unanswered(330, Some(5)), READS_AFTER);
+    assert!(reads_unanswered(330, None) >= 2 * READS_AFTER);
+    assert!(reads_unanswered(330, None) < Duration::from_secs(15));
+    // In a small region the watchers have told everybody soon.
+    assert_eq!(reads_unanswered(8, None), READS_AFTER);
+    // The wait follows from the followers of a watcher, not from the size of the region.
+    assert!(reads_unanswered(5_000, None) < Duration::from_secs(15));
+}
--- a/crates/stairward-runtime/src/feeds.rs
+++ b/crates/stairward-runtime/src/feeds.rs
@@ -232,6 +232,12 @@
         feed.is_some_and(|feed| feed.feed.borrow().has_followers())
     }
 
+    /// The revision of a feed's objects that this node holds; none before the first.
+    #[must_use]
+    pub fn held_of_feed(&self, name: &str) -> Option<Revision> {
+        self.feeds.get(name)?.feed.borrow().held()
+    }
+
     /// Whether this node ranks as a watcher of a feed, from which others hear of changes.
     #[must_use]
     pub fn ranks_as_watcher(&self, name: &str) -> bool {
