--- a/crates/stairward-runtime/src/log.rs
+++ b/crates/stairward-runtime/src/log.rs
@@ -17,6 +17,8 @@
 
 /// Lines of one kind a second; the rest are counted and the count is told with the next line.
 const LINES_A_SECOND: u32 = 100;
+/// Lines a second about nodes that join: a whole fleet does within a moment, and each node would tell of each other.
+const JOINS_A_SECOND: u32 = 10;
 
 #[derive(Debug, Default)]
 struct Window {
@@ -61,7 +63,11 @@
             window.second = second;
             window.lines = 0;
         }
-        if window.lines >= LINES_A_SECOND {
+        let limit = match event {
+            LogEvent::MemberJoined => JOINS_A_SECOND,
+            _ => LINES_A_SECOND,
+        };
+        if window.lines >= limit {
             window.left_out += 1;
             return None;
         }
