A holder answers before the session's node gives up: what was not sent is said not to have run

Cause: the time that a session's node waits was sent with each forwarded statement and read by nobody; the holder gave it a whole timeout of its own. Where the statement reached it late, after another holder that stayed silent, the session's node gave up first and could only say that the outcome is unknown, of a statement that no database had seen. Change: the time left is part of the forwarded statement, and the holder's deadline ends so much earlier that its answer gets back. Proof: two tests of the engine; on the code before, the holder answers after its own hold.

--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -415,8 +415,6 @@
         session: SessionId,
         /// The request's number.
         request: u64,
-        /// How long an answer is waited for.
-        time_left: Duration,
         /// The statement.
         forwarded: Forwarded,
     },
--- a/crates/stairward-engine/src/relay.rs
+++ b/crates/stairward-engine/src/relay.rs
@@ -23,6 +23,9 @@
 const MOST_HOLDERS: usize = 3;
 /// When a caller should come back whose statement no holder took.
 const RETRY_NO_HOLDER: Duration = Duration::from_millis(300);
+/// What an answer takes back to the session's node at the most: two regions, and a busy node's turn. A holder that has
+/// not sent a statement by then says so while that is still an answer; later its node could not tell whether it ran.
+const ANSWER_WAY: Duration = Duration::from_millis(60);
 /// The name under which a holder keeps what a forwarded statement runs.
 const FORWARDED_NAME: &str = "forwarded";
 
@@ -46,6 +49,8 @@
     pub commit: Option<Freshness>,
     /// The statement.
     pub statement: Statement,
+    /// How much longer the session's node waits for the answer.
+    pub time_left: Duration,
 }
 
 impl Engine {
@@ -114,6 +119,7 @@
             prepared,
             commit: session.commits.get(service).copied(),
             statement: request.statement.clone(),
+            time_left: request.deadline.since(now),
         };
         if request.need == (Need::InTransaction { writes: true })
             && let Transaction::Relayed(relayed) = &mut session.transaction
@@ -124,7 +130,6 @@
             holder,
             session: id,
             request: request.number.0,
-            time_left: request.deadline.since(now),
             forwarded,
         });
         self.watch_holder(now, holder, id);
@@ -193,6 +198,8 @@
             session.identity = identity;
         }
         session.values = forwarded.values;
+        let time_left = forwarded.time_left;
+        session.answer_due = Some(now + time_left.saturating_sub(ANSWER_WAY));
         if let Some(commit) = forwarded.commit {
             session.commits.insert(route.service.clone(), commit);
         }
--- a/crates/stairward-engine/src/session.rs
+++ b/crates/stairward-engine/src/session.rs
@@ -31,6 +31,8 @@
     pub request: Option<Request>,
     /// Whether another node forwards its statements here.
     pub is_forwarded: bool,
+    /// When the answer to a statement that another node forwarded must be on its way at the latest.
+    pub answer_due: Option<Time>,
     /// The nodes that statements of it were forwarded to.
     pub holders: BTreeSet<NodeId>,
     /// Statements that came while a request was under way; none stands for one that is not understood.
@@ -48,6 +50,7 @@
             transaction: Transaction::None,
             request: None,
             is_forwarded: false,
+            answer_due: None,
             holders: BTreeSet::new(),
             queue: VecDeque::new(),
         }
--- a/crates/stairward-engine/src/statements.rs
+++ b/crates/stairward-engine/src/statements.rs
@@ -346,7 +346,12 @@
         need: Need,
     ) {
         let number = self.next_request();
-        let deadline = now + route.statement_timeout;
+        let answer_due = self
+            .sessions
+            .get(&id)
+            .and_then(|session| session.answer_due);
+        let timeout = now + route.statement_timeout;
+        let deadline = answer_due.map_or(timeout, |due| due.max(now).min(timeout));
         let hold_ends = deadline.min(now + route.target_latency / HOLD_DIVISOR);
         let hedge_at = (need == Need::FreshRead || need == Need::FreshTransaction)
             .then(|| now + route.target_latency / HEDGE_DIVISOR)
--- a/crates/stairward-engine/tests/relays.rs
+++ b/crates/stairward-engine/tests/relays.rs
@@ -9,8 +9,10 @@
     Event, Forwarded, PreparedStatement, Response, ResponseResult, SessionId, Statement,
     StatementKind, TransactionStatus,
 };
-use stairward_types::{AccessClass, Freshness, GroupId, NodeId, ResultCode, Revision};
-use support::{LEADER_READS, OWN_READS, World, at, done, held_elsewhere};
+use stairward_types::{
+    AccessClass, BackendRole, Freshness, GroupId, NodeId, OutcomeClass, ResultCode, Revision,
+};
+use support::{LEADER_READS, OWN_READS, World, at, done, held_elsewhere, listed, usual_backends};
 
 const FIRST: NodeId = NodeId(7);
 const SECOND: NodeId = NodeId(8);
@@ -51,6 +53,7 @@
             kind,
             text: "w".to_owned(),
         },
+        time_left: Duration::from_secs(1),
     }
 }
 
@@ -444,3 +447,37 @@
     assert_eq!(world.asked_holders.len(), asked + 1);
     assert_eq!(world.forwarded.len(), forwarded + 1, "it keeps its work");
 }
+
+/// Its own node, which gave up first, could only say that it did not know whether the statement had run.
+#[test]
+fn a_holder_that_can_t_send_a_statement_says_so_while_that_is_an_answer() {
+    let mut world = World::new();
+    let replicas = usual_backends()
+        .into_iter()
+        .filter(|backend| backend.role == BackendRole::Replica);
+    world.tell(listed(replicas.collect()));
+    world.pass(Duration::from_secs(20));
+    world.sent.clear();
+    world.take_forwarded(Forwarded {
+        time_left: Duration::from_millis(100),
+        ..forwarded(1, false, StatementKind::Write)
+    });
+    world.pass(Duration::from_millis(45));
+    assert_eq!(world.refusal().class(), OutcomeClass::NotRun);
+    assert!(world.sent.is_empty(), "{:?}", world.sent);
+}
+
+#[test]
+fn a_session_s_node_tells_how_long_it_waits() {
+    let mut world = edge();
+    let session = world.open(LEADER_READS);
+    world.say(session, StatementKind::Write);
+    let (_, _, _, first) = world.forwarded.pop().unwrap();
+    world.pass(Duration::from_millis(100));
+    world.tell(Event::HolderUnreachable(FIRST));
+    let (_, _, _, second) = world.forwarded.pop().unwrap();
+    assert_eq!(
+        second.time_left,
+        first.time_left - Duration::from_millis(100)
+    );
+}
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -291,7 +291,6 @@
                     session,
                     request,
                     forwarded,
-                    ..
                 } => self.forwarded.push((holder, session, request, forwarded)),
                 Effect::CloseForwarded { holder, session } => {
                     self.closed_forwarded.push((holder, session));
@@ -443,6 +442,7 @@
         prepared: None,
         commit: None,
         statement,
+        time_left: TIMEOUT,
     };
     Event::Forwarded {
         session: SessionId(900),
--- a/crates/stairward-engine/tests/tenants.rs
+++ b/crates/stairward-engine/tests/tenants.rs
@@ -274,6 +274,7 @@
             kind: StatementKind::Write,
             text: "w".to_owned(),
         },
+        time_left: Duration::from_secs(1),
     }
 }
 
--- a/crates/stairward-runtime/src/neighbour_messages.rs
+++ b/crates/stairward-runtime/src/neighbour_messages.rs
@@ -62,7 +62,6 @@
 pub(crate) fn statement_message(
     session: u64,
     request: u64,
-    time_left: Duration,
     forwarded: Forwarded,
 ) -> Option<ForwardedStatement> {
     let tag = tag(&forwarded.statement.kind)?;
@@ -91,7 +90,7 @@
         forwarded.revision.0,
         forwarded.tenant.as_ref().map_or("", TenantName::as_str),
         forwarded.in_transaction,
-        milliseconds(time_left),
+        milliseconds(forwarded.time_left),
         OptionalFreshness::from(forwarded.commit),
         access,
         shape.into_bytes(),
@@ -144,6 +143,7 @@
             kind,
             text: body,
         },
+        time_left: Duration::from_millis(u64::from(message.time_left_milliseconds)),
     })
 }
 
--- a/crates/stairward-runtime/src/neighbours.rs
+++ b/crates/stairward-runtime/src/neighbours.rs
@@ -280,10 +280,9 @@
         holder: NodeId,
         session: SessionId,
         request: u64,
-        time_left: Duration,
         forwarded: Forwarded,
     ) {
-        if let Some(message) = statement_message(session.0, request, time_left, forwarded) {
+        if let Some(message) = statement_message(session.0, request, forwarded) {
             self.tell_neighbour(holder, &NeighbourMessage::Forward(message));
         }
     }
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -365,9 +365,8 @@
                 holder,
                 session,
                 request,
-                time_left,
                 forwarded,
-            } => self.forward(holder, session, request, time_left, forwarded),
+            } => self.forward(holder, session, request, forwarded),
             Effect::AskHolder { holder } => {
                 self.tell_neighbour(holder, &NeighbourMessage::AskAlive);
             }
--- a/crates/stairward-simulation/src/world_nodes.rs
+++ b/crates/stairward-simulation/src/world_nodes.rs
@@ -111,7 +111,6 @@
                 session,
                 request,
                 forwarded,
-                ..
             } => self.forward(index, life, holder, session, request, forwarded),
             Effect::CloseForwarded { holder, session } => {
                 self.close_forwarded(index, life, holder, session);
