--- a/crates/stairward-runtime/src/lib.rs
+++ b/crates/stairward-runtime/src/lib.rs
@@ -9,6 +9,7 @@
 mod backends;
 mod callers;
 mod compression;
+pub mod content_delta;
 mod coordination;
 pub mod discovered;
 mod duty;
--- /dev/null
+++ b/crates/stairward-runtime/tests/content_delta.rs
@@ -0,0 +1,65 @@
+//! A delta makes the later content of the earlier one, is short where the change is, and spoils nothing where it does not
+//! belong.
+
+use stairward_runtime::content_delta::ContentDelta;
+use stairward_testing::check;
+
+/// A content of some entries, as a few bits shape each.
+fn content(entries: &[(u8, u8)]) -> String {
+    let entries = entries
+        .iter()
+        .map(|(name, value)| format!("{{\"name\":\"r{name}\",\"timeout\":{value}}}"));
+    format!("{{\"routes\":[{}]}}", entries.collect::<Vec<_>>().join(","))
+}
+
+#[test]
+fn it_makes_the_later_content_of_the_earlier_one() {
+    check!()
+        .with_type::<(Vec<(u8, u8)>, Vec<(u8, u8)>)>()
+        .for_each(|(earlier, later)| {
+            let (earlier, later) = (content(earlier), content(later));
+            let delta = ContentDelta::between(&earlier, &later);
+            assert_eq!(delta.apply(&earlier), Some(later));
+        });
+}
+
+#[test]
+fn any_text_is_made_again_and_any_delta_read_back_is_the_same() {
+    check!()
+        .with_type::<(String, String)>()
+        .for_each(|(earlier, later)| {
+            let delta = ContentDelta::between(earlier, later);
+            assert_eq!(delta.apply(earlier).as_ref(), Some(later));
+            let written = serde_json::to_string(&delta).unwrap();
+            assert_eq!(
+                serde_json::from_str::<ContentDelta>(&written).unwrap(),
+                delta
+            );
+        });
+}
+
+#[test]
+fn a_delta_of_another_content_gives_nothing_or_other_text_and_never_fails() {
+    check!()
+        .with_type::<(Vec<(u8, u8)>, Vec<(u8, u8)>, Vec<(u8, u8)>)>()
+        .for_each(|(earlier, later, other)| {
+            let delta = ContentDelta::between(&content(earlier), &content(later));
+            let _ = delta.apply(&content(other));
+        });
+}
+
+#[test]
+fn one_entry_of_many_changes_in_few_bytes() {
+    let entries = |changed: u32, count: u32| {
+        let entries = (0..count).map(|number| {
+            let timeout = if number == changed { 900 } else { 800 };
+            format!("{{\"name\":\"route-{number}\",\"timeout\":{timeout}}}")
+        });
+        format!("[{}]", entries.collect::<Vec<_>>().join(","))
+    };
+    for count in [1_000, 2_000] {
+        let delta = ContentDelta::between(&entries(u32::MAX, count), &entries(500, count));
+        let length = serde_json::to_string(&delta).unwrap().len();
+        assert!(length < 200, "{length} bytes for one of {count} entries");
+    }
+}
