--- a/crates/stairward-membership/benches/holders.rs
+++ b/crates/stairward-membership/benches/holders.rs
@@ -9,9 +9,17 @@
 use stairward_types::{NodeId, RegionName, ServiceName, ZoneName};
 
 /// Nodes and services of a small site, of one of hundreds of machines, and of the size that is built for.
-const SIZES: [(u64, usize); 5] = [(30, 8), (300, 8), (300, 80), (1_400, 80), (1_400, 300)];
-/// Holders of a service with 36 connections.
-const HOLDERS: usize = 11;
+const SIZES: [(u64, usize); 7] = [
+    (30, 8),
+    (300, 8),
+    (300, 80),
+    (1_400, 80),
+    (1_400, 300),
+    (1_000, 1_000),
+    (2_000, 2_000),
+];
+/// Holders of a service whose back ends have three slots.
+const HOLDERS: usize = 15;
 
 type Member = (NodeId, RegionName, ZoneName);
 
