A delta carries the digest of what it makes

A delta is found by revision to belong to the content held. Should the same revision be held in another spelling, from a listing of another store's node, its pieces would be put together to a configuration that nobody wrote. The digest shows that, and all objects are asked for. The property test of other contents asserts the later text or none; before, any text would do.

--- a/crates/stairward-runtime/src/content_delta.rs
+++ b/crates/stairward-runtime/src/content_delta.rs
@@ -10,6 +10,7 @@
 use std::ops::Range;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A part of the later content.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,9 +24,10 @@
 
 /// How a later content is made from an earlier one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
 pub struct ContentDelta {
     parts: Vec<Part>,
+    /// Of the later content: what is made of another earlier one shows.
+    digest: u64,
 }
 
 impl ContentDelta {
@@ -37,7 +39,10 @@
         for (place, piece) in known.iter().enumerate() {
             places.entry(piece).or_insert(place);
         }
-        let mut delta = Self { parts: Vec::new() };
+        let mut delta = Self {
+            parts: Vec::new(),
+            digest: xxh3_64(later.as_bytes()),
+        };
         for piece in pieces(later) {
             let next = delta
                 .next_kept()
@@ -72,7 +77,7 @@
         }
     }
 
-    /// The later content; none where the earlier one is not that which it was made for, as far as that shows.
+    /// The later content; none where the earlier one is not that which it was made for.
     #[must_use]
     pub fn apply(&self, earlier: &str) -> Option<String> {
         let known: Vec<&str> = pieces(earlier).collect();
@@ -86,7 +91,7 @@
                 Part::New(text) => later.push_str(text),
             }
         }
-        Some(later)
+        (xxh3_64(later.as_bytes()) == self.digest).then_some(later)
     }
 }
 
--- a/crates/stairward-runtime/tests/content_delta.rs
+++ b/crates/stairward-runtime/tests/content_delta.rs
@@ -39,12 +39,14 @@
 }
 
 #[test]
-fn a_delta_of_another_content_gives_nothing_or_other_text_and_never_fails() {
+fn a_delta_of_another_content_gives_nothing_unless_it_gives_the_same() {
     check!()
         .with_type::<(Vec<(u8, u8)>, Vec<(u8, u8)>, Vec<(u8, u8)>)>()
         .for_each(|(earlier, later, other)| {
-            let delta = ContentDelta::between(&content(earlier), &content(later));
-            let _ = delta.apply(&content(other));
+            let later = content(later);
+            let delta = ContentDelta::between(&content(earlier), &later);
+            let made = delta.apply(&content(other));
+            assert!(made.is_none_or(|made| made == later));
         });
 }
 
