Revert: a part of a fleet holds its part of a database's connections

A rolled or burdened fleet sees fewer nodes more often than it is split, and is short of connections then. The bound for views that differ stays where the slots decide.

--- a/crates/stairward-engine/src/engine.rs
+++ b/crates/stairward-engine/src/engine.rs
@@ -230,10 +230,7 @@
             Event::Members { live, leaving } => {
                 self.tell_limits(now, LimitEvent::Members { live, leaving });
             }
-            Event::FleetRecorded(nodes) => {
-                self.nodes.record(nodes);
-                self.tell_limits(now, LimitEvent::Recorded(nodes));
-            }
+            Event::FleetRecorded(nodes) => self.tell_limits(now, LimitEvent::Recorded(nodes)),
             Event::LimitGranted(node, grant) => {
                 self.tell_limits(now, LimitEvent::Granted(node, grant));
             }
@@ -346,8 +343,7 @@
 
     fn note_nodes(&mut self, now: Time, nodes: u32) {
         let is_first = !self.nodes.is_known();
-        let age = now.since(self.options.limits.started);
-        self.nodes.note(now, age, nodes);
+        self.nodes.note(now, nodes);
         if is_first {
             self.warm_up(now);
         }
@@ -369,15 +365,14 @@
             .and_then(|table| table.services.get(service));
         let limit = limits.map_or(1, |limits| limits.connections);
         let available = limit.saturating_sub(RESERVED_CONNECTIONS);
-        let in_view = self.nodes.part_of(available);
-        if let Some(share) = self.share_beside(id, in_view) {
+        if let Some(share) = self.share_beside(id, available) {
             return usize::try_from(share).unwrap_or(1);
         }
         let (nodes, holders) = (self.nodes.most(), self.holder_demand(service).holders());
         let share = if nodes <= holders {
             (available / nodes).max(1)
         } else {
-            share_of(in_view, holders)
+            share_of(available, holders)
         };
         usize::try_from(share).unwrap_or(1)
     }
--- a/crates/stairward-engine/src/node_count.rs
+++ b/crates/stairward-engine/src/node_count.rs
@@ -7,8 +7,6 @@
 
 /// How long a larger number of nodes is still counted after it was seen.
 const MEMORY: Duration = Duration::from_secs(30);
-/// How long after its start a node's view of the others may still lack some.
-const VIEW_COMPLETES: Duration = Duration::from_secs(10);
 /// The number assumed at first: a node that has just started has not heard of the others yet, and they hold
 /// their shares.
 const ASSUMED_AT_START: u32 = 8;
@@ -19,10 +17,6 @@
     seen: Vec<(Time, u32)>,
     /// The number seen last.
     newest: u32,
-    /// How many nodes all nodes have on record; 0 where there is no record.
-    recorded: u32,
-    /// How many nodes there may be, of which this one sees a part.
-    expected: u32,
     /// Whether this node has seen its others once.
     is_known: bool,
 }
@@ -32,42 +26,20 @@
         Self {
             seen: vec![(Time::ZERO, ASSUMED_AT_START)],
             newest: 0,
-            recorded: 0,
-            expected: 0,
             is_known: false,
         }
     }
 }
 
 impl NodeCount {
-    /// Takes in how many nodes are on record.
-    pub fn record(&mut self, nodes: u32) {
-        self.recorded = nodes;
-    }
-
-    /// Notes how many nodes there are at the moment, as a node of this `age` sees it.
-    pub fn note(&mut self, now: Time, age: Duration, nodes: u32) {
+    /// Notes how many nodes there are at the moment.
+    pub fn note(&mut self, now: Time, nodes: u32) {
         self.is_known = true;
         self.newest = nodes;
         self.seen.retain(|(at, _)| now.since(*at) < MEMORY);
         // A count is of no further use once a later one is as large.
         self.seen.retain(|(_, seen)| *seen > nodes);
         self.seen.push((now, nodes));
-        // The view of a node that has just started is not complete.
-        let recorded = if age < VIEW_COMPLETES {
-            self.recorded
-        } else {
-            0
-        };
-        self.expected = self.most_seen().max(recorded);
-    }
-
-    /// The part of a number of connections that the nodes in view may hold together: those of a fleet that has split into
-    /// parts, each of which sees only itself, then hold no more than the number in all.
-    pub fn part_of(&self, connections: u32) -> u32 {
-        let part = u64::from(connections) * u64::from(self.newest);
-        let part = part / u64::from(self.expected.max(self.newest).max(1));
-        u32::try_from(part).unwrap_or(connections)
     }
 
     /// Whether the others were seen once. A node that has just started knows neither how many share the back
