A holder's deadline for a forwarded statement ends its wait, not what was sent

Cause: the holder's own deadline fell before that of the session's node, and at a deadline connections of sent statements are closed. Before, the session's node gave up first and the holder kept the connection until the answer came. Change: the time left bounds how long the holder waits to send; a statement that was sent runs on. Proof: a test (fails before: the connection was closed).

--- a/crates/stairward-engine/src/statements.rs
+++ b/crates/stairward-engine/src/statements.rs
@@ -346,13 +346,12 @@
         need: Need,
     ) {
         let number = self.next_request();
-        let answer_due = self
-            .sessions
-            .get(&id)
-            .and_then(|session| session.answer_due);
-        let timeout = now + route.statement_timeout;
-        let deadline = answer_due.map_or(timeout, |due| due.max(now).min(timeout));
-        let hold_ends = deadline.min(now + route.target_latency / HOLD_DIVISOR);
+        let deadline = now + route.statement_timeout;
+        let hold = deadline.min(now + route.target_latency / HOLD_DIVISOR);
+        // What was sent by then runs on, and its connection with it, whether or not the answer is still waited for.
+        let session = self.sessions.get(&id);
+        let answer_due = session.and_then(|session| session.answer_due);
+        let hold_ends = answer_due.map_or(hold, |due| due.max(now).min(hold));
         let hedge_at = (need == Need::FreshRead || need == Need::FreshTransaction)
             .then(|| now + route.target_latency / HEDGE_DIVISOR)
             .filter(|at| *at < deadline);
--- a/crates/stairward-engine/tests/relays.rs
+++ b/crates/stairward-engine/tests/relays.rs
@@ -481,3 +481,18 @@
         first.time_left - Duration::from_millis(100)
     );
 }
+
+#[test]
+fn a_holder_lets_a_statement_that_was_sent_run_on_and_keeps_its_connection() {
+    let mut world = World::new();
+    world.sent.clear();
+    world.take_forwarded(Forwarded {
+        time_left: Duration::from_millis(100),
+        ..forwarded(1, false, StatementKind::Write)
+    });
+    assert_eq!(world.sent.len(), 1);
+    world.pass(Duration::from_millis(200));
+    assert!(world.closed_connections.is_empty());
+    world.answer(done(TransactionStatus::Idle, at(1, 2)));
+    assert_eq!(world.response().status, TransactionStatus::Idle);
+}
