--- a/crates/stairward-engine/src/backend.rs
+++ b/crates/stairward-engine/src/backend.rs
@@ -1,6 +1,6 @@
 //! What the engine keeps of one back end, and what using it costs at the moment.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,8 +31,6 @@
 const BUSY_PENALTY_TIME: Duration = Duration::from_millis(50);
 /// What a penalty adds to the expected latency.
 const PENALTY: Duration = Duration::from_millis(200);
-/// What the end of a connection takes to its back end, over two regions.
-const CLOSING_WAY: Duration = Duration::from_millis(50);
 /// Pause after a failed attempt to open a connection.
 const OPEN_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a back end had too many connections.
@@ -55,8 +53,6 @@
     pub is_listed: bool,
     /// Its connections.
     pub connections: BTreeSet<ConnectionId>,
-    /// When connections to it were closed from here lately: it counts them until it hears of that.
-    closed_at: VecDeque<Time>,
     /// Statements of callers under way.
     pub in_flight: u32,
     /// Whether it leaves commands without an answer.
@@ -96,7 +92,6 @@
             leaving: None,
             is_listed: true,
             connections: BTreeSet::new(),
-            closed_at: VecDeque::new(),
             in_flight: 0,
             is_silent: false,
             answered_at: None,
@@ -175,28 +170,6 @@
         !self.is_to_be_left() && !self.is_silent
     }
 
-    /// Notes that a connection to it is closed from here.
-    pub fn connection_closed(&mut self, now: Time) {
-        self.closed_at.push_back(now);
-    }
-
-    /// Connections to it as it counts them, as far as they are this node's.
-    pub fn counted_connections(&mut self, now: Time) -> usize {
-        while self
-            .closed_at
-            .front()
-            .is_some_and(|at| *at + CLOSING_WAY <= now)
-        {
-            self.closed_at.pop_front();
-        }
-        self.connections.len() + self.closed_at.len()
-    }
-
-    /// When the connection that was closed first of those that it still counts is counted no more.
-    pub fn next_closed(&self) -> Option<Time> {
-        self.closed_at.front().map(|at| *at + CLOSING_WAY)
-    }
-
     /// Notes that a statement is sent to it.
     pub fn statement_sent(&mut self, now: Time) {
         self.in_flight += 1;
--- a/crates/stairward-engine/src/choice.rs
+++ b/crates/stairward-engine/src/choice.rs
@@ -354,7 +354,7 @@
             let state = self.connections.get(connection);
             state.is_some_and(|state| state.opening_since.is_some())
         });
-        if openings.count() >= OPENINGS_AT_ONCE || !self.make_room(now, id, tenant) {
+        if openings.count() >= OPENINGS_AT_ONCE || !self.make_room(id, tenant) {
             return;
         }
         let Some(backend) = self.backends.get(id) else {
@@ -382,16 +382,12 @@
     }
 
     /// Makes room for another connection to a back end; returns whether there is some. The idle connection that
-    /// was used least recently gives way, and there is room once the back end has heard of that: before, the new one
-    /// would be one too many, be refused and hold up all openings there. No tenant gets all connections where there are
-    /// several.
-    fn make_room(&mut self, now: Time, id: &BackendId, tenant: Option<&TenantName>) -> bool {
-        let share = self.connection_share(id);
-        let backend = self.backends.get_mut(id);
-        let counted = backend.map_or(0, |backend| backend.counted_connections(now));
+    /// was used least recently gives way. No tenant gets all connections where there are several.
+    fn make_room(&mut self, id: &BackendId, tenant: Option<&TenantName>) -> bool {
         let Some(backend) = self.backends.get(id) else {
             return false;
         };
+        let share = self.connection_share(id);
         let held = backend.connections.len();
         let own = backend.connections.iter().filter(|connection| {
             let connection = self.connections.get(connection);
@@ -400,13 +396,8 @@
         if tenant.is_some() && own.count() >= share.saturating_sub(1).max(1) {
             return false;
         }
-        if counted < share {
-            return true;
-        }
         if held < share {
-            // One has just given way.
-            self.try_once_closed(id);
-            return false;
+            return true;
         }
         let least_recent = self
             .idle_connections(backend)
@@ -417,21 +408,6 @@
             return false;
         };
         self.close_connection(least_recent);
-        if let Some(backend) = self.backends.get_mut(id) {
-            backend.connection_closed(now);
-        }
-        self.try_once_closed(id);
-        false
-    }
-
-    /// Tries what waits again once a back end no longer counts a connection that was closed.
-    fn try_once_closed(&mut self, id: &BackendId) {
-        let Some(backend) = self.backends.get(id) else {
-            return;
-        };
-        if let Some(at) = backend.next_closed() {
-            let service = backend.description.service.clone();
-            self.timers.set(at, Timer::TryWaiting(service));
-        }
+        true
     }
 }
