--- a/crates/stairward-failover/tests/reviews.rs
+++ b/crates/stairward-failover/tests/reviews.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use stairward_failover::{
-    Event, FailoverDuty, FailoverOptions, FencingToken, GroupState, LEADERSHIP_LEASE,
+    Effect, Event, FailoverDuty, FailoverOptions, FencingToken, GroupState, LEADERSHIP_LEASE,
     LeaderEvidence, MemberState, Placement, PromotionOutcome, Reach, RecordVersion, Via,
 };
 use stairward_testing::check;
@@ -110,7 +110,7 @@
 const BEGIN: Time = Time(60_000_000);
 
 /// A duty that knows the nodes, the records and the services as they are in the beginning.
-fn duty() -> FailoverDuty {
+fn duty(handle: fn(&mut FailoverDuty, Time, Event) -> Vec<Effect>) -> FailoverDuty {
     let mut duty = FailoverDuty::new(FailoverOptions {
         leadership_lease: Some(LEADERSHIP_LEASE),
         ..FailoverOptions::new("a")
@@ -121,7 +121,7 @@
         Event::Groups(groups(0, 0)),
     ];
     for event in begin {
-        duty.handle(BEGIN, event);
+        handle(&mut duty, BEGIN, event);
     }
     duty
 }
@@ -132,7 +132,8 @@
         .with_type::<Vec<(u8, u8, u8, u8)>>()
         .for_each(|steps| {
             let mut now = BEGIN;
-            let (mut some, mut all) = (duty(), duty());
+            let mut some = duty(FailoverDuty::handle);
+            let mut all = duty(FailoverDuty::handle_reviewing_all);
             for (number, (kind, first, second, pause)) in steps.iter().take(200).enumerate() {
                 now = now + Duration::from_millis(u64::from(*pause) * 5);
                 let token = u64::try_from(number).unwrap() + 1;
@@ -166,7 +167,8 @@
         .with_type::<Vec<(u8, u8, u8, u8)>>()
         .for_each(|steps| {
             let mut now = BEGIN;
-            let (mut told_changes, mut told_all) = (duty(), duty());
+            let (mut told_changes, mut told_all) =
+                (duty(FailoverDuty::handle), duty(FailoverDuty::handle));
             let mut known = groups(0, 0);
             for (number, (kind, first, second, pause)) in steps.iter().take(200).enumerate() {
                 now = now + Duration::from_millis(u64::from(*pause) * 5);
