Logs and figures tell which copy of the store answers, and what of it is left out

Cause: the incident's logs could not tell content that is left out as older from a watch that goes on over a gap. Event 610 (the era that answers tell has risen), 611 (the store answered with a lower revision than what is held; once until something is taken over), stairward_store_era and stairward_feed_revision{feed}. No decision changes.

--- a/crates/stairward-membership/src/feed/follower.rs
+++ b/crates/stairward-membership/src/feed/follower.rs
@@ -67,6 +67,8 @@
     followers: Followers,
     /// How long a watcher takes to tell all of its followers in turn what they lack.
     turn_patience: Duration,
+    /// Whether content of the store's was left out since some was last taken over.
+    leaves_out: bool,
 }
 
 impl Feed {
@@ -88,6 +90,7 @@
             sources: BTreeMap::new(),
             followers: Followers::default(),
             turn_patience: Duration::ZERO,
+            leaves_out: false,
         }
     }
 
@@ -233,6 +236,9 @@
         };
         // Followers get every word of the store's, so that none is missing to those in step.
         let told = content.clone();
+        if content != FeedContent::Unchanged {
+            self.note_left_out(at, effects);
+        }
         self.take(at, content, effects);
         self.confirmed_by_store = Some(now);
         if goes_in_turn {
@@ -298,6 +304,15 @@
         true
     }
 
+    /// Tells, once, that the store's content is older than what is held.
+    fn note_left_out(&mut self, at: Revision, effects: &mut Vec<Effect>) {
+        let newer = self.at.filter(|held| at < *held);
+        let was_left_out = std::mem::replace(&mut self.leaves_out, newer.is_some());
+        if let Some(held) = newer.filter(|_| !was_left_out) {
+            effects.push(Effect::LeftOut { at, held });
+        }
+    }
+
     /// Takes over what is newer than what is held.
     fn take(&mut self, at: Revision, content: FeedContent, effects: &mut Vec<Effect>) {
         let is_newer = self.at.is_none_or(|held| at > held);
--- a/crates/stairward-membership/src/feed/message.rs
+++ b/crates/stairward-membership/src/feed/message.rs
@@ -110,6 +110,14 @@
         /// such moment is known: it may have come about at any time.
         since: Option<Time>,
     },
+    /// The store answered with content of a lower revision than what is held, and it is left out. Told once until
+    /// content is taken over again.
+    LeftOut {
+        /// The revision of the answer.
+        at: Revision,
+        /// The revision that is held.
+        held: Revision,
+    },
     /// Tell followers of the state here. [`FeedContent::Whole`] comes empty and stands for all objects held;
     /// [`FeedContent::Since`] comes empty and stands for those changed after its revision.
     Tell {
--- a/crates/stairward-runtime/src/feeds.rs
+++ b/crates/stairward-runtime/src/feeds.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::compression::{compress, decompress};
+use crate::figures;
 use crate::neighbour_link::frame;
 use crate::node::Node;
 use crate::socket::Outgoing;
@@ -398,7 +399,12 @@
             return;
         };
         let now = self.now();
+        let held_before = open.feed.borrow().held();
         let effects = open.feed.borrow_mut().handle(now, event);
+        let held = open.feed.borrow().held();
+        if let Some(held) = held.filter(|_| held != held_before) {
+            figures::show_feed_revision(name, held);
+        }
         for effect in effects {
             self.carry_out_feed(name, &open, effect);
         }
@@ -461,6 +467,16 @@
                     self.feed_event(name, Event::ContentRefused);
                 }
             }
+            Effect::LeftOut { at, held } => {
+                let event = LogEvent::StoreContentLeftOut;
+                tracing::warn!(
+                    event = event.number(),
+                    name = event.name(),
+                    feed = name,
+                    at = at.0,
+                    held = held.0
+                );
+            }
             Effect::Tell {
                 followers,
                 at,
--- a/crates/stairward-runtime/src/figures.rs
+++ b/crates/stairward-runtime/src/figures.rs
@@ -3,7 +3,7 @@
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use stairward_engine::{Consistency, EngineStatistics, RequestMeasure, ZoneWork};
 use stairward_failover::Action;
-use stairward_types::{AccessClass, BackendRole, OutcomeClass, ServiceName, ZoneName};
+use stairward_types::{AccessClass, BackendRole, OutcomeClass, Revision, ServiceName, ZoneName};
 
 use crate::traffic::Traffic;
 
@@ -29,6 +29,10 @@
 const STARTS: &str = "stairward_backend_starts_total";
 /// Entries of back ends that were left out, by reason.
 const ENTRIES_REFUSED: &str = "stairward_entries_refused_total";
+/// The copy of the store that answers: it rises each time that the store comes back from an older copy.
+const STORE_ERA: &str = "stairward_store_era";
+/// The store's revision that a feed holds, by feed.
+const FEED_REVISION: &str = "stairward_feed_revision";
 /// Requests that wait.
 const WAITING: &str = "stairward_requests_waiting";
 /// Messages between nodes, by kind and direction.
@@ -92,6 +96,16 @@
     metrics::counter!(ENTRIES_REFUSED, "reason" => reason).increment(1);
 }
 
+/// Shows which copy of the store answers.
+pub fn show_store_era(era: u64) {
+    metrics::gauge!(STORE_ERA).set(gauge_of_number(era));
+}
+
+/// Shows which revision of the store's a feed holds.
+pub(crate) fn show_feed_revision(feed: &str, held: Revision) {
+    metrics::gauge!(FEED_REVISION, "feed" => feed.to_owned()).set(gauge_of_number(held.0));
+}
+
 /// Counts a request that ended.
 pub(crate) fn count(measure: &RequestMeasure) {
     let consistency = consistency_name(measure.consistency);
@@ -125,6 +139,14 @@
     metrics::counter!(FAILOVER_STEPS, "step" => step).increment(1);
 }
 
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "a figure beyond 2^53 is shown rounded"
+)]
+const fn gauge_of_number(number: u64) -> f64 {
+    number as f64
+}
+
 fn gauge(count: usize) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -176,6 +176,10 @@
     CertificatesReloaded = 608, Info;
     /// The process's settings file was read again.
     SettingsReloaded = 609, Info;
+    /// The platform's store has come back from an older copy: it has lost what was written since, and its revisions went back.
+    StoreRestored = 610, Warn;
+    /// The store answered with content of a lower revision than what this node holds, and it is left out.
+    StoreContentLeftOut = 611, Warn;
 }
 
 impl LogEvent {
