--- a/crates/stairward-simulation/src/checker.rs
+++ b/crates/stairward-simulation/src/checker.rs
@@ -26,6 +26,8 @@
     Kept,
     /// One decision a fencing token.
     OneDecision,
+    /// One node at a time writes a service's record.
+    OneHolder,
     /// A configuration comes into force in time and never goes back.
     Configuration,
     /// A back end that has been leaving for long gets no new work.
--- a/crates/stairward-simulation/src/evacuations.rs
+++ b/crates/stairward-simulation/src/evacuations.rs
@@ -79,7 +79,7 @@
         };
         self.checker.count(Invariant::Evacuated);
         // It counts from when the store took it, which it does only while it is up.
-        let since = since.max(self.store.up_since);
+        let since = self.store.taken_at(since);
         if now > since + EVACUATION_LIMIT {
             let text = format!("{backend}, evacuated at {since:?}, got work of node {node}");
             self.checker.violate(now, Invariant::Evacuated, text);
--- a/crates/stairward-simulation/src/faults.rs
+++ b/crates/stairward-simulation/src/faults.rs
@@ -276,7 +276,7 @@
     /// The store answers nothing until it is told otherwise, which is expected after this time.
     pub(crate) fn stop_store_for(&mut self, length: Duration) {
         let until = self.now() + length;
-        self.store.is_down = true;
+        self.store.go(self.now());
         for node in &mut self.nodes {
             node.in_touch_since = node.in_touch_since.max(until);
         }
@@ -343,8 +343,8 @@
             }
             Ending::StoreHeals(node) => self.nodes[node].is_cut_from_store = false,
             Ending::StoreReturns => {
-                self.store.is_down = false;
-                self.store.up_since = self.now();
+                let now = self.now();
+                self.store.come_back(now);
             }
             Ending::AnswersReturn => self.answer_loss_percent = 0,
             Ending::PromotionsReturn => self.promotions_are_late = false,
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -130,11 +130,17 @@
     Cold,
     /// Nodes don't see that a primary has lost its log.
     LostLog,
+    /// Revisions of the store are taken without the copy that they are of.
+    Era,
+    /// Nodes don't learn that records may have been lost, though revisions rise.
+    LostLease,
+    /// Nodes take a restored store's older word at once.
+    Restored,
 }
 
 impl BrokenVariant {
     /// All variants.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 24] = [
         Self::Floor,
         Self::LeaderProof,
         Self::Promise,
@@ -156,6 +162,9 @@
         Self::Evacuation,
         Self::Cold,
         Self::LostLog,
+        Self::Era,
+        Self::LostLease,
+        Self::Restored,
     ];
 }
 
--- a/crates/stairward-simulation/src/restores.rs
+++ b/crates/stairward-simulation/src/restores.rs
@@ -43,11 +43,13 @@
 
     pub(crate) fn store_restored(&mut self, copy: StoreCopy) {
         let now = self.now();
-        let lost = &self.store;
+        self.store.come_back(now);
+        let lost = &mut self.store;
+        let outages = std::mem::take(&mut lost.outages);
         let evacuated: BTreeSet<ZoneName> = lost.evacuated.keys().cloned().collect();
         self.store = Store {
             is_down: false,
-            up_since: now,
+            outages,
             loses_answers: lost.loses_answers,
             era: lost.era + 1,
             written_configuration: lost.written_configuration,
--- a/crates/stairward-simulation/src/store.rs
+++ b/crates/stairward-simulation/src/store.rs
@@ -2,15 +2,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use stairward_failover::{DutyRecord, RecordVersion};
+use stairward_failover::DutyRecord;
 use stairward_types::{Time, ZoneName};
 
 /// The store.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Store {
     pub is_down: bool,
-    /// Since when it has been up.
-    pub up_since: Time,
+    /// When it went away and when it came back, in order.
+    pub outages: Vec<(Time, Time)>,
     pub loses_answers: bool,
     pub record_version: u64,
     pub record: Option<DutyRecord>,
@@ -29,10 +29,34 @@
 }
 
 impl Store {
+    /// It answers nothing from now on.
+    pub fn go(&mut self, now: Time) {
+        if !std::mem::replace(&mut self.is_down, true) {
+            self.outages.push((now, Time::NEVER));
+        }
+    }
+
+    /// It answers again.
+    pub fn come_back(&mut self, now: Time) {
+        self.is_down = false;
+        if let Some((_, end)) = self.outages.last_mut() {
+            *end = now.min(*end);
+        }
+    }
+
+    /// When it took a word that was said at a moment: at once, or as soon as it was back.
+    pub fn taken_at(&self, said_at: Time) -> Time {
+        let outage = self
+            .outages
+            .iter()
+            .find(|(gone, back)| (*gone..*back).contains(&said_at));
+        outage.map_or(said_at, |(_, back)| *back)
+    }
+
     /// Writes the record under its condition, which names a revision and no era. Returns the version afterwards, or none
     /// for a conflict.
-    pub fn write_record(&mut self, expected: RecordVersion, record: DutyRecord) -> Option<u64> {
-        if expected.0.revision() != self.record_version {
+    pub fn write_record(&mut self, expected: u64, record: DutyRecord) -> Option<u64> {
+        if expected != self.record_version {
             return None;
         }
         self.revisions += 1;
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -144,6 +144,8 @@
     pub promotions_are_late: bool,
     pub strikes: Vec<String>,
     pub decisions: Vec<String>,
+    /// Who last wrote the service's record, and when, whatever the store has lost since.
+    pub(crate) last_holder: Option<(Time, String)>,
     pub strikes_left: u32,
     pub lives: u64,
     pub(crate) numbers: u64,
@@ -193,6 +195,7 @@
             stalled: BTreeSet::new(),
             answer_loss_percent: 0,
             promotions_are_late: false,
+            last_holder: None,
             strikes: Vec::new(),
             decisions: Vec::new(),
             strikes_left: options.strikes,
--- a/crates/stairward-simulation/src/world_databases.rs
+++ b/crates/stairward-simulation/src/world_databases.rs
@@ -204,7 +204,7 @@
         {
             self.checker.count(Invariant::Leaving);
             // It counts from when the store took it, which it does only while it is up.
-            let since = since.max(self.store.up_since);
+            let since = self.store.taken_at(since);
             if now > since + self.options.drain_limit {
                 let text = format!("{backend}, leaving since {since:?}, got work of node {node}");
                 self.checker.violate(now, Invariant::Leaving, text);
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -10,15 +10,20 @@
 };
 use stairward_types::{BackendId, NodeId, StoreRevision, Term, Time};
 
+use crate::checker::Invariant;
 use crate::nodes::{node_name, routing_table};
 use crate::options::BrokenVariant;
-use crate::store_view::Entry;
+use crate::store_view::{Entry, StoreView};
 use crate::tenants::directory;
 use crate::world::{
     FAR_DELAY, Happening, PROMOTION_TIME, Question, STORE_DELAY, STORE_POLL, World,
 };
 use stairward_membership::feed::StoreObject as _;
 
+/// More revisions than a copy of the store gives out in a run.
+const REVISIONS_OF_A_COPY: u64 = 1_000_000;
+/// For so long after a node's write of a service's record no other node writes it.
+const HOLDER_LEASE: Duration = Duration::from_millis(3_000);
 /// Zones that nodes are spread over.
 const ZONES: usize = 3;
 
@@ -97,13 +102,14 @@
         let record = self.store.record.clone();
         let records = record.map(|record| (crate::group::service(), (version, record)));
         let records = records.into_iter().collect();
-        let era = self.store.era;
+        let era = self.era_as_told();
         self.tell_duty(node, life, DutyEvent::Records { era, records });
     }
 
     /// The databases' entries as a node sees them, and after which moment what is new in them came about.
     fn show_entries(&mut self, node: usize) -> (Vec<BackendDescription>, Option<Time>) {
         let (now, era) = (self.now(), self.store.era);
+        let keeps = self.options.broken != Some(BrokenVariant::Restored);
         let in_era = |entry: &BackendDescription| BackendDescription {
             revision: StoreRevision::new(era, entry.revision.revision()),
             ..entry.clone()
@@ -111,6 +117,9 @@
         let listed = self.group.listed.iter();
         let listed = listed.map(|(id, entry)| (id.to_string(), Entry(in_era(entry))));
         let node = &mut self.nodes[node];
+        if !keeps {
+            node.entries = StoreView::default();
+        }
         let mut seen = node.entries.show(now, era, listed.collect());
         for (name, entry) in &mut seen {
             // An entry that reads as before was not written again.
@@ -281,11 +290,39 @@
         }
     }
 
+    /// The era of the store as nodes are told it; always the first one for some that are broken.
+    fn era_as_told(&self) -> u64 {
+        match self.options.broken {
+            Some(BrokenVariant::Era | BrokenVariant::LostLease) => 0,
+            _ => self.store.era,
+        }
+    }
+
+    /// The revisions by which those of a later copy are higher for a node that is told of no copies.
+    fn lead_of_copy(&self) -> u64 {
+        match self.options.broken {
+            Some(BrokenVariant::LostLease) => self.store.era * REVISIONS_OF_A_COPY,
+            _ => 0,
+        }
+    }
+
     fn record_version(&self) -> RecordVersion {
-        RecordVersion(StoreRevision::new(
-            self.store.era,
-            self.store.record_version,
-        ))
+        let revision = self.store.record_version + self.lead_of_copy();
+        RecordVersion(StoreRevision::new(self.era_as_told(), revision))
+    }
+
+    /// No two nodes write a service's record within a lease, whatever the store has lost meanwhile.
+    fn check_holder(&mut self, writer: &str) {
+        let now = self.now();
+        self.checker.count(Invariant::OneHolder);
+        let last = self.last_holder.replace((now, writer.to_owned()));
+        if let Some((at, holder)) = last
+            && holder != writer
+            && now < at + HOLDER_LEASE
+        {
+            let text = format!("{holder} wrote the record at {at:?}, then {writer}");
+            self.checker.violate(now, Invariant::OneHolder, text);
+        }
     }
 
     pub(crate) fn record_at(
@@ -304,14 +341,19 @@
             );
             return self.queue.plan(Duration::from_millis(1_500), failed);
         }
-        let written = self.store.write_record(version, record.clone());
+        let expected = version.0.revision().saturating_sub(self.lead_of_copy());
+        let writer = record.holder.clone();
+        let written = self.store.write_record(expected, record.clone());
         self.push_to_all();
-        if version.0.era() != self.store.era {
+        if version.0.era() != self.era_as_told() {
             // Another copy of the store answers: what came of it tells nothing.
             let failed = DutyEvent::RecordFailed(service);
             let failed = Happening::Duty(node, life, Box::new(failed));
             return self.queue.plan(STORE_DELAY, failed);
         }
+        if written.is_some() {
+            self.check_holder(&writer);
+        }
         if self.store.loses_answers && self.random.random_range(0..2) == 0 {
             let failed = Happening::Duty(
                 node,
--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -362,6 +362,19 @@
         BrokenVariant::Evacuation => vec![FaultKind::NodeKill, FaultKind::Evacuation],
         BrokenVariant::Cold => vec![FaultKind::PrimaryLeaves],
         BrokenVariant::LostLog => vec![FaultKind::PrimaryReborn],
+        // A node that starts after the store's return takes its lower revisions.
+        BrokenVariant::Era => vec![
+            FaultKind::PrimaryCrash,
+            FaultKind::NodeKill,
+            FaultKind::NodeKill,
+            FaultKind::StoreRestored,
+        ],
+        BrokenVariant::LostLease => vec![
+            FaultKind::PrimaryCrash,
+            FaultKind::LatePromotion,
+            FaultKind::StoreRestored,
+        ],
+        BrokenVariant::Restored => vec![FaultKind::GroupLeaves, FaultKind::StoreRestored],
         BrokenVariant::Tenant | BrokenVariant::Limit => Vec::new(),
         _ => FaultKind::ALL.to_vec(),
     }
@@ -376,8 +389,9 @@
         BrokenVariant::Promise => Invariant::Promise,
         BrokenVariant::Resend => Invariant::Once,
         BrokenVariant::Reset | BrokenVariant::Multiplex => Invariant::OwnTransaction,
-        BrokenVariant::Token => Invariant::OneDecision,
-        BrokenVariant::Drain => Invariant::Leaving,
+        BrokenVariant::Token | BrokenVariant::Era => Invariant::OneDecision,
+        BrokenVariant::Drain | BrokenVariant::Restored => Invariant::Leaving,
+        BrokenVariant::LostLease => Invariant::OneHolder,
         BrokenVariant::Configuration => Invariant::Configuration,
         BrokenVariant::Hold => Invariant::Kept,
         BrokenVariant::StepDown
@@ -407,6 +421,10 @@
         BrokenVariant::Tenant | BrokenVariant::Key => with_tenants(options),
         BrokenVariant::Limit => with_limits(options),
         BrokenVariant::Cold => with_cold_databases(options),
+        BrokenVariant::Restored => Options {
+            drain_limit: Duration::from_secs(10),
+            ..options
+        },
         _ => options,
     };
     let is_rare = matches!(
