--- a/crates/stairward-membership/src/feed/restored_view.rs
+++ b/crates/stairward-membership/src/feed/restored_view.rs
@@ -71,6 +71,11 @@
         self.kept.is_empty()
     }
 
+    /// The names of the objects that are not to be seen as the store shows them.
+    pub fn kept(&self) -> impl ExactSizeIterator<Item = &str> {
+        self.kept.keys().map(String::as_str)
+    }
+
     /// The objects as they are to be seen.
     #[must_use]
     pub fn shown(&self, listed: &BTreeMap<String, T>) -> BTreeMap<String, T> {
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -180,6 +180,10 @@
     StoreRestored = 610, Warn;
     /// The store answered with content of a lower revision than what this node holds, and it is left out.
     StoreContentLeftOut = 611, Warn;
+    /// A restored store shows objects older than this node knows them, or not at all: until they are written again, or for a while, they count as known.
+    LostObjectsKept = 612, Warn;
+    /// What a restored store shows counts again; these objects were not written again.
+    LostObjectsGivenUp = 613, Warn;
 }
 
 impl LogEvent {
