--- a/crates/stairward-failover/src/event.rs
+++ b/crates/stairward-failover/src/event.rs
@@ -22,12 +22,6 @@
     pub const fn none_in(era: u64) -> Self {
         Self(StoreRevision::new(era, 0))
     }
-
-    /// Whether there is no record yet.
-    #[must_use]
-    pub const fn is_none(self) -> bool {
-        self.0.revision() == 0
-    }
 }
 
 /// A number that rises with every decision. A promotion with a lower one than was seen is refused.
--- a/crates/stairward-membership/src/feed/restored_view.rs
+++ b/crates/stairward-membership/src/feed/restored_view.rs
@@ -39,8 +39,9 @@
         gone: impl IntoIterator<Item = String>,
         listed: &BTreeMap<String, T>,
     ) {
+        let known_gone: Vec<_> = self.known_gone().map(str::to_owned).collect();
         let known = self.take_shown(known);
-        for name in gone {
+        for name in gone.into_iter().chain(known_gone) {
             if listed.contains_key(&name) && !known.contains_key(&name) {
                 self.kept.insert(name, None);
             }
@@ -89,6 +90,12 @@
         shown
     }
 
+    /// The names of objects that the store shows and that are known to be gone.
+    fn known_gone(&self) -> impl Iterator<Item = &str> {
+        let gone = self.kept.iter().filter(|(_, kept)| kept.is_none());
+        gone.map(|(name, _)| name.as_str())
+    }
+
     /// The objects as they were seen until now, and forgets what was kept.
     fn take_shown(&mut self, listed: BTreeMap<String, T>) -> BTreeMap<String, T> {
         let mut shown = listed;
--- a/crates/stairward-membership/tests/restored_view.rs
+++ b/crates/stairward-membership/tests/restored_view.rs
@@ -94,3 +94,11 @@
     view.restored(listed, Vec::new(), &again);
     assert_eq!(words(&view.shown(&again)), [("db", "draining")]);
 }
+
+#[test]
+fn a_second_restore_brings_back_nothing_that_has_ended() {
+    let (mut view, listed) = seen(&[], &["db"], &[("db", 20, "ready")]);
+    let again = entries(2, &[("db", 20, "ready")]);
+    view.restored(listed, Vec::new(), &again);
+    assert!(view.shown(&again).is_empty());
+}
