--- a/crates/stairward-simulation/examples/run_seed.rs
+++ b/crates/stairward-simulation/examples/run_seed.rs
@@ -1,6 +1,6 @@
 //! Runs seeds of the simulation where old primaries go on, and prints what struck, what the duty decided and
-//! the first violations of each that has any. `cargo run --release --example run_seed -- FROM TO [close]`; with
-//! `close`, faults strike close upon each other.
+//! the first violations of each that has any. `cargo run --release --example run_seed -- FROM TO [close] [restores]`; with
+//! `close`, faults strike close upon each other; with `restores`, the store comes back from older copies too.
 
 use stairward_simulation::{FaultKind, Options, simulate};
 
@@ -10,7 +10,8 @@
         let text = arguments.get(place);
         text.and_then(|text| text.parse().ok()).unwrap_or(1)
     };
-    let is_close = arguments.iter().any(|argument| argument == "close");
+    let is_asked = |option: &str| arguments.iter().any(|argument| argument == option);
+    let (is_close, has_restores) = (is_asked("close"), is_asked("restores"));
     let (mut violations, mut promotions, mut lost) = (0, 0, 0);
     for seed in number(0)..=number(1) {
         let mut options = Options {
@@ -22,6 +23,9 @@
             options.strikes = 14;
             options.longest_pause = 1_500;
         }
+        if has_restores {
+            options.faults = FaultKind::with_restores();
+        }
         let report = simulate(&options);
         promotions += report.promotions;
         lost += report.acknowledged_then_lost;
