A node that starts after the store came back dates no news by what the copy showed

Where the store tells an era above 0, a node now dates nothing for as long as lost words are written again, and uses a back end that it then hears to be leaving no more.

--- a/crates/stairward-membership/src/feed/follower.rs
+++ b/crates/stairward-membership/src/feed/follower.rs
@@ -348,7 +348,9 @@
         if is_other_copy && !matches!(content, FeedContent::Whole(_)) {
             return false;
         }
-        if is_other_copy {
+        // A node that has just started can't know when the store last came back.
+        let may_be_restored = self.era.is_none() && at.era() > 0;
+        if is_other_copy || may_be_restored {
             self.settled_at = Some(now + self.parameters.settles_after);
         }
         self.era = Some(at.era());
--- a/crates/stairward-membership/tests/feed_eras.rs
+++ b/crates/stairward-membership/tests/feed_eras.rs
@@ -187,6 +187,15 @@
     assert_eq!(taken(&effects), [(&changes("news"), Some(at(5_100)))]);
 }
 
+#[test]
+fn a_node_that_starts_after_a_restore_dates_no_news_by_what_the_copy_showed() {
+    let mut feed = watcher();
+    feed.handle(at(10), from_store(10, AFTER, whole("after")));
+    let news = StoreRevision::new(1, 41);
+    let effects = feed.handle(at(20), from_store(20, news, changes("lost word")));
+    assert_eq!(taken(&effects), [(&changes("lost word"), None)]);
+}
+
 /// An object's value, and the revision of its last change.
 type Objects = BTreeMap<u8, (u64, StoreRevision)>;
 
