Records know whose they are and how long a lease lasts

Each question to them took the node and the lease along, through three wrappers that did nothing else. No change of behaviour; the duty's tests pass as they were.

--- a/crates/stairward-failover/src/duty.rs
+++ b/crates/stairward-failover/src/duty.rs
@@ -74,6 +74,7 @@
     #[must_use]
     pub fn new(options: FailoverOptions) -> Self {
         Self {
+            records: Records::new(options.node.clone(), options.lease),
             options,
             groups: BTreeMap::new(),
             service_of: BTreeMap::new(),
@@ -87,7 +88,6 @@
             verify_after: BTreeMap::new(),
             reported_at: Time::ZERO,
             has_news: false,
-            records: Records::default(),
             attempts: BTreeMap::new(),
             triggered_since: BTreeMap::new(),
             pauses: BTreeMap::new(),
@@ -313,18 +313,6 @@
         }
     }
 
-    /// Whether this node was the last to write a service's record.
-    fn wrote_record(&self, now: Time, service: &ServiceName) -> bool {
-        let (node, lease) = (&self.options.node, self.options.lease);
-        self.records.is_held_by(now, service, node, lease)
-    }
-
-    /// Whether another node acts on a service at the moment.
-    fn is_held_by_another(&self, now: Time, service: &ServiceName) -> bool {
-        let (node, lease) = (&self.options.node, self.options.lease);
-        self.records.is_held_by_another(now, service, node, lease)
-    }
-
     /// The member that calls itself primary, the one announced last if there are several.
     fn announced_leader(group: &GroupState) -> Option<&BackendId> {
         let primaries = group
--- a/crates/stairward-failover/src/duty/claim.rs
+++ b/crates/stairward-failover/src/duty/claim.rs
@@ -30,15 +30,13 @@
         if self.pauses.get(service).is_some_and(|until| now < *until) {
             return;
         }
-        if self.is_held_by_another(now, service) {
+        let may_be_held = self.records.is_held_by_another(now, service)
+            || self.records.lost_lease_ends_at(now).is_some();
+        if may_be_held {
             // All who wait for the lease to lapse take turns from then on.
             self.triggered_since.remove(service);
             return;
         }
-        if self.lost_lease_ends_at(now).is_some() {
-            self.triggered_since.remove(service);
-            return;
-        }
         let Some(trigger) = self.trigger(now, service) else {
             self.triggered_since.remove(service);
             return;
@@ -76,10 +74,10 @@
 
     /// Writes the service's record.
     pub(super) fn claim(&mut self, now: Time, service: &ServiceName) {
-        if self.is_held_by_another(now, service) {
+        if self.records.is_held_by_another(now, service) {
             return self.give_up(now, service, "another node holds the duty");
         }
-        if let Some(ends_at) = self.lost_lease_ends_at(now) {
+        if let Some(ends_at) = self.records.lost_lease_ends_at(now) {
             return self.wait_for_lost_lease(now, service, ends_at);
         }
         if self.records.version(service).is_none() {
@@ -93,11 +91,6 @@
         self.write_record(service, self.records.term(service));
     }
 
-    /// Until when another node may hold the duty by a record that the store has lost; none where none can.
-    fn lost_lease_ends_at(&self, now: Time) -> Option<Time> {
-        self.records.lost_lease_ends_at(now, self.options.lease)
-    }
-
     /// An attempt that has promoted goes on once that is over, any other one begins anew.
     fn wait_for_lost_lease(&mut self, now: Time, service: &ServiceName, ends_at: Time) {
         let attempt = self.attempts.get_mut(service);
--- a/crates/stairward-failover/src/duty/promotion.rs
+++ b/crates/stairward-failover/src/duty/promotion.rs
@@ -131,7 +131,7 @@
         // An earlier promotion that was accepted just before this one still takes its time to take effect.
         let may_end_early = !attempt.must_fence;
         if is_over || (may_end_early && self.target_leads(service)) {
-            if self.wrote_record(now, service) {
+            if self.records.is_held_here(now, service) {
                 self.resume_held(service);
                 self.settle(service);
             }
@@ -166,7 +166,7 @@
     }
 
     pub(super) fn give_up(&mut self, now: Time, service: &ServiceName, reason: &'static str) {
-        let is_held_by_another = self.is_held_by_another(now, service);
+        let is_held_by_another = self.records.is_held_by_another(now, service);
         if let Some(attempt) = self.attempts.get_mut(service)
             && attempt.must_fence
             && !is_held_by_another
@@ -181,7 +181,7 @@
         let may_resume = self.attempts.get(service).is_some_and(|attempt| {
             !attempt.must_fence && now.since(attempt.claimed_at) <= self.options.lease * 3 / 4
         });
-        if may_resume && !is_held_by_another && self.wrote_record(now, service) {
+        if may_resume && !is_held_by_another && self.records.is_held_here(now, service) {
             self.resume_held(service);
             self.settle(service);
         }
--- a/crates/stairward-failover/src/records.rs
+++ b/crates/stairward-failover/src/records.rs
@@ -15,8 +15,12 @@
 }
 
 /// The records of all services.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Records {
+    /// The name under which this node writes records.
+    node: String,
+    /// How long a holder's last record keeps others from acting.
+    lease: Duration,
     /// Which copy of the store has shown the records; none before the first listing. A service without a record has none
     /// then.
     era: Option<u64>,
@@ -30,6 +34,19 @@
 }
 
 impl Records {
+    /// Nothing is known yet to the node of this name.
+    pub fn new(node: String, lease: Duration) -> Self {
+        Self {
+            node,
+            lease,
+            era: None,
+            known: BTreeMap::new(),
+            lost: BTreeMap::new(),
+            lost_at: None,
+            terms: BTreeMap::new(),
+        }
+    }
+
     /// A copy of the store has shown the records of all services that have one. Returns whether it is a later copy than
     /// before: what is known of the records of the earlier one says nothing any more.
     pub fn listed(&mut self, now: Time, era: u64) -> bool {
@@ -86,14 +103,8 @@
 
     /// Whether this node was the last to write a service's record. Another one since may have put replicas on
     /// hold. A record that the store has lost counts too while whoever wrote it may act.
-    pub fn is_held_by(
-        &self,
-        now: Time,
-        service: &ServiceName,
-        node: &str,
-        lease: Duration,
-    ) -> bool {
-        let may_lost_count = self.lost_lease_ends_at(now, lease).is_some();
+    pub fn is_held_here(&self, now: Time, service: &ServiceName) -> bool {
+        let may_lost_count = self.lost_lease_ends_at(now).is_some();
         let lost = self.lost.get(service).filter(|_| may_lost_count);
         let known = self.known.get(service);
         let mut records = known
@@ -102,26 +113,20 @@
             .filter_map(|known| known.record.as_ref())
             .peekable();
         // The record that is shown may be the older one of the two, or the newer.
-        records.peek().is_some() && records.all(|record| record.holder == node)
+        records.peek().is_some() && records.all(|record| record.holder == self.node)
     }
 
     /// Whether a node other than this one acts on a service at the moment.
-    pub fn is_held_by_another(
-        &self,
-        now: Time,
-        service: &ServiceName,
-        node: &str,
-        lease: Duration,
-    ) -> bool {
+    pub fn is_held_by_another(&self, now: Time, service: &ServiceName) -> bool {
         self.known.get(service).is_some_and(|known| {
             let holder = known.record.as_ref().map(|record| &record.holder);
-            holder.is_some_and(|holder| holder != node) && now < known.learnt_at + lease
+            holder.is_some_and(|holder| *holder != self.node) && now < known.learnt_at + self.lease
         })
     }
 
     /// Until when a node may act by a record that the store has lost; none where none can.
-    pub fn lost_lease_ends_at(&self, now: Time, lease: Duration) -> Option<Time> {
-        let ends_at = self.lost_at? + lease;
+    pub fn lost_lease_ends_at(&self, now: Time) -> Option<Time> {
+        let ends_at = self.lost_at? + self.lease;
         (now < ends_at).then_some(ends_at)
     }
 }
