--- a/crates/stairward-membership/src/feed/restored_view.rs
+++ b/crates/stairward-membership/src/feed/restored_view.rs
@@ -18,6 +18,8 @@
 /// that has ended would be listed again, an evacuation would be missing.
 #[derive(Debug)]
 pub struct RestoredView<T> {
+    /// Which copy of the store was listed last; none before the first.
+    era: Option<u64>,
     /// What is known of an object, in place of what the store shows; none where it is known to be gone.
     kept: BTreeMap<String, Option<T>>,
 }
@@ -25,15 +27,44 @@
 impl<T> Default for RestoredView<T> {
     fn default() -> Self {
         Self {
+            era: None,
             kept: BTreeMap::new(),
         }
     }
 }
 
 impl<T: StoreObject> RestoredView<T> {
-    /// The store came back from an older copy. `known` are the objects before, `gone` the names of those that had gone
-    /// lately, `listed` what the store lists now.
-    pub fn restored(
+    /// Takes in that all objects are listed anew, by the copy of the store of this era, or by a peer, of which no copy is
+    /// known. `known` are the objects before, `gone` the names of those that had gone lately. Returns whether the store
+    /// has come back from an older copy.
+    pub fn listed(
+        &mut self,
+        era: Option<u64>,
+        known: BTreeMap<String, T>,
+        gone: impl IntoIterator<Item = String>,
+        listed: &BTreeMap<String, T>,
+    ) -> bool {
+        let is_restored = self.era.is_some() && era > self.era;
+        self.era = era.or(self.era);
+        if is_restored {
+            self.keep_known(known, gone, listed);
+        } else {
+            let revision = |objects: &BTreeMap<String, T>, name: &str| {
+                objects.get(name).map(StoreObject::revision)
+            };
+            self.kept
+                .retain(|name, _| revision(&known, name) == revision(listed, name));
+        }
+        is_restored
+    }
+
+    /// Which copy of the store was listed last; none before the first.
+    #[must_use]
+    pub const fn era(&self) -> Option<u64> {
+        self.era
+    }
+
+    fn keep_known(
         &mut self,
         known: BTreeMap<String, T>,
         gone: impl IntoIterator<Item = String>,
--- a/crates/stairward-membership/tests/restored_view.rs
+++ b/crates/stairward-membership/tests/restored_view.rs
@@ -48,7 +48,9 @@
     let listed = entries(1, listed);
     let mut view = RestoredView::default();
     let gone = gone.iter().map(|name| (*name).to_owned());
-    view.restored(entries(0, known), gone, &listed);
+    let known = entries(0, known);
+    assert!(!view.listed(Some(0), BTreeMap::new(), Vec::new(), &known));
+    assert!(view.listed(Some(1), known, gone, &listed));
     (view, listed)
 }
 
@@ -91,7 +93,7 @@
 fn what_a_second_restore_brings_takes_back_nothing_either() {
     let (mut view, listed) = seen(&[("db", 80, "draining")], &[], &[("db", 20, "ready")]);
     let again = entries(2, &[("db", 20, "ready")]);
-    view.restored(listed, Vec::new(), &again);
+    assert!(view.listed(Some(2), listed, Vec::new(), &again));
     assert_eq!(words(&view.shown(&again)), [("db", "draining")]);
 }
 
@@ -99,6 +101,6 @@
 fn a_second_restore_brings_back_nothing_that_has_ended() {
     let (mut view, listed) = seen(&[], &["db"], &[("db", 20, "ready")]);
     let again = entries(2, &[("db", 20, "ready")]);
-    view.restored(listed, Vec::new(), &again);
+    assert!(view.listed(Some(2), listed, Vec::new(), &again));
     assert!(view.shown(&again).is_empty());
 }
--- a/crates/stairward-simulation/src/store_view.rs
+++ b/crates/stairward-simulation/src/store_view.rs
@@ -47,7 +47,6 @@
 /// The objects of a kind as one node sees them.
 #[derive(Debug)]
 pub(crate) struct StoreView<T> {
-    era: Option<u64>,
     listed: BTreeMap<String, T>,
     gone: BTreeSet<String>,
     restored: RestoredView<T>,
@@ -57,7 +56,6 @@
 impl<T> Default for StoreView<T> {
     fn default() -> Self {
         Self {
-            era: None,
             listed: BTreeMap::new(),
             gone: BTreeSet::new(),
             restored: RestoredView::default(),
@@ -75,18 +73,16 @@
         listed: BTreeMap<String, T>,
     ) -> BTreeMap<String, T> {
         let before = std::mem::replace(&mut self.listed, listed);
-        let era_before = self.era.replace(era);
-        let is_later_copy = era_before.is_some_and(|before| before < era);
-        let may_be_restored = era_before.is_none() && era > 0;
-        if is_later_copy || may_be_restored {
+        // A node that has just started can't know when the store last came back.
+        let may_be_restored = self.restored.era().is_none() && era > 0;
+        let names_before: BTreeSet<String> = before.keys().cloned().collect();
+        let gone = self.gone.clone();
+        let is_restored = self.restored.listed(Some(era), before, gone, &self.listed);
+        if is_restored || may_be_restored {
             self.settles_at = Some(now + SETTLES_AFTER);
         }
-        if is_later_copy {
-            let gone = self.gone.clone();
-            self.restored.restored(before, gone, &self.listed);
-        } else {
-            self.note_written(&before);
-        }
+        self.gone.extend(names_before);
+        self.gone.retain(|name| !self.listed.contains_key(name));
         if self.settles_at.is_some_and(|at| now >= at) {
             self.settles_at = None;
             self.restored.settled();
@@ -98,20 +94,4 @@
     pub fn is_settled(&self) -> bool {
         self.settles_at.is_none()
     }
-
-    fn note_written(&mut self, before: &BTreeMap<String, T>) {
-        for (name, object) in &self.listed {
-            self.gone.remove(name);
-            let known = before.get(name).map(StoreObject::revision);
-            if known != Some(object.revision()) {
-                self.restored.written(name);
-            }
-        }
-        for name in before.keys() {
-            if !self.listed.contains_key(name) {
-                self.gone.insert(name.clone());
-                self.restored.written(name);
-            }
-        }
-    }
 }
