--- a/crates/stairward-runtime/src/discovered.rs
+++ b/crates/stairward-runtime/src/discovered.rs
@@ -29,20 +29,6 @@
         self.service_of.is_empty()
     }
 
-    /// What differs in a whole list from what is known.
-    #[must_use]
-    pub fn difference(&self, list: Vec<BackendDescription>) -> DiscoveryChange {
-        let listed: BTreeSet<BackendId> = list.iter().map(|backend| backend.id.clone()).collect();
-        let gone = self.service_of.keys().filter(|id| !listed.contains(*id));
-        let gone = gone.cloned().collect();
-        let is_news = |backend: &BackendDescription| {
-            self.get(&backend.id)
-                .is_none_or(|known| **known != *backend)
-        };
-        let described = list.into_iter().filter(is_news).map(Arc::new).collect();
-        DiscoveryChange { described, gone }
-    }
-
     /// Takes a change in. Returns the services that it touches.
     pub fn apply(&mut self, now: Time, change: &DiscoveryChange) -> BTreeSet<ServiceName> {
         self.gone
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -8,9 +8,8 @@
 
 use bytes::BytesMut;
 use stairward_engine::{
-    BackendDescription, ConnectionId, DiscoveryChange, Effect, Engine, EngineOptions,
-    EngineStatistics, Event, Evidence, LeadChange, LeavingChange, RoutingTable, SessionId,
-    ZoneWork,
+    ConnectionId, DiscoveryChange, Effect, Engine, EngineOptions, EngineStatistics, Event,
+    Evidence, LeadChange, LeavingChange, RoutingTable, SessionId, ZoneWork,
 };
 use stairward_failover::{
     FailoverDuty, FailoverOptions, LeaderEvidence, LeaderMemory, RecordVersion,
@@ -195,13 +194,6 @@
         self.tell_duty_of_groups();
     }
 
-    /// Takes discovery's whole present list in. What is new in it came about after `since`, or at any time where that
-    /// is not known.
-    pub fn set_backends(self: &Rc<Self>, list: Vec<BackendDescription>, since: Option<Time>) {
-        let change = self.discovered.borrow().difference(list);
-        self.change_backends(change, since);
-    }
-
     /// Takes in what differs in discovery's list. It came about after `since`, or at any time where that is not known.
     pub fn change_backends(self: &Rc<Self>, change: DiscoveryChange, since: Option<Time>) {
         let touched = self.discovered.borrow_mut().apply(self.now(), &change);
--- a/crates/stairward-runtime/tests/discovered.rs
+++ b/crates/stairward-runtime/tests/discovered.rs
@@ -3,9 +3,10 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use stairward_engine::BackendDescription;
+use stairward_engine::{BackendDescription, DiscoveryChange};
 use stairward_runtime::discovered::Discovered;
 use stairward_testing::check;
 use stairward_types::{BackendId, BackendRole, ServiceName, StoreRevision, Time, ZoneName};
@@ -44,6 +45,21 @@
         .collect()
 }
 
+/// What differs in a whole list from what is known of these back ends.
+fn difference(discovered: &Discovered, list: Vec<BackendDescription>) -> DiscoveryChange {
+    let ids = (0..8).map(|number| BackendId::new(format!("db-{number}")).unwrap());
+    let is_gone = |id: &BackendId| {
+        discovered.get(id).is_some() && !list.iter().any(|backend| backend.id == *id)
+    };
+    let gone = ids.filter(is_gone).collect();
+    let is_news = |backend: &BackendDescription| {
+        let known = discovered.get(&backend.id);
+        known.is_none_or(|known| **known != *backend)
+    };
+    let described = list.into_iter().filter(is_news).map(Arc::new).collect();
+    DiscoveryChange { described, gone }
+}
+
 #[test]
 fn after_any_changes_the_last_list_is_known() {
     check!()
@@ -52,7 +68,7 @@
             let mut discovered = Discovered::default();
             for steps in lists {
                 let list = list(steps);
-                let change = discovered.difference(list.values().cloned().collect());
+                let change = difference(&discovered, list.values().cloned().collect());
                 discovered.apply(Time::ZERO, &change);
                 assert_eq!(discovered.is_empty(), list.is_empty());
                 for number in 0..8 {
@@ -68,7 +84,7 @@
                     let slots = expected.iter().filter_map(|backend| backend.slots).max();
                     assert_eq!(discovered.slots(&service), slots);
                 }
-                let again = discovered.difference(list.into_values().collect());
+                let again = difference(&discovered, list.into_values().collect());
                 assert!(again.described.is_empty() && again.gone.is_empty());
             }
         });
@@ -78,16 +94,16 @@
 fn one_that_is_gone_is_remembered_for_a_minute() {
     let mut discovered = Discovered::default();
     let both = vec![describe(1, 1), describe(2, 1)];
-    let change = discovered.difference(both);
+    let change = difference(&discovered, both);
     discovered.apply(Time::ZERO, &change);
     let id = BackendId::new("db-1").unwrap();
-    let change = discovered.difference(vec![describe(2, 1)]);
+    let change = difference(&discovered, vec![describe(2, 1)]);
     assert_eq!(change.gone, std::slice::from_ref(&id));
     let touched = discovered.apply(Time::from_millis(1_000), &change);
     assert!(touched.contains(&service(1)) && !touched.contains(&service(2)));
     assert!(discovered.get(&id).is_none());
     assert!(discovered.get_or_remembered(&id).is_some());
-    let change = discovered.difference(vec![describe(2, 3)]);
+    let change = difference(&discovered, vec![describe(2, 3)]);
     discovered.apply(Time::from_millis(62_000), &change);
     assert!(discovered.get_or_remembered(&id).is_none());
 }
