Failover: a step-down proves nothing if a later term is known

What callers saw: writes and bookings that were acknowledged and then rolled back.

Cause: db-2, primary of term 2, was dark for a while and its entry was missing from discovery, which named db-1 (term 1, still running) as the primary. The failover controller asked db-1 to step down; db-1 did, and all other listed members were replicas, so that the controller took db-1 for the only possible leader. db-3 had answered that it follows term 2: its leader, db-2, was asked by nobody and went on.

Ruled out: an unanswered promotion (both were answered), a revocation that was dropped (none was sent: a step-down needs none).

Fix: a step-down, and the word of all nodes, are enough only if no member has reported a later term than the old primary's. Otherwise replicas are put on hold and the lease is waited for, as where the old primary does not answer.

The new test of the controller fails before and passes now.

--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -159,8 +159,9 @@
 
     /// Whether the old primary is the only member that can be leading: every other listed member
     /// reports the replica role, the old primary did not do so before it was asked to step down,
-    /// and no earlier promotion is unanswered. If no member leads, an earlier promotion may be
-    /// about to take effect.
+    /// no member reported a later term than its own, and no earlier promotion is unanswered. If no
+    /// member leads, an earlier promotion may be about to take effect. The leader of a later term
+    /// may be missing from discovery and still be in use.
     pub fn is_old_sole_leader(&self, group: &GroupState) -> bool {
         let others = group
             .members
@@ -171,7 +172,14 @@
             status.is_some_and(|status| status.role == BackendRole::Replica)
         };
         let old_may_lead = self.old.is_some() && !self.old_was_replica;
-        old_may_lead && !self.must_fence && answers.all(follows)
+        old_may_lead && !self.must_fence && !self.knows_later_term() && answers.all(follows)
+    }
+
+    /// Whether a member reported a later term than that of the old primary. An old primary that has
+    /// not answered may be in any term.
+    fn knows_later_term(&self) -> bool {
+        let old = self.old.as_ref().and_then(|old| self.answers.get(old));
+        old.is_some_and(|old| old.term < self.newest_term())
     }
 
     /// Whether every replica that was queried has answered.
--- a/crates/stairward-failover/tests/demotion.rs
+++ b/crates/stairward-failover/tests/demotion.rs
@@ -378,6 +378,24 @@
     assert!(attempt.promotions().is_empty());
 }
 
+/// Guards against two leaders where discovery has lost the leader of the newest term and names the one before
+/// it: that one steps down, and its successor, which nobody asked, goes on.
+#[test]
+fn a_step_down_of_a_leader_of_an_earlier_term_is_insufficient() {
+    let mut attempt = Attempt::claimed(true);
+    attempt.answer(OLD, status(BackendRole::Primary, 1, 60, 0));
+    attempt.answer(NEXT, status(BackendRole::Replica, 2, 70, 0));
+    attempt.answer(OTHER, replica(60));
+    attempt.call_result(OLD, Via::Direct, MemberCallResult::GaveWay(replica(60)));
+    attempt.advance(100);
+    assert!(attempt.promotions().is_empty());
+    attempt.advance(200);
+    assert!(
+        attempt.has_effect(|effect| matches!(effect, Effect::HoldVia(_, Term(3), _))),
+        "the replicas are put on hold instead"
+    );
+}
+
 #[test]
 fn a_leader_of_a_later_term_ends_the_attempt() {
     let mut attempt = Attempt::unplanned();
