Failover: fence with a leader only if no unheard member may lead

What callers saw: writes that were acknowledged and then rolled back.

Cause: after a promotion without an answer the controller promotes "the member that leads already" with a higher token, so that the first call is refused if it comes late. It took for that member whoever reported the primary role in the newest term among the answers, also while the target of the unanswered promotion did not answer.

Ruled out: a revocation that was lost (all nodes had term 3), a wrong age of a confirmation (db-1's confirmation was right as far as its members knew).

Fix: a member is promoted as a fence only if its term is the announced one or later, or if every other listed member and every target of an unanswered promotion has answered. Otherwise it is demoted like any old primary, with holds and the lease. Where the pending term has not started, the fence is announced as the term after it, so that nodes confirm neither; and the next term counts unanswered fences. The end of the attempt is told to the nodes after a restart of the attempt, too.

Two of the three new tests fail before; the third shows that a leader which the pending promotion has started is not revoked.

--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -56,9 +56,16 @@
     pub target_was_leader: bool,
     /// When the nodes were last told that a term may start.
     pub announced_at: Time,
+    /// Whether the nodes were told that a term may start, so that they must be told of the end.
+    pub is_announced: bool,
     /// Whether an earlier promotion got no answer and may still be carried out. A decision with a
     /// higher token must be answered before this attempt may end.
     pub must_fence: bool,
+    /// Targets of earlier promotions that got no answer.
+    pub pending_targets: BTreeSet<BackendId>,
+    /// Unanswered promotions of the member that led already. Each may start a term if another
+    /// member leads by then.
+    pub pending_fences: u64,
     /// Lower bound on [`crate::Placement::allowed_work`] of the target, used when the leader moves
     /// to a region where more work is allowed.
     pub min_allowed_work: u64,
@@ -90,7 +97,10 @@
             target: None,
             target_was_leader: false,
             announced_at: now,
+            is_announced: false,
             must_fence: false,
+            pending_targets: BTreeSet::new(),
+            pending_fences: 0,
             min_allowed_work: 0,
         }
     }
@@ -150,11 +160,30 @@
         terms.max().unwrap_or_default()
     }
 
-    /// A term above any that members have reported or are on hold for.
+    /// A term above any that members have reported or are on hold for, and above any that an
+    /// unanswered promotion may start.
     pub fn next_term(&self) -> Term {
         let terms = self.answers.values().map(MemberStatus::awaited_term);
         let newest = terms.max().unwrap_or_default().max(self.known_term);
-        Term(newest.0.saturating_add(1))
+        Term(newest.0.saturating_add(self.pending_fences + 1))
+    }
+
+    /// Whether a leader of the pending term, or any later one, has started.
+    pub fn has_pending_term_started(&self, leader: &BackendId) -> bool {
+        let status = self.answers.get(leader);
+        self.known_term > Term::default()
+            && status.is_some_and(|status| status.term >= self.known_term)
+    }
+
+    /// Whether every other member that may lead has answered: those that are listed, and the
+    /// targets of unanswered promotions.
+    pub fn have_others_answered(&self, group: &GroupState, leader: &BackendId) -> bool {
+        let listed = group.members.iter().filter(|(_, member)| member.is_listed);
+        let listed = listed.map(|(id, _)| id);
+        let mut others = listed
+            .chain(&self.pending_targets)
+            .filter(|id| *id != leader);
+        others.all(|id| self.answers.contains_key(id))
     }
 
     /// Whether the old primary is the only member that can be leading: every other listed member
--- a/crates/stairward-failover/src/controller/claim.rs
+++ b/crates/stairward-failover/src/controller/claim.rs
@@ -235,13 +235,24 @@
         let Some(lease) = self.options.leadership_lease else {
             return;
         };
+        let is_due = self
+            .attempts
+            .get(service)
+            .is_some_and(|attempt| attempt.must_fence && now >= attempt.announced_at + lease);
+        if is_due {
+            self.announce_known_term(now, service);
+        }
+    }
+
+    /// Tells the nodes that the newest known term may start.
+    pub(super) fn announce_known_term(&mut self, now: Time, service: &ServiceName) {
         let Some(attempt) = self.attempts.get_mut(service) else {
             return;
         };
         let term = attempt.known_term;
-        let is_due = attempt.must_fence && now >= attempt.announced_at + lease;
-        if is_due && term > Term::default() {
+        if self.options.leadership_lease.is_some() && term > Term::default() {
             attempt.announced_at = now;
+            attempt.is_announced = true;
             let revoke = Effect::Revoke(service.clone(), term, self.leader_users.clone());
             self.effects.push(revoke);
         }
--- a/crates/stairward-failover/src/controller/demotion_steps.rs
+++ b/crates/stairward-failover/src/controller/demotion_steps.rs
@@ -77,6 +77,8 @@
             self.effects.push(Effect::HoldVia(id.clone(), term, ways));
         }
         demotion.await_users(self.leader_users.clone());
+        attempt.announced_at = now;
+        attempt.is_announced = true;
         let revoke = Effect::Revoke(service.clone(), term, self.leader_users.clone());
         self.effects.push(revoke);
         self.log(service, FailoverStep::Holding { replicas, term });
@@ -135,11 +137,12 @@
             return self.give_up(now, service, "the old primary was not demoted in time");
         }
         if let Some(leader) = attempt.other_leader().cloned() {
-            return if attempt.must_fence {
-                self.fence_earlier_promotion(now, service, leader);
-            } else {
-                self.give_up(now, service, "another member leads already");
-            };
+            if !attempt.must_fence {
+                return self.give_up(now, service, "another member leads already");
+            }
+            if self.may_fence_with(service, &leader) {
+                return self.fence_earlier_promotion(now, service, leader);
+            }
         }
         let old_is_sole_leader = self
             .groups
--- a/crates/stairward-failover/src/controller/member_status.rs
+++ b/crates/stairward-failover/src/controller/member_status.rs
@@ -125,7 +125,11 @@
             && let Some(leader) = current_leader
             && !(old_has_lost_log && Some(&leader) == attempt.old.as_ref())
         {
-            return self.fence_earlier_promotion(now, service, leader);
+            return if self.may_fence_with(service, &leader) {
+                self.fence_earlier_promotion(now, service, leader)
+            } else {
+                self.begin_demotion(now, service)
+            };
         }
         if let Some(leader) = attempt.other_leader().cloned() {
             self.evidence.forget(&leader);
--- a/crates/stairward-failover/src/controller/promotion.rs
+++ b/crates/stairward-failover/src/controller/promotion.rs
@@ -36,6 +36,9 @@
 
     /// Promotes the member that already leads. This changes no role, but its higher token prevents
     /// earlier promotion calls from taking effect.
+    ///
+    /// If the earlier promotion takes effect first, this one starts another term. The nodes are
+    /// told of that term unless the earlier one has started its own already.
     pub(super) fn fence_earlier_promotion(
         &mut self,
         now: Time,
@@ -44,10 +47,27 @@
     ) {
         if let Some(attempt) = self.attempts.get_mut(service) {
             attempt.target_was_leader = true;
+            if !attempt.has_pending_term_started(&leader) {
+                attempt.known_term = attempt.next_term();
+                self.announce_known_term(now, service);
+            }
         }
         self.promote(now, service, leader, None);
     }
 
+    /// Whether promoting a member that reports the primary role only fences an earlier promotion.
+    /// Where old primaries go on, it may have been replaced by a member that does not answer; then
+    /// it must be demoted like any other old primary.
+    pub(super) fn may_fence_with(&self, service: &ServiceName, leader: &BackendId) -> bool {
+        let (Some(group), Some(attempt)) = (self.groups.get(service), self.attempts.get(service))
+        else {
+            return false;
+        };
+        self.options.leadership_lease.is_none()
+            || attempt.has_pending_term_started(leader)
+            || attempt.have_others_answered(group, leader)
+    }
+
     pub(super) fn review_promotion(&mut self, now: Time, service: &ServiceName) {
         let Some(attempt) = self.attempts.get(service) else {
             return;
@@ -69,9 +89,16 @@
             let is_planned = attempt.is_planned;
             let pending = attempt.demotion.as_ref().map(|demotion| demotion.term);
             let known_term = attempt.known_term.max(pending.unwrap_or_default());
+            let mut pending_targets = std::mem::take(&mut attempt.pending_targets);
+            pending_targets.extend(attempt.target.take());
+            let pending_fences = attempt.pending_fences + u64::from(attempt.target_was_leader);
+            let is_announced = attempt.is_announced;
             *attempt = Attempt::new(old, is_planned, now);
             attempt.held = held;
             attempt.must_fence = true;
+            attempt.pending_targets = pending_targets;
+            attempt.pending_fences = pending_fences;
+            attempt.is_announced = is_announced;
             // The unanswered promotion may still start that term, so the next one must be higher.
             attempt.known_term = known_term;
         }
@@ -155,10 +182,7 @@
     /// Announces the end of the attempt to the nodes that were told of its promotion.
     pub(super) fn announce_attempt_ended(&mut self, service: &ServiceName) {
         let attempt = self.attempts.get(service);
-        let was_announced = attempt
-            .and_then(|attempt| attempt.demotion.as_ref())
-            .is_some_and(|demotion| demotion.holding_since.is_some());
-        if was_announced {
+        if attempt.is_some_and(|attempt| attempt.is_announced) {
             let announcement =
                 Effect::AnnounceAttemptEnded(service.clone(), self.leader_users.clone());
             self.effects.push(announcement);
--- a/crates/stairward-failover/tests/demotion.rs
+++ b/crates/stairward-failover/tests/demotion.rs
@@ -447,6 +447,63 @@
     assert_eq!(attempt.resumes(), 0);
 }
 
+/// An attempt whose promotion of the best replica got no answer, and which has claimed the record again. The
+/// promotion was announced as term 2.
+fn after_an_unanswered_promotion() -> Attempt {
+    let mut attempt = Attempt::unplanned();
+    attempt.advance(600);
+    attempt.confirm_holds();
+    attempt.revoked(2, PEER, 1);
+    attempt.revoked(2, USER, 1);
+    assert_eq!(attempt.promotions(), [backend(NEXT)]);
+    let unknown = PromotionOutcome::Unknown;
+    attempt.handle(Event::Promotion(service(), FencingToken(4), unknown));
+    attempt.effects.clear();
+    attempt.handle(written(9, Term(0)));
+    attempt
+}
+
+/// Guards against promoting an old primary, as if it led, while the target of an unanswered promotion leads
+/// already and does not answer.
+#[test]
+fn an_old_primary_is_not_promoted_while_a_possible_successor_does_not_answer() {
+    let mut attempt = after_an_unanswered_promotion();
+    attempt.answer(OLD, status(BackendRole::Primary, 1, 60, 0));
+    attempt.answer(OTHER, replica(60));
+    attempt.advance(400);
+    assert_eq!(attempt.promotions(), []);
+    let is_asked =
+        |effect: &Effect| matches!(effect, Effect::StepDown(id, Term(3), _) if *id == backend(OLD));
+    assert!(attempt.has_effect(is_asked), "{:?}", attempt.effects);
+}
+
+/// Guards against a confirmation of the target of an unanswered promotion while the old primary is promoted to
+/// fence it: if the first call is carried out before the second, each starts a term.
+#[test]
+fn a_promotion_that_fences_an_unanswered_one_is_announced_as_a_later_term() {
+    let mut attempt = after_an_unanswered_promotion();
+    attempt.answer(OLD, status(BackendRole::Primary, 1, 60, 0));
+    attempt.answer(NEXT, held(50));
+    attempt.answer(OTHER, held(40));
+    attempt.advance(400);
+    assert_eq!(attempt.promotions(), [backend(OLD)]);
+    let expected = Effect::Revoke(service(), Term(3), [PEER, USER].into());
+    assert!(attempt.effects.contains(&expected), "{:?}", attempt.effects);
+}
+
+/// Once the term of the unanswered promotion has started, fencing it starts no other, and writes go on.
+#[test]
+fn a_leader_that_an_unanswered_promotion_has_started_is_not_revoked() {
+    let mut attempt = after_an_unanswered_promotion();
+    attempt.answer(NEXT, status(BackendRole::Primary, 2, 50, 0));
+    attempt.answer(OTHER, status(BackendRole::Replica, 2, 50, 0));
+    attempt.advance(400);
+    assert_eq!(attempt.promotions(), [backend(NEXT)]);
+    let is_later =
+        |effect: &Effect| matches!(effect, Effect::Revoke(_, term, _) if *term > Term(2));
+    assert!(!attempt.has_effect(is_later), "{:?}", attempt.effects);
+}
+
 /// Another node may have put them on hold since, for its own attempt.
 #[test]
 fn a_node_that_lost_the_lease_releases_no_hold_after_its_promotion() {
--- a/crates/stairward-simulation/examples/run_seed.rs
+++ b/crates/stairward-simulation/examples/run_seed.rs
@@ -1,8 +1,9 @@
 //! Runs seeds in which old primaries keep running, and prints the injected faults, the failover decisions and
 //! the first violations of each seed that has any.
 //!
-//! Usage: `cargo run --release --example run_seed -- FROM TO [close] [restores]`. With `close`, faults follow
-//! each other quickly; with `restores`, the store is also restored from older copies.
+//! Usage: `cargo run --release --example run_seed -- FROM TO [close] [restores] [all]`. With `close`, faults
+//! follow each other quickly; with `restores`, the store is also restored from older copies; with `all`, every
+//! violation is printed.
 
 use stairward_simulation::{FaultKind, Options, simulate};
 
@@ -33,9 +34,10 @@
         lost += report.acknowledged_then_lost;
         if !report.violations.is_empty() {
             violations += report.violations.len();
-            let first: Vec<_> = report.violations.iter().take(2).collect();
+            let shown = if has_argument("all") { usize::MAX } else { 2 };
+            let shown: Vec<_> = report.violations.iter().take(shown).collect();
             println!(
-                "seed {seed}: {:#?}\n{:#?}\n{first:#?}",
+                "seed {seed}: {:#?}\n{:#?}\n{shown:#?}",
                 report.faults, report.decisions
             );
         }
