Failover: repeat the announced term while its promotion is in progress

Cause: the nodes were told once that a term may start. Node-0 was paused at that moment (10.856 to 16.297 s; the term was announced at 15.645 s). From then on only the holds of the replicas could tell it. Node-0 asked the members in between, saw term 2 and no hold, and confirmed db-3 at 17.060 s. The other nodes had been told and did not. A node that took over the holds of an earlier holder, as here, repeated nothing at all: it knew no term for its announcement.

Ruled out: the age of the confirmation (the members were asked after 17.017 s), the holds' check before the promotion (they were in place at 16.80 s), a wrong term number (the announced one, 4, is above both).

Fix: the announced term is told again every quarter of a lease to nodes that have not confirmed it, and every lease to all, until the attempt ends; an attempt that takes over holds announces their term.

Three new tests of the controller fail before. While an attempt with holds lasts, this costs one message a lease and node, and up to four to a node that does not answer.

--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -54,8 +54,10 @@
     /// Whether the target was already primary when it was chosen, so that its role does not show
     /// that the promotion took effect.
     pub target_was_leader: bool,
-    /// When the nodes were last told that a term may start.
+    /// When all nodes were last told that a term may start.
     pub announced_at: Time,
+    /// When any node was last told that a term may start.
+    pub reminded_at: Time,
     /// Whether the nodes were told that a term may start, so that they must be told of the end.
     pub is_announced: bool,
     /// Whether an earlier promotion got no answer and may still be carried out. A decision with a
@@ -97,6 +99,7 @@
             target: None,
             target_was_leader: false,
             announced_at: now,
+            reminded_at: now,
             is_announced: false,
             must_fence: false,
             pending_targets: BTreeSet::new(),
@@ -168,6 +171,13 @@
         Term(newest.0.saturating_add(self.pending_fences + 1))
     }
 
+    /// The newest term that a promotion of this attempt may start.
+    pub fn pending_term(&self) -> Term {
+        let holding = self.demotion.as_ref().filter(|d| d.holding_since.is_some());
+        let term = holding.map(|demotion| demotion.term);
+        self.known_term.max(term.unwrap_or_default())
+    }
+
     /// Whether a leader of the pending term, or any later one, has started.
     pub fn has_pending_term_started(&self, leader: &BackendId) -> bool {
         let status = self.answers.get(leader);
--- a/crates/stairward-failover/src/controller.rs
+++ b/crates/stairward-failover/src/controller.rs
@@ -336,7 +336,7 @@
     fn review(&mut self, now: Time, service: &ServiceName) {
         self.track_missing_primary(now, service);
         self.hold_new_replicas(service);
-        self.announce_pending_term(now, service);
+        self.repeat_announcement(now, service);
         match self
             .attempts
             .get(service)
--- a/crates/stairward-failover/src/controller/claim.rs
+++ b/crates/stairward-failover/src/controller/claim.rs
@@ -7,9 +7,14 @@
 use super::FailoverController;
 use super::trigger::Trigger;
 use crate::attempt::{Attempt, Stage};
+use crate::demotion::Demotion;
 use crate::event::{Effect, FailoverRecord, FailoverStep, FencingToken, RecordVersion};
 use crate::start_delay::start_delay;
 
+/// Fraction of the leadership lease after which a node that has not confirmed an announced term is
+/// told again.
+const REMINDER_DIVISOR: u32 = 4;
+
 impl FailoverController {
     /// Estimates how many nodes have the same reason to act. A node that finds a leader silent
     /// reports this to a few peers, so the reports that reach this node indicate how many nodes
@@ -229,29 +234,44 @@
         }
     }
 
-    /// Repeats the revocation of older leaders while an unanswered promotion may still be carried
-    /// out, however long the store prevents this node from fencing it.
-    pub(super) fn announce_pending_term(&mut self, now: Time, service: &ServiceName) {
+    /// Repeats the announcement of the attempt's term until the attempt ends, to nodes that have
+    /// not confirmed it and, less often, to all: a node that was paused has missed it, and one that
+    /// has restarted has forgotten it.
+    pub(super) fn repeat_announcement(&mut self, now: Time, service: &ServiceName) {
         let Some(lease) = self.options.leadership_lease else {
             return;
         };
-        let is_due = self
-            .attempts
-            .get(service)
-            .is_some_and(|attempt| attempt.must_fence && now >= attempt.announced_at + lease);
-        if is_due {
-            self.announce_known_term(now, service);
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return;
+        };
+        if !attempt.is_announced && !attempt.must_fence {
+            return;
+        }
+        if now >= attempt.announced_at + lease {
+            return self.announce_pending_term(now, service);
+        }
+        let term = attempt.pending_term();
+        let demotion = attempt.demotion.as_ref();
+        let unconfirmed = demotion.map(Demotion::unconfirmed_users);
+        let unconfirmed = unconfirmed.filter(|users| !users.is_empty());
+        if now >= attempt.reminded_at + lease / REMINDER_DIVISOR
+            && let Some(users) = unconfirmed
+        {
+            attempt.reminded_at = now;
+            self.effects
+                .push(Effect::Revoke(service.clone(), term, users));
         }
     }
 
-    /// Tells the nodes that the newest known term may start.
-    pub(super) fn announce_known_term(&mut self, now: Time, service: &ServiceName) {
+    /// Tells all nodes that a later term may start.
+    pub(super) fn announce_pending_term(&mut self, now: Time, service: &ServiceName) {
         let Some(attempt) = self.attempts.get_mut(service) else {
             return;
         };
-        let term = attempt.known_term;
+        let term = attempt.pending_term();
         if self.options.leadership_lease.is_some() && term > Term::default() {
             attempt.announced_at = now;
+            attempt.reminded_at = now;
             attempt.is_announced = true;
             let revoke = Effect::Revoke(service.clone(), term, self.leader_users.clone());
             self.effects.push(revoke);
--- a/crates/stairward-failover/src/controller/demotion_steps.rs
+++ b/crates/stairward-failover/src/controller/demotion_steps.rs
@@ -77,10 +77,7 @@
             self.effects.push(Effect::HoldVia(id.clone(), term, ways));
         }
         demotion.await_users(self.leader_users.clone());
-        attempt.announced_at = now;
-        attempt.is_announced = true;
-        let revoke = Effect::Revoke(service.clone(), term, self.leader_users.clone());
-        self.effects.push(revoke);
+        self.announce_pending_term(now, service);
         self.log(service, FailoverStep::Holding { replicas, term });
     }
 
--- a/crates/stairward-failover/src/controller/member_status.rs
+++ b/crates/stairward-failover/src/controller/member_status.rs
@@ -172,6 +172,8 @@
             .map(|(id, _)| id.clone())
             .collect();
         attempt.must_fence |= !left.is_empty();
+        let held_for = attempt.answers.values().map(|status| status.held);
+        attempt.known_term = attempt.known_term.max(held_for.max().unwrap_or_default());
         attempt.held.extend(left);
     }
 }
--- a/crates/stairward-failover/src/controller/promotion.rs
+++ b/crates/stairward-failover/src/controller/promotion.rs
@@ -49,7 +49,7 @@
             attempt.target_was_leader = true;
             if !attempt.has_pending_term_started(&leader) {
                 attempt.known_term = attempt.next_term();
-                self.announce_known_term(now, service);
+                self.announce_pending_term(now, service);
             }
         }
         self.promote(now, service, leader, None);
--- a/crates/stairward-failover/src/demotion.rs
+++ b/crates/stairward-failover/src/demotion.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// The nodes that have not confirmed that they stopped accepting the old leader.
+    pub fn unconfirmed_users(&self) -> BTreeSet<NodeId> {
+        self.pending_users.clone().unwrap_or_default()
+    }
+
     /// Whether every other member is on hold, and every node that may use a leader has stopped
     /// accepting the old one.
     fn is_revoked_by_all(&self) -> bool {
--- a/crates/stairward-failover/tests/demotion.rs
+++ b/crates/stairward-failover/tests/demotion.rs
@@ -295,6 +295,49 @@
     assert_eq!(attempt.proof(), Some(DemotionProof::Revoked));
 }
 
+/// Guards against a confirmation of another leader by a node that was paused when the term was announced: the holds
+/// that would tell it may be gone by the time it asks.
+#[test]
+fn a_node_that_has_not_confirmed_a_revocation_is_told_again() {
+    let mut attempt = Attempt::unplanned();
+    attempt.advance(600);
+    attempt.revoked(2, PEER, 1);
+    attempt.effects.clear();
+    attempt.advance(300);
+    let reminder = Effect::Revoke(service(), Term(2), [USER].into());
+    assert!(attempt.effects.contains(&reminder), "{:?}", attempt.effects);
+}
+
+/// Guards against a node that restarts while a promotion is in progress: it has forgotten the announced term.
+#[test]
+fn all_nodes_are_told_of_the_term_again_while_a_promotion_is_in_progress() {
+    let mut attempt = Attempt::unplanned();
+    attempt.advance(600);
+    attempt.confirm_holds();
+    attempt.revoked(2, PEER, 1);
+    attempt.revoked(2, USER, 1);
+    assert_eq!(attempt.promotions(), [backend(NEXT)]);
+    attempt.effects.clear();
+    attempt.advance(1_100);
+    let again = Effect::Revoke(service(), Term(2), [PEER, USER].into());
+    assert!(attempt.effects.contains(&again), "{:?}", attempt.effects);
+}
+
+/// Guards against confirmations while the promotion of an earlier holder is unanswered: only the holds tell of it, and
+/// end when it takes effect.
+#[test]
+fn the_term_of_holds_left_by_an_earlier_attempt_is_announced() {
+    let mut attempt = Attempt::claimed(false);
+    attempt.answer(NEXT, status(BackendRole::Replica, 1, 50, 4));
+    attempt.answer(OTHER, held(40));
+    attempt.advance(600);
+    let revoke = Effect::Revoke(service(), Term(5), [PEER, USER].into());
+    assert!(attempt.effects.contains(&revoke), "{:?}", attempt.effects);
+    attempt.effects.clear();
+    attempt.advance(1_100);
+    assert!(attempt.effects.contains(&revoke), "{:?}", attempt.effects);
+}
+
 /// Guards against announcing a term twice: members that received nothing from a leader don't know
 /// its term.
 #[test]
