Failover: the holder counts the newest term that its own node knows

The holder, node-0, asked db-2 to step down, announced term 3 a second time and promoted db-1. Its own engine had confirmed db-3 in term 3 at 8.024 s: the controller did not ask it. Nodes that reached db-3 confirmed it until db-1's term was seen.

The record in the store did not name term 3 either; that it is written once only is a fault of its own.

Fix: with each claim the controller asks its node for the newest term that it has seen in any reply. A step-down in an earlier term proves nothing, and the announced term is above it. Terms that are known to have started are kept apart from those that were only announced.

The new test of the controller needs the new event.

--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -46,8 +46,11 @@
     /// Members that were queried and have not answered.
     pub unanswered: BTreeSet<BackendId>,
     pub answers: BTreeMap<BackendId, MemberStatus>,
-    /// The newest term that any node knew to have started.
+    /// The newest term that a promotion was announced for or that its holder recorded. It may not
+    /// have started.
     pub known_term: Term,
+    /// The newest term that any node knew to have started.
+    pub started_term: Term,
     /// Replicas that may be on hold.
     pub held: BTreeSet<BackendId>,
     pub target: Option<BackendId>,
@@ -95,6 +98,7 @@
             unanswered: BTreeSet::new(),
             answers: BTreeMap::new(),
             known_term: Term::default(),
+            started_term: Term::default(),
             held: BTreeSet::new(),
             target: None,
             target_was_leader: false,
@@ -167,7 +171,8 @@
     /// unanswered promotion may start.
     pub fn next_term(&self) -> Term {
         let terms = self.answers.values().map(MemberStatus::awaited_term);
-        let newest = terms.max().unwrap_or_default().max(self.known_term);
+        let newest = terms.max().unwrap_or_default();
+        let newest = newest.max(self.known_term).max(self.started_term);
         Term(newest.0.saturating_add(self.pending_fences + 1))
     }
 
@@ -198,9 +203,9 @@
 
     /// Whether the old primary is the only member that can be leading: every other listed member
     /// reports the replica role, the old primary did not do so before it was asked to step down,
-    /// no member reported a later term than its own, and no earlier promotion is unanswered. If no
-    /// member leads, an earlier promotion may be about to take effect. The leader of a later term
-    /// may be missing from discovery and still be in use.
+    /// no later term than its own is known to have started, and no earlier promotion is unanswered.
+    /// If no member leads, an earlier promotion may be about to take effect. The leader of a later
+    /// term may be missing from discovery and still be in use.
     pub fn is_old_sole_leader(&self, group: &GroupState) -> bool {
         let others = group
             .members
@@ -214,11 +219,11 @@
         old_may_lead && !self.must_fence && !self.knows_later_term() && answers.all(follows)
     }
 
-    /// Whether a member reported a later term than that of the old primary. An old primary that has
-    /// not answered may be in any term.
+    /// Whether a later term than that of the old primary is known to have started. An old primary
+    /// that has not answered may be in any term.
     fn knows_later_term(&self) -> bool {
         let old = self.old.as_ref().and_then(|old| self.answers.get(old));
-        old.is_some_and(|old| old.term < self.newest_term())
+        old.is_some_and(|old| old.term < self.newest_term().max(self.started_term))
     }
 
     /// Whether every replica that was queried has answered.
--- a/crates/stairward-failover/src/controller/demotion_steps.rs
+++ b/crates/stairward-failover/src/controller/demotion_steps.rs
@@ -97,7 +97,7 @@
         };
         if newest >= demotion.term && attempt.stage == Stage::Demoting {
             // The old primary's own term is newer than any that the members reported.
-            attempt.known_term = attempt.known_term.max(newest);
+            attempt.started_term = attempt.started_term.max(newest);
             return self.begin_demotion(now, service);
         }
         demotion.user_revoked(term, user);
--- a/crates/stairward-failover/src/controller/member_status.rs
+++ b/crates/stairward-failover/src/controller/member_status.rs
@@ -45,6 +45,7 @@
         else {
             return;
         };
+        self.effects.push(Effect::QueryNewestTerm(service.clone()));
         for (id, member) in &group.members {
             if !member.is_listed && Some(id) != attempt.old.as_ref() {
                 continue;
@@ -76,6 +77,12 @@
         }
     }
 
+    pub(super) fn record_newest_term(&mut self, service: &ServiceName, term: Term) {
+        if let Some(attempt) = self.attempts.get_mut(service) {
+            attempt.started_term = attempt.started_term.max(term);
+        }
+    }
+
     pub(super) fn record_status(&mut self, backend: &BackendId, status: Option<MemberStatus>) {
         for attempt in self.attempts.values_mut() {
             let is_asked = matches!(attempt.stage, Stage::Querying | Stage::Demoting);
--- a/crates/stairward-failover/src/event.rs
+++ b/crates/stairward-failover/src/event.rs
@@ -186,6 +186,9 @@
     FoundSilent(BackendId),
     /// Another node probed a back end that this node finds silent, and found it silent too.
     Verified(NodeId, BackendId),
+    /// The newest term of a service that this node knows to have started, as
+    /// [`Effect::QueryNewestTerm`] requested.
+    NewestTerm(ServiceName, Term),
     /// The failover records of all services, from a watch of the store. A service that is missing
     /// has no record.
     Records {
@@ -288,6 +291,9 @@
         /// The node that reported it as silent.
         asker: NodeId,
     },
+    /// Query the newest term of a service that this node knows to have started; answered with
+    /// [`Event::NewestTerm`].
+    QueryNewestTerm(ServiceName),
     /// Query the status of a member.
     QueryStatus(BackendId),
     /// Query the status of a member until it has received this position, or until waiting longer is
--- a/crates/stairward-failover/tests/demotion.rs
+++ b/crates/stairward-failover/tests/demotion.rs
@@ -439,6 +439,28 @@
     );
 }
 
+/// As above, where only this node has used the leader of the newest term.
+#[test]
+fn a_step_down_is_insufficient_if_this_node_knows_of_a_later_term() {
+    let mut attempt = Attempt::claimed(true);
+    assert!(
+        attempt
+            .effects
+            .contains(&Effect::QueryNewestTerm(service()))
+    );
+    attempt.handle(Event::NewestTerm(service(), Term(2)));
+    attempt.answer(OLD, status(BackendRole::Primary, 1, 60, 0));
+    attempt.answer_replicas();
+    attempt.call_result(OLD, Via::Direct, MemberCallResult::GaveWay(replica(60)));
+    attempt.advance(300);
+    assert!(attempt.promotions().is_empty());
+    let is_hold = |effect: &Effect| matches!(effect, Effect::HoldVia(_, Term(3), _));
+    assert!(
+        attempt.has_effect(is_hold),
+        "the announced term is above both"
+    );
+}
+
 #[test]
 fn a_leader_of_a_later_term_ends_the_attempt() {
     let mut attempt = Attempt::unplanned();
--- a/crates/stairward-runtime/src/failover.rs
+++ b/crates/stairward-runtime/src/failover.rs
@@ -74,6 +74,10 @@
             }
             Effect::ReportSilent(silent) => self.report_silent_backends(&silent),
             Effect::Verify { backend, asker } => self.verify_silence(backend, asker),
+            Effect::QueryNewestTerm(service) => {
+                let newest = self.newest_term(&service);
+                self.handle_failover_event(Event::NewestTerm(service, newest));
+            }
             Effect::QueryStatus(backend) => {
                 self.send_member_request(backend, MemberRequest::Status)
             }
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -200,6 +200,11 @@
                 let verify = SimulationEvent::VerifyBackend(index, incarnation, backend, asker);
                 self.queue.schedule(delay, verify);
             }
+            FailoverEffect::QueryNewestTerm(service) => {
+                let newest = self.nodes[index].engine.newest_term(&service);
+                let event = FailoverEvent::NewestTerm(service, newest);
+                self.handle_failover_event(index, incarnation, event);
+            }
             FailoverEffect::QueryStatus(backend) => {
                 let delay = self.delay(index, &backend) * 3;
                 let ask =
