Engine: an announced term is dropped only if its possible leaders deny it

Cause: a node that was told of a term forgets it once all who may lead it have been asked anew and none reports it. The code asked only that their reports were recent, and looked at the content of those of the members other than the present leader. By then db-2, the one that was promoted, was the present leader: its report, sent while it was on hold, said that it awaits term 2, and was not looked at; the other two had not received anything of term 2. Node-2 dropped the term and confirmed "db-2 of term 1" at 8.334 s. Later db-2 was dark and not listed, db-1 was named as primary, and nothing that node-2 knew spoke against term 1.

Ruled out: a revocation that was not received (node-2 was the holder itself), a wrong answer of a member.

Fix: each possible leader's own report must be of a term before the announced one.

The new test of the engine fails before.

--- a/crates/stairward-engine/src/leadership.rs
+++ b/crates/stairward-engine/src/leadership.rs
@@ -112,15 +112,20 @@
         }
     }
 
-    /// Drops an announced term once fresh reports of all possible leaders show that it did not begin.
+    /// Drops an announced term once fresh reports of all possible leaders show that it did not begin. One of
+    /// them may be the present leader by now, so that its report is not part of `awaited`.
     fn review_announced_term(&mut self, now: Time, lease: Duration, awaited: Term) {
-        let is_recent = |id: &BackendId| {
-            self.reports
-                .get(id)
-                .is_some_and(|report| report.is_from_member && now < report.asked_at + lease)
+        let has_not_begun_at = |id: &BackendId| {
+            self.reports.get(id).is_some_and(|report| {
+                report.is_from_member
+                    && now < report.asked_at + lease
+                    && report.awaited < self.announced_term
+            })
         };
         let is_over = now >= self.announced_until;
-        if awaited < self.announced_term && is_over && self.candidates.iter().all(is_recent) {
+        let has_not_begun =
+            awaited < self.announced_term && self.candidates.iter().all(has_not_begun_at);
+        if is_over && has_not_begun {
             self.announced_term = awaited;
             self.candidates.clear();
         }
--- a/crates/stairward-engine/tests/lead.rs
+++ b/crates/stairward-engine/tests/lead.rs
@@ -12,8 +12,8 @@
 use stairward_types::{BackendRole, MemberStatus, NodeId, ResultCode, Term};
 
 use support::{
-    FAR_REPLICA, Harness, LEADER_READS, NEAR_REPLICA, PRIMARY, Sent, at, done, held_by, listed,
-    service, table, usual_backends,
+    FAR_REPLICA, Harness, LEADER_READS, NEAR_REPLICA, PRIMARY, Sent, at, describe, done, held_by,
+    listed, service, table, usual_backends,
 };
 
 const LEASE: Duration = Duration::from_millis(1_000);
@@ -234,6 +234,48 @@
     assert!(!harness.sent.iter().any(is_work), "{:?}", harness.sent);
 }
 
+/// Answers every status query to a back end with the same report.
+fn answer_status_queries(harness: &mut Harness, name: &str, reply: &BackendReply) {
+    while let Some(sent) = status_query_to(harness, name) {
+        let (connection, reply) = (sent.connection, reply.clone());
+        harness.handle(Event::Reply { connection, reply });
+    }
+}
+
+/// Guards against forgetting a term that has begun: its leader's last report came from before, and the other members
+/// have not received anything of it.
+#[test]
+fn an_announced_term_is_kept_until_its_possible_leader_reports_another() {
+    let mut harness = harness();
+    write(&mut harness);
+    confirm(&mut harness);
+    answer_work(&mut harness, done(TransactionStatus::Idle, at(1, 11)));
+    harness.response();
+    harness.handle(Event::LeadershipRevoked(service(), Term(2)));
+    harness.advance(LEASE / 5);
+    write(&mut harness);
+    let on_hold = status_report(BackendRole::Replica, 1, 2);
+    answer_status_queries(&mut harness, NEAR_REPLICA, &on_hold);
+    answer_status_queries(&mut harness, FAR_REPLICA, &on_hold);
+    harness.handle(listed(vec![
+        describe(PRIMARY, BackendRole::Replica, 2),
+        describe(NEAR_REPLICA, BackendRole::Primary, 3),
+        describe(FAR_REPLICA, BackendRole::Replica, 2),
+    ]));
+    harness.handle(Event::PromotionEnded(service()));
+    harness.advance(LEASE / 5);
+    answer_status_queries(&mut harness, PRIMARY, &following(1));
+    answer_status_queries(&mut harness, FAR_REPLICA, &following(1));
+    let last = |harness: &Harness| harness.leadership_changes.last().copied();
+    assert_eq!(last(&harness), Some(LeadershipChange::Revoked));
+    let leads = status_report(BackendRole::Primary, 2, 0);
+    answer_status_queries(&mut harness, NEAR_REPLICA, &leads);
+    harness.advance(LEASE / 5);
+    answer_status_queries(&mut harness, PRIMARY, &following(1));
+    answer_status_queries(&mut harness, FAR_REPLICA, &following(1));
+    assert_eq!(last(&harness), Some(LeadershipChange::Confirmed));
+}
+
 #[test]
 fn a_write_at_a_replaced_leader_ends_unknown_at_once() {
     let mut harness = harness();
