Engine: a commit of an earlier term is not acknowledged in a later one

What callers saw, in a test that provokes it: a write was acknowledged that the new leader had rolled back.

Cause: a leader's reply is withheld while its leadership is in doubt, and released once "the leader's term" is confirmed. That term is the highest that the back end was seen in, also as a replica. A replaced leader that follows its successor reports the successor's term; while discovery still names it as the primary (its entry was written last, or late), the members confirm that term, and with it a commit of the term before.

Fix: a commit counts for the term of its own position; it ends with an unknown outcome once its back end has reached a later one. And a back end that reported the replica role in a term is not confirmed as the leader of that term.

--- a/crates/stairward-engine/src/backend.rs
+++ b/crates/stairward-engine/src/backend.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairward_types::{BackendRole, Freshness, LogPosition, RegionName, Term, Time};
+use stairward_types::{BackendRole, Freshness, LogPosition, MemberStatus, RegionName, Term, Time};
 
 use crate::identifiers::ConnectionId;
 use crate::leaving::Leaving;
@@ -66,8 +66,10 @@
     /// Whether it reports itself as primary but lacks commits that it had acknowledged. It has lost its log
     /// and must not lead.
     pub has_lost_log: bool,
-    /// The highest term that it was seen to follow.
+    /// The highest term that it was seen to lead or follow.
     pub term: Term,
+    /// The highest term in which it reported the replica role. It leads neither that term nor an earlier one.
+    pub replica_term: Term,
     /// No connection is opened before this time.
     pub open_after: Time,
     lagging_until: Time,
@@ -98,6 +100,7 @@
             log_floor: None,
             has_lost_log: false,
             term: Term::default(),
+            replica_term: Term::default(),
             open_after: Time::ZERO,
             lagging_until: Time::ZERO,
             busy_until: Time::ZERO,
@@ -117,6 +120,7 @@
         self.answered_at = None;
         self.position = None;
         self.term = Term::default();
+        self.replica_term = Term::default();
         self.open_after = Time::ZERO;
         self.lagging_until = Time::ZERO;
         self.busy_until = Time::ZERO;
@@ -243,6 +247,19 @@
         self.open_after = now + pause;
     }
 
+    /// Records a status report.
+    pub fn record_status(&mut self, status: MemberStatus) {
+        self.term = self.term.max(status.term);
+        if status.role == BackendRole::Replica {
+            self.replica_term = self.replica_term.max(status.term);
+        }
+    }
+
+    /// Whether it reported itself as a replica in its highest term, so that it leads no known term.
+    pub fn is_known_replica(&self) -> bool {
+        self.replica_term > Term::default() && self.replica_term >= self.term
+    }
+
     /// Records a reply. Returns whether the back end had been silent.
     pub fn answered(&mut self, now: Time, position: Option<Freshness>) -> bool {
         self.answered_at = Some(now);
--- a/crates/stairward-engine/src/confirmation.rs
+++ b/crates/stairward-engine/src/confirmation.rs
@@ -47,6 +47,7 @@
             .leadership
             .recorded_successor(now, lease, leader, backend.term);
         backend.term >= group.newest_term
+            && !backend.is_known_replica()
             && successor.is_none()
             && (group.leadership.is_confirmed(now, backend.term, lease) || is_alone())
     }
@@ -69,7 +70,8 @@
         let is_known = backend.term > Term::default();
         let leadership = &group.leadership;
         let successor = leadership.recorded_successor(now, lease, leader, backend.term);
-        is_known && (is_outdated || successor.is_some() || leadership.is_revoked(backend.term))
+        let is_deposed = is_outdated || backend.is_known_replica();
+        is_known && (is_deposed || successor.is_some() || leadership.is_revoked(backend.term))
     }
 
     /// The members other than the leader that may be promoted. An unlisted member can't be promoted, unless
@@ -413,7 +415,7 @@
             group.newest_term = group.newest_term.max(status.term);
         }
         if let Some(backend) = self.backends.get_mut(id) {
-            backend.term = backend.term.max(status.term);
+            backend.record_status(status);
         }
         let report = MemberReport {
             awaited: status.awaited_term(),
--- a/crates/stairward-engine/src/withholding.rs
+++ b/crates/stairward-engine/src/withholding.rs
@@ -27,10 +27,20 @@
             _ => false,
         };
         let has_user = connection.user != Some(User::Abandoned);
-        is_proof
-            && has_user
-            && reply.result.is_ok()
-            && !self.is_leadership_confirmed(now, &connection.service, &connection.backend)
+        let is_confirmed = || {
+            self.is_leadership_confirmed(now, &connection.service, &connection.backend)
+                && !self.is_of_earlier_term(&connection.backend, step, reply)
+        };
+        is_proof && has_user && reply.result.is_ok() && !is_confirmed()
+    }
+
+    /// Whether a reply shows a commit in an earlier term than the back end has reached since. Its entry may
+    /// have been rolled back.
+    fn is_of_earlier_term(&self, id: &BackendId, step: &Step, reply: &BackendReply) -> bool {
+        let (Some(backend), Some(position)) = (self.backends.get(id), reply.position) else {
+            return false;
+        };
+        *step == Step::Statement && position.term < backend.term
     }
 
     /// Whether the statement on a connection commits a write if it succeeds.
@@ -83,12 +93,17 @@
     /// Releases withheld replies of confirmed leaders, and ends those of replaced leaders.
     pub(crate) fn recheck_withheld(&mut self, now: Time, service: &ServiceName) {
         for id in self.withheld(service) {
-            let Some(connection) = self.connections.get_mut(&id) else {
+            let Some(connection) = self.connections.get(&id) else {
                 continue;
             };
             let leader = connection.backend.clone();
             let is_abandoned = connection.user == Some(User::Abandoned);
-            if is_abandoned || self.is_leadership_confirmed(now, service, &leader) {
+            let withheld = connection.withheld.as_ref();
+            let is_superseded = withheld
+                .is_some_and(|(sent, reply)| self.is_of_earlier_term(&leader, &sent.step, reply));
+            if !is_abandoned && is_superseded {
+                self.reject_withheld(now, id);
+            } else if is_abandoned || self.is_leadership_confirmed(now, service, &leader) {
                 let connection = self.connections.get_mut(&id);
                 let withheld = connection.and_then(|connection| connection.withheld.take());
                 if let Some((sent, reply)) = withheld {
@@ -100,13 +115,13 @@
         }
     }
 
-    /// Whether a later term than the leader's has begun.
+    /// Whether a later term than the leader's has begun, or it no longer leads.
     fn is_leader_replaced(&self, service: &ServiceName, leader: &BackendId) -> bool {
         let (Some(group), Some(backend)) = (self.groups.get(service), self.backends.get(leader))
         else {
             return true;
         };
-        group.newest_term > backend.term
+        group.newest_term > backend.term || backend.is_known_replica()
     }
 
     /// Ends a request whose withheld reply came from a replaced leader: its outcome is unknown.
--- a/crates/stairward-engine/tests/lead.rs
+++ b/crates/stairward-engine/tests/lead.rs
@@ -478,3 +478,25 @@
     let revoked = revoked.filter(|change| **change == LeadershipChange::Revoked);
     assert!(revoked.count() <= 1);
 }
+
+/// Guards against acknowledging a commit that was rolled back: its leader has been replaced and follows the new one, of
+/// which it reports the term, while discovery still names it as the primary.
+#[test]
+fn a_withheld_write_is_not_acknowledged_in_a_later_term() {
+    let mut harness = harness();
+    harness.handle(Event::NodeCountChanged(1));
+    harness.positions.insert(backend(PRIMARY), at(1, 11));
+    write(&mut harness);
+    harness.handle(Event::LeadershipRevoked(service(), Term(2)));
+    answer_work(&mut harness, done(TransactionStatus::Idle, at(1, 11)));
+    assert!(harness.responses.is_empty());
+    harness.advance(LEASE / 10);
+    answer_status_query(&mut harness, PRIMARY, following(2));
+    answer_status_queries(&mut harness, NEAR_REPLICA, &following(2));
+    answer_status_queries(&mut harness, FAR_REPLICA, &following(2));
+    assert_eq!(harness.refusal(), ResultCode::FenceNotProved);
+    let is_confirmed = harness
+        .leadership_changes
+        .contains(&LeadershipChange::Confirmed);
+    assert!(!is_confirmed, "{:?}", harness.leadership_changes);
+}
