Failover: a promotion is recorded when it is sent, and later holders take it over

What callers saw: writes acknowledged by a leader that had been replaced a moment before.

Cause: the old primary had stepped down, so that no replica was on hold; the promotion got no answer; the holder was cut off from the store or gave way. Another node claimed the service, knew nothing of it, and announced the same term for its own decision. The late promotion took effect first and started that term, its leader was confirmed as the announced one, and the second promotion replaced it 0.2 to 0.6 s later.

Evidence: both logs. Ruled out: the repetition of announcements (all nodes had the announced term; its number was too low).

Fix, three ways by which the next holder knows: (1) the record names the promotion when it is sent, as pending until it is answered; a holder that finds one that has not taken effect announces a term above it, fences it, and prefers its target among equal replicas; (2) a promotion without an answer is announced to the nodes at once; (3) a holder announces a term above any that was announced to its own node, for a predecessor that could not reach the store.

--- a/crates/stairward-engine/src/confirmation.rs
+++ b/crates/stairward-engine/src/confirmation.rs
@@ -251,6 +251,14 @@
         group.map_or(Term::default(), |group| group.newest_term)
     }
 
+    /// The newest term of a service that a holder of the failover lease has announced and that may still
+    /// begin.
+    #[must_use]
+    pub fn announced_term(&self, service: &ServiceName) -> Term {
+        let group = self.groups.get(service);
+        group.map_or(Term::default(), |group| group.leadership.announced_term())
+    }
+
     /// What is known of a service's leadership: the highest term that may have begun, and the age of that
     /// information.
     #[must_use]
--- a/crates/stairward-engine/src/leadership.rs
+++ b/crates/stairward-engine/src/leadership.rs
@@ -173,8 +173,10 @@
 
     /// Records the promotion that the store's record shows.
     pub fn record_promotion(&mut self, now: Time, leader: BackendId, term: Term) {
-        let known = self.recorded.as_ref();
-        if known.is_none_or(|known| known.term < term) {
+        let is_newer = self.recorded.as_ref().is_none_or(|known| {
+            known.term < term || (known.term == term && known.leader != leader)
+        });
+        if is_newer {
             self.recorded = Some(RecordedPromotion {
                 leader,
                 term,
@@ -222,6 +224,11 @@
                 .is_some_and(|possible_term| possible_term <= term)
     }
 
+    /// The highest announced term that may still begin, or has begun.
+    pub fn announced_term(&self) -> Term {
+        self.announced_term
+    }
+
     /// The highest term that may have begun, and when the underlying report was requested.
     pub fn known(&self) -> Option<(Term, Time)> {
         let possible_term = self.possible_term?;
--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -179,6 +179,20 @@
         Term(newest.0.saturating_add(self.pending_fences + 1))
     }
 
+    /// The term that a promotion of this member starts, or its present one if it leads already.
+    pub fn promotion_term(&self, target: &BackendId) -> Term {
+        let status = self.answers.get(target);
+        if let Some(demotion) = &self.demotion {
+            demotion.term
+        } else if self.target_was_leader && self.has_pending_term_started(target) {
+            status.map(|status| status.term).unwrap_or_default()
+        } else if self.target_was_leader {
+            self.known_term
+        } else {
+            self.next_term()
+        }
+    }
+
     /// The newest term that a promotion of this attempt may start.
     pub fn pending_term(&self) -> Term {
         let holding = self.demotion.as_ref().filter(|d| d.holding_since.is_some());
@@ -267,7 +281,8 @@
     }
 
     /// Chooses among the replicas that answered and may lead the one that has received most of the
-    /// log. Ties are broken in favour of a warm replica, then of one where more work is allowed.
+    /// log. Ties are broken in favour of the target of an unanswered promotion, then of a warm
+    /// replica, then of one where more work is allowed.
     pub fn choose_target(&self, group: &GroupState) -> Option<PromotionTarget> {
         let may_be_chosen = |id: &BackendId| {
             let member = group.members.get(id);
@@ -285,6 +300,8 @@
             (
                 status.received.term,
                 status.received.position,
+                // If the earlier promotion is carried out as well, it changes nothing.
+                self.pending_targets.contains(*id),
                 !placement(id).is_cold,
                 placement(id).allowed_work,
                 std::cmp::Reverse(*id),
--- a/crates/stairward-failover/src/controller.rs
+++ b/crates/stairward-failover/src/controller.rs
@@ -252,7 +252,11 @@
             }
             Event::FoundSilent(backend) => _ = self.verification_paused_until.remove(&backend),
             Event::Verified(node, backend) => self.evidence.record_verified(now, node, backend),
-            Event::NewestTerm(service, term) => self.record_newest_term(&service, term),
+            Event::NewestTerm {
+                service,
+                started,
+                announced,
+            } => self.record_newest_term(&service, started, announced),
             Event::Records { era, records } => self.apply_records(now, era, records),
             Event::Record(service, version, record) => {
                 self.update_record(now, &service, version, record);
--- a/crates/stairward-failover/src/controller/claim.rs
+++ b/crates/stairward-failover/src/controller/claim.rs
@@ -157,15 +157,17 @@
         is_new
     }
 
-    /// Repeats the writes of accepted promotions that the records lack: the store's answer was lost,
-    /// or it was unavailable.
+    /// Repeats the writes of promotions that the records lack: the store's answer was lost, or it
+    /// was unavailable.
     pub(super) fn record_promotions_again(&mut self, now: Time) {
         if now < self.recorded_at + RECORD_REPEAT_INTERVAL {
             return;
         }
         let unrecorded = self.records.unrecorded(now);
         for service in unrecorded {
-            if !self.attempts.contains_key(&service) {
+            let stage = self.attempts.get(&service).map(|attempt| &attempt.stage);
+            // A claim writes what is known as well.
+            if stage != Some(&Stage::Claiming) {
                 self.recorded_at = now;
                 self.write_record(&service);
             }
--- a/crates/stairward-failover/src/controller/member_status.rs
+++ b/crates/stairward-failover/src/controller/member_status.rs
@@ -77,9 +77,15 @@
         }
     }
 
-    pub(super) fn record_newest_term(&mut self, service: &ServiceName, term: Term) {
+    pub(super) fn record_newest_term(
+        &mut self,
+        service: &ServiceName,
+        started: Term,
+        announced: Term,
+    ) {
         if let Some(attempt) = self.attempts.get_mut(service) {
-            attempt.started_term = attempt.started_term.max(term);
+            attempt.started_term = attempt.started_term.max(started);
+            attempt.known_term = attempt.known_term.max(announced);
         }
     }
 
@@ -97,8 +103,7 @@
 
     pub(super) fn review_answers(&mut self, now: Time, service: &ServiceName) {
         self.adopt_holds(service);
-        let (Some(attempt), Some(group)) = (self.attempts.get(service), self.groups.get(service))
-        else {
+        let Some(attempt) = self.attempts.get(service) else {
             return;
         };
         let is_late = now.since(attempt.stage_since) >= self.options.status_timeout;
@@ -122,6 +127,16 @@
             // The node may have been paused, and another one may act on this service by now.
             return self.give_up(now, service, "the answers are too old");
         }
+        self.adopt_pending_promotion(service);
+        self.decide(now, service);
+    }
+
+    /// Decides by the answers whether the leader must be replaced, and begins with it.
+    fn decide(&mut self, now: Time, service: &ServiceName) {
+        let (Some(attempt), Some(group)) = (self.attempts.get(service), self.groups.get(service))
+        else {
+            return;
+        };
         let old_has_lost_log = attempt.old_is_behind()
             && attempt
                 .old
@@ -165,6 +180,25 @@
         self.promote(now, service, chosen.target, chosen.received);
     }
 
+    /// Adopts the recorded promotion of an earlier holder if it had no answer and has not taken
+    /// effect.
+    fn adopt_pending_promotion(&mut self, service: &ServiceName) {
+        let Some(attempt) = self.attempts.get_mut(service) else {
+            return;
+        };
+        let Some(recorded) = attempt.recorded.clone().filter(|known| known.is_pending) else {
+            return;
+        };
+        let status = attempt.answers.get(&recorded.leader);
+        let has_taken_effect = status.is_some_and(|status| {
+            status.role == BackendRole::Primary && status.term >= recorded.term
+        });
+        if !has_taken_effect {
+            attempt.must_fence = true;
+            attempt.pending_targets.insert(recorded.leader);
+        }
+    }
+
     /// Adopts the holds that an earlier attempt left behind. They are released only once this
     /// attempt's own decision is answered, since a promotion of the earlier attempt may still be
     /// carried out.
--- a/crates/stairward-failover/src/controller/promotion.rs
+++ b/crates/stairward-failover/src/controller/promotion.rs
@@ -21,6 +21,7 @@
             return;
         };
         let answers = attempt.answers.len();
+        let term = attempt.promotion_term(&target);
         attempt.target = Some(target.clone());
         attempt.enter_stage(Stage::Promoting, now);
         let chose = FailoverStep::Chose {
@@ -30,6 +31,12 @@
             answers,
         };
         self.log(service, chose);
+        let promotion = RecordedPromotion {
+            leader: target.clone(),
+            term,
+            is_pending: true,
+        };
+        self.record_promotion(now, service, promotion);
         self.effects
             .push(Effect::Promote(service.clone(), target, token));
     }
@@ -102,6 +109,8 @@
             // The unanswered promotion may still start that term, so the next one must be higher.
             attempt.known_term = known_term;
         }
+        // The promotion may take effect at any time, and the next claim may take long.
+        self.announce_pending_term(now, service);
         self.claim(now, service);
     }
 
@@ -124,7 +133,7 @@
                 // Replicas stay on hold until the new primary leads; until then the old one could
                 // acknowledge commits through any of them.
                 attempt.enter_stage(Stage::AwaitingNewPrimary, now);
-                self.record_promotion(now, service);
+                self.record_answer(now, service);
             }
             PromotionOutcome::Refused | PromotionOutcome::Throttled => {
                 self.give_up(now, service, "the promotion was refused");
@@ -133,30 +142,28 @@
         }
     }
 
-    /// Writes the promotion that takes effect now to the service's record, for later holders and for
-    /// nodes that start.
-    fn record_promotion(&mut self, now: Time, service: &ServiceName) {
-        let Some(attempt) = self.attempts.get(service) else {
-            return;
-        };
-        let Some(leader) = attempt.target.clone() else {
-            return;
-        };
-        let recorded = attempt.recorded.as_ref();
-        if attempt.target_was_leader && recorded.is_none_or(|known| known.leader == leader) {
-            // Promoting the member that already leads starts no new term.
-            return;
-        }
-        let announced = attempt.demotion.as_ref().map(|demotion| demotion.term);
-        let term = announced.unwrap_or_else(|| attempt.next_term());
-        let promotion = RecordedPromotion { leader, term };
-        if term > self.records.term(service)
-            && self.records.note_promotion(service, promotion.clone())
-        {
-            self.recorded_at = now;
-            self.write_record(service);
-            self.effects
-                .push(Effect::PromotionRecorded(service.clone(), promotion));
+    /// Writes a promotion to the service's record, for later holders and for nodes that start. The
+    /// promotion does not wait for the write: while the store is unavailable, no other holder can
+    /// decide either.
+    fn record_promotion(&mut self, now: Time, service: &ServiceName, promotion: RecordedPromotion) {
+        self.records.note_promotion(service, promotion.clone());
+        self.recorded_at = now;
+        self.write_record(service);
+        self.effects
+            .push(Effect::PromotionRecorded(service.clone(), promotion));
+    }
+
+    /// Records that the newest promotion has been answered.
+    fn record_answer(&mut self, now: Time, service: &ServiceName) {
+        let target = self.attempts.get(service).and_then(|a| a.target.as_ref());
+        let recorded = self.records.promotion(service);
+        let recorded = recorded.filter(|recorded| Some(&recorded.leader) == target);
+        if let Some(recorded) = recorded.cloned() {
+            let answered = RecordedPromotion {
+                is_pending: false,
+                ..recorded
+            };
+            self.record_promotion(now, service, answered);
         }
     }
 
--- a/crates/stairward-failover/src/event.rs
+++ b/crates/stairward-failover/src/event.rs
@@ -34,12 +34,14 @@
 pub struct FailoverRecord {
     /// The node that wrote the record.
     pub holder: String,
-    /// The newest term for which a promotion was accepted, as recorded by the holders so far. The
+    /// The newest term for which a promotion was requested, as recorded by the holders so far. The
     /// leader of that term may be unreachable, and members that never heard of the term would let
     /// the next holder announce it a second time.
     pub term: Term,
-    /// The member that was promoted in that term, if the holder recorded it.
+    /// The member whose promotion was requested for that term, if the holder recorded it.
     pub leader: Option<BackendId>,
+    /// Whether that promotion has had no answer, so that it may still be carried out.
+    pub is_pending: bool,
 }
 
 impl FailoverRecord {
@@ -50,17 +52,20 @@
         Some(RecordedPromotion {
             leader,
             term: self.term,
+            is_pending: self.is_pending,
         })
     }
 }
 
-/// The newest accepted promotion of a service.
+/// The newest requested promotion of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordedPromotion {
-    /// The promoted member.
+    /// The member to be promoted.
     pub leader: BackendId,
     /// The term for which it was announced.
     pub term: Term,
+    /// Whether the request has had no answer, so that it may still be carried out.
+    pub is_pending: bool,
 }
 
 /// What a node observed while using a back end.
@@ -209,9 +214,16 @@
     FoundSilent(BackendId),
     /// Another node probed a back end that this node finds silent, and found it silent too.
     Verified(NodeId, BackendId),
-    /// The newest term of a service that this node knows to have started, as
-    /// [`Effect::QueryNewestTerm`] requested.
-    NewestTerm(ServiceName, Term),
+    /// The newest terms of a service that this node knows of, as [`Effect::QueryNewestTerm`]
+    /// requested.
+    NewestTerm {
+        /// The service.
+        service: ServiceName,
+        /// The newest term that has started.
+        started: Term,
+        /// The newest term that any holder has announced, if it may still start.
+        announced: Term,
+    },
     /// The failover records of all services, from a watch of the store. A service that is missing
     /// has no record.
     Records {
@@ -317,7 +329,7 @@
     /// This promotion is the newest that the holders of a service have recorded. Its leader may be
     /// missing from discovery.
     PromotionRecorded(ServiceName, RecordedPromotion),
-    /// Query the newest term of a service that this node knows to have started; answered with
+    /// Query the newest terms of a service that this node knows of; answered with
     /// [`Event::NewestTerm`].
     QueryNewestTerm(ServiceName),
     /// Query the status of a member.
--- a/crates/stairward-failover/src/records.rs
+++ b/crates/stairward-failover/src/records.rs
@@ -108,14 +108,12 @@
         self.terms.get(service).copied().unwrap_or_default()
     }
 
-    /// Notes an accepted promotion, also before it is recorded. Returns whether it is the newest.
-    pub fn note_promotion(&mut self, service: &ServiceName, promotion: RecordedPromotion) -> bool {
+    /// Notes a requested promotion, also before it is recorded, unless a later one is known.
+    pub fn note_promotion(&mut self, service: &ServiceName, promotion: RecordedPromotion) {
         let known = self.promotions.get(service);
-        if known.is_some_and(|known| known.term >= promotion.term) {
-            return false;
+        if known.is_none_or(|known| known.term <= promotion.term) {
+            self.promotions.insert(service.clone(), promotion);
         }
-        self.promotions.insert(service.clone(), promotion);
-        true
     }
 
     /// The newest known promotion of a service.
@@ -132,6 +130,7 @@
             holder: self.node.clone(),
             term: promotion.map_or_else(|| self.term(service), |promotion| promotion.term),
             leader: promotion.map(|promotion| promotion.leader.clone()),
+            is_pending: promotion.is_some_and(|promotion| promotion.is_pending),
         }
     }
 
@@ -146,8 +145,9 @@
                 .known
                 .get(*service)
                 .and_then(|known| known.record.as_ref());
-            record.is_some_and(|record| record.term < promotion.term)
-                && self.is_last_holder(now, service)
+            record.is_some_and(|record| {
+                record.term <= promotion.term && record.promotion().as_ref() != Some(*promotion)
+            }) && self.is_last_holder(now, service)
         };
         let unrecorded = self.promotions.iter().filter(lacks);
         unrecorded.map(|(service, _)| service.clone()).collect()
--- a/crates/stairward-failover/tests/demotion.rs
+++ b/crates/stairward-failover/tests/demotion.rs
@@ -69,6 +69,7 @@
         holder: "a".to_owned(),
         term,
         leader: None,
+        is_pending: false,
     };
     Event::RecordWritten(
         service(),
@@ -455,7 +456,11 @@
             .effects
             .contains(&Effect::QueryNewestTerm(service()))
     );
-    attempt.handle(Event::NewestTerm(service(), Term(2)));
+    attempt.handle(Event::NewestTerm {
+        service: service(),
+        started: Term(2),
+        announced: Term(0),
+    });
     attempt.answer(OLD, status(BackendRole::Primary, 1, 60, 0));
     attempt.answer_replicas();
     attempt.call_result(OLD, Via::Direct, MemberCallResult::GaveWay(replica(60)));
@@ -509,6 +514,7 @@
         holder: "b".to_owned(),
         term: Term(0),
         leader: None,
+        is_pending: false,
     };
     attempt.handle(Event::Record(
         service(),
@@ -591,6 +597,7 @@
         holder: "b".to_owned(),
         term: Term(0),
         leader: None,
+        is_pending: false,
     };
     attempt.handle(Event::Record(
         service(),
@@ -678,6 +685,7 @@
     RecordedPromotion {
         leader: backend(NEXT),
         term: Term(2),
+        is_pending: false,
     }
 }
 
@@ -711,6 +719,7 @@
         holder: "a".to_owned(),
         term: Term(2),
         leader: Some(backend(NEXT)),
+        is_pending: false,
     };
     let version = RecordVersion(StoreRevision::new(0, 5));
     attempt.handle(Event::Record(service(), version, Some(shown)));
@@ -728,6 +737,7 @@
         holder: "b".to_owned(),
         term: Term(2),
         leader: Some(backend(NEXT)),
+        is_pending: false,
     };
     let version = RecordVersion(StoreRevision::new(0, 3));
     let records = BTreeMap::from([(service(), (version, record.clone()))]);
@@ -747,3 +757,136 @@
     let is_hold = |effect: &Effect| matches!(effect, Effect::HoldVia(_, Term(3), _));
     assert!(attempt.has_effect(is_hold));
 }
+
+/// Guards against a later holder that does not know of a promotion without an answer: the old primary had stepped down,
+/// so that no replica was on hold.
+#[test]
+fn a_promotion_is_recorded_before_it_is_answered() {
+    let mut attempt = Attempt::planned();
+    attempt.effects.clear();
+    attempt.call_result(OLD, Via::Direct, MemberCallResult::GaveWay(replica(50)));
+    assert_eq!(attempt.promotions(), [backend(NEXT)]);
+    let pending = RecordedPromotion {
+        is_pending: true,
+        ..promoted_next()
+    };
+    assert_eq!(record_writes(&attempt), [(4, Some(pending))]);
+}
+
+/// The nodes are told as well: the record may not be written while the store is unavailable.
+#[test]
+fn a_promotion_without_an_answer_is_announced_at_once() {
+    let mut attempt = Attempt::planned();
+    attempt.call_result(OLD, Via::Direct, MemberCallResult::GaveWay(replica(50)));
+    attempt.effects.clear();
+    let unknown = PromotionOutcome::Unknown;
+    attempt.handle(Event::Promotion(service(), FencingToken(4), unknown));
+    let revoke = Effect::Revoke(service(), Term(2), [PEER, USER].into());
+    assert!(attempt.effects.contains(&revoke), "{:?}", attempt.effects);
+}
+
+/// A holder that claims the service over the record of another one, whose promotion of the other replica to term 2 had
+/// no answer.
+fn after_a_pending_promotion_of_another_holder() -> Attempt {
+    let mut attempt = Attempt::new(true);
+    let record = FailoverRecord {
+        holder: "b".to_owned(),
+        term: Term(2),
+        leader: Some(backend(OTHER)),
+        is_pending: true,
+    };
+    let version = RecordVersion(StoreRevision::new(0, 3));
+    let records = BTreeMap::from([(service(), (version, record.clone()))]);
+    attempt.handle(Event::Records { era: 0, records });
+    attempt.advance(3_000);
+    let own = FailoverRecord {
+        holder: "a".to_owned(),
+        ..record
+    };
+    let version = RecordVersion(StoreRevision::new(0, 4));
+    attempt.handle(Event::RecordWritten(service(), version, own));
+    attempt.effects.clear();
+    attempt
+}
+
+/// Guards against two leaders: the pending promotion starts a term just before that of the present attempt.
+#[test]
+fn the_pending_promotion_of_an_earlier_holder_is_taken_over() {
+    let mut attempt = after_a_pending_promotion_of_another_holder();
+    attempt.answer(OLD, replica(50));
+    attempt.answer(NEXT, replica(50));
+    attempt.answer(OTHER, replica(50));
+    attempt.advance(300);
+    let revoke = Effect::Revoke(service(), Term(3), [PEER, USER].into());
+    assert!(attempt.effects.contains(&revoke), "{:?}", attempt.effects);
+    let on_hold = status(BackendRole::Replica, 1, 50, 3);
+    for member in [OLD, NEXT, OTHER] {
+        attempt.call_result(member, Via::Direct, MemberCallResult::Answered(on_hold));
+    }
+    attempt.advance(1_100);
+    for member in [OLD, NEXT, OTHER] {
+        attempt.answer(member, on_hold);
+    }
+    attempt.advance(20);
+    assert_eq!(
+        attempt.promotions(),
+        [backend(OTHER)],
+        "of equal replicas the target of the pending promotion is chosen"
+    );
+}
+
+#[test]
+fn a_pending_promotion_that_has_taken_effect_needs_no_fence() {
+    let mut attempt = after_a_pending_promotion_of_another_holder();
+    attempt.answer(OLD, status(BackendRole::Replica, 2, 50, 0));
+    attempt.answer(NEXT, status(BackendRole::Replica, 2, 50, 0));
+    attempt.answer(OTHER, status(BackendRole::Primary, 2, 50, 0));
+    attempt.advance(400);
+    assert_eq!(attempt.promotions(), [], "another member leads already");
+}
+
+/// Guards against two leaders: the target of the first of two unanswered promotions leads, and the second may replace
+/// it at any moment.
+#[test]
+fn a_leader_is_revoked_while_a_later_promotion_of_another_member_is_unanswered() {
+    let mut attempt = after_an_unanswered_promotion();
+    let on_hold = |number| status(BackendRole::Replica, 1, number, 3);
+    attempt.answer(NEXT, held(50));
+    attempt.answer(OTHER, held(60));
+    attempt.advance(600);
+    attempt.call_result(OLD, Via::Direct, MemberCallResult::Silent);
+    attempt.call_result(OLD, Via::Peer(PEER), MemberCallResult::Silent);
+    attempt.call_result(NEXT, Via::Direct, MemberCallResult::Answered(on_hold(50)));
+    attempt.call_result(OTHER, Via::Direct, MemberCallResult::Answered(on_hold(60)));
+    attempt.advance(1_100);
+    attempt.answer(NEXT, on_hold(50));
+    attempt.answer(OTHER, on_hold(60));
+    attempt.advance(20);
+    assert_eq!(attempt.promotions(), [backend(OTHER)]);
+    let unknown = PromotionOutcome::Unknown;
+    attempt.handle(Event::Promotion(service(), FencingToken(9), unknown));
+    attempt.effects.clear();
+    attempt.handle(written(12, Term(3)));
+    attempt.answer(NEXT, status(BackendRole::Primary, 2, 50, 0));
+    attempt.answer(OLD, status(BackendRole::Replica, 2, 50, 0));
+    attempt.answer(OTHER, status(BackendRole::Replica, 2, 50, 0));
+    attempt.advance(400);
+    assert_eq!(attempt.promotions(), [backend(NEXT)]);
+    let revoke = Effect::Revoke(service(), Term(4), [PEER, USER].into());
+    assert!(attempt.effects.contains(&revoke), "{:?}", attempt.effects);
+}
+
+/// Guards against announcing a term that another holder, cut off from the store, has announced already.
+#[test]
+fn the_announced_term_is_above_any_that_was_announced_to_this_node() {
+    let mut attempt = Attempt::claimed(false);
+    attempt.handle(Event::NewestTerm {
+        service: service(),
+        started: Term(1),
+        announced: Term(2),
+    });
+    attempt.answer_replicas();
+    attempt.advance(600);
+    let is_hold = |effect: &Effect| matches!(effect, Effect::HoldVia(_, Term(3), _));
+    assert!(attempt.has_effect(is_hold), "{:?}", attempt.effects);
+}
--- a/crates/stairward-failover/tests/support/mod.rs
+++ b/crates/stairward-failover/tests/support/mod.rs
@@ -66,6 +66,7 @@
         holder: holder.to_owned(),
         term: Term(0),
         leader: None,
+        is_pending: false,
     }
 }
 
--- a/crates/stairward-runtime/src/failover.rs
+++ b/crates/stairward-runtime/src/failover.rs
@@ -82,8 +82,13 @@
                 });
             }
             Effect::QueryNewestTerm(service) => {
-                let newest = self.newest_term(&service);
-                self.handle_failover_event(Event::NewestTerm(service, newest));
+                let started = self.newest_term(&service);
+                let announced = self.engine.borrow().announced_term(&service);
+                self.handle_failover_event(Event::NewestTerm {
+                    service,
+                    started,
+                    announced,
+                });
             }
             Effect::QueryStatus(backend) => {
                 self.send_member_request(backend, MemberRequest::Status)
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -209,8 +209,12 @@
                 self.handle_engine_event(index, incarnation, event);
             }
             FailoverEffect::QueryNewestTerm(service) => {
-                let newest = self.nodes[index].engine.newest_term(&service);
-                let event = FailoverEvent::NewestTerm(service, newest);
+                let engine = &self.nodes[index].engine;
+                let event = FailoverEvent::NewestTerm {
+                    started: engine.newest_term(&service),
+                    announced: engine.announced_term(&service),
+                    service,
+                };
                 self.handle_failover_event(index, incarnation, event);
             }
             FailoverEffect::QueryStatus(backend) => {
