--- a/crates/stairward-simulation/src/checker.rs
+++ b/crates/stairward-simulation/src/checker.rs
@@ -44,6 +44,10 @@
     ZoneEvacuation,
     /// A database that has just started receives no more requests per second than its service allows.
     WarmUp,
+    /// A process that is stopped as planned ends within its grace time.
+    StopGrace,
+    /// A planned stop cuts no request that a database has run.
+    CompleteResponse,
 }
 
 /// A violation of an invariant.
@@ -104,6 +108,8 @@
     commits: BTreeMap<String, Vec<LogEntry>>,
     acknowledged: Vec<Acknowledged>,
     reported_not_run: BTreeSet<u64>,
+    /// Ids of all statements that databases ran.
+    executed: BTreeSet<String>,
     decisions: BTreeMap<u64, String>,
     /// Commit time and log entry of each write, by statement id.
     committed_at: BTreeMap<String, (Time, LogEntry)>,
@@ -126,6 +132,7 @@
             commits: BTreeMap::new(),
             acknowledged: Vec::new(),
             reported_not_run: BTreeSet::new(),
+            executed: BTreeSet::new(),
             decisions: BTreeMap::new(),
             committed_at: BTreeMap::new(),
             terms: BTreeMap::new(),
@@ -168,6 +175,7 @@
         executed: &ExecutedStatement,
     ) {
         self.count(Invariant::UnmodifiedStatement);
+        self.executed.insert(executed.id.clone());
         let Some(sent) = self.sent.get(&executed.id).cloned() else {
             return self.record_violation(
                 now,
@@ -344,6 +352,15 @@
         }
     }
 
+    /// Checks, where only planned work is under way, that a statement without a complete response did not run.
+    pub fn check_cut_statement(&mut self, now: Time, id: &str) {
+        self.count(Invariant::CompleteResponse);
+        if self.executed.contains(id) {
+            let text = format!("{id} ran, and its connection ended without a complete response");
+            self.record_violation(now, Invariant::CompleteResponse, text);
+        }
+    }
+
     /// Records that an operation was reported to its caller as not run.
     pub fn record_not_run(&mut self, operation: u64) {
         self.count(Invariant::NotRunGuarantee);
