--- a/crates/stairward-simulation/tests/rebirth.rs
+++ b/crates/stairward-simulation/tests/rebirth.rs
@@ -62,3 +62,22 @@
     });
     assert!(detected);
 }
+
+/// Guards against reads at a primary that has lost its log by nodes that started after it, which do not know what it had
+/// acknowledged.
+#[test]
+#[ignore = "red, see KNOWN-RED.txt"]
+fn nodes_that_have_just_started_do_not_trust_a_primary_without_its_log() {
+    support::assert_holds(&Options {
+        faults: vec![
+            FaultKind::PrimaryLostLog,
+            FaultKind::NodeKill,
+            FaultKind::NodeKill,
+            FaultKind::StorePartition,
+        ],
+        fault_count: 14,
+        max_pause_ms: 1_500,
+        old_primaries_keep_running: true,
+        ..Options::new(50)
+    });
+}
