Log event 428: the promotion that a service's record names

A node's belief about who leads now depends on the record of promotions; without a line, a confirmation of an earlier leader could not be told from one by a node that had not heard of the record.

--- a/crates/stairward-runtime/src/failover.rs
+++ b/crates/stairward-runtime/src/failover.rs
@@ -75,6 +75,8 @@
             Effect::ReportSilent(silent) => self.report_silent_backends(&silent),
             Effect::Verify { backend, asker } => self.verify_silence(backend, asker),
             Effect::PromotionRecorded(service, promotion) => {
+                self.log
+                    .recorded_promotion(self.now(), &service, &promotion);
                 self.handle(EngineEvent::PromotionRecorded {
                     service,
                     leader: promotion.leader,
--- a/crates/stairward-runtime/src/log.rs
+++ b/crates/stairward-runtime/src/log.rs
@@ -6,7 +6,7 @@
 use stairward_engine::{
     Decision, EngineStatistics, LeadershipChange, LeavingChange, RequestRecord, SessionId,
 };
-use stairward_failover::{FailoverStep, MemberCallResult, Via};
+use stairward_failover::{FailoverStep, MemberCallResult, RecordedPromotion, Via};
 use stairward_limits::Shard;
 use stairward_types::{
     BackendId, Duration, LogEvent, NodeId, OutcomeClass, ResultCode, ServiceName, TenantName, Term,
@@ -282,6 +282,27 @@
         }
     }
 
+    /// Logs the promotion that a service's record names.
+    pub fn recorded_promotion(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        promotion: &RecordedPromotion,
+    ) {
+        let event = LogEvent::PromotionRecorded;
+        if let Some(left_out) = self.admit(now, event) {
+            tracing::info!(
+                event = event.number(),
+                name = event.name(),
+                service = service.as_str(),
+                backend = promotion.leader.as_str(),
+                term = promotion.term.0,
+                is_pending = promotion.is_pending,
+                left_out
+            );
+        }
+    }
+
     /// Logs the result of a step-down or hold request.
     pub fn member_request(
         &self,
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -142,6 +142,8 @@
     EntryRefused = 426, Warn;
     /// A back end that reports to be primary lacks commits that it had reported before; it must not lead.
     LogLost = 427, Warn;
+    /// A promotion was recorded, or its record changed: leaders of earlier terms are not confirmed any more.
+    PromotionRecorded = 428, Info;
     /// A coordinator of tenant limits did not answer; another node is used.
     LimitCoordinatorSilent = 450, Warn;
 
