Failover and engine: corrections from reading the whole change

* A promotion that was refused or throttled was recorded as pending; the next holder would have fenced it, for more than a second.
* Recorded terms never go back, also where a fence starts none.
* A node that others ask asks the leader once per timeout, not once per question.
* Names: NewestTerms, own_record, repeat_record_writes, is_superseded_by_record.

--- a/crates/stairward-engine/src/confirmation.rs
+++ b/crates/stairward-engine/src/confirmation.rs
@@ -43,12 +43,13 @@
             self.other_members(group, leader).is_empty()
                 && !group.leadership.is_revoked(backend.term)
         };
-        let successor = group
-            .leadership
-            .recorded_successor(now, lease, leader, backend.term);
+        let is_superseded =
+            group
+                .leadership
+                .is_superseded_by_record(now, lease, leader, backend.term);
         backend.term >= group.newest_term
             && !backend.is_known_replica()
-            && successor.is_none()
+            && !is_superseded
             && (group.leadership.is_confirmed(now, backend.term, lease) || is_alone())
     }
 
@@ -69,9 +70,9 @@
         let is_outdated = group.newest_term > backend.term;
         let is_known = backend.term > Term::default();
         let leadership = &group.leadership;
-        let successor = leadership.recorded_successor(now, lease, leader, backend.term);
+        let is_superseded = leadership.is_superseded_by_record(now, lease, leader, backend.term);
         let is_deposed = is_outdated || backend.is_known_replica();
-        is_known && (is_deposed || successor.is_some() || leadership.is_revoked(backend.term))
+        is_known && (is_deposed || is_superseded || leadership.is_revoked(backend.term))
     }
 
     /// The members other than the leader that may be promoted. An unlisted member can't be promoted, unless
@@ -185,7 +186,11 @@
             let age = lease / RENEWAL_DIVISOR;
             group.leadership.is_confirmed(now, term, age)
         });
-        if self.is_leader_log_doubtful(now, service) {
+        let is_leader_queried = self.groups.get(service).is_some_and(|group| {
+            let timeout = lease / QUERY_TIMEOUT_DIVISOR;
+            group.leadership.was_queried_within(now, &leader, timeout)
+        });
+        if !is_leader_queried && self.is_leader_log_doubtful(now, service) {
             // The asking node relies on this one to have compared the leader's log.
             self.query_member(now, service, &leader);
         }
--- a/crates/stairward-engine/src/leadership.rs
+++ b/crates/stairward-engine/src/leadership.rs
@@ -204,26 +204,29 @@
         }
     }
 
-    /// The member whose recorded promotion supersedes a leader of `term`. It counts even if discovery no
-    /// longer lists it, until its own report, requested after the promotion must have taken effect, shows that
-    /// the term did not begin.
-    pub fn recorded_successor(
+    /// Whether another member than the leader of `term` was recorded as promoted in a later one. That member
+    /// counts even if discovery no longer lists it, until its own report, requested after the promotion must
+    /// have taken effect, shows that its term did not begin.
+    pub fn is_superseded_by_record(
         &self,
         now: Time,
         lease: Duration,
         leader: &BackendId,
         term: Term,
-    ) -> Option<&BackendId> {
+    ) -> bool {
         let recorded = self.recorded.as_ref();
-        let recorded =
-            recorded.filter(|recorded| recorded.leader != *leader && recorded.term > term)?;
+        let is_later =
+            |recorded: &&RecordedPromotion| recorded.leader != *leader && recorded.term > term;
+        let Some(recorded) = recorded.filter(is_later) else {
+            return false;
+        };
         let has_not_begun = self.reports.get(&recorded.leader).is_some_and(|report| {
             report.is_from_member
                 && now < report.asked_at + lease
                 && report.asked_at >= recorded.learned_at + lease * ATTEMPT_IN_LEASES
                 && report.awaited < recorded.term
         });
-        (!has_not_begun).then_some(&recorded.leader)
+        !has_not_begun
     }
 
     /// Whether each of these members has reported, or nothing listened at its address.
--- a/crates/stairward-engine/src/log_verification.rs
+++ b/crates/stairward-engine/src/log_verification.rs
@@ -64,8 +64,7 @@
         }
         match comparison {
             LogComparison::Complete if is_complete => backend.log_verified(),
-            LogComparison::Complete => {}
-            LogComparison::Unknown => {}
+            LogComparison::Complete | LogComparison::Unknown => {}
             LogComparison::MayLack => backend.is_log_suspect = true,
             LogComparison::Lacks(entry) => {
                 if backend.log_lost(entry) {
--- a/crates/stairward-failover/src/controller.rs
+++ b/crates/stairward-failover/src/controller.rs
@@ -56,7 +56,7 @@
     /// Whether the set of silent back ends has changed since the last report.
     has_unreported_change: bool,
     records: Records,
-    /// When the write of an accepted promotion was last repeated.
+    /// When the write of a promotion to a record was last repeated.
     recorded_at: Time,
     attempts: BTreeMap<ServiceName, Attempt>,
     /// Since when there has been a reason to replace the primary.
@@ -252,11 +252,11 @@
             }
             Event::FoundSilent(backend) => _ = self.verification_paused_until.remove(&backend),
             Event::Verified(node, backend) => self.evidence.record_verified(now, node, backend),
-            Event::NewestTerm {
+            Event::NewestTerms {
                 service,
                 started,
                 announced,
-            } => self.record_newest_term(&service, started, announced),
+            } => self.record_newest_terms(&service, started, announced),
             Event::Records { era, records } => self.apply_records(now, era, records),
             Event::Record(service, version, record) => {
                 self.update_record(now, &service, version, record);
@@ -274,7 +274,7 @@
             }
             Event::Tick => {
                 self.report_again(now);
-                self.record_promotions_again(now);
+                self.repeat_record_writes(now);
             }
         }
     }
--- a/crates/stairward-failover/src/controller/claim.rs
+++ b/crates/stairward-failover/src/controller/claim.rs
@@ -15,7 +15,7 @@
 /// Fraction of the leadership lease after which a node that has not confirmed an announced term is
 /// told again.
 const REMINDER_DIVISOR: u32 = 4;
-/// Interval at which the write of an accepted promotion is repeated until the record shows it.
+/// Interval at which the write of a promotion is repeated until the record shows it.
 const RECORD_REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 
 impl FailoverController {
@@ -134,7 +134,7 @@
         let Some(version) = self.records.version(service) else {
             return;
         };
-        let record = self.records.claim(service);
+        let record = self.records.own_record(service);
         self.effects
             .push(Effect::WriteRecord(service.clone(), version, record));
     }
@@ -159,7 +159,7 @@
 
     /// Repeats the writes of promotions that the records lack: the store's answer was lost, or it
     /// was unavailable.
-    pub(super) fn record_promotions_again(&mut self, now: Time) {
+    pub(super) fn repeat_record_writes(&mut self, now: Time) {
         if now < self.recorded_at + RECORD_REPEAT_INTERVAL {
             return;
         }
--- a/crates/stairward-failover/src/controller/member_status.rs
+++ b/crates/stairward-failover/src/controller/member_status.rs
@@ -45,7 +45,7 @@
         else {
             return;
         };
-        self.effects.push(Effect::QueryNewestTerm(service.clone()));
+        self.effects.push(Effect::QueryNewestTerms(service.clone()));
         for (id, member) in &group.members {
             if !member.is_listed && Some(id) != attempt.old.as_ref() {
                 continue;
@@ -77,7 +77,7 @@
         }
     }
 
-    pub(super) fn record_newest_term(
+    pub(super) fn record_newest_terms(
         &mut self,
         service: &ServiceName,
         started: Term,
--- a/crates/stairward-failover/src/controller/promotion.rs
+++ b/crates/stairward-failover/src/controller/promotion.rs
@@ -136,6 +136,7 @@
                 self.record_answer(now, service);
             }
             PromotionOutcome::Refused | PromotionOutcome::Throttled => {
+                self.record_answer(now, service);
                 self.give_up(now, service, "the promotion was refused");
             }
             PromotionOutcome::Unknown => self.restart_after_unknown_promotion(now, service),
@@ -145,7 +146,14 @@
     /// Writes a promotion to the service's record, for later holders and for nodes that start. The
     /// promotion does not wait for the write: while the store is unavailable, no other holder can
     /// decide either.
-    fn record_promotion(&mut self, now: Time, service: &ServiceName, promotion: RecordedPromotion) {
+    fn record_promotion(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        mut promotion: RecordedPromotion,
+    ) {
+        // A fence may start no term, and recorded terms never go back.
+        promotion.term = promotion.term.max(self.records.term(service));
         self.records.note_promotion(service, promotion.clone());
         self.recorded_at = now;
         self.write_record(service);
--- a/crates/stairward-failover/src/event.rs
+++ b/crates/stairward-failover/src/event.rs
@@ -214,9 +214,9 @@
     FoundSilent(BackendId),
     /// Another node probed a back end that this node finds silent, and found it silent too.
     Verified(NodeId, BackendId),
-    /// The newest terms of a service that this node knows of, as [`Effect::QueryNewestTerm`]
+    /// The newest terms of a service that this node knows of, as [`Effect::QueryNewestTerms`]
     /// requested.
-    NewestTerm {
+    NewestTerms {
         /// The service.
         service: ServiceName,
         /// The newest term that has started.
@@ -330,8 +330,8 @@
     /// missing from discovery.
     PromotionRecorded(ServiceName, RecordedPromotion),
     /// Query the newest terms of a service that this node knows of; answered with
-    /// [`Event::NewestTerm`].
-    QueryNewestTerm(ServiceName),
+    /// [`Event::NewestTerms`].
+    QueryNewestTerms(ServiceName),
     /// Query the status of a member.
     QueryStatus(BackendId),
     /// Query the status of a member until it has received this position, or until waiting longer is
--- a/crates/stairward-failover/src/records.rs
+++ b/crates/stairward-failover/src/records.rs
@@ -31,7 +31,8 @@
     lost_at: Option<Time>,
     /// The newest term that any holder recorded, even if the store has lost the record since.
     terms: BTreeMap<ServiceName, Term>,
-    /// The newest promotion that any holder recorded, likewise.
+    /// The newest promotion that any holder recorded, even if the store has lost the record since, or
+    /// that this node has requested.
     promotions: BTreeMap<ServiceName, RecordedPromotion>,
 }
 
@@ -121,9 +122,9 @@
         self.promotions.get(service)
     }
 
-    /// The record with which this node claims a service: it keeps what is known of the newest
-    /// promotion.
-    pub fn claim(&self, service: &ServiceName) -> FailoverRecord {
+    /// The record that this node writes as the holder of a service. It keeps what is known of the
+    /// newest promotion.
+    pub fn own_record(&self, service: &ServiceName) -> FailoverRecord {
         let promotion = self.promotions.get(service);
         let promotion = promotion.filter(|promotion| promotion.term >= self.term(service));
         FailoverRecord {
--- a/crates/stairward-failover/tests/demotion.rs
+++ b/crates/stairward-failover/tests/demotion.rs
@@ -454,9 +454,9 @@
     assert!(
         attempt
             .effects
-            .contains(&Effect::QueryNewestTerm(service()))
+            .contains(&Effect::QueryNewestTerms(service()))
     );
-    attempt.handle(Event::NewestTerm {
+    attempt.handle(Event::NewestTerms {
         service: service(),
         started: Term(2),
         announced: Term(0),
@@ -880,7 +880,7 @@
 #[test]
 fn the_announced_term_is_above_any_that_was_announced_to_this_node() {
     let mut attempt = Attempt::claimed(false);
-    attempt.handle(Event::NewestTerm {
+    attempt.handle(Event::NewestTerms {
         service: service(),
         started: Term(1),
         announced: Term(2),
@@ -890,3 +890,14 @@
     let is_hold = |effect: &Effect| matches!(effect, Effect::HoldVia(_, Term(3), _));
     assert!(attempt.has_effect(is_hold), "{:?}", attempt.effects);
 }
+
+/// Guards against a slow failover: a later holder fences a pending promotion, which takes more than a second.
+#[test]
+fn a_refused_promotion_is_not_pending() {
+    let mut attempt = Attempt::planned();
+    attempt.call_result(OLD, Via::Direct, MemberCallResult::GaveWay(replica(50)));
+    attempt.effects.clear();
+    let refused = PromotionOutcome::Refused;
+    attempt.handle(Event::Promotion(service(), FencingToken(4), refused));
+    assert_eq!(record_writes(&attempt), [(4, Some(promoted_next()))]);
+}
--- a/crates/stairward-runtime/src/failover.rs
+++ b/crates/stairward-runtime/src/failover.rs
@@ -83,10 +83,10 @@
                     term: promotion.term,
                 });
             }
-            Effect::QueryNewestTerm(service) => {
+            Effect::QueryNewestTerms(service) => {
                 let started = self.newest_term(&service);
                 let announced = self.engine.borrow().announced_term(&service);
-                self.handle_failover_event(Event::NewestTerm {
+                self.handle_failover_event(Event::NewestTerms {
                     service,
                     started,
                     announced,
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -210,12 +210,12 @@
                 };
                 self.handle_engine_event(index, incarnation, event);
             }
-            FailoverEffect::QueryNewestTerm(service) => {
+            FailoverEffect::QueryNewestTerms(service) => {
                 if self.options.broken == Some(BrokenVariant::ForgottenPromotions) {
                     return;
                 }
                 let engine = &self.nodes[index].engine;
-                let event = FailoverEvent::NewestTerm {
+                let event = FailoverEvent::NewestTerms {
                     started: engine.newest_term(&service),
                     announced: engine.announced_term(&service),
                     service,
