Simulation: mixes of faults that follow each other closely

The mixes that found the open faults of leadership are part of the simulation now: 14 strikes and more, at most 1.5 s apart, on platforms where old primaries keep running and where they end, with and without synchronous replicas.

--- a/crates/stairward-simulation/src/lib.rs
+++ b/crates/stairward-simulation/src/lib.rs
@@ -15,6 +15,7 @@
 mod faults;
 mod forwarding;
 mod group;
+mod mixes;
 mod nodes;
 mod options;
 mod queue;
@@ -35,5 +36,6 @@
     ConnectionKey, ConnectionState, Database, ExecutedStatement, LogEntry, Outcome,
 };
 pub use group::{Group, SERVICE, service};
+pub use mixes::Mix;
 pub use options::{BrokenVariant, FaultKind, Options};
 pub use world::{Report, simulate};
