Simulation: a database loses its log only by restarting

Trace: ReplicaLostLog at 9.003 s stops db-2 and lets it start without its log 1.242 s later, at 10.245 s. db-2 had been unresponsive since 5.349 s, and that fault ended at 9.100 s: it started db-2 again, with its log. It was promoted and led term 4 from 10.166 s. At 10.245 s the first fault erased the log of the running process, without closing a connection or counting a start, so that no node could have noticed. No process loses its log without a restart.

Now the fault restarts the process if another has started it: its connections close, and its start is counted. This excuses nothing else.

--- a/crates/stairward-simulation/src/faults.rs
+++ b/crates/stairward-simulation/src/faults.rs
@@ -290,6 +290,9 @@
         let Some(role) = self.group.databases.get(id).map(|database| database.role) else {
             return;
         };
+        // Another fault may have started it in the meantime, with its log; a process loses its log only by
+        // restarting, which closes its connections.
+        self.stop_database(id);
         let lost = self.group.erase_log(id);
         self.checker.record_rollback(&lost);
         self.start_database(id);
