Engine: logs are compared also where a replaced primary ends by itself

Callers saw reads that missed acknowledged commits, and writes acknowledged by a database without its log: mix ending-lostlog, 9 of seeds 710001 to 710300 (FreshRead, four of them OneLeader too).

Cause: what a primary must have is known from its earlier replies; a node that started or meets a primary for the first time has none. The comparison with the other members' reports ran only as part of confirming a leadership, which such platforms do not need. 710146: db-1 starts without its log at 11.250 s, while db-2's promotion is under way, and a read of 11.371 s sees position 0.

Ruled out: the simulation's own erased logs (none in these nine seeds).

Fix: without a lease a leader's replies are withheld until the other listed members have reported, or had 400 ms to, and none has received more. The platform adapter uses a lease everywhere, so that nothing changes there.

--- a/crates/stairward-engine/src/backend.rs
+++ b/crates/stairward-engine/src/backend.rs
@@ -71,6 +71,8 @@
     pub is_log_verified: bool,
     /// Whether a reply, as a leader, showed less of the log than another member has received in its term.
     pub is_log_suspect: bool,
+    /// Since when its log, as a leader, has been compared with those of the other members.
+    pub log_check_since: Option<Time>,
     /// The highest term that it was seen to lead or follow.
     pub term: Term,
     /// The highest term in which it reported the replica role. It leads neither that term nor an earlier one.
@@ -106,6 +108,7 @@
             has_lost_log: false,
             is_log_verified: false,
             is_log_suspect: false,
+            log_check_since: None,
             term: Term::default(),
             replica_term: Term::default(),
             open_after: Time::ZERO,
@@ -128,6 +131,7 @@
         self.position = None;
         self.is_log_verified = false;
         self.is_log_suspect = false;
+        self.log_check_since = None;
         self.term = Term::default();
         self.replica_term = Term::default();
         self.open_after = Time::ZERO;
@@ -153,6 +157,7 @@
             self.has_lost_log = false;
             self.is_log_verified = false;
             self.is_log_suspect = false;
+            self.log_check_since = None;
         }
     }
 
--- a/crates/stairward-engine/src/choice.rs
+++ b/crates/stairward-engine/src/choice.rs
@@ -160,6 +160,7 @@
             .get(&leader)
             .is_some_and(|leader| leader.is_silent);
         self.renew_leadership_confirmation(now, service, &leader);
+        self.query_logs_of_others(now, service, &leader);
         if self.is_leadership_revoked(now, service, &leader) {
             return Choice::Wait(WaitReason::NoLeader);
         }
--- a/crates/stairward-engine/src/confirmation.rs
+++ b/crates/stairward-engine/src/confirmation.rs
@@ -22,6 +22,8 @@
 const QUERY_TIMEOUT_DIVISOR: u32 = 5;
 /// Fraction of the lease after which a failed query is repeated.
 const RETRY_DIVISOR: u32 = 20;
+/// Without a lease, the interval at which withheld replies are checked again.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 impl Engine {
     /// Whether a leader's replies may be trusted now.
@@ -375,7 +377,12 @@
     }
 
     /// Queries a member's status; returns whether a connection was available. Otherwise one is opened.
-    fn query_member(&mut self, now: Time, service: &ServiceName, id: &BackendId) -> bool {
+    pub(crate) fn query_member(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        id: &BackendId,
+    ) -> bool {
         let Some(connection) =
             self.connection_to(now, id, &ConnectionRequest::for_internal_query())
         else {
@@ -395,11 +402,10 @@
     }
 
     pub(crate) fn schedule_query_retry(&mut self, now: Time, service: &ServiceName) {
-        if let Some(lease) = self.options.leadership_lease {
-            let soon = now + lease / RETRY_DIVISOR;
-            self.timers
-                .set(soon, Timer::LeadershipCheck(service.clone()));
-        }
+        let lease = self.options.leadership_lease;
+        let pause = lease.map_or(RECHECK_INTERVAL, |lease| lease / RETRY_DIVISOR);
+        self.timers
+            .set(now + pause, Timer::LeadershipCheck(service.clone()));
     }
 
     /// The other members, best first: healthy ones without an unanswered query, then by cost.
@@ -506,7 +512,11 @@
         report: MemberReport,
     ) {
         let Some(lease) = self.options.leadership_lease else {
-            return;
+            if let Some(group) = self.groups.get_mut(service) {
+                group.leadership.record_log_report(id, report);
+            }
+            self.verify_leader_log(now, service);
+            return self.recheck_withheld(now, service);
         };
         let others = self.promotable_members(now, service);
         if let Some(group) = self.groups.get_mut(service) {
@@ -559,6 +569,9 @@
             && is_waited_for
         {
             self.renew_leadership_confirmation(now, service, &leader);
+            if is_withholding {
+                self.query_logs(now, service, &leader);
+            }
         }
     }
 
--- a/crates/stairward-engine/src/leadership.rs
+++ b/crates/stairward-engine/src/leadership.rs
@@ -130,6 +130,15 @@
         self.update_from_all_reports(now, lease, others);
     }
 
+    /// Records a member's report of its log where leaderships need no confirmation.
+    pub fn record_log_report(&mut self, member: &BackendId, report: MemberReport) {
+        self.pending_queries.remove(member);
+        let known = self.reports.get(member);
+        if known.is_none_or(|known| known.asked_at <= report.asked_at) {
+            self.reports.insert(member.clone(), report);
+        }
+    }
+
     fn record_announced_term(
         &mut self,
         now: Time,
--- a/crates/stairward-engine/src/log_verification.rs
+++ b/crates/stairward-engine/src/log_verification.rs
@@ -2,17 +2,27 @@
 //! know what it had acknowledged, and neither does a node that started after it: only the other members show what
 //! is missing.
 
+use std::time::Duration;
+
 use stairward_types::{BackendId, Freshness, ServiceName, Time};
 
 use crate::engine::Engine;
 use crate::event::BackendEvidence;
 use crate::leadership::LogComparison;
 
+/// Without a leadership lease: how recently the other members must have reported their logs.
+const REPORT_AGE: Duration = Duration::from_secs(1);
+/// Without a leadership lease: how long a leader's replies wait for the reports of members that do not answer.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Without a leadership lease: interval at which a member is queried until it reports.
+const QUERY_INTERVAL: Duration = Duration::from_millis(100);
+
 impl Engine {
-    /// Whether a leader's reply shows less of the log than another member has received in its term, and the
-    /// leader's log has not been found complete.
+    /// Whether a leader's log has not been found complete, and its reply shows less of the log than another
+    /// member has received in its term, or the other members have not reported yet.
     pub(crate) fn may_lack_entries(
         &self,
+        now: Time,
         service: &ServiceName,
         leader: &BackendId,
         position: Option<Freshness>,
@@ -21,11 +31,83 @@
         else {
             return false;
         };
-        let is_known = self.options.leadership_lease.is_none() || backend.is_log_verified;
-        !is_known
-            && group
-                .leadership
-                .has_received_more(leader, backend.term, position)
+        let is_trusted = self.options.leadership_lease.is_none() && !self.options.compares_logs;
+        if is_trusted || backend.is_log_verified {
+            return false;
+        }
+        let has_received_more = group
+            .leadership
+            .has_received_more(leader, backend.term, position);
+        has_received_more || !self.have_members_reported(now, service, leader)
+    }
+
+    /// Whether the other members have reported their logs, or had the time to. With a leadership lease they must
+    /// report before the leader is confirmed.
+    fn have_members_reported(&self, now: Time, service: &ServiceName, leader: &BackendId) -> bool {
+        let (Some(group), Some(backend)) = (self.groups.get(service), self.backends.get(leader))
+        else {
+            return false;
+        };
+        if self.options.leadership_lease.is_some() {
+            return true;
+        }
+        let is_timed_out = backend
+            .log_check_since
+            .is_some_and(|since| now >= since + REPORT_TIMEOUT);
+        let others = self.other_members(group, leader);
+        let mut others = others.iter();
+        is_timed_out || others.all(|id| group.leadership.has_report_within(now, id, REPORT_AGE))
+    }
+
+    /// Queries the other members whose logs are missing for the comparison with the leader's, where no
+    /// confirmation of the leadership does so.
+    pub(crate) fn query_logs_of_others(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        leader: &BackendId,
+    ) {
+        if !self.must_compare_log(leader) {
+            return;
+        }
+        if let Some(backend) = self.backends.get_mut(leader) {
+            backend.log_check_since.get_or_insert(now);
+        }
+        let Some(group) = self.groups.get(service) else {
+            return;
+        };
+        for id in self.other_members(group, leader) {
+            self.query_log(now, service, &id, REPORT_AGE);
+        }
+        self.schedule_query_retry(now, service);
+    }
+
+    /// Queries all members whose logs are missing for the comparison, including the leader.
+    pub(crate) fn query_logs(&mut self, now: Time, service: &ServiceName, leader: &BackendId) {
+        if self.must_compare_log(leader) {
+            self.query_logs_of_others(now, service, leader);
+            self.query_log(now, service, leader, QUERY_INTERVAL);
+        }
+    }
+
+    /// Whether the leader's log must be compared, and no confirmation of the leadership does so.
+    fn must_compare_log(&self, leader: &BackendId) -> bool {
+        let backend = self.backends.get(leader);
+        self.options.leadership_lease.is_none()
+            && self.options.compares_logs
+            && backend.is_some_and(|backend| !backend.is_log_verified)
+    }
+
+    /// Queries a member that has not reported within `age`.
+    fn query_log(&mut self, now: Time, service: &ServiceName, id: &BackendId, age: Duration) {
+        let is_due = self.groups.get(service).is_some_and(|group| {
+            let leadership = &group.leadership;
+            !leadership.has_report_within(now, id, age)
+                && !leadership.was_queried_within(now, id, QUERY_INTERVAL)
+        });
+        if is_due {
+            self.query_member(now, service, id);
+        }
     }
 
     /// Notes that a leader's reply shows all that the other members have received, if all have reported.
--- a/crates/stairward-engine/src/settings.rs
+++ b/crates/stairward-engine/src/settings.rs
@@ -164,6 +164,9 @@
     /// How long a leader counts as confirmed after a replica was queried. None if a replaced leader accepts
     /// nothing any more, so that no confirmation is needed.
     pub leadership_lease: Option<Duration>,
+    /// Whether a leader's log is compared with those of the other members before its replies are trusted, also
+    /// without a leadership lease.
+    pub compares_logs: bool,
     /// Whether no leader is confirmed before [`crate::Event::PeersConsulted`]. Only matters with a leadership
     /// lease.
     pub consults_peers: bool,
@@ -207,6 +210,7 @@
             },
             cold_bound: ColdBound::default(),
             leadership_lease: None,
+            compares_logs: false,
             consults_peers: false,
             stop_grace: Duration::from_secs(6),
             session_queue_limit: 32,
--- a/crates/stairward-engine/src/withholding.rs
+++ b/crates/stairward-engine/src/withholding.rs
@@ -30,7 +30,12 @@
         let is_confirmed = || {
             self.is_leadership_confirmed(now, &connection.service, &connection.backend)
                 && !self.is_of_earlier_term(&connection.backend, step, reply)
-                && !self.may_lack_entries(&connection.service, &connection.backend, reply.position)
+                && !self.may_lack_entries(
+                    now,
+                    &connection.service,
+                    &connection.backend,
+                    reply.position,
+                )
         };
         is_proof && has_user && reply.result.is_ok() && !is_confirmed()
     }
@@ -69,7 +74,7 @@
     ) -> Option<(SentStep, BackendReply)> {
         let connection = self.connections.get(&id)?;
         let (service, leader) = (connection.service.clone(), connection.backend.clone());
-        let may_lack = self.may_lack_entries(&service, &leader, reply.position);
+        let may_lack = self.may_lack_entries(now, &service, &leader, reply.position);
         if !self.must_withhold(now, id, &sent.step, &reply) {
             if !may_lack && matches!(sent.step, Step::Begin { read_only: false }) {
                 self.log_found_complete(&service, &leader);
@@ -82,6 +87,7 @@
         let connection = self.connections.get_mut(&id)?;
         connection.withheld = Some((sent, reply));
         self.renew_leadership_confirmation(now, &service, &leader);
+        self.query_logs(now, &service, &leader);
         self.schedule_query_retry(now, &service);
         None
     }
@@ -110,8 +116,9 @@
             let withheld = connection.withheld.as_ref();
             let is_superseded = withheld
                 .is_some_and(|(sent, reply)| self.is_of_earlier_term(&leader, &sent.step, reply));
-            let may_lack = withheld
-                .is_some_and(|(_, reply)| self.may_lack_entries(service, &leader, reply.position));
+            let may_lack = withheld.is_some_and(|(_, reply)| {
+                self.may_lack_entries(now, service, &leader, reply.position)
+            });
             let is_confirmed = || !may_lack && self.is_leadership_confirmed(now, service, &leader);
             if !is_abandoned && is_superseded {
                 self.reject_withheld(now, id);
@@ -133,7 +140,9 @@
         else {
             return true;
         };
-        group.newest_term > backend.term || backend.is_known_replica() || backend.has_lost_log
+        let is_deposed = group.newest_term > backend.term || backend.is_known_replica();
+        // Without a lease, a replaced leader refuses statements by itself.
+        (is_deposed && self.options.leadership_lease.is_some()) || backend.has_lost_log
     }
 
     /// Ends a request whose withheld reply came from a replaced leader: its outcome is unknown.
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -114,6 +114,7 @@
         let zone_regions = options.engine.regions.clone();
         let engine = EngineOptions {
             leadership_lease: options.leadership_lease,
+            compares_logs: true,
             consults_peers: true,
             limits: LimitOptions {
                 window: options.engine.limits.window,
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -111,6 +111,7 @@
         let options = EngineOptions {
             distances: distances.collect(),
             leadership_lease: leases.engine,
+            compares_logs: run.broken != Some(BrokenVariant::UncomparedLogs),
             consults_peers: true,
             leaving_limit: DrainLimit {
                 after_notice: run.drain_limit.saturating_sub(NOTICE_MARGIN),
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -147,11 +147,13 @@
     NoPeerKnowledge,
     /// Nodes consider a promotion whose request is unanswered as answered.
     IgnoredPendingPromotions,
+    /// Nodes do not compare a leader's log with those of the other members.
+    UncomparedLogs,
 }
 
 impl BrokenVariant {
     /// All variants.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 28] = [
         Self::NoReadFloor,
         Self::NoLeaderCheck,
         Self::FalseNotRun,
@@ -179,6 +181,7 @@
         Self::HiddenPromotions,
         Self::NoPeerKnowledge,
         Self::IgnoredPendingPromotions,
+        Self::UncomparedLogs,
     ];
 }
 
--- a/crates/stairward-simulation/tests/mixes.rs
+++ b/crates/stairward-simulation/tests/mixes.rs
@@ -30,3 +30,13 @@
     assert_holds(&Mix::Restores.options(880_304));
     assert_holds(&Mix::LatePromotions.options(700_026));
 }
+
+/// Guards against reads at a primary that started without its log and that the node has not known before.
+#[test]
+fn a_primary_without_its_log_is_not_read_where_old_primaries_end() {
+    for seed in [
+        710_012, 710_071, 710_146, 710_181, 710_196, 710_199, 710_221, 710_251, 710_275,
+    ] {
+        assert_holds(&Mix::EndingLostLogs.options(seed));
+    }
+}
--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -421,7 +421,8 @@
     match variant {
         BrokenVariant::NoReadFloor
         | BrokenVariant::NoLeaderCheck
-        | BrokenVariant::HiddenLostLog => Invariant::FreshRead,
+        | BrokenVariant::HiddenLostLog
+        | BrokenVariant::UncomparedLogs => Invariant::FreshRead,
         BrokenVariant::FalseNotRun => Invariant::NotRunGuarantee,
         BrokenVariant::DuplicateWrite => Invariant::AtMostOnce,
         BrokenVariant::NoSessionReset | BrokenVariant::WrongConnection => {
@@ -473,6 +474,10 @@
             broken: Some(variant),
             ..Mix::Restores.options(seed)
         },
+        BrokenVariant::UncomparedLogs => Options {
+            broken: Some(variant),
+            ..Mix::EndingLostLogs.options(seed)
+        },
         BrokenVariant::HiddenPromotions => Options {
             fault_count: 20,
             max_pause_ms: 1_200,
