Simulation: a database is no replica of its own commits

A database that has stepped down counted for its own log. The platform's page says that the answer comes once one replica has received it.

Now the database that committed an entry never counts for it.

--- a/crates/stairward-simulation/src/group.rs
+++ b/crates/stairward-simulation/src/group.rs
@@ -204,12 +204,15 @@
         rolled_back
     }
 
-    /// Whether enough replicas have received a commit for it to be acknowledged.
+    /// Whether enough replicas have received a commit for it to be acknowledged. The database that committed it
+    /// does not count, even if it has stepped down and is a replica by now.
     #[must_use]
-    pub fn is_replicated(&self, entry: &LogEntry, replicas: u32) -> bool {
+    pub fn is_replicated(&self, committer: &BackendId, entry: &LogEntry, replicas: u32) -> bool {
         let number = usize::try_from(entry.at.position.0).unwrap_or(usize::MAX);
         let has_entry = |database: &&Database| {
-            database.role == BackendRole::Replica && database.log.get(number - 1) == Some(entry)
+            database.id != *committer
+                && database.role == BackendRole::Replica
+                && database.log.get(number - 1) == Some(entry)
         };
         let holding = self.databases.values().filter(has_entry).count();
         holding >= usize::try_from(replicas).unwrap_or(usize::MAX)
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -12,7 +12,7 @@
 
 use crate::callers::Caller;
 use crate::checker::{Checker, Invariant, Violation};
-use crate::database::ConnectionKey;
+use crate::database::{ConnectionKey, LogEntry};
 use crate::group::Group;
 use crate::nodes::{CONNECTION_LIMIT, Node, STALENESS};
 use crate::options::Options;
@@ -60,6 +60,17 @@
     Resume,
 }
 
+/// A commit whose response waits until enough replicas have received it.
+#[derive(Debug)]
+pub(crate) struct AwaitedCommit {
+    pub connection: ConnectionKey,
+    /// The database that committed it.
+    pub committer: BackendId,
+    pub entry: LogEntry,
+    /// Delay of the response from then on.
+    pub delay: Duration,
+}
+
 /// An event of the simulation. The first number is usually the node, the second its incarnation.
 #[derive(Debug)]
 pub(crate) enum SimulationEvent {
@@ -80,12 +91,7 @@
     CloseConnection(ConnectionKey, BackendId),
     WriteRecord(usize, u64, RecordVersion, FailoverRecord),
     /// Checks again whether enough replicas have received a commit whose response is outstanding.
-    AwaitReplicas(
-        ConnectionKey,
-        crate::database::LogEntry,
-        Duration,
-        Box<SimulationEvent>,
-    ),
+    AwaitReplicas(AwaitedCommit, Box<SimulationEvent>),
     /// A node asks a peer for the leader position that it knows.
     QueryPeerPosition(usize, u64, usize, Time),
     /// A node detects that its connection to another node has ended.
@@ -338,8 +344,8 @@
             SimulationEvent::WriteRecord(node, incarnation, version, record) => {
                 self.write_record_from(node, incarnation, version, record);
             }
-            SimulationEvent::AwaitReplicas(connection_key, entry, delay, reply) => {
-                self.wait_for_replicas(connection_key, entry, delay, *reply);
+            SimulationEvent::AwaitReplicas(commit, reply) => {
+                self.wait_for_replicas(commit, *reply);
             }
             SimulationEvent::QueryPeerPosition(node, incarnation, peer, asked_at) => {
                 self.query_peer_position(node, incarnation, peer, asked_at);
--- a/crates/stairward-simulation/src/world_databases.rs
+++ b/crates/stairward-simulation/src/world_databases.rs
@@ -11,7 +11,7 @@
 use crate::database::{ConnectionKey, ConnectionState};
 use crate::options::BrokenVariant;
 use crate::world::{
-    FAR_DELAY, MIN_CONNECTED_TIME, MemberQuery, NEAR_DELAY, NORMAL_LAG, REPLICATION_TICK,
+    AwaitedCommit, FAR_DELAY, MIN_CONNECTED_TIME, MemberQuery, NEAR_DELAY, NORMAL_LAG, REPLICATION_TICK,
     SimulationEvent, World,
 };
 
@@ -151,7 +151,13 @@
         let reply = SimulationEvent::Engine(node, connection_key.incarnation, Box::new(reply));
         match outcome.committed {
             Some(entry) if self.options.synchronous_replicas > 0 => {
-                self.wait_for_replicas(connection_key, entry, delay, reply);
+                let commit = AwaitedCommit {
+                    connection: connection_key,
+                    committer: backend.clone(),
+                    entry,
+                    delay,
+                };
+                self.wait_for_replicas(commit, reply);
             }
             _ => self.queue.schedule(delay, reply),
         }
@@ -159,28 +165,25 @@
 
     /// Sends the response to a commit once enough replicas have received it. Until then the connection
     /// returns nothing; if the commit is lost, it never does.
-    pub(crate) fn wait_for_replicas(
-        &mut self,
-        connection_key: ConnectionKey,
-        entry: crate::database::LogEntry,
-        delay: Duration,
-        reply: SimulationEvent,
-    ) {
+    pub(crate) fn wait_for_replicas(&mut self, commit: AwaitedCommit, reply: SimulationEvent) {
         let replicas = self.options.synchronous_replicas;
-        if self.group.is_replicated(&entry, replicas) {
-            return self.queue.schedule(delay, reply);
+        if self
+            .group
+            .is_replicated(&commit.committer, &commit.entry, replicas)
+        {
+            return self.queue.schedule(commit.delay, reply);
         }
-        let is_over = self.stalled.contains(&connection_key)
+        let is_over = self.stalled.contains(&commit.connection)
             || !self
                 .group
                 .databases
                 .values()
-                .any(|database| database.log.contains(&entry));
+                .any(|database| database.log.contains(&commit.entry));
         if is_over {
-            self.stalled.insert(connection_key);
+            self.stalled.insert(commit.connection);
             return;
         }
-        let retry = SimulationEvent::AwaitReplicas(connection_key, entry, delay, Box::new(reply));
+        let retry = SimulationEvent::AwaitReplicas(commit, Box::new(reply));
         self.queue.schedule(REPLICATION_TICK, retry);
     }
 
