Failover: a healthy primary stays when an announced term does not start

Cause: an announced term that does not start is a reason to replace the primary after 1.5 s.

Fix: the time counts anew from the end of an attempt, and an attempt for this reason waits for the primary's answer and keeps it if it leads and all who may lead have answered. Its promotion then changes nothing but the token.

The check: invariant StablePrimary of the simulation. Both unit tests fail without the change.

Broken variants: EveryPrimaryLeaving is caught by the new check. NoStepDown was not caught any more, since nodes tell each other of promotions; it hides that now, as it does for the two variants of the lease.

--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -68,6 +68,9 @@
     /// Whether an earlier promotion got no answer and may still be carried out. A decision with a
     /// higher token must be answered before this attempt may end.
     pub must_fence: bool,
+    /// Whether the attempt began because of an announced term that does not start. Then the present
+    /// leader stays if it can be shown to lead.
+    pub settles_announcement: bool,
     /// Targets of earlier promotions that got no answer.
     pub pending_targets: BTreeSet<BackendId>,
     /// Unanswered promotions of the member that led already. Each may start a term if another
@@ -109,6 +112,7 @@
             reminded_at: now,
             is_announced: false,
             must_fence: false,
+            settles_announcement: false,
             pending_targets: BTreeSet::new(),
             pending_fences: 0,
             min_allowed_work: 0,
--- a/crates/stairward-failover/src/controller/claim.rs
+++ b/crates/stairward-failover/src/controller/claim.rs
@@ -80,6 +80,7 @@
             let allowed = leader.map_or(0, |leader| leader.placement.allowed_work);
             attempt.min_allowed_work = allowed.saturating_add(1);
         }
+        attempt.settles_announcement = trigger == Trigger::Held;
         self.attempts.insert(service.clone(), attempt);
         let reason = trigger.reason();
         self.log(service, FailoverStep::Began { reason });
--- a/crates/stairward-failover/src/controller/member_status.rs
+++ b/crates/stairward-failover/src/controller/member_status.rs
@@ -114,7 +114,7 @@
             None => self.options.status_timeout,
         };
         let await_old = attempt.old.as_ref().is_some_and(|old| {
-            !attempt.is_planned
+            (!attempt.is_planned || attempt.settles_announcement)
                 && !self.evidence.is_refused(old)
                 && attempt.unanswered.contains(old)
                 && now.since(attempt.stage_since) < old_timeout
@@ -143,7 +143,7 @@
                 .as_ref()
                 .is_some_and(|old| self.evidence.has_lost_log(old));
         let current_leader = attempt.current_leader().cloned();
-        if attempt.must_fence
+        if (attempt.must_fence || attempt.settles_announcement)
             && let Some(leader) = current_leader
             && !(old_has_lost_log && Some(&leader) == attempt.old.as_ref())
         {
--- a/crates/stairward-failover/src/controller/promotion.rs
+++ b/crates/stairward-failover/src/controller/promotion.rs
@@ -94,6 +94,7 @@
             let old = attempt.old.clone();
             let held = std::mem::take(&mut attempt.held);
             let is_planned = attempt.is_planned;
+            let settles_announcement = attempt.settles_announcement;
             let pending = attempt.demotion.as_ref().map(|demotion| demotion.term);
             let known_term = attempt.known_term.max(pending.unwrap_or_default());
             let mut pending_targets = std::mem::take(&mut attempt.pending_targets);
@@ -103,6 +104,7 @@
             *attempt = Attempt::new(old, is_planned, now);
             attempt.held = held;
             attempt.must_fence = true;
+            attempt.settles_announcement = settles_announcement;
             attempt.pending_targets = pending_targets;
             attempt.pending_fences = pending_fences;
             attempt.is_announced = is_announced;
@@ -201,6 +203,7 @@
                 self.resume_held(service);
                 self.announce_attempt_ended(service);
             }
+            self.restart_revocation_delay(now, service);
             let attempt = self.attempts.remove(service);
             if let Some(old) = attempt.and_then(|attempt| attempt.old) {
                 self.evidence.forget(&old);
@@ -251,9 +254,18 @@
             self.resume_held(service);
             self.announce_attempt_ended(service);
         }
+        self.restart_revocation_delay(now, service);
         self.attempts.remove(service);
         self.retry_after
             .insert(service.clone(), now + self.options.retry_delay);
         self.log(service, FailoverStep::GaveUp { reason });
     }
+
+    /// Gives the nodes time to confirm a leader after an attempt of this node, which announced a
+    /// term itself: only a term that stays announced after that is a reason for another attempt.
+    fn restart_revocation_delay(&mut self, now: Time, service: &ServiceName) {
+        if let Some(since) = self.revoked_since.get_mut(service) {
+            *since = now;
+        }
+    }
 }
--- a/crates/stairward-failover/tests/demotion.rs
+++ b/crates/stairward-failover/tests/demotion.rs
@@ -901,3 +901,58 @@
     attempt.handle(Event::Promotion(service(), FencingToken(4), refused));
     assert_eq!(record_writes(&attempt), [(4, Some(promoted_next()))]);
 }
+
+/// The controller has claimed the service because an announced term does not start; the present leader has answered.
+fn announced_term_does_not_start() -> Attempt {
+    let mut attempt = Attempt::new(false);
+    attempt.handle(Event::Evidence(backend(OLD), LeaderEvidence::Answered));
+    attempt.handle(Event::RecordFailed(service()));
+    attempt.advance(500);
+    attempt.effects.clear();
+    attempt.handle(Event::LeadershipRevoked(service(), true));
+    attempt.advance(1_600);
+    attempt.handle(written(4, Term(0)));
+    attempt.handle(Event::NewestTerms {
+        service: service(),
+        started: Term(1),
+        announced: Term(2),
+    });
+    attempt.answer(OLD, status(BackendRole::Primary, 1, 60, 0));
+    attempt.answer_replicas();
+    attempt.advance(20);
+    attempt
+}
+
+/// Guards against a change of primary for each announced term that does not start, for ever: each change announced
+/// another such term.
+#[test]
+fn a_healthy_leader_stays_when_an_announced_term_does_not_start() {
+    let attempt = announced_term_does_not_start();
+    assert_eq!(
+        attempt.promotions(),
+        [backend(OLD)],
+        "{:?}",
+        attempt.effects
+    );
+    assert!(!attempt.requests_step_down(&Via::Direct));
+}
+
+/// Guards against an attempt for a revocation that is due to this node's own earlier attempt.
+#[test]
+fn the_nodes_have_time_to_confirm_a_leader_after_an_attempt() {
+    let mut attempt = announced_term_does_not_start();
+    let token = FencingToken(4);
+    attempt.handle(Event::Promotion(
+        service(),
+        token,
+        PromotionOutcome::Accepted,
+    ));
+    let ended = |effect: &Effect| matches!(effect, Effect::AnnounceAttemptEnded(..));
+    assert!(attempt.has_effect(ended), "{:?}", attempt.effects);
+    attempt.effects.clear();
+    attempt.advance(1_300);
+    let began = |effect: &Effect| matches!(effect, Effect::Log(_, FailoverStep::Began { .. }));
+    assert!(!attempt.has_effect(began), "{:?}", attempt.effects);
+    attempt.advance(400);
+    assert!(attempt.has_effect(began), "it is still revoked");
+}
--- a/crates/stairward-simulation/src/faults.rs
+++ b/crates/stairward-simulation/src/faults.rs
@@ -51,6 +51,7 @@
             return;
         }
         self.remaining_faults -= 1;
+        self.disturbance.record(self.queue.now());
         let index = self.random.random_range(0..self.options.faults.len());
         let kind = self.options.faults[index];
         let duration = self.random_duration(1_000, 6_000);
@@ -307,6 +308,7 @@
 
     /// Ends a fault.
     pub fn end_fault(&mut self, end: FaultEnd) {
+        self.disturbance.record(self.queue.now());
         match end {
             FaultEnd::DatabaseStarts(id) => self.start_database(&id),
             FaultEnd::DatabaseStartsWithoutLog(id) => self.start_without_log(&id),
--- a/crates/stairward-simulation/src/lib.rs
+++ b/crates/stairward-simulation/src/lib.rs
@@ -11,6 +11,7 @@
 mod checker;
 mod cold;
 mod database;
+mod disturbance;
 mod evacuations;
 mod faults;
 mod forwarding;
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -149,11 +149,13 @@
     IgnoredPendingPromotions,
     /// Nodes do not compare a leader's log with those of the other members.
     UncomparedLogs,
+    /// The failover controllers consider every primary as leaving, and replace it.
+    EveryPrimaryLeaving,
 }
 
 impl BrokenVariant {
     /// All variants.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::NoReadFloor,
         Self::NoLeaderCheck,
         Self::FalseNotRun,
@@ -182,6 +184,7 @@
         Self::NoPeerKnowledge,
         Self::IgnoredPendingPromotions,
         Self::UncomparedLogs,
+        Self::EveryPrimaryLeaving,
     ];
 }
 
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -13,6 +13,7 @@
 use crate::callers::Caller;
 use crate::checker::{Checker, Invariant, Violation};
 use crate::database::{ConnectionKey, LogEntry};
+use crate::disturbance::Disturbance;
 use crate::group::Group;
 use crate::nodes::{CONNECTION_LIMIT, Node, STALENESS};
 use crate::options::Options;
@@ -176,6 +177,7 @@
     pub decisions: Vec<String>,
     /// Who last wrote the service's record, and when. A restore of the store does not reset it.
     pub(crate) last_record_writer: Option<(Time, String)>,
+    pub disturbance: Disturbance,
     /// Number of faults that are still to be injected.
     pub remaining_faults: u32,
     /// The last incarnation given to a node.
@@ -232,6 +234,7 @@
             last_record_writer: None,
             faults: Vec::new(),
             decisions: Vec::new(),
+            disturbance: Disturbance::default(),
             remaining_faults: options.fault_count,
             last_incarnation: 0,
             last_statement_number: 0,
@@ -388,7 +391,10 @@
                     self.close_session(caller);
                 }
             }
-            SimulationEvent::StartNode(node) => self.start_node(node),
+            SimulationEvent::StartNode(node) => {
+                self.disturbance.record(self.queue.now());
+                self.start_node(node);
+            }
             SimulationEvent::InjectFault => self.inject_fault(),
             SimulationEvent::FaultEnds(ending) => self.end_fault(ending),
             SimulationEvent::CheckConfiguration(revision, since) => {
--- a/crates/stairward-simulation/src/world_databases.rs
+++ b/crates/stairward-simulation/src/world_databases.rs
@@ -11,8 +11,8 @@
 use crate::database::{ConnectionKey, ConnectionState};
 use crate::options::BrokenVariant;
 use crate::world::{
-    AwaitedCommit, FAR_DELAY, MIN_CONNECTED_TIME, MemberQuery, NEAR_DELAY, NORMAL_LAG, REPLICATION_TICK,
-    SimulationEvent, World,
+    AwaitedCommit, FAR_DELAY, MIN_CONNECTED_TIME, MemberQuery, NEAR_DELAY, NORMAL_LAG,
+    REPLICATION_TICK, SimulationEvent, World,
 };
 
 /// How long a node waits for an unreachable member.
@@ -449,6 +449,7 @@
         let term = self.group.databases[backend].term;
         let started_at = self.now();
         self.checker.record_term_start(started_at, term);
+        self.check_stable_primary();
         self.decisions
             .push(format!("{started_at:?} {backend} is primary of {term:?}"));
         if self.options.synchronous_replicas > 0 {
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -9,7 +9,7 @@
     Effect as FailoverEffect, Event as FailoverEvent, FailoverRecord, PromotionOutcome,
     RecordVersion, RecordedPromotion, Via,
 };
-use stairward_types::{BackendId, NodeId, ServiceName, StoreRevision, Term, Time};
+use stairward_types::{BackendId, BackendRole, NodeId, ServiceName, StoreRevision, Term, Time};
 
 use crate::checker::Invariant;
 use crate::nodes::{node_name, routing_table};
@@ -100,7 +100,13 @@
         let users = peers.iter().copied().collect();
         self.handle_failover_event(node, incarnation, FailoverEvent::LeaderUsers(users));
         self.handle_failover_event(node, incarnation, FailoverEvent::RelayPeers(peers));
-        let groups = self.nodes[node].groups(&list, self.options.synchronous_replicas);
+        let mut groups = self.nodes[node].groups(&list, self.options.synchronous_replicas);
+        if self.options.broken == Some(BrokenVariant::EveryPrimaryLeaving) {
+            let members = groups.values_mut().flat_map(|g| g.members.values_mut());
+            for member in members {
+                member.is_leaving |= member.role == BackendRole::Primary;
+            }
+        }
         self.handle_failover_event(node, incarnation, FailoverEvent::NodeCount(nodes));
         self.handle_failover_event(node, incarnation, FailoverEvent::Groups(groups));
         let version = self.record_version();
@@ -353,10 +359,18 @@
         }
     }
 
+    /// Whether nodes do not tell each other of promotions. Otherwise what they say would protect the variants in
+    /// which an old primary is not demoted, or the wait for its end is missing.
     fn hides_promotions_from_peers(&self) -> bool {
         matches!(
             self.options.broken,
-            Some(BrokenVariant::HiddenPromotions | BrokenVariant::NoPeerKnowledge)
+            Some(
+                BrokenVariant::HiddenPromotions
+                    | BrokenVariant::NoPeerKnowledge
+                    | BrokenVariant::NoStepDown
+                    | BrokenVariant::NoLeaseWait
+                    | BrokenVariant::LongLease
+            )
         )
     }
 
@@ -578,6 +592,7 @@
         let promote = SimulationEvent::Promote(index, incarnation, backend, token, !is_delayed);
         self.queue.schedule(delay, promote);
         if is_delayed {
+            self.disturbance.late_promotions += 1;
             let unknown_outcome =
                 FailoverEvent::Promotion(crate::group::service(), token, PromotionOutcome::Unknown);
             let unknown_outcome =
@@ -595,6 +610,10 @@
         token: stairward_failover::FencingToken,
         is_answered: bool,
     ) {
+        if !is_answered {
+            self.disturbance.late_promotions -= 1;
+            self.disturbance.record(self.queue.now());
+        }
         let is_alive = self
             .group
             .databases
--- a/crates/stairward-simulation/tests/mixes.rs
+++ b/crates/stairward-simulation/tests/mixes.rs
@@ -40,3 +40,15 @@
         assert_holds(&Mix::EndingLostLogs.options(seed));
     }
 }
+
+/// Guards against a change of primary each second for ever, long after the last fault.
+#[test]
+fn a_primary_is_not_changed_again_and_again_once_nothing_fails() {
+    for seed in [
+        710_002, 710_007, 710_010, 710_012, 710_014, 710_022, 710_025, 710_028, 710_029,
+    ] {
+        let report = assert_holds(&Mix::SynchronousQuiet.options(seed));
+        assert!(report.promotions < 20, "seed {seed}: {report:?}");
+    }
+    assert_holds(&Mix::Close.options(710_039));
+}
--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -382,6 +382,7 @@
         BrokenVariant::RevokedKeyAccepted => vec![FaultKind::ConfigurationChange],
         BrokenVariant::ForgottenEvacuation => vec![FaultKind::NodeKill, FaultKind::Evacuation],
         BrokenVariant::EveryNodeFirstRanked => vec![FaultKind::PrimaryLeaves],
+        BrokenVariant::EveryPrimaryLeaving => vec![FaultKind::ConfigurationChange],
         BrokenVariant::HiddenLostLog => vec![FaultKind::PrimaryLostLog],
         // A node that starts after a restore accepts the restored store's lower revisions.
         BrokenVariant::IgnoredEra => vec![
@@ -446,6 +447,7 @@
         BrokenVariant::UnlimitedGrants => Invariant::TenantRateLimit,
         BrokenVariant::ForgottenEvacuation => Invariant::ZoneEvacuation,
         BrokenVariant::EveryNodeFirstRanked => Invariant::WarmUp,
+        BrokenVariant::EveryPrimaryLeaving => Invariant::StablePrimary,
     }
 }
 
