Failover: a replica that discovery has lost may hold an acknowledged commit

Cause: so many replicas must answer that each acknowledged commit is on one of them, and their number was that of the listed members.

The unit test fails without the change. Services without synchronous replicas are not concerned.

--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -266,10 +266,11 @@
 
     /// Whether the replica that would be chosen holds every acknowledged commit: enough replicas
     /// answered that each acknowledged commit is on one of them, and none of them is ahead of the
-    /// chosen one.
-    pub fn covers_acknowledged_commits(&self, group: &GroupState) -> bool {
+    /// chosen one. `missing` members that are no longer listed count as replicas that did not
+    /// answer.
+    pub fn covers_acknowledged_commits(&self, group: &GroupState, missing: usize) -> bool {
         let is_replica = |id: &&BackendId| Some(*id) != self.old.as_ref();
-        let replicas = group.members.keys().filter(is_replica).count();
+        let replicas = group.members.keys().filter(is_replica).count() + missing;
         let answered = self.answers.keys().filter(is_replica).count();
         let needed = replicas + 1;
         let synchronous = usize::try_from(group.synchronous_replicas).unwrap_or(usize::MAX);
--- a/crates/stairward-failover/src/controller.rs
+++ b/crates/stairward-failover/src/controller.rs
@@ -16,6 +16,7 @@
 use crate::consultation::Consultation;
 use crate::event::{Effect, Event, FailoverStep, GroupState, LeaderEvidence};
 use crate::evidence::BackendEvidence;
+use crate::former_members::FormerMembers;
 use crate::options::FailoverOptions;
 use crate::records::Records;
 
@@ -37,6 +38,7 @@
 pub struct FailoverController {
     options: FailoverOptions,
     groups: BTreeMap<ServiceName, GroupState>,
+    former_members: FormerMembers,
     /// The service of each member.
     service_of: BTreeMap<BackendId, ServiceName>,
     /// The number of listed members over all services.
@@ -84,6 +86,7 @@
             records: Records::new(options.node.clone(), options.lease),
             options,
             groups: BTreeMap::new(),
+            former_members: FormerMembers::default(),
             service_of: BTreeMap::new(),
             listed_members: 0,
             planned_moves: BTreeSet::new(),
@@ -179,21 +182,21 @@
         for service in gone {
             self.forget_group(&service);
         }
-        self.apply_groups(groups);
+        self.apply_groups(now, groups);
         self.detect_mass_expiry(now, listed_before);
     }
 
     /// Updates the services that have changed.
     fn update_groups(&mut self, now: Time, groups: BTreeMap<ServiceName, GroupState>) {
         let listed_before = self.listed_members;
-        self.apply_groups(groups);
+        self.apply_groups(now, groups);
         self.detect_mass_expiry(now, listed_before);
     }
 
-    fn apply_groups(&mut self, groups: BTreeMap<ServiceName, GroupState>) {
+    fn apply_groups(&mut self, now: Time, groups: BTreeMap<ServiceName, GroupState>) {
         for (service, group) in groups {
             if self.groups.get(&service) != Some(&group) {
-                self.apply_group(service, group);
+                self.apply_group(now, service, group);
             }
         }
         let (groups, service_of) = (&self.groups, &self.service_of);
@@ -203,7 +206,10 @@
         });
     }
 
-    fn apply_group(&mut self, service: ServiceName, group: GroupState) {
+    fn apply_group(&mut self, now: Time, service: ServiceName, group: GroupState) {
+        if let Some(before) = self.groups.get(&service) {
+            self.former_members.update(now, &service, before, &group);
+        }
         self.forget_members(&service);
         self.listed_members += group.listed_members();
         for id in group.members.keys() {
--- a/crates/stairward-failover/src/controller/demotion_steps.rs
+++ b/crates/stairward-failover/src/controller/demotion_steps.rs
@@ -277,7 +277,8 @@
         else {
             return;
         };
-        if group.synchronous_replicas > 0 && !attempt.covers_acknowledged_commits(group) {
+        let missing = self.former_members.missing(now, service, group);
+        if group.synchronous_replicas > 0 && !attempt.covers_acknowledged_commits(group, missing) {
             return self.give_up(now, service, "an acknowledged commit might be lost");
         }
         let Some(chosen) = attempt.choose_target(group) else {
--- a/crates/stairward-failover/src/controller/member_status.rs
+++ b/crates/stairward-failover/src/controller/member_status.rs
@@ -170,7 +170,8 @@
             if attempt.held.is_empty() {
                 return self.hold_replicas(now, service);
             }
-            if !attempt.covers_acknowledged_commits(group) {
+            let missing = self.former_members.missing(now, service, group);
+            if !attempt.covers_acknowledged_commits(group, missing) {
                 return self.give_up(now, service, "an acknowledged commit might be lost");
             }
         }
--- a/crates/stairward-failover/src/lib.rs
+++ b/crates/stairward-failover/src/lib.rs
@@ -18,6 +18,7 @@
 mod demotion;
 mod event;
 mod evidence;
+mod former_members;
 mod last_known_primaries;
 mod options;
 mod placement;
--- a/crates/stairward-simulation/tests/mixes.rs
+++ b/crates/stairward-simulation/tests/mixes.rs
@@ -52,3 +52,14 @@
     }
     assert_holds(&Mix::Close.options(710_039));
 }
+
+/// Guards against the loss of an acknowledged commit that only a replica has which discovery no longer lists.
+#[test]
+fn a_promotion_keeps_what_a_replica_missing_from_discovery_has_confirmed() {
+    for seed in [710_051, 710_087, 710_098, 710_136, 710_229] {
+        assert_holds(&Mix::SynchronousClose.options(seed));
+    }
+    for seed in [710_009, 710_011, 710_013, 710_017, 710_040, 710_045, 710_063] {
+        assert_holds(&Mix::SynchronousEnding.options(seed));
+    }
+}
