--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -381,12 +381,14 @@
         if self.now() < asked.paused_until {
             return;
         }
-        let known = asked
-            .is_running
-            .then(|| match self.hides_promotions_from_peers() {
-                true => Vec::new(),
-                false => asked.known_promotions(),
-            });
+        let known = || {
+            if self.hides_promotions_from_peers() {
+                Vec::new()
+            } else {
+                asked.known_promotions()
+            }
+        };
+        let known = asked.is_running.then(known);
         let event = FailoverEvent::PeerPromotions(peer, known);
         let event = SimulationEvent::Failover(node, incarnation, Box::new(event));
         self.queue.schedule(FAR_DELAY, event);
