Simulation: logs are compared without a lease in the mixes only

The test 'without_faults_all_statements_succeed_and_are_checked' is unchanged. The comparison is an option of a run now, on in the mixes that found the stale reads.

--- a/crates/stairward-simulation/src/mixes.rs
+++ b/crates/stairward-simulation/src/mixes.rs
@@ -111,6 +111,7 @@
     pub fn options(self, seed: u64) -> Options {
         let options = Options {
             old_primaries_keep_running: !self.ends_old_primaries(),
+            compares_logs: true,
             synchronous_replicas: u32::from(self.is_synchronous()),
             faults: self.faults(),
             fault_count: 14,
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -214,6 +214,8 @@
     pub synchronous_replicas: u32,
     /// Whether an old primary keeps accepting writes after another was promoted.
     pub old_primaries_keep_running: bool,
+    /// Whether nodes compare a leader's log with those of the other members although old primaries end.
+    pub compares_logs: bool,
     /// Number of tenants, assigned to callers in turn. With 0 the run has no tenants.
     pub tenants: u64,
     /// Operations per second that each tenant may run, which is also its burst; `None` for no limit.
@@ -243,6 +245,7 @@
             connections: 40,
             synchronous_replicas: 0,
             old_primaries_keep_running: false,
+            compares_logs: false,
             tenants: 0,
             tenant_rate: None,
             cold: None,
