--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -213,6 +213,7 @@
                     self.options.broken,
                     Some(
                         BrokenVariant::HiddenPromotions
+                            | BrokenVariant::IgnoredRevocation
                             | BrokenVariant::NoLeaseWait
                             | BrokenVariant::LongLease
                     )
@@ -368,6 +369,7 @@
                 BrokenVariant::HiddenPromotions
                     | BrokenVariant::NoPeerKnowledge
                     | BrokenVariant::NoStepDown
+                    | BrokenVariant::IgnoredRevocation
                     | BrokenVariant::NoLeaseWait
                     | BrokenVariant::LongLease
             )
