Simulation: the operator ends an evacuation again after a restore

The platform's rule holds until the evacuation is taken away, and it was. The simulated operator, who writes the latest state again after a restore, left out that an evacuation had ended; and a second restore made them forget one that the first had lost.

Now the operator's latest state is kept beside the store, as it is for the configuration: what is missing is written again, what was ended is ended again, and the check counts only what the operator wants. This excuses nothing else: a lost evacuation is checked as before, and now also after two restores; the broken variants ForgottenEvacuation and UnprotectedRestore are unchanged.

--- a/crates/stairward-simulation/src/evacuations.rs
+++ b/crates/stairward-simulation/src/evacuations.rs
@@ -28,6 +28,7 @@
         }
         let now = self.now();
         self.store.evacuated.insert(zone.clone(), now);
+        self.store.operator_evacuations.insert(zone.clone());
         self.notify_all_nodes();
         Some(zone)
     }
@@ -35,7 +36,7 @@
     /// The operator ends an evacuation.
     pub(crate) fn end_evacuation(&mut self, zone: &ZoneName) {
         self.store.evacuated.remove(zone);
-        self.store.unrestored_evacuations.remove(zone);
+        self.store.operator_evacuations.remove(zone);
         self.notify_all_nodes();
     }
 
@@ -80,6 +81,8 @@
         command: &BackendCommand,
     ) {
         let zone = self.group.listed.get(backend).map(|entry| &entry.zone);
+        // An evacuation that the operator has ended does not apply, also while a restored store shows it again.
+        let zone = zone.filter(|zone| self.store.operator_evacuations.contains(*zone));
         let since = zone
             .and_then(|zone| self.store.evacuated.get(zone))
             .copied();
--- a/crates/stairward-simulation/src/store.rs
+++ b/crates/stairward-simulation/src/store.rs
@@ -24,8 +24,8 @@
     pub era: u64,
     /// Revision of the configuration that the operator wrote last, which a restore may have lost.
     pub operator_configuration: u64,
-    /// Evacuations that a restore has lost and the operator has not written again yet.
-    pub unrestored_evacuations: BTreeSet<ZoneName>,
+    /// The zones that the operator wants evacuated, which a restore may have lost or brought back.
+    pub operator_evacuations: BTreeSet<ZoneName>,
 }
 
 impl Store {
