--- a/crates/stairward-engine/src/withholding.rs
+++ b/crates/stairward-engine/src/withholding.rs
@@ -34,7 +34,7 @@
         let has_user = connection.user != Some(User::Abandoned);
         let is_confirmed = || {
             self.is_leadership_confirmed(now, &connection.service, &connection.backend)
-                && !(*step == Step::Statement && self.may_lose_synchronous_commit(now, id))
+                && (*step != Step::Statement || !self.may_lose_synchronous_commit(now, id))
                 && !self.is_of_earlier_term(&connection.backend, step, reply)
                 && !self.may_lack_entries(
                     now,
--- a/crates/stairward-failover/src/attempt.rs
+++ b/crates/stairward-failover/src/attempt.rs
@@ -2,10 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use stairward_types::{BackendId, BackendRole, Freshness, MemberStatus, Term, Time};
+use stairward_types::{BackendId, BackendRole, Freshness, LogPosition, MemberStatus, Term, Time};
 
 use crate::demotion::Demotion;
-use crate::event::{FencingToken, GroupState, RecordedPromotion};
+use crate::event::{FailoverStep, FencingToken, GroupState, RecordedPromotion};
 
 /// The stage of an attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -84,6 +84,52 @@
     pub min_allowed_work: u64,
 }
 
+/// How many of the members on whose logs acknowledged commits may depend have answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Coverage {
+    /// How many must answer, so that each acknowledged commit is on one of them.
+    pub needed: usize,
+    pub answered: usize,
+    /// Those that have not answered, without the old primary.
+    pub missing: BTreeSet<BackendId>,
+}
+
+impl Coverage {
+    /// The coverage by those members that have answered, as far as `has_answered` tells. `in_sync`
+    /// are the members on whose logs commits may depend; the present ones of the group count as
+    /// well.
+    pub fn of(
+        group: &GroupState,
+        in_sync: &BTreeSet<BackendId>,
+        old: Option<&BackendId>,
+        has_answered: impl Fn(&BackendId) -> bool,
+    ) -> Self {
+        let mut members: BTreeSet<_> = group.members.keys().chain(in_sync).collect();
+        members.extend(old);
+        let others = members.iter().copied().filter(|id| Some(*id) != old);
+        let (answered, missing): (Vec<_>, Vec<_>) = others.partition(|id| has_answered(id));
+        let synchronous = usize::try_from(group.synchronous_replicas).unwrap_or(usize::MAX);
+        Self {
+            needed: members.len().saturating_sub(synchronous),
+            answered: answered.len(),
+            missing: missing.into_iter().cloned().collect(),
+        }
+    }
+
+    pub fn into_step(self) -> FailoverStep {
+        FailoverStep::MembersMissing {
+            missing: self.missing,
+            needed: self.needed,
+            answered: self.answered,
+        }
+    }
+
+    /// Whether each acknowledged commit is on a member that has answered.
+    pub fn is_sufficient(&self) -> bool {
+        self.answered >= self.needed
+    }
+}
+
 /// The replica chosen for promotion.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct PromotionTarget {
@@ -268,25 +314,41 @@
         !awaits_replica
     }
 
-    /// Whether the replica that would be chosen holds every acknowledged commit: enough replicas
+    /// How many of the members on whose logs acknowledged commits may depend have answered.
+    pub fn coverage(&self, group: &GroupState, in_sync: &BTreeSet<BackendId>) -> Coverage {
+        Coverage::of(group, in_sync, self.old.as_ref(), |id| self.has_log(id))
+    }
+
+    /// Whether a member has answered and has not lost its log. A member that has lost it does not
+    /// count for what it had acknowledged.
+    fn has_log(&self, id: &BackendId) -> bool {
+        let is_empty = |status: &MemberStatus| status.received.position == LogPosition(0);
+        let are_all_empty = || self.answers.values().all(is_empty);
+        let status = self.answers.get(id);
+        status.is_some_and(|status| !is_empty(status) || are_all_empty())
+    }
+
+    /// Whether the replica that would be chosen holds every acknowledged commit: enough members
     /// answered that each acknowledged commit is on one of them, and none of them is ahead of the
-    /// chosen one. `missing` members that are no longer listed count as replicas that did not
-    /// answer.
-    pub fn covers_acknowledged_commits(&self, group: &GroupState, missing: usize) -> bool {
-        let is_replica = |id: &&BackendId| Some(*id) != self.old.as_ref();
-        let replicas = group.members.keys().filter(is_replica).count() + missing;
-        let answered = self.answers.keys().filter(is_replica).count();
-        let needed = replicas + 1;
-        let synchronous = usize::try_from(group.synchronous_replicas).unwrap_or(usize::MAX);
-        let most = self
-            .answers
-            .iter()
-            .filter(|(id, _)| is_replica(id))
-            .map(|(_, status)| (status.received.term, status.received.position))
-            .max();
+    /// chosen one.
+    pub fn covers_acknowledged_commits(
+        &self,
+        group: &GroupState,
+        in_sync: &BTreeSet<BackendId>,
+    ) -> bool {
+        let is_replica = |id: &BackendId| Some(id) != self.old.as_ref();
+        let order = |received: Freshness| (received.term, received.position);
+        let replicas = self.answers.iter().filter(|(id, _)| is_replica(id));
+        let most = replicas.map(|(_, status)| order(status.received)).max();
+        let chosen = self.choose_target(group).and_then(|chosen| chosen.received);
+        self.coverage(group, in_sync).is_sufficient() && chosen.map(order) == most
+    }
+
+    /// Whether the replica that would be chosen has received the whole log of a primary that has
+    /// stepped down, so that no commit depends on any other member.
+    pub fn covers_log_of(&self, group: &GroupState, old: Freshness) -> bool {
         let chosen = self.choose_target(group).and_then(|chosen| chosen.received);
-        let chosen = chosen.map(|received| (received.term, received.position));
-        answered.saturating_add(synchronous) >= needed && chosen == most
+        chosen.is_some_and(|received| received.covers(old))
     }
 
     /// Chooses among the replicas that answered and may lead the one that has received most of the
--- a/crates/stairward-failover/src/controller.rs
+++ b/crates/stairward-failover/src/controller.rs
@@ -4,6 +4,7 @@
 mod claim;
 mod consultation_steps;
 mod demotion_steps;
+mod in_sync_steps;
 mod member_status;
 mod promotion;
 mod trigger;
@@ -12,11 +13,12 @@
 
 use stairward_types::{BackendId, BackendRole, NodeId, ServiceName, Time};
 
+use self::in_sync_steps::InSyncReview;
 use crate::attempt::{Attempt, Stage};
 use crate::consultation::Consultation;
 use crate::event::{Effect, Event, FailoverStep, GroupState, LeaderEvidence};
 use crate::evidence::BackendEvidence;
-use crate::former_members::FormerMembers;
+use crate::in_sync::InSyncMembers;
 use crate::options::FailoverOptions;
 use crate::records::Records;
 
@@ -38,7 +40,10 @@
 pub struct FailoverController {
     options: FailoverOptions,
     groups: BTreeMap<ServiceName, GroupState>,
-    former_members: FormerMembers,
+    in_sync: InSyncMembers,
+    reviews: BTreeMap<ServiceName, InSyncReview>,
+    /// The number of the last review of missing members.
+    last_review: u64,
     /// The service of each member.
     service_of: BTreeMap<BackendId, ServiceName>,
     /// The number of listed members over all services.
@@ -86,7 +91,9 @@
             records: Records::new(options.node.clone(), options.lease),
             options,
             groups: BTreeMap::new(),
-            former_members: FormerMembers::default(),
+            in_sync: InSyncMembers::default(),
+            reviews: BTreeMap::new(),
+            last_review: 0,
             service_of: BTreeMap::new(),
             listed_members: 0,
             planned_moves: BTreeSet::new(),
@@ -146,6 +153,7 @@
         unsettled.extend(self.revoked_since.keys().cloned());
         unsettled.extend(self.triggered_since.keys().cloned());
         unsettled.extend(self.planned_moves.iter().cloned());
+        unsettled.extend(self.in_sync.unsettled().cloned());
         let suspects = self.evidence.refused().iter();
         let suspects = suspects.chain(self.evidence.silent());
         let suspects = suspects.chain(self.evidence.lost_log());
@@ -207,8 +215,12 @@
     }
 
     fn apply_group(&mut self, now: Time, service: ServiceName, group: GroupState) {
-        if let Some(before) = self.groups.get(&service) {
-            self.former_members.update(now, &service, before, &group);
+        if group.synchronous_replicas > 0 {
+            self.in_sync.update_group(now, &service, &group);
+        }
+        if self.has_new_member(&service, &group) {
+            // An attempt that was refused for want of a member may succeed now.
+            self.retry_after.remove(&service);
         }
         self.forget_members(&service);
         self.listed_members += group.listed_members();
@@ -230,6 +242,7 @@
         self.groups.remove(service);
         self.planned_moves.remove(service);
         self.attempts.remove(service);
+        self.reviews.remove(service);
     }
 
     fn forget_members(&mut self, service: &ServiceName) {
@@ -287,6 +300,11 @@
                 self.handle_record_written(now, &service, version, record);
             }
             Event::RecordFailed(service) => self.handle_record_failed(now, &service),
+            Event::InSyncRecords { era, records } => self.in_sync.apply_listing(now, era, records),
+            Event::InSyncRecord(service, version, record) => {
+                self.in_sync.apply_record(now, &service, version, &record);
+            }
+            Event::MemberReviewed(call, result) => self.record_review_result(now, &call, result),
             Event::StatusReply(backend, status) => self.record_status(&backend, status),
             Event::MemberCallEnded(backend, via, result) => {
                 self.record_call_result(now, &backend, &via, result)
@@ -371,6 +389,7 @@
         self.track_missing_primary(now, service);
         self.hold_new_replicas(service);
         self.repeat_announcement(now, service);
+        self.review_in_sync_members(now, service);
         match self
             .attempts
             .get(service)
--- a/crates/stairward-failover/src/controller/claim.rs
+++ b/crates/stairward-failover/src/controller/claim.rs
@@ -55,6 +55,9 @@
             self.triggered_since.remove(service);
             return;
         };
+        if !trigger.is_planned() && self.lacks_members(service) {
+            return;
+        }
         let since = *self.triggered_since.entry(service.clone()).or_insert(now);
         let contenders = self.contenders(now, trigger, service);
         if now < since + start_delay(&self.options.node, service, contenders) {
--- a/crates/stairward-failover/src/controller/demotion_steps.rs
+++ b/crates/stairward-failover/src/controller/demotion_steps.rs
@@ -15,6 +15,9 @@
             .groups
             .get(service)
             .is_some_and(|group| group.synchronous_replicas > 0);
+        // On hold, a replica can't receive the rest of the old primary's log, which is needed where
+        // the other members may lack a commit.
+        let holds_at_once = is_synchronous && self.keeps_acknowledged_commits(service);
         let Some(attempt) = self.attempts.get_mut(service) else {
             return;
         };
@@ -43,7 +46,7 @@
             ways: ways.len(),
         };
         self.log(service, began);
-        let must_hold = old.is_none() || is_synchronous;
+        let must_hold = old.is_none() || holds_at_once;
         if let Some(old) = old {
             self.effects.push(Effect::StepDown(old, term, ways));
         }
@@ -277,9 +280,12 @@
         else {
             return;
         };
-        let missing = self.former_members.missing(now, service, group);
-        if group.synchronous_replicas > 0 && !attempt.covers_acknowledged_commits(group, missing) {
-            return self.give_up(now, service, "an acknowledged commit might be lost");
+        let has_whole_log = match proof {
+            DemotionProof::SteppedDown(status) => attempt.covers_log_of(group, status.received),
+            DemotionProof::Revoked | DemotionProof::Lapsed | DemotionProof::Unknown => false,
+        };
+        if !has_whole_log && !self.keeps_acknowledged_commits(service) {
+            return self.refuse_promotion(now, service);
         }
         let Some(chosen) = attempt.choose_target(group) else {
             return self.give_up(now, service, "no replica answered");
--- a/crates/stairward-failover/src/controller/member_status.rs
+++ b/crates/stairward-failover/src/controller/member_status.rs
@@ -164,6 +164,12 @@
             }
             return self.give_up(now, service, "the primary reports that it still leads");
         }
+        // Before any member is changed, so that a refused attempt has nothing to undo. A primary
+        // that answers can step down and pass its whole log on.
+        let may_step_down = attempt.old_still_leads() && !old_has_lost_log;
+        if !may_step_down && !self.keeps_acknowledged_commits(service) {
+            return self.refuse_promotion(now, service);
+        }
         if self.options.leadership_lease.is_some() {
             return self.begin_demotion(now, service);
         }
@@ -171,9 +177,8 @@
             if !attempt.has_held_replicas {
                 return self.hold_replicas(now, service);
             }
-            let missing = self.former_members.missing(now, service, group);
-            if !attempt.covers_acknowledged_commits(group, missing) {
-                return self.give_up(now, service, "an acknowledged commit might be lost");
+            if !self.keeps_acknowledged_commits(service) {
+                return self.refuse_promotion(now, service);
             }
         }
         let Some(chosen) = attempt.choose_target(group) else {
--- a/crates/stairward-failover/src/controller/promotion.rs
+++ b/crates/stairward-failover/src/controller/promotion.rs
@@ -1,11 +1,17 @@
 //! Promotes the target, handles the outcome, and ends the attempt.
 
+use std::time::Duration;
+
 use stairward_types::{BackendId, Freshness, ServiceName, Time};
 
 use super::FailoverController;
 use crate::attempt::{Attempt, Stage};
 use crate::event::{Effect, FailoverStep, FencingToken, PromotionOutcome, RecordedPromotion};
 
+/// Delay before the next attempt after one that might have lost an acknowledged commit. Each
+/// attempt costs a write to the store.
+const REFUSAL_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+
 impl FailoverController {
     pub(super) fn promote(
         &mut self,
@@ -268,6 +274,32 @@
         self.log(service, FailoverStep::GaveUp { reason });
     }
 
+    /// Whether no promotion of the attempt's best replica can lose an acknowledged commit.
+    pub(super) fn keeps_acknowledged_commits(&self, service: &ServiceName) -> bool {
+        let (Some(group), Some(attempt)) = (self.groups.get(service), self.attempts.get(service))
+        else {
+            return false;
+        };
+        let in_sync = || self.in_sync.ids(service);
+        group.synchronous_replicas == 0 || attempt.covers_acknowledged_commits(group, &in_sync())
+    }
+
+    /// Ends an attempt that might lose an acknowledged commit. The next one begins when a member
+    /// joins, or after a while: a listed member may answer again.
+    pub(super) fn refuse_promotion(&mut self, now: Time, service: &ServiceName) {
+        if let (Some(group), Some(attempt)) = (self.groups.get(service), self.attempts.get(service))
+        {
+            let coverage = attempt.coverage(group, &self.in_sync.ids(service));
+            self.log(service, coverage.into_step());
+        }
+        self.give_up(now, service, "an acknowledged commit might be lost");
+        let retry_at = now + REFUSAL_RETRY_DELAY;
+        match self.attempts.get_mut(service) {
+            Some(attempt) => attempt.not_before = retry_at,
+            None => _ = self.retry_after.insert(service.clone(), retry_at),
+        }
+    }
+
     /// Gives the nodes time to confirm a leader after an attempt of this node, which announced a
     /// term itself: only a term that stays announced after that is a reason for another attempt.
     fn restart_revocation_delay(&mut self, now: Time, service: &ServiceName) {
--- a/crates/stairward-failover/src/event.rs
+++ b/crates/stairward-failover/src/event.rs
@@ -1,7 +1,7 @@
 //! Events that the controller receives, and effects that it returns.
 
 use std::collections::{BTreeMap, BTreeSet};
-
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use stairward_types::{
@@ -57,6 +57,14 @@
     }
 }
 
+/// A synchronous service's record of the members on whose logs acknowledged commits may depend.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct InSyncRecord {
+    /// Where each of them listens. A node that starts after discovery has lost a member finds it
+    /// here.
+    pub members: BTreeMap<BackendId, SocketAddr>,
+}
+
 /// The newest requested promotion of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordedPromotion {
@@ -119,6 +127,8 @@
 /// A member of a database group as service discovery lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemberState {
+    /// Where it listens.
+    pub address: SocketAddr,
     /// The role that it reports.
     pub role: BackendRole,
     /// Whether it is shutting down as planned.
@@ -135,12 +145,14 @@
     /// A member that service discovery lists now.
     #[must_use]
     pub const fn listed(
+        address: SocketAddr,
         role: BackendRole,
         is_leaving: bool,
         revision: StoreRevision,
         placement: Placement,
     ) -> Self {
         Self {
+            address,
             role,
             is_leaving,
             is_listed: true,
@@ -196,8 +208,10 @@
     Answered(MemberStatus),
     /// The member was primary until this call and has stepped down.
     GaveWay(MemberStatus),
-    /// Nothing listens at its address.
+    /// Nothing listens at its address, or another back end does.
     Refused,
+    /// It is running, but had no capacity to answer.
+    Busy,
     /// No answer in time, from the member or from the relaying node.
     Silent,
 }
@@ -208,11 +222,28 @@
     pub const fn answer(self) -> Option<MemberStatus> {
         match self {
             Self::Answered(status) | Self::GaveWay(status) => Some(status),
-            Self::Refused | Self::Silent => None,
+            Self::Refused | Self::Busy | Self::Silent => None,
         }
     }
 }
 
+/// A call of a review of missing members.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReviewCall {
+    /// The service.
+    pub service: ServiceName,
+    /// Distinguishes the calls of one review from those of another.
+    pub review: u64,
+    /// The member.
+    pub backend: BackendId,
+    /// Where the member listens.
+    pub address: SocketAddr,
+    /// The path of the call.
+    pub via: Via,
+    /// Answer only once the member has received this position, or waiting longer is pointless.
+    pub until: Option<Freshness>,
+}
+
 /// Input of the controller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -277,6 +308,18 @@
     RecordWritten(ServiceName, RecordVersion, FailoverRecord),
     /// A service's record was not written, or the result of the write is unknown.
     RecordFailed(ServiceName),
+    /// The records of the in-sync members of all services, from a watch of the store.
+    InSyncRecords {
+        /// The store era that the records belong to.
+        era: u64,
+        /// The records.
+        records: BTreeMap<ServiceName, (RecordVersion, InSyncRecord)>,
+    },
+    /// A service's record of in-sync members as a write of this node, successful or not, has found
+    /// or left it.
+    InSyncRecord(ServiceName, RecordVersion, InSyncRecord),
+    /// Result of an [`Effect::ReviewMember`].
+    MemberReviewed(ReviewCall, MemberCallResult),
     /// Reply of a member to a status query or a hold; `None` if it did not answer.
     StatusReply(BackendId, Option<MemberStatus>),
     /// Result of asking a member to step down or to hold, for one path.
@@ -300,6 +343,33 @@
         /// The reason, in words.
         reason: &'static str,
     },
+    /// No replica may be promoted now: one that did not answer may be the only one with an
+    /// acknowledged commit.
+    MembersMissing {
+        /// The in-sync members that did not answer, without the primary.
+        missing: BTreeSet<BackendId>,
+        /// The number of in-sync members that must answer.
+        needed: usize,
+        /// The number that answered.
+        answered: usize,
+    },
+    /// Probes of missing in-sync members have ended.
+    MembersProbed {
+        /// Members that are running, so that commits may depend on them.
+        running: BTreeSet<BackendId>,
+        /// Members that have ended.
+        ended: BTreeSet<BackendId>,
+        /// Members that no path has led to.
+        silent: BTreeSet<BackendId>,
+    },
+    /// All members that stay have received what depended on these, which are in-sync members no
+    /// longer.
+    MembersRemoved {
+        /// The members.
+        removed: BTreeSet<BackendId>,
+        /// The position up to which the others have received the log.
+        covered: Freshness,
+    },
     /// A replica was chosen for promotion.
     Chose {
         /// The chosen replica.
@@ -354,6 +424,11 @@
     /// [`Event::RecordWritten`], a conflict with [`Event::Record`] followed by
     /// [`Event::RecordFailed`], and a failure with [`Event::RecordFailed`] alone.
     WriteRecord(ServiceName, RecordVersion, FailoverRecord),
+    /// Write a service's record of in-sync members if its version still matches. Answered with
+    /// [`Event::InSyncRecord`], unless the store did not answer.
+    WriteInSyncRecord(ServiceName, RecordVersion, InSyncRecord),
+    /// Query the status of a member for a review; answered with [`Event::MemberReviewed`].
+    ReviewMember(ReviewCall),
     /// Send some other nodes the complete set of back ends that this node finds silent.
     ReportSilent(BTreeSet<BackendId>),
     /// Probe whether a back end that another node finds silent accepts connections. If it does not
--- a/crates/stairward-failover/src/lib.rs
+++ b/crates/stairward-failover/src/lib.rs
@@ -18,8 +18,9 @@
 mod demotion;
 mod event;
 mod evidence;
-mod former_members;
+mod in_sync;
 mod last_known_primaries;
+mod member_review;
 mod options;
 mod placement;
 mod records;
@@ -28,9 +29,9 @@
 pub use controller::FailoverController;
 pub use demotion::DemotionProof;
 pub use event::{
-    Effect, Event, FailoverRecord, FailoverStep, FencingToken, GroupState, KnownPromotion,
-    LeaderEvidence, MemberCallResult, MemberState, PromotionOutcome, RecordVersion,
-    RecordedPromotion, Via,
+    Effect, Event, FailoverRecord, FailoverStep, FencingToken, GroupState, InSyncRecord,
+    KnownPromotion, LeaderEvidence, MemberCallResult, MemberState, PromotionOutcome, RecordVersion,
+    RecordedPromotion, ReviewCall, Via,
 };
 pub use last_known_primaries::LastKnownPrimaries;
 pub use options::{FailoverOptions, LEADERSHIP_LEASE};
--- a/crates/stairward-failover/tests/controller.rs
+++ b/crates/stairward-failover/tests/controller.rs
@@ -307,43 +307,6 @@
     assert_eq!(node.promotions(), [(backend(OLD), FencingToken(9))]);
 }
 
-/// A synchronous group that lost a replica, and then its primary; a successor of the replica may have joined.
-fn lost_after_a_replica_went(successor: Option<&str>) -> Node {
-    let mut node = Node::new("a");
-    let mut group = usual_group();
-    group.synchronous_replicas = 1;
-    node.set_group(group.clone());
-    let replica = group.members.remove(&backend(AHEAD));
-    node.set_group(group.clone());
-    if let Some((successor, replica)) = successor.zip(replica) {
-        group.members.insert(backend(successor), replica);
-        node.set_group(group);
-    }
-    node.claim_after_refusal(7);
-    // The second answers are those of replicas on hold.
-    for _ in 0..2 {
-        for member in [BEHIND].into_iter().chain(successor) {
-            let status = status(BackendRole::Replica, 1, 40);
-            node.handle(Event::StatusReply(backend(member), status));
-        }
-    }
-    node.advance(400);
-    node
-}
-
-/// Guards against the loss of an acknowledged commit that only a replica has which discovery no longer lists.
-#[test]
-fn a_replica_that_discovery_has_lost_may_hold_an_acknowledged_commit() {
-    let node = lost_after_a_replica_went(None);
-    assert!(node.promotions().is_empty(), "{:?}", node.effects);
-}
-
-#[test]
-fn a_replica_with_a_successor_is_not_missed() {
-    let node = lost_after_a_replica_went(Some("db-4"));
-    assert_eq!(node.promotions().len(), 1, "{:?}", node.effects);
-}
-
 /// Guards against the loss of a commit that a replica received after it had restarted, which ends its hold.
 #[test]
 fn replicas_are_put_on_hold_again_after_an_unanswered_promotion() {
--- a/crates/stairward-failover/tests/demotion.rs
+++ b/crates/stairward-failover/tests/demotion.rs
@@ -30,6 +30,7 @@
 
 fn group(is_old_leaving: bool) -> GroupState {
     let member = |role, is_leaving| MemberState {
+        address: ([127, 0, 0, 1], 7_000).into(),
         role,
         is_leaving,
         is_listed: true,
--- a/crates/stairward-failover/tests/reviews.rs
+++ b/crates/stairward-failover/tests/reviews.rs
@@ -43,6 +43,7 @@
                 BackendRole::Replica
             };
             let state = MemberState {
+                address: ([127, 0, 0, 1], 7_000).into(),
                 role,
                 is_leaving: is_affected && leads && shape & 16 != 0,
                 is_listed: !(is_affected && leads && shape & 32 != 0),
--- a/crates/stairward-failover/tests/support/mod.rs
+++ b/crates/stairward-failover/tests/support/mod.rs
@@ -32,6 +32,7 @@
 
 pub fn member(role: BackendRole) -> MemberState {
     MemberState {
+        address: ([127, 0, 0, 1], 7_000).into(),
         role,
         is_leaving: false,
         is_listed: true,
@@ -40,12 +41,20 @@
     }
 }
 
+/// A member that listens at its own address, which follows from its number.
+pub fn member_at(number: u8, role: BackendRole) -> MemberState {
+    MemberState {
+        address: ([10, 0, 0, number], 5_432).into(),
+        ..member(role)
+    }
+}
+
 pub fn usual_group() -> GroupState {
     GroupState {
         members: BTreeMap::from([
-            (backend(OLD), member(BackendRole::Primary)),
-            (backend(BEHIND), member(BackendRole::Replica)),
-            (backend(AHEAD), member(BackendRole::Replica)),
+            (backend(OLD), member_at(1, BackendRole::Primary)),
+            (backend(BEHIND), member_at(2, BackendRole::Replica)),
+            (backend(AHEAD), member_at(3, BackendRole::Replica)),
         ]),
         synchronous_replicas: 0,
     }
--- a/crates/stairward-protocol/src/node_message.rs
+++ b/crates/stairward-protocol/src/node_message.rs
@@ -213,9 +213,9 @@
     pub address: [u8; 4],
     /// The member's port.
     pub port: u16,
-    /// The request: [`Self::STEP_DOWN`] or [`Self::HOLD`].
+    /// The request: [`Self::STEP_DOWN`], [`Self::HOLD`] or [`Self::STATUS`].
     pub request: u8,
-    /// The term of the request.
+    /// The term of the request; 0 if it has none.
     pub term: u64,
 }
 
@@ -224,14 +224,16 @@
     pub const STEP_DOWN: u8 = 0;
     /// Asks the member to receive no log of terms below this one.
     pub const HOLD: u8 = 1;
+    /// Asks for the member's status.
+    pub const STATUS: u8 = 2;
 }
 
 /// The result of a forwarded [`MemberRequestMessage`].
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub struct MemberReplyMessage {
-    /// The result: [`Self::SILENT`], [`Self::REFUSED`], [`Self::PRIMARY`], [`Self::REPLICA`] or
-    /// [`Self::STEPPED_DOWN`].
+    /// The result: [`Self::SILENT`], [`Self::REFUSED`], [`Self::PRIMARY`], [`Self::REPLICA`],
+    /// [`Self::STEPPED_DOWN`] or [`Self::BUSY`].
     pub kind: u8,
     /// The newest term that the member knows.
     pub term: u64,
@@ -244,7 +246,7 @@
 impl MemberReplyMessage {
     /// The member did not answer.
     pub const SILENT: u8 = 0;
-    /// The connection was refused: nothing listens at the member's address.
+    /// Nothing listens at the member's address, or another back end does.
     pub const REFUSED: u8 = 1;
     /// The member answered as primary.
     pub const PRIMARY: u8 = 2;
@@ -252,6 +254,8 @@
     pub const REPLICA: u8 = 3;
     /// The member was primary, stepped down on the request, and answered as replica.
     pub const STEPPED_DOWN: u8 = 4;
+    /// The member is running, but had no capacity to answer.
+    pub const BUSY: u8 = 5;
 }
 
 /// A node's demand of operations for one rate-limited tenant.
--- a/crates/stairward-runtime/src/coordination.rs
+++ b/crates/stairward-runtime/src/coordination.rs
@@ -3,7 +3,9 @@
 use std::future::Future;
 use std::pin::Pin;
 
-use stairward_failover::{FailoverRecord, FencingToken, PromotionOutcome, RecordVersion};
+use stairward_failover::{
+    FailoverRecord, FencingToken, InSyncRecord, PromotionOutcome, RecordVersion,
+};
 use stairward_types::{BackendId, ServiceName};
 
 /// A future on the node's own thread.
@@ -30,6 +32,15 @@
     Failed,
 }
 
+/// Result of a conditional write of a service's record of in-sync members.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum InSyncRecordWrite {
+    /// The record's current version and content, whether this write or another one set them.
+    Known(RecordVersion, InSyncRecord),
+    /// Not written, or unknown.
+    Failed,
+}
+
 /// The metadata store and the promotion call.
 pub trait Coordination {
     /// Writes a service's failover record if its version is still `expected`; creates it if that is
@@ -41,6 +52,15 @@
         record: FailoverRecord,
     ) -> CoordinationFuture<RecordWrite>;
 
+    /// Writes a service's record of in-sync members if its version is still `expected`; creates it if that is
+    /// [`RecordVersion::absent_in_era`].
+    fn write_in_sync_record(
+        &self,
+        service: ServiceName,
+        expected: RecordVersion,
+        record: InSyncRecord,
+    ) -> CoordinationFuture<InSyncRecordWrite>;
+
     /// Writes the maximum number of nodes if the record's version is still `expected`; creates it if that is
     /// [`RecordVersion::absent_in_era`].
     fn write_fleet_size(
--- a/crates/stairward-runtime/src/failover.rs
+++ b/crates/stairward-runtime/src/failover.rs
@@ -7,12 +7,12 @@
 
 use stairward_engine::{BackendDescription, Event as EngineEvent, OpenTarget, RoutingTable};
 use stairward_failover::{
-    Effect, Event, FailoverRecord, GroupState, LeaderEvidence, MemberCallResult, MemberState,
-    Placement, RecordVersion, Via,
+    Effect, Event, FailoverRecord, GroupState, InSyncRecord, LeaderEvidence, MemberCallResult,
+    MemberState, Placement, RecordVersion, ReviewCall, Via,
 };
-use stairward_types::{BackendId, ServiceName};
+use stairward_types::{BackendId, LogEvent, ServiceName};
 
-use crate::coordination::RecordWrite;
+use crate::coordination::{InSyncRecordWrite, RecordWrite};
 use crate::node::Node;
 use crate::prometheus;
 use crate::wire::{MemberRequest, Wire};
@@ -30,6 +30,16 @@
         self.handle_failover_event(Event::Records { era, records });
     }
 
+    /// Passes on the records of in-sync members of all services, as read from the store in an era. Must precede
+    /// [`Self::apply_failover_records`] of the same state: a promotion is decided on both.
+    pub fn apply_in_sync_records(
+        self: &Rc<Self>,
+        era: u64,
+        records: BTreeMap<ServiceName, (RecordVersion, InSyncRecord)>,
+    ) {
+        self.handle_failover_event(Event::InSyncRecords { era, records });
+    }
+
     /// Passes an event to the failover state machine and executes the resulting effects.
     pub(crate) fn handle_failover_event(self: &Rc<Self>, event: Event) {
         let now = self.now();
@@ -48,6 +58,8 @@
             Self::pause(pause.min(IDLE_CHECK_INTERVAL)).await;
             self.handle_failover_event(Event::Tick);
             prometheus::set_engine_statistics(self.statistics());
+            let missing = self.failover.borrow().missing_in_sync_members();
+            prometheus::set_missing_in_sync_members(missing);
             self.update_traffic_metrics();
             for (zone, work) in self.engine.borrow().evacuated_zone_activity() {
                 prometheus::set_evacuated_zone_work(&zone, work);
@@ -72,6 +84,10 @@
             Effect::WriteRecord(service, version, record) => {
                 self.write_record(service, version, record);
             }
+            Effect::WriteInSyncRecord(service, version, record) => {
+                self.write_in_sync_record(service, version, record);
+            }
+            Effect::ReviewMember(call) => self.review_member(call),
             Effect::ReportSilent(silent) => self.report_silent_backends(&silent),
             Effect::Verify { backend, asker } => self.verify_silence(backend, asker),
             Effect::PromotionRecorded(service, promotion) => {
@@ -161,6 +177,53 @@
         });
     }
 
+    fn write_in_sync_record(
+        self: &Rc<Self>,
+        service: ServiceName,
+        version: RecordVersion,
+        record: InSyncRecord,
+    ) {
+        let node = Rc::clone(self);
+        let writing = self
+            .coordination
+            .write_in_sync_record(service.clone(), version, record);
+        tokio::task::spawn_local(async move {
+            match writing.await {
+                InSyncRecordWrite::Known(version, record) => {
+                    node.handle_failover_event(Event::InSyncRecord(service, version, record));
+                }
+                InSyncRecordWrite::Failed => tracing::warn!(
+                    event = LogEvent::StoreUnreachable.number(),
+                    service = service.as_str(),
+                    "could not write the in-sync members to the store; the write is retried"
+                ),
+            }
+        });
+    }
+
+    /// Queries a member for a review of missing members, directly or through a peer.
+    fn review_member(self: &Rc<Self>, call: ReviewCall) {
+        let node = Rc::clone(self);
+        let target = OpenTarget {
+            backend: call.backend.clone(),
+            service: call.service.clone(),
+            address: call.address,
+            tenant: None,
+        };
+        let request = call
+            .until
+            .map_or(MemberRequest::Status, MemberRequest::Received);
+        tokio::task::spawn_local(async move {
+            let result = match &call.via {
+                Via::Direct => node.query_member(target, request).await,
+                Via::Peer(peer) => node.request_through_peer(*peer, &target, request).await,
+            };
+            node.log
+                .member_request(node.now(), &call.backend, &call.via, result);
+            node.handle_failover_event(Event::MemberReviewed(call, result));
+        });
+    }
+
     pub(crate) fn open_target(&self, backend: &BackendId) -> Option<OpenTarget> {
         let discovered = self.discovered.borrow();
         let description = discovered.get_including_removed(backend)?;
@@ -278,7 +341,13 @@
         let members = discovered.members(service).map(|description| {
             let (role, is_leaving) = (description.role, description.is_leaving);
             let placement = self.placement(description);
-            let member = MemberState::listed(role, is_leaving, description.revision, placement);
+            let member = MemberState::listed(
+                description.address,
+                role,
+                is_leaving,
+                description.revision,
+                placement,
+            );
             (description.id.clone(), member)
         });
         members.collect()
--- a/crates/stairward-runtime/src/failover_peers.rs
+++ b/crates/stairward-runtime/src/failover_peers.rs
@@ -261,9 +261,8 @@
     let (request, term) = match request {
         MemberRequest::StepDown(term) => (MemberRequestMessage::STEP_DOWN, term),
         MemberRequest::Hold(term) => (MemberRequestMessage::HOLD, term),
-        MemberRequest::Status | MemberRequest::Received(_) | MemberRequest::Resume => {
-            return None;
-        }
+        MemberRequest::Status => (MemberRequestMessage::STATUS, Term::default()),
+        MemberRequest::Received(_) | MemberRequest::Resume => return None,
     };
     let IpAddr::V4(ip) = target.address.ip() else {
         return None;
@@ -283,6 +282,7 @@
     let question = match message.request {
         MemberRequestMessage::STEP_DOWN => MemberRequest::StepDown(term),
         MemberRequestMessage::HOLD => MemberRequest::Hold(term),
+        MemberRequestMessage::STATUS => MemberRequest::Status,
         _ => return None,
     };
     let target = OpenTarget {
@@ -298,6 +298,7 @@
     let (kind, status) = match reach {
         MemberCallResult::Silent => (MemberReplyMessage::SILENT, None),
         MemberCallResult::Refused => (MemberReplyMessage::REFUSED, None),
+        MemberCallResult::Busy => (MemberReplyMessage::BUSY, None),
         MemberCallResult::GaveWay(status) => (MemberReplyMessage::STEPPED_DOWN, Some(status)),
         MemberCallResult::Answered(status) => match status.role {
             BackendRole::Primary => (MemberReplyMessage::PRIMARY, Some(status)),
@@ -316,6 +317,7 @@
 fn decode_reach(message: &MemberReplyMessage) -> MemberCallResult {
     let role = match message.kind {
         MemberReplyMessage::REFUSED => return MemberCallResult::Refused,
+        MemberReplyMessage::BUSY => return MemberCallResult::Busy,
         MemberReplyMessage::PRIMARY => BackendRole::Primary,
         MemberReplyMessage::REPLICA | MemberReplyMessage::STEPPED_DOWN => BackendRole::Replica,
         _ => return MemberCallResult::Silent,
--- a/crates/stairward-runtime/src/lib.rs
+++ b/crates/stairward-runtime/src/lib.rs
@@ -31,7 +31,9 @@
 mod traffic;
 mod wire;
 
-pub use coordination::{Coordination, CoordinationFuture, FleetSizeWrite, RecordWrite};
+pub use coordination::{
+    Coordination, CoordinationFuture, FleetSizeWrite, InSyncRecordWrite, RecordWrite,
+};
 pub use feeds::{FeedObjects, FeedTimeouts, PUBLISH_INTERVAL};
 pub use health::{HealthService, Readiness};
 pub use membership::PeerIdentity;
--- a/crates/stairward-runtime/src/log.rs
+++ b/crates/stairward-runtime/src/log.rs
@@ -231,6 +231,9 @@
         let event = match action {
             FailoverStep::Began { .. } => LogEvent::FailoverBegan,
             FailoverStep::GaveUp { .. } => LogEvent::FailoverGivenUp,
+            FailoverStep::MembersMissing { .. } => LogEvent::MembersMissing,
+            FailoverStep::MembersProbed { .. } => LogEvent::MissingMembersProbed,
+            FailoverStep::MembersRemoved { .. } => LogEvent::InSyncMembersRemoved,
             FailoverStep::Chose { .. } => LogEvent::PromotionDecided,
             FailoverStep::Ending { .. } => LogEvent::StepDownAsked,
             FailoverStep::Holding { .. } => LogEvent::ReplicasHeld,
@@ -310,7 +313,7 @@
         tracing::info!(event = number, name, unanswered);
     }
 
-    /// Logs the result of a step-down or hold request.
+    /// Logs the result of a request to a member.
     pub fn member_request(
         &self,
         now: Time,
--- a/crates/stairward-runtime/src/member_requests.rs
+++ b/crates/stairward-runtime/src/member_requests.rs
@@ -1,6 +1,7 @@
 //! Requests to group members outside any session. Connections are reused for a short time, since a failover sends
 //! several requests to each member.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,16 +36,21 @@
         target: OpenTarget,
         request: MemberRequest,
     ) -> MemberCallResult {
-        let requesting = self.request_with_retries(&target, request);
-        tokio::time::timeout(REQUEST_TIMEOUT, requesting)
-            .await
-            .unwrap_or(MemberCallResult::Silent)
+        let is_running = Cell::new(false);
+        let requesting = self.request_with_retries(&target, request, &is_running);
+        let result = tokio::time::timeout(REQUEST_TIMEOUT, requesting).await;
+        match result.unwrap_or(MemberCallResult::Silent) {
+            MemberCallResult::Silent if is_running.get() => MemberCallResult::Busy,
+            result => result,
+        }
     }
 
+    /// Sets `is_running` once the member has accepted a connection, or refused one because it had too many.
     async fn request_with_retries(
         self: &Rc<Self>,
         target: &OpenTarget,
         request: MemberRequest,
+        is_running: &Cell<bool>,
     ) -> MemberCallResult {
         let kept = self
             .member_connections
@@ -62,11 +68,17 @@
             match open_connection::<W>(target).await {
                 Ok(opened) => break opened,
                 // Other connections open and close frequently, so one may become free before the timeout.
-                Err(OpenFailure::ConnectionLimit) => Self::pause(RETRY_DELAY).await,
-                Err(OpenFailure::Refused) => return MemberCallResult::Refused,
+                Err(OpenFailure::ConnectionLimit) => {
+                    is_running.set(true);
+                    Self::pause(RETRY_DELAY).await;
+                }
+                Err(OpenFailure::Refused | OpenFailure::WrongBackend) => {
+                    return MemberCallResult::Refused;
+                }
                 Err(_) => return MemberCallResult::Silent,
             }
         };
+        is_running.set(true);
         match request_on_connection::<W>(&mut opened, request).await {
             Some(reach) => {
                 self.cache_connection(target, opened);
--- a/crates/stairward-runtime/src/prometheus.rs
+++ b/crates/stairward-runtime/src/prometheus.rs
@@ -35,6 +35,8 @@
 const STORE_ERA: &str = "stairward_store_era";
 /// Store revision of a feed's objects within the store's current era, by feed.
 const FEED_REVISION: &str = "stairward_feed_revision";
+/// In-sync members of synchronous services that discovery does not list.
+const MISSING_IN_SYNC: &str = "stairward_in_sync_members_missing";
 /// Queued requests.
 const WAITING: &str = "stairward_requests_waiting";
 /// Messages between nodes, by kind and direction.
@@ -132,6 +134,9 @@
     let step = match action {
         FailoverStep::Began { .. } => "began",
         FailoverStep::GaveUp { .. } => "given_up",
+        FailoverStep::MembersMissing { .. } => "members_missing",
+        FailoverStep::MembersProbed { .. } => "members_probed",
+        FailoverStep::MembersRemoved { .. } => "members_removed",
         FailoverStep::Chose { .. } => "decided",
         FailoverStep::Ending { .. } => "ending",
         FailoverStep::Holding { .. } => "holding",
@@ -141,6 +146,11 @@
     metrics::counter!(FAILOVER_STEPS, "step" => step).increment(1);
 }
 
+/// Sets the number of in-sync members that discovery does not list.
+pub(crate) fn set_missing_in_sync_members(members: usize) {
+    metrics::gauge!(MISSING_IN_SYNC).set(gauge(members));
+}
+
 #[allow(
     clippy::cast_precision_loss,
     reason = "a value beyond 2^53 is exported rounded"
--- a/crates/stairward-simulation/src/callers.rs
+++ b/crates/stairward-simulation/src/callers.rs
@@ -106,6 +106,11 @@
         self.sent_count
     }
 
+    /// The kind of the statement whose response is outstanding.
+    pub fn awaited_kind(&self) -> Option<&StatementKind> {
+        self.in_flight.as_ref().map(|(_, kind)| kind)
+    }
+
     /// Whether a response is outstanding.
     pub fn is_waiting(&self) -> bool {
         self.in_flight.is_some()
--- a/crates/stairward-simulation/src/lib.rs
+++ b/crates/stairward-simulation/src/lib.rs
@@ -16,9 +16,11 @@
 mod faults;
 mod forwarding;
 mod group;
+mod in_sync;
 mod mixes;
 mod nodes;
 mod options;
+mod planned_faults;
 mod queue;
 mod restores;
 mod store;
@@ -38,5 +40,5 @@
 };
 pub use group::{Group, SERVICE, service};
 pub use mixes::Mix;
-pub use options::{BrokenVariant, FaultKind, Options};
+pub use options::{BrokenVariant, FaultKind, Options, PlannedFault, PlannedFaultKind, Return};
 pub use world::{Report, simulate};
--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -177,7 +177,13 @@
                 is_evacuated: self.evacuated.contains(&description.zone),
                 ..Placement::default()
             };
-            let member = MemberState::listed(role, is_leaving, description.revision, placement);
+            let member = MemberState::listed(
+                description.address,
+                role,
+                is_leaving,
+                description.revision,
+                placement,
+            );
             group.members.insert(description.id.clone(), member);
         }
         let mut groups = BTreeMap::from([(service(), group)]);
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use stairward_types::BackendId;
+
 use crate::cold::ColdStart;
 
 /// A kind of fault.
@@ -87,6 +89,39 @@
     ];
 }
 
+/// Whether and how a database comes back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Return {
+    /// It never does.
+    Never,
+    /// With its log, after this time.
+    WithLog(Duration),
+    /// Without its log, after this time.
+    Empty(Duration),
+}
+
+/// A fault that is injected at a given time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlannedFaultKind {
+    /// The process of a database stops.
+    DatabaseStops(BackendId, Return),
+    /// A database receives no log entries for this long.
+    DatabaseIsolated(BackendId, Duration),
+    /// The nodes are killed and started again, one after the other.
+    NodesRestart,
+    /// The metadata store is restored from the copy of this long ago.
+    StoreRestored(Duration),
+}
+
+/// A fault that is injected at a given time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedFault {
+    /// When it is injected, from the start of the run.
+    pub at: Duration,
+    /// What fails.
+    pub kind: PlannedFaultKind,
+}
+
 /// A deliberately broken node, which shows that the checks can fail. The simulation alters the effects or
 /// events of the real code.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -151,10 +186,16 @@
     UncomparedLogs,
     /// The failover controllers consider every primary as leaving, and replace it.
     EveryPrimaryLeaving,
+    /// An in-sync member that discovery has not listed for a while is removed without any evidence.
+    ForgottenMembers,
+    /// A node that starts learns of no in-sync members from the store.
+    MembersForgottenAtRestart,
+    /// In-sync members are never removed.
+    PermanentMembers,
 }
 
 impl BrokenVariant {
-    /// All variants.
+    /// All variants that random faults expose. The others need faults at given times.
     pub const ALL: [Self; 29] = [
         Self::NoReadFloor,
         Self::NoLeaderCheck,
@@ -197,6 +238,8 @@
     pub faults: Vec<FaultKind>,
     /// Number of faults to inject.
     pub fault_count: u32,
+    /// Faults at given times, besides the random ones.
+    pub planned_faults: Vec<PlannedFault>,
     /// Maximum pause between two faults, in milliseconds.
     pub max_pause_ms: u64,
     /// Number of nodes.
@@ -237,6 +280,7 @@
             seed,
             faults: FaultKind::ALL.to_vec(),
             fault_count: 5,
+            planned_faults: Vec::new(),
             max_pause_ms: 5_000,
             nodes: 4,
             sessions: 24,
--- a/crates/stairward-simulation/src/store.rs
+++ b/crates/stairward-simulation/src/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use stairward_failover::FailoverRecord;
+use stairward_failover::{FailoverRecord, InSyncRecord};
 use stairward_types::{Time, ZoneName};
 
 /// The metadata store.
@@ -14,6 +14,8 @@
     pub loses_responses: bool,
     pub record_version: u64,
     pub record: Option<FailoverRecord>,
+    pub in_sync_version: u64,
+    pub in_sync: Option<InSyncRecord>,
     /// Revision of the newest configuration.
     pub configuration: u64,
     /// Evacuated zones, and since when.
@@ -53,6 +55,17 @@
         outage.map_or(announced_at, |(_, back)| *back)
     }
 
+    /// Writes the record of in-sync members if its version is the expected one. Returns whether it was.
+    pub fn write_in_sync(&mut self, expected: u64, record: InSyncRecord) -> bool {
+        if expected != self.in_sync_version {
+            return false;
+        }
+        self.revisions += 1;
+        self.in_sync_version = self.revisions;
+        self.in_sync = Some(record);
+        true
+    }
+
     /// Writes the record if its version is the expected one. The condition contains no era. Returns the new
     /// version, or `None` on a conflict.
     pub fn write_record(&mut self, expected: u64, record: FailoverRecord) -> Option<u64> {
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -6,7 +6,9 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use stairward_engine::{BackendCommand, ConnectionId, Event, Response};
-use stairward_failover::{Event as FailoverEvent, FailoverRecord, RecordVersion, Via};
+use stairward_failover::{
+    Event as FailoverEvent, FailoverRecord, InSyncRecord, RecordVersion, ReviewCall, Via,
+};
 use stairward_limits::GrantRequest;
 use stairward_types::{BackendId, Freshness, NodeId, TenantName, Term, Time};
 
@@ -16,7 +18,7 @@
 use crate::disturbance::Disturbance;
 use crate::group::Group;
 use crate::nodes::{CONNECTION_LIMIT, Node, STALENESS};
-use crate::options::Options;
+use crate::options::{Options, PlannedFaultKind};
 use crate::queue::Queue;
 use crate::store::Store;
 use crate::tenants::TenantHistory;
@@ -91,6 +93,9 @@
     RunCommand(usize, ConnectionKey, BackendId, BackendCommand),
     CloseConnection(ConnectionKey, BackendId),
     WriteRecord(usize, u64, RecordVersion, FailoverRecord),
+    WriteInSyncRecord(usize, u64, RecordVersion, InSyncRecord),
+    /// A node queries a member for a review of missing members.
+    ReviewMember(usize, u64, ReviewCall),
     /// Checks again whether enough replicas have received a commit whose response is outstanding.
     AwaitReplicas(AwaitedCommit, Box<SimulationEvent>),
     /// A node asks a peer for the leader position that it knows.
@@ -124,8 +129,10 @@
     CallerDisconnected(usize, u64),
     /// A caller closes its session if this request is still outstanding.
     CallerTimeout(usize, u64, u64),
+    KillNode(usize),
     StartNode(usize),
     InjectFault,
+    PlannedFault(PlannedFaultKind),
     FaultEnds(crate::faults::FaultEnd),
     /// Checks that connected nodes have a configuration in force that was written at this time.
     CheckConfiguration(u64, Time),
@@ -147,6 +154,10 @@
     pub promotions: u64,
     /// Acknowledged commits that promotions rolled back.
     pub acknowledged_then_lost: u64,
+    /// When reads at the leader succeeded.
+    pub leader_reads: Vec<Time>,
+    /// When writes succeeded, in transactions or by themselves.
+    pub writes: Vec<Time>,
     /// The injected faults.
     pub faults: Vec<String>,
     /// Steps of the failover controllers, and promotions that took effect.
@@ -188,6 +199,8 @@
     pub(crate) succeeded: u64,
     pub(crate) failed: u64,
     pub(crate) promotions: u64,
+    pub(crate) leader_reads: Vec<Time>,
+    pub(crate) writes: Vec<Time>,
     pub(crate) fingerprint: u64,
     /// Whether the run has reached its end.
     pub(crate) is_over: bool,
@@ -242,6 +255,8 @@
             succeeded: 0,
             failed: 0,
             promotions: 0,
+            leader_reads: Vec::new(),
+            writes: Vec::new(),
             fingerprint: 0,
             is_over: false,
             options,
@@ -271,6 +286,10 @@
         }
         let first = self.random_duration(1_000, 3_000);
         self.queue.schedule(first, SimulationEvent::InjectFault);
+        for planned in self.options.planned_faults.clone() {
+            let start = SimulationEvent::PlannedFault(planned.kind);
+            self.queue.schedule(planned.at, start);
+        }
         let end = self.options.duration + SETTLE_TIME;
         self.queue.schedule(end, SimulationEvent::End);
     }
@@ -293,6 +312,8 @@
             failed: self.failed,
             promotions: self.promotions,
             acknowledged_then_lost: self.checker.acknowledged_then_lost,
+            leader_reads: self.leader_reads,
+            writes: self.writes,
             faults: self.faults,
             decisions: self.decisions,
             fingerprint: self.fingerprint,
@@ -347,6 +368,12 @@
             SimulationEvent::WriteRecord(node, incarnation, version, record) => {
                 self.write_record_from(node, incarnation, version, record);
             }
+            SimulationEvent::WriteInSyncRecord(node, incarnation, version, record) => {
+                self.write_in_sync_record_from(node, incarnation, version, record);
+            }
+            SimulationEvent::ReviewMember(node, incarnation, call) => {
+                self.review_member(node, incarnation, call);
+            }
             SimulationEvent::AwaitReplicas(commit, reply) => {
                 self.wait_for_replicas(commit, *reply);
             }
@@ -391,11 +418,13 @@
                     self.close_session(caller);
                 }
             }
+            SimulationEvent::KillNode(node) => self.kill_node(node),
             SimulationEvent::StartNode(node) => {
                 self.disturbance.record(self.queue.now());
                 self.start_node(node);
             }
             SimulationEvent::InjectFault => self.inject_fault(),
+            SimulationEvent::PlannedFault(kind) => self.start_planned_fault(kind),
             SimulationEvent::FaultEnds(ending) => self.end_fault(ending),
             SimulationEvent::CheckConfiguration(revision, since) => {
                 self.check_configuration(revision, since);
--- a/crates/stairward-simulation/src/world_callers.rs
+++ b/crates/stairward-simulation/src/world_callers.rs
@@ -1,11 +1,11 @@
 //! Turns of callers, starts and stops of nodes and databases, and configuration changes.
 
 use rand::RngExt as _;
-use stairward_engine::{Event, Response, SessionId};
+use stairward_engine::{Event, Response, SessionId, StatementKind};
 use stairward_types::{ApiKey, BackendId, BackendRole, GroupId, Time};
 
 use crate::callers::{Caller, DATABASES, Step};
-use crate::checker::Invariant;
+use crate::checker::{Invariant, ReadKind};
 use crate::nodes::Node;
 use crate::tenants::{Owner, key_of};
 use crate::world::{
@@ -148,6 +148,7 @@
         );
         if is_success {
             self.succeeded += 1;
+            self.record_served(index);
         } else {
             self.failed += 1;
         }
@@ -161,6 +162,18 @@
             .schedule(pause, SimulationEvent::CallerTurn(index));
     }
 
+    /// Records when a statement that needs the leader was served.
+    fn record_served(&mut self, caller: usize) {
+        let now = self.now();
+        let caller = &self.callers[caller];
+        let (_, reads) = DATABASES[caller.database];
+        match caller.awaited_kind() {
+            Some(StatementKind::Read) if reads == ReadKind::Leader => self.leader_reads.push(now),
+            Some(StatementKind::Write) => self.writes.push(now),
+            _ => {}
+        }
+    }
+
     /// Kills a node's process.
     pub(crate) fn kill_node(&mut self, index: usize) {
         self.nodes[index].is_running = false;
--- a/crates/stairward-simulation/src/world_databases.rs
+++ b/crates/stairward-simulation/src/world_databases.rs
@@ -16,9 +16,9 @@
 };
 
 /// How long a node waits for an unreachable member.
-const MEMBER_TIMEOUT: Duration = Duration::from_millis(800);
+pub(crate) const MEMBER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Pause before a member that has not received enough is checked again, and the mean number of such checks.
-const RETRY_PAUSE: Duration = Duration::from_millis(15);
+pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(15);
 const MEAN_RECEIVED_CHECKS: u32 = 20;
 
 /// The result of a call to a member; `was_primary` says whether it was the primary before the call.
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -109,6 +109,7 @@
         }
         self.handle_failover_event(node, incarnation, FailoverEvent::NodeCount(nodes));
         self.handle_failover_event(node, incarnation, FailoverEvent::Groups(groups));
+        self.deliver_in_sync_record(node, incarnation);
         let version = self.record_version();
         let record = self.visible_record();
         let records = record.map(|record| (crate::group::service(), (version, record)));
@@ -193,6 +194,15 @@
                 let write = SimulationEvent::WriteRecord(index, incarnation, version, record);
                 self.queue.schedule(STORE_DELAY, write);
             }
+            FailoverEffect::WriteInSyncRecord(_, version, record) => {
+                let write = SimulationEvent::WriteInSyncRecord(index, incarnation, version, record);
+                self.queue.schedule(STORE_DELAY, write);
+            }
+            FailoverEffect::ReviewMember(call) => {
+                let delay = self.delay(index, &call.backend) * 3;
+                let review = SimulationEvent::ReviewMember(index, incarnation, call);
+                self.queue.schedule(delay, review);
+            }
             FailoverEffect::ReportSilent(silent) => {
                 let own_id = NodeId(u64::try_from(index).unwrap_or(0));
                 for peer in (0..self.nodes.len()).filter(|peer| *peer != index) {
@@ -455,7 +465,7 @@
     }
 
     /// The store's era as nodes see it; some broken variants always see the first one.
-    fn visible_era(&self) -> u64 {
+    pub(crate) fn visible_era(&self) -> u64 {
         match self.options.broken {
             Some(BrokenVariant::IgnoredEra | BrokenVariant::HiddenRecordLoss) => 0,
             _ => self.store.era,
@@ -463,7 +473,7 @@
     }
 
     /// Offset added to the revisions of a restored copy for nodes that do not see the era.
-    fn copy_revision_offset(&self) -> u64 {
+    pub(crate) fn copy_revision_offset(&self) -> u64 {
         match self.options.broken {
             Some(BrokenVariant::HiddenRecordLoss) => self.store.era * REVISIONS_PER_COPY,
             _ => 0,
--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -459,7 +459,10 @@
         BrokenVariant::IgnoredLeaving | BrokenVariant::UnprotectedRestore => Invariant::Leaving,
         BrokenVariant::HiddenRecordLoss => Invariant::SingleRecordWriter,
         BrokenVariant::StaleConfiguration => Invariant::Configuration,
-        BrokenVariant::NoHold => Invariant::Kept,
+        BrokenVariant::NoHold
+        | BrokenVariant::ForgottenMembers
+        | BrokenVariant::MembersForgottenAtRestart
+        | BrokenVariant::PermanentMembers => Invariant::Kept,
         BrokenVariant::NoStepDown
         | BrokenVariant::IgnoredRevocation
         | BrokenVariant::NoLeaseWait
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -146,6 +146,12 @@
     PromotionRecorded = 428, Info;
     /// This node, which may have missed announcements, has asked its peers for them, and may confirm leaders now.
     PeersConsulted = 429, Info;
+    /// No replica may be promoted: a member that did not answer may be the only one with an acknowledged commit.
+    MembersMissing = 430, Warn;
+    /// Members of a synchronous service that discovery does not list were probed, with the result.
+    MissingMembersProbed = 431, Info;
+    /// Acknowledged commits no longer depend on these members: all others have received them.
+    InSyncMembersRemoved = 432, Info;
     /// A coordinator of tenant limits did not answer; another node is used.
     LimitCoordinatorSilent = 450, Warn;
 
