Failover: answers of another service's members do not count

Cause: the result of each step-down and hold was stored in all attempts of the node. Event 411 shows answers: 3 in a group of which one replica was left. A primary of another service in a later term would even have counted as the new leader.

Fix: a result counts for the attempt that made the call.

answers_of_members_of_other_services_do_not_count fails before.

--- a/crates/stairward-failover/src/controller/demotion_steps.rs
+++ b/crates/stairward-failover/src/controller/demotion_steps.rs
@@ -117,6 +117,10 @@
             let Some(demotion) = &mut attempt.demotion else {
                 continue;
             };
+            if !demotion.has_called(backend) {
+                // A member of another service.
+                continue;
+            }
             demotion.record_result(now, backend, via.clone(), result);
             if let Some(status) = result.answer() {
                 attempt.answers.insert(backend.clone(), status);
--- a/crates/stairward-failover/src/demotion.rs
+++ b/crates/stairward-failover/src/demotion.rs
@@ -116,6 +116,11 @@
         self.hold_calls.entry(replica).or_default().add(ways);
     }
 
+    /// Whether a member was asked to step down or put on hold.
+    pub fn has_called(&self, member: &BackendId) -> bool {
+        self.old.as_ref() == Some(member) || self.hold_calls.contains_key(member)
+    }
+
     /// Records that these nodes are asked to stop accepting the old leader.
     pub fn await_users(&mut self, users: BTreeSet<NodeId>) {
         self.pending_users = Some(users);
--- a/crates/stairward-failover/tests/demotion.rs
+++ b/crates/stairward-failover/tests/demotion.rs
@@ -957,3 +957,16 @@
     attempt.advance(400);
     assert!(attempt.has_effect(began), "it is still revoked");
 }
+
+/// Guards against attempts that give up because of an answer of another service's member.
+#[test]
+fn answers_of_members_of_other_services_do_not_count() {
+    let mut attempt = Attempt::unplanned();
+    attempt.advance(200);
+    let foreign = status(BackendRole::Primary, 9, 500, 0);
+    attempt.call_result("foreign", Via::Direct, MemberCallResult::Answered(foreign));
+    attempt.confirm_holds();
+    attempt.revoked(2, PEER, 1);
+    attempt.revoked(2, USER, 1);
+    assert_eq!(attempt.promotions(), [backend(NEXT)]);
+}
