Runtime: a planned stop waits until all answers are written

Cause: for the engine a request is over once its answer is handed to the connection, so that the session counts as idle, is closed, and no session is left. The rest of the answer was in a task with a limit of 2 s, which the end of the process ended. Evidence: the process ends 2.3 s after SIGTERM, at the first check after idle sessions are closed (36 % of the grace period), and the client has what the socket took.

Fix: the stop ends once no connection that carries answers has unsent bytes, or at 96 % of the grace period. The PostgreSQL face's 1 s for the last replies to its peers becomes what is left of the stop's time.

Ruled out: only a longer limit (the process would still end); keeping the session open in the engine (each close has the fault, not only that of a stop).

--- a/crates/stairward-proxy/src/node/mod.rs
+++ b/crates/stairward-proxy/src/node/mod.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use rand::RngExt as _;
 use snafu::ResultExt as _;
@@ -44,8 +44,8 @@
 /// Interval at which the owner is told whether the settings are still trusted to be the newest.
 const SETTINGS_TRUST_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time limit for sending the last replies to peers during a planned stop.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time to send the last replies to peers during a planned stop, even if its time limit is over.
+const MIN_FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A running node.
 pub struct Node {
@@ -218,13 +218,16 @@
             event = LogEvent::DrainStarted.number(),
             "planned stop started"
         );
+        let stopping_since = Instant::now();
         self.draining.store(true, Ordering::SeqCst);
         let handover_time = timeout.mul_f64(HANDOVER_SHARE);
         self.membership.announce_leaving().await;
         self.edge.drain(timeout.saturating_sub(handover_time)).await;
         self.owner.drain(handover_time).await;
         // The last replies to edges of other nodes may still be queued.
-        if tokio::time::timeout(FLUSH_TIMEOUT, self.network.flush())
+        let time_left = timeout.saturating_sub(stopping_since.elapsed());
+        let flush_timeout = time_left.max(MIN_FLUSH_TIMEOUT);
+        if tokio::time::timeout(flush_timeout, self.network.flush())
             .await
             .is_err()
         {
--- a/crates/stairward-runtime/src/callers.rs
+++ b/crates/stairward-runtime/src/callers.rs
@@ -27,9 +27,7 @@
     pub async fn accept_callers(self: Rc<Self>, listener: TcpListener, limit: usize) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) if self.sessions.borrow().len() < limit => {
-                    self.start_session(stream)
-                }
+                Ok((stream, _)) if self.open_connections() < limit => self.start_session(stream),
                 Ok(_) => tracing::warn!(
                     event = LogEvent::SessionRefused.number(),
                     code = ResultCode::TooManyClients.number(),
@@ -43,10 +41,15 @@
         }
     }
 
+    /// Client connections, including those that are closing but not yet written to the end.
+    fn open_connections(&self) -> usize {
+        self.sessions.borrow().len() + self.unsent.closing()
+    }
+
     fn start_session(self: &Rc<Self>, stream: TcpStream) {
         let session = self.next_session();
         self.traffic.opened(OpeningKind::Client);
-        let (reading, outgoing) = Outgoing::split(stream);
+        let (reading, outgoing) = Outgoing::split_answering(stream, &self.unsent);
         self.sessions
             .borrow_mut()
             .insert(session, Rc::clone(&outgoing));
--- a/crates/stairward-runtime/src/lib.rs
+++ b/crates/stairward-runtime/src/lib.rs
@@ -29,6 +29,7 @@
 mod socket;
 mod statement_messages;
 mod traffic;
+mod unsent;
 mod wire;
 
 pub use coordination::{
--- a/crates/stairward-runtime/src/log.rs
+++ b/crates/stairward-runtime/src/log.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use stairward_engine::{
     Decision, EngineStatistics, LeadershipChange, LeavingChange, RequestRecord, SessionId,
@@ -48,12 +49,25 @@
 }
 
 /// Writes rate-limited log lines.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct DecisionLog {
+    /// When the node's clock started.
+    started: Instant,
     windows: RefCell<BTreeMap<LogEvent, Window>>,
 }
 
 impl DecisionLog {
+    pub fn new(started: Instant) -> Self {
+        Self {
+            started,
+            windows: RefCell::default(),
+        }
+    }
+
+    fn now(&self) -> Time {
+        Time::ZERO + self.started.elapsed()
+    }
+
     /// Returns the number of lines suppressed before this one, or none if this one must be suppressed as well.
     fn admit(&self, now: Time, event: LogEvent) -> Option<u64> {
         let mut windows = self.windows.borrow_mut();
@@ -329,6 +343,15 @@
         }
     }
 
+    /// Logs that a connection ended before all bytes for its peer were written.
+    pub fn undelivered(&self, bytes: usize, is_closing: bool, error: &std::io::Error) {
+        let event = LogEvent::AnswerUndelivered;
+        if let Some(left_out) = self.admit(self.now(), event) {
+            let (number, name) = (event.number(), event.name());
+            tracing::warn!(event = number, name, bytes, is_closing, %error, left_out);
+        }
+    }
+
     /// Logs a change in the state of a back end or node.
     pub fn backend(&self, now: Time, event: LogEvent, backend: &str) {
         if let Some(left_out) = self.admit(now, event) {
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -37,8 +37,13 @@
 use crate::prometheus;
 use crate::socket::Outgoing;
 use crate::traffic::Traffic;
+use crate::unsent::UnsentConnections;
 use crate::wire::Wire;
 
+/// When a planned stop no longer waits for answers to be written, as a percentage of the grace period. The rest is for
+/// the end of the process.
+const WRITING_END_PERCENT: u32 = 96;
+
 /// Configuration and dependencies of a [`Node`].
 pub struct NodeOptions {
     /// Options of the statement engine.
@@ -88,14 +93,18 @@
     /// For each service, the weight of the work allowed in each region; empty for services without region limits.
     pub(crate) allowed_work: RefCell<BTreeMap<ServiceName, BTreeMap<RegionName, u64>>>,
     pub(crate) feeds: Feeds,
-    pub(crate) log: DecisionLog,
+    pub(crate) log: Rc<DecisionLog>,
+    /// Connections whose answers are not yet written.
+    pub(crate) unsent: Rc<UnsentConnections>,
+    /// How long a planned stop may take.
+    stop_grace: Duration,
+    stop_requested_at: Cell<Option<tokio::time::Instant>>,
     /// Traffic counters of the peer links, by message kind.
     pub(crate) traffic: Traffic,
     last_session: Cell<u64>,
     rescheduled: Notify,
     wake_at: Cell<Option<Time>>,
     stopped: Notify,
-    is_stop_requested: Cell<bool>,
     is_stopped: Cell<bool>,
     wire: std::marker::PhantomData<W>,
 }
@@ -112,6 +121,9 @@
     #[must_use]
     pub fn new(options: NodeOptions) -> Rc<Self> {
         let zone_regions = options.engine.regions.clone();
+        let stop_grace = options.engine.stop_grace;
+        let started = Instant::now();
+        let log = Rc::new(DecisionLog::new(started));
         let engine = EngineOptions {
             leadership_lease: options.leadership_lease,
             compares_logs: true,
@@ -131,7 +143,7 @@
             failover: RefCell::new(FailoverController::new(failover_options)),
             coordination: options.coordination,
             readiness: options.readiness,
-            started: Instant::now(),
+            started,
             sessions: RefCell::default(),
             connections: RefCell::default(),
             discovered: RefCell::default(),
@@ -149,13 +161,15 @@
             zone_regions,
             allowed_work: RefCell::default(),
             feeds: Feeds::default(),
-            log: DecisionLog::default(),
+            unsent: Rc::new(UnsentConnections::new(Rc::clone(&log))),
+            log,
+            stop_grace,
+            stop_requested_at: Cell::new(None),
             traffic: Traffic::default(),
             last_session: Cell::new(0),
             rescheduled: Notify::new(),
             wake_at: Cell::new(None),
             stopped: Notify::new(),
-            is_stop_requested: Cell::new(false),
             is_stopped: Cell::new(false),
             wire: std::marker::PhantomData,
         })
@@ -242,20 +256,27 @@
             event = LogEvent::DrainStarted.number(),
             "graceful shutdown started"
         );
-        self.is_stop_requested.set(true);
+        self.stop_requested_at
+            .set(Some(tokio::time::Instant::now()));
         self.handle(Event::StopRequested);
     }
 
     /// Whether a graceful shutdown has begun.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.is_stop_requested.get()
+        self.stop_requested_at.get().is_some()
     }
 
-    /// Waits until the graceful shutdown is complete.
-    pub async fn stopped(&self) {
+    /// Waits until the graceful shutdown is complete: no request is in progress and all answers are written, or the
+    /// grace period is nearly over. Returns the number of connections whose answers were not delivered.
+    pub async fn stopped(&self) -> u64 {
         while !self.is_stopped.get() {
             self.stopped.notified().await;
         }
+        if let Some(requested_at) = self.stop_requested_at.get() {
+            let until = requested_at + self.stop_grace * WRITING_END_PERCENT / 100;
+            let _ = tokio::time::timeout_at(until, self.unsent.written()).await;
+        }
+        self.unsent.undelivered()
     }
 
     /// The configuration in force.
--- a/crates/stairward-runtime/src/peers.rs
+++ b/crates/stairward-runtime/src/peers.rs
@@ -73,7 +73,7 @@
             remote_sessions.last_link
         };
         self.traffic.opened(OpeningKind::Accepted);
-        let (reading, outgoing) = Outgoing::split(stream);
+        let (reading, outgoing) = Outgoing::split_answering(stream, &self.unsent);
         let mut reader = MessageReader::new(reading);
         while let Some(message) = reader.next().await {
             let kind = TrafficKind::of(&message);
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -69,6 +69,8 @@
     RequestHedged = 205, Debug;
     /// A session was refused because its key is missing, unknown or revoked.
     KeyRefused = 206, Warn;
+    /// A connection ended before all bytes for its peer were written.
+    AnswerUndelivered = 207, Warn;
 
     /// A connection to another node was made.
     PeerConnected = 300, Debug;
