Engine: announced terms end with the promotion that the record names

Cause: an announced term ended only when each member that might have been promoted in it had reported otherwise, which one that is gone never does. The attempts that are to settle this promote the present leader, which starts no term. Evidence: events 417 with awaited_term one higher each 1.5 s, 412 Accepted each time, 428 naming the present leader.

Fix: once the newest recorded promotion is answered and the member that it names reports that it leads, the announced terms up to the recorded one are over. While another member's promotion is unanswered, the old rule holds. A holder that announces a term which was used before is told of the newer one.

Ruled out: dropping a term after a time (promotions may be late), or by another node's word (it may have missed the announcement).

--- a/crates/stairward-engine/src/confirmation.rs
+++ b/crates/stairward-engine/src/confirmation.rs
@@ -284,6 +284,15 @@
         group.map_or(Term::default(), |group| group.newest_term)
     }
 
+    /// The highest term of a service that has begun, or for which a promotion was requested. A holder of the failover
+    /// lease that announces no later one has missed it.
+    #[must_use]
+    pub fn newest_used_term(&self, service: &ServiceName) -> Term {
+        let group = self.groups.get(service);
+        let used = group.map(|group| group.leadership.newest_used_term());
+        used.unwrap_or_default().max(self.newest_term(service))
+    }
+
     /// The newest term of a service that a holder of the failover lease has announced and that may still
     /// begin.
     #[must_use]
--- a/crates/stairward-engine/src/leadership.rs
+++ b/crates/stairward-engine/src/leadership.rs
@@ -71,6 +71,16 @@
     learned_at: Time,
 }
 
+/// Announced terms that are over: the only promotion requested for them started, or left in place, the leader of an
+/// earlier one. Members that can't be reached, or are still on hold for these terms, can tell nothing else.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct SettledTerms {
+    /// The newest of them.
+    up_to: Term,
+    /// The term that is led instead.
+    led: Term,
+}
+
 /// What is known of a service's leadership.
 #[derive(Debug, Default)]
 pub(crate) struct Leadership {
@@ -88,6 +98,10 @@
     candidates: BTreeSet<BackendId>,
     /// The newest promotion that the store's record or another node has shown.
     recorded: Option<RecordedPromotion>,
+    /// Members whose promotion was requested without an answer.
+    unanswered: BTreeSet<BackendId>,
+    /// The announced terms that are known to be over.
+    settled: Option<SettledTerms>,
     /// The last report of each member.
     reports: BTreeMap<BackendId, MemberReport>,
     /// Queries without a reply, by member.
@@ -117,14 +131,16 @@
             return;
         }
         self.reports.insert(member.clone(), report);
-        self.record_announced_term(now, lease, report.awaited, others);
+        self.settle_announced_term();
+        let awaited = self.effective_term(report.awaited);
+        self.record_announced_term(now, lease, awaited, others);
         let is_continuous = now < self.confirmed_at + lease;
         self.possible_term = self.possible_term.filter(|_| is_continuous);
         if let Some(possible_term) = self.possible_term
             && report.can_be_held
             && others.contains(member)
         {
-            self.possible_term = Some(possible_term.max(report.awaited));
+            self.possible_term = Some(possible_term.max(awaited));
             self.confirmed_at = self.confirmed_at.max(report.asked_at);
         }
         self.update_from_all_reports(now, lease, others);
@@ -139,6 +155,44 @@
         }
     }
 
+    /// Settles the announced terms if the newest known promotion, which was answered, is that of the member that
+    /// reports to lead, and none of another member is unanswered. Each later term is announced before its promotion
+    /// is requested, so that the promotion that started the leader's term was the only one for those in between.
+    fn settle_announced_term(&mut self) {
+        let Some(recorded) = self.recorded.as_ref().filter(|known| !known.is_pending) else {
+            return;
+        };
+        let leads = |report: &&MemberReport| {
+            report.is_from_member && !report.can_be_held && report.asked_at >= recorded.learned_at
+        };
+        let Some(report) = self.reports.get(&recorded.leader).filter(leads) else {
+            return;
+        };
+        let others_unanswered = self.unanswered.iter().any(|id| *id != recorded.leader);
+        let is_announced = self.announced_term > report.term;
+        if others_unanswered || !is_announced || self.announced_term > recorded.term {
+            return;
+        }
+        let (up_to, led) = (recorded.term, report.term);
+        self.settled = Some(SettledTerms { up_to, led });
+        self.announced_term = led;
+        self.candidates.clear();
+        self.possible_term = self.possible_term.map(|term| self.effective_term(term));
+    }
+
+    /// A term that may begin; the term that is led instead if this one is over.
+    fn effective_term(&self, term: Term) -> Term {
+        let settled = self.settled.filter(|settled| term <= settled.up_to);
+        settled.map_or(term, |settled| term.min(settled.led))
+    }
+
+    /// The newest term that is known to have been announced and to be over, or to have been requested; 0 if there is
+    /// none. A new attempt must announce a later one.
+    pub fn newest_used_term(&self) -> Term {
+        let recorded = self.recorded.as_ref().map(|known| known.term);
+        recorded.unwrap_or_default()
+    }
+
     fn record_announced_term(
         &mut self,
         now: Time,
@@ -185,7 +239,7 @@
         for other in others {
             match self.reports.get(other) {
                 Some(report) if now < report.asked_at + lease => {
-                    awaited = awaited.max(report.awaited);
+                    awaited = awaited.max(self.effective_term(report.awaited));
                     asked_at = asked_at.min(report.asked_at);
                 }
                 _ => return,
@@ -211,14 +265,20 @@
             let is_same = known.leader == leader && known.is_pending == is_pending;
             known.term < term || (known.term == term && !is_same)
         });
-        if is_newer {
-            self.recorded = Some(RecordedPromotion {
-                leader,
-                term,
-                is_pending,
-                learned_at: now,
-            });
+        if !is_newer {
+            return;
         }
+        if is_pending {
+            self.unanswered.insert(leader.clone());
+        } else {
+            self.unanswered.remove(&leader);
+        }
+        self.recorded = Some(RecordedPromotion {
+            leader,
+            term,
+            is_pending,
+            learned_at: now,
+        });
     }
 
     /// The term of a promotion whose request is unanswered; 0 if there is none.
@@ -353,6 +413,7 @@
 
     /// A later term, led by one of `others`, may begin from now on.
     pub fn revoke(&mut self, now: Time, lease: Duration, term: Term, others: &BTreeSet<BackendId>) {
+        let term = self.effective_term(term);
         self.record_announced_term(now, lease, term, others);
         if term == self.announced_term {
             self.announced_until = now + lease * ATTEMPT_IN_LEASES;
@@ -370,7 +431,7 @@
     /// Adopts another node's knowledge if it is newer than the local knowledge.
     pub fn record_peer_knowledge(&mut self, possible_term: Term, asked_at: Time) {
         if asked_at > self.confirmed_at || self.possible_term.is_none() {
-            self.possible_term = Some(possible_term);
+            self.possible_term = Some(self.effective_term(possible_term));
             self.confirmed_at = asked_at;
         }
     }
--- a/crates/stairward-engine/tests/lead.rs
+++ b/crates/stairward-engine/tests/lead.rs
@@ -285,6 +285,74 @@
     }
 }
 
+/// Term 3 was announced before [`FAR_REPLICA`] was promoted, which started term 2. [`NEAR_REPLICA`], which might have
+/// been promoted as well, is gone for good, and the old leader has come back.
+fn promoted_while_a_member_is_gone(earlier: Option<Event>) -> Harness {
+    let mut harness = harness();
+    write(&mut harness);
+    confirm(&mut harness);
+    answer_work(&mut harness, done(TransactionStatus::Idle, at(1, 11)));
+    harness.response();
+    harness.handle(Event::LeadershipRevoked(service(), Term(3)));
+    if let Some(earlier) = earlier {
+        harness.handle(earlier);
+    }
+    harness.handle(recorded(FAR_REPLICA, 3));
+    harness.handle(listed(vec![
+        describe(PRIMARY, BackendRole::Replica, 2),
+        describe(FAR_REPLICA, BackendRole::Primary, 3),
+    ]));
+    let leads = status_report(BackendRole::Primary, 2, 0);
+    for _ in 0..25 {
+        harness.advance(LEASE / 5);
+        write(&mut harness);
+        answer_status_queries(&mut harness, FAR_REPLICA, &leads);
+        answer_status_queries(&mut harness, PRIMARY, &following(2));
+    }
+    harness
+}
+
+/// Guards against a service that nobody serves any more: a member that is gone can't report that it was not promoted.
+#[test]
+fn an_announced_term_ends_with_the_promotion_that_the_record_names() {
+    let harness = promoted_while_a_member_is_gone(None);
+    let last = harness.leadership_changes.last();
+    assert_eq!(last, Some(&LeadershipChange::Confirmed));
+    let used = harness.engine.newest_used_term(&service());
+    assert_eq!(used, Term(3), "a later holder must announce a later term");
+}
+
+/// Guards against two leaders: the unanswered promotion of a member that is out of reach may have been carried out.
+#[test]
+fn an_announced_term_is_kept_while_the_promotion_of_another_member_is_unanswered() {
+    let unanswered = Event::PromotionRecorded {
+        service: service(),
+        leader: backend(NEAR_REPLICA),
+        term: Term(2),
+        is_pending: true,
+    };
+    let harness = promoted_while_a_member_is_gone(Some(unanswered));
+    let is_confirmed = |change: &LeadershipChange| *change == LeadershipChange::Confirmed;
+    assert!(
+        !harness.leadership_changes.iter().any(is_confirmed),
+        "{:?}",
+        harness.leadership_changes
+    );
+}
+
+/// A replica may still be on hold for the announced term, or a node may be told of it again.
+#[test]
+fn a_term_that_is_over_is_not_announced_again() {
+    let mut harness = promoted_while_a_member_is_gone(None);
+    harness.handle(Event::LeadershipRevoked(service(), Term(3)));
+    harness.advance(LEASE / 5);
+    let on_hold = status_report(BackendRole::Replica, 2, 3);
+    answer_status_queries(&mut harness, PRIMARY, &on_hold);
+    assert_eq!(harness.engine.announced_term(&service()), Term(2));
+    harness.handle(Event::LeadershipRevoked(service(), Term(4)));
+    assert_eq!(harness.engine.announced_term(&service()), Term(4));
+}
+
 /// Guards against two leaders as a node that has just started may see them: the new one is missing from discovery,
 /// and the only replica that is left was cut off when it was promoted.
 #[test]
--- a/crates/stairward-runtime/src/failover_peers.rs
+++ b/crates/stairward-runtime/src/failover_peers.rs
@@ -179,10 +179,10 @@
         }
     }
 
-    /// Rejects leaders of lower terms from now on. Returns the newest term known to have begun.
+    /// Rejects leaders of lower terms from now on. Returns the newest term known to have begun or to have been used.
     pub(crate) fn revoke_older_terms(self: &Rc<Self>, service: &ServiceName, term: Term) -> Term {
         self.handle(Event::LeadershipRevoked(service.clone(), term));
-        self.newest_term(service)
+        self.engine.borrow().newest_used_term(service)
     }
 
     /// Tells a node to reject leaders of lower terms. Returns the newest term that it knows to have begun, if it replies.
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -435,7 +435,7 @@
                 self.handle_engine_event(node_index, notified_incarnation, event);
             }
         }
-        let newest = self.nodes[node_index].engine.newest_term(&service);
+        let newest = self.nodes[node_index].engine.newest_used_term(&service);
         let revoked = FailoverEvent::Revoked {
             service,
             term,
