--- a/crates/stairward-simulation/src/checker.rs
+++ b/crates/stairward-simulation/src/checker.rs
@@ -48,6 +48,8 @@
     StopGrace,
     /// A planned stop cuts no request that a database has run.
     CompleteResponse,
+    /// Once nothing fails any more and all data is there, writes succeed again.
+    ServedAgain,
     /// While nothing fails and all members answer, a service changes its primary at most once more.
     StablePrimary,
 }
