Failover and engine: replaced leaders account for no member; tokens end earlier promotions

A review of missing members took the position of the primary that discovery lists. One that has been replaced, and goes on, may lag behind what the missing member has acknowledged of its successor. A member that stays and reports a later term than the leader's now ends the review. a_replaced_leader_accounts_for_no_missing_member fails without the check on terms.

A node that had seen a promotion of a member without an answer kept announced terms for as long as that member did not report, which one that is gone never does. Where the platform examines tokens (bounds.requireFence), an answered promotion ends all earlier ones; an_announced_term_is_kept_while_the_promotion_of_another_member_is_unanswered now tests both kinds of platforms.

--- a/crates/stairward-engine/src/confirmation.rs
+++ b/crates/stairward-engine/src/confirmation.rs
@@ -242,10 +242,14 @@
         term: Term,
         is_pending: bool,
     ) {
+        let are_fenced = self.options.promotions_are_fenced;
         let group = self.groups.entry(service.clone()).or_default();
         group
             .leadership
             .record_promotion(now, leader, term, is_pending);
+        if are_fenced && !is_pending {
+            group.leadership.end_earlier_promotions();
+        }
         self.leadership_updated(now, service);
     }
 
--- a/crates/stairward-engine/src/leadership.rs
+++ b/crates/stairward-engine/src/leadership.rs
@@ -281,6 +281,11 @@
         });
     }
 
+    /// No unanswered promotion can be carried out any more.
+    pub fn end_earlier_promotions(&mut self) {
+        self.unanswered.clear();
+    }
+
     /// The term of a promotion whose request is unanswered; 0 if there is none.
     fn pending_term(&self) -> Term {
         let pending = self.recorded.as_ref().filter(|known| known.is_pending);
--- a/crates/stairward-engine/src/settings.rs
+++ b/crates/stairward-engine/src/settings.rs
@@ -164,6 +164,9 @@
     /// How long a leader counts as confirmed after a replica was queried. None if a replaced leader accepts
     /// nothing any more, so that no confirmation is needed.
     pub leadership_lease: Option<Duration>,
+    /// Whether the platform refuses a promotion if it has seen a higher fencing token, so that an answered one ends
+    /// all earlier ones.
+    pub promotions_are_fenced: bool,
     /// Whether a leader's log is compared with those of the other members before its replies are trusted, also
     /// without a leadership lease.
     pub compares_logs: bool,
@@ -210,6 +213,7 @@
             },
             cold_bound: ColdBound::default(),
             leadership_lease: None,
+            promotions_are_fenced: false,
             compares_logs: false,
             consults_peers: false,
             stop_grace: Duration::from_secs(6),
--- a/crates/stairward-engine/tests/lead.rs
+++ b/crates/stairward-engine/tests/lead.rs
@@ -20,9 +20,14 @@
 
 /// A harness in which a replaced leader may keep answering.
 fn harness() -> Harness {
+    harness_with(false)
+}
+
+fn harness_with(promotions_are_fenced: bool) -> Harness {
     let mut harness = Harness::empty();
     let options = EngineOptions {
         leadership_lease: Some(LEASE),
+        promotions_are_fenced,
         ..harness.engine_options()
     };
     harness.engine = Engine::new(options);
@@ -287,8 +292,7 @@
 
 /// Term 3 was announced before [`FAR_REPLICA`] was promoted, which started term 2. [`NEAR_REPLICA`], which might have
 /// been promoted as well, is gone for good, and the old leader has come back.
-fn promoted_while_a_member_is_gone(earlier: Option<Event>) -> Harness {
-    let mut harness = harness();
+fn promoted_while_a_member_is_gone(mut harness: Harness, earlier: Option<Event>) -> Harness {
     write(&mut harness);
     confirm(&mut harness);
     answer_work(&mut harness, done(TransactionStatus::Idle, at(1, 11)));
@@ -315,35 +319,37 @@
 /// Guards against a service that nobody serves any more: a member that is gone can't report that it was not promoted.
 #[test]
 fn an_announced_term_ends_with_the_promotion_that_the_record_names() {
-    let harness = promoted_while_a_member_is_gone(None);
+    let harness = promoted_while_a_member_is_gone(harness(), None);
     let last = harness.leadership_changes.last();
     assert_eq!(last, Some(&LeadershipChange::Confirmed));
     let used = harness.engine.newest_used_term(&service());
     assert_eq!(used, Term(3), "a later holder must announce a later term");
 }
 
-/// Guards against two leaders: the unanswered promotion of a member that is out of reach may have been carried out.
+/// Guards against two leaders: the unanswered promotion of a member that is out of reach may have been carried out,
+/// unless the platform refuses it for its fencing token.
 #[test]
 fn an_announced_term_is_kept_while_the_promotion_of_another_member_is_unanswered() {
-    let unanswered = Event::PromotionRecorded {
-        service: service(),
-        leader: backend(NEAR_REPLICA),
-        term: Term(2),
-        is_pending: true,
+    let confirms = |promotions_are_fenced| {
+        let unanswered = Event::PromotionRecorded {
+            service: service(),
+            leader: backend(NEAR_REPLICA),
+            term: Term(2),
+            is_pending: true,
+        };
+        let harness = harness_with(promotions_are_fenced);
+        let harness = promoted_while_a_member_is_gone(harness, Some(unanswered));
+        let changes = &harness.leadership_changes;
+        changes.contains(&LeadershipChange::Confirmed)
     };
-    let harness = promoted_while_a_member_is_gone(Some(unanswered));
-    let is_confirmed = |change: &LeadershipChange| *change == LeadershipChange::Confirmed;
-    assert!(
-        !harness.leadership_changes.iter().any(is_confirmed),
-        "{:?}",
-        harness.leadership_changes
-    );
+    assert!(!confirms(false));
+    assert!(confirms(true));
 }
 
 /// A replica may still be on hold for the announced term, or a node may be told of it again.
 #[test]
 fn a_term_that_is_over_is_not_announced_again() {
-    let mut harness = promoted_while_a_member_is_gone(None);
+    let mut harness = promoted_while_a_member_is_gone(harness(), None);
     harness.handle(Event::LeadershipRevoked(service(), Term(3)));
     harness.advance(LEASE / 5);
     let on_hold = status_report(BackendRole::Replica, 2, 3);
--- a/crates/stairward-failover/src/controller/in_sync_steps.rs
+++ b/crates/stairward-failover/src/controller/in_sync_steps.rs
@@ -11,7 +11,7 @@
 use crate::event::{
     Effect, FailoverStep, GroupState, MemberCallResult, RecordVersion, ReviewCall, Via,
 };
-use crate::member_review::{MemberReview, ReviewProgress, ReviewStage};
+use crate::member_review::{LeaderPosition, MemberReview, ReviewProgress, ReviewStage};
 use crate::start_delay::{start_delay, turn_delay};
 
 /// How long the answer to a write of the record is awaited before the write is repeated.
@@ -323,7 +323,7 @@
 
     /// Waits until all members that stay have received the leader's position. Enough of them must
     /// stay to hold each commit as often as the service requires.
-    fn await_coverage(&mut self, now: Time, service: &ServiceName, position: Freshness) {
+    fn await_coverage(&mut self, now: Time, service: &ServiceName, position: LeaderPosition) {
         let synchronous = self.groups.get(service).map(|it| it.synchronous_replicas);
         let synchronous = usize::try_from(synchronous.unwrap_or_default()).unwrap_or(usize::MAX);
         let mut staying = self.in_sync.ids(service);
@@ -338,7 +338,7 @@
         review.enter_stage(ReviewStage::AwaitingCoverage(position), now);
         review.await_coverage(staying.clone());
         for id in &staying {
-            self.call_for_review(service, id, Via::Direct, Some(position));
+            self.call_for_review(service, id, Via::Direct, Some(position.received));
         }
     }
 
@@ -346,9 +346,10 @@
         let Some(review) = self.current_review(service) else {
             return;
         };
-        let ReviewStage::AwaitingCoverage(covered) = review.stage else {
+        let ReviewStage::AwaitingCoverage(position) = review.stage else {
             return;
         };
+        let covered = position.received;
         let removed = review.ended();
         review.enter_stage(ReviewStage::Writing, now);
         self.write_in_sync_record(now, service, &removed);
--- a/crates/stairward-failover/src/member_review.rs
+++ b/crates/stairward-failover/src/member_review.rs
@@ -6,12 +6,12 @@
 //!    every node asked, has ended; so has one that none of them reaches for a while.
 //! 2. After that, the leader reports its position. Whatever the ended members have acknowledged
 //!    lies below it.
-//! 3. Once all members that stay have received everything up to that position, no commit depends on
-//!    the ended ones.
+//! 3. Once all members that stay have received everything up to that position, and none of them
+//!    knows a later term than the leader's, no commit depends on the ended ones.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use stairward_types::{BackendId, BackendRole, Freshness, Time};
+use stairward_types::{BackendId, BackendRole, Freshness, MemberStatus, Term, Time};
 
 use crate::event::{MemberCallResult, RecordVersion, Via};
 
@@ -44,11 +44,20 @@
     /// The leader is being asked for its position.
     AskingLeader,
     /// The members that stay are receiving everything up to the leader's position.
-    AwaitingCoverage(Freshness),
+    AwaitingCoverage(LeaderPosition),
     /// The record without the ended members is being written.
     Writing,
 }
 
+/// What the leader has reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct LeaderPosition {
+    /// The term that it leads.
+    pub term: Term,
+    /// How much of the log it has.
+    pub received: Freshness,
+}
+
 /// One review of the missing members of a service.
 #[derive(Debug)]
 pub(crate) struct MemberReview {
@@ -75,7 +84,7 @@
     /// All probes have ended.
     Probed,
     /// The leader has reported this position.
-    LeaderAt(Freshness),
+    LeaderAt(LeaderPosition),
     /// All members that stay have received the leader's position.
     Covered,
     /// The review can't be completed now.
@@ -135,16 +144,21 @@
         match &self.stage {
             ReviewStage::Probing => self.record_probe(member, via, result),
             ReviewStage::AskingLeader if *member == self.leader => {
-                let leads =
-                    |status: &stairward_types::MemberStatus| status.role == BackendRole::Primary;
+                let leads = |status: &MemberStatus| status.role == BackendRole::Primary;
                 match result.answer().filter(leads) {
-                    Some(status) => ReviewProgress::LeaderAt(status.received),
+                    Some(status) => ReviewProgress::LeaderAt(LeaderPosition {
+                        term: status.term,
+                        received: status.received,
+                    }),
                     None => ReviewProgress::Failed,
                 }
             }
             ReviewStage::AwaitingCoverage(position) => {
-                let status = result.answer();
-                if !status.is_some_and(|status| status.received.covers(*position)) {
+                let is_covered = |status: MemberStatus| {
+                    // A member of a later term has heard of another leader.
+                    status.received.covers(position.received) && status.term <= position.term
+                };
+                if !result.answer().is_some_and(is_covered) {
                     return ReviewProgress::Failed;
                 }
                 self.awaited.remove(member);
--- a/crates/stairward-failover/tests/in_sync.rs
+++ b/crates/stairward-failover/tests/in_sync.rs
@@ -349,6 +349,22 @@
     assert_eq!(last_record_after_reviews(is_running, 50), None);
 }
 
+/// Guards against the loss of an acknowledged commit: the leader that discovery lists has been replaced, and the missing
+/// member has acknowledged commits of its successor.
+#[test]
+fn a_replaced_leader_accounts_for_no_missing_member() {
+    let mut node = node_that_misses_a_replica();
+    for _ in 0..12 {
+        node.advance(1_000);
+        assert_eq!(recorded_writes(&node), []);
+        answer_reviews(&mut node, |id, _| match id.as_str() {
+            OLD => running(BackendRole::Primary, 50),
+            AHEAD => MemberCallResult::Refused,
+            _ => MemberCallResult::Answered(status(BackendRole::Primary, 2, 60).unwrap()),
+        });
+    }
+}
+
 /// A member that is only cut off from discovery and from this node still receives the log.
 #[test]
 fn a_member_that_a_peer_reaches_stays_in_the_record() {
