Engine: a leader of an announced term that was over supersedes the present one

Terms that were announced, but not started, were capped at the term that is led. The platform counts only terms that start, so that the next promotion may start the very term that was taken for over: a member that follows it, or a peer that knows of it, would have been read as a word for the old leader. Now only holds and announcements of such terms are ignored; a term that a member follows, and what a peer knows, count as they are, and no term is over while any member reports a later one than the leader's.

a_leader_of_the_term_that_was_over_supersedes_the_present_one fails without either change; a_term_that_is_over_is_not_announced_again now reaches the replica on hold (it had not been asked, so that the test could not fail for it).

--- a/crates/stairward-engine/src/leadership.rs
+++ b/crates/stairward-engine/src/leadership.rs
@@ -132,7 +132,7 @@
         }
         self.reports.insert(member.clone(), report);
         self.settle_announced_term();
-        let awaited = self.effective_term(report.awaited);
+        let awaited = self.awaited_by(&report);
         self.record_announced_term(now, lease, awaited, others);
         let is_continuous = now < self.confirmed_at + lease;
         self.possible_term = self.possible_term.filter(|_| is_continuous);
@@ -168,9 +168,11 @@
         let Some(report) = self.reports.get(&recorded.leader).filter(leads) else {
             return;
         };
+        let is_announced =
+            self.announced_term > report.term && self.announced_term <= recorded.term;
         let others_unanswered = self.unanswered.iter().any(|id| *id != recorded.leader);
-        let is_announced = self.announced_term > report.term;
-        if others_unanswered || !is_announced || self.announced_term > recorded.term {
+        let is_superseded = self.reports.values().any(|other| other.term > report.term);
+        if !is_announced || others_unanswered || is_superseded {
             return;
         }
         let (up_to, led) = (recorded.term, report.term);
@@ -180,14 +182,18 @@
         self.possible_term = self.possible_term.map(|term| self.effective_term(term));
     }
 
-    /// A term that may begin; the term that is led instead if this one is over.
+    /// The term that a member awaits. A hold for a term that is over counts no more; a term that it follows does.
+    fn awaited_by(&self, report: &MemberReport) -> Term {
+        report.term.max(self.effective_term(report.awaited))
+    }
+
+    /// An announced term; the term that is led instead if this one is over.
     fn effective_term(&self, term: Term) -> Term {
         let settled = self.settled.filter(|settled| term <= settled.up_to);
         settled.map_or(term, |settled| term.min(settled.led))
     }
 
-    /// The newest term that is known to have been announced and to be over, or to have been requested; 0 if there is
-    /// none. A new attempt must announce a later one.
+    /// The newest term for which a promotion was requested; 0 if there is none. A new attempt must announce a later one.
     pub fn newest_used_term(&self) -> Term {
         let recorded = self.recorded.as_ref().map(|known| known.term);
         recorded.unwrap_or_default()
@@ -239,7 +245,7 @@
         for other in others {
             match self.reports.get(other) {
                 Some(report) if now < report.asked_at + lease => {
-                    awaited = awaited.max(self.effective_term(report.awaited));
+                    awaited = awaited.max(self.awaited_by(report));
                     asked_at = asked_at.min(report.asked_at);
                 }
                 _ => return,
@@ -436,7 +442,7 @@
     /// Adopts another node's knowledge if it is newer than the local knowledge.
     pub fn record_peer_knowledge(&mut self, possible_term: Term, asked_at: Time) {
         if asked_at > self.confirmed_at || self.possible_term.is_none() {
-            self.possible_term = Some(self.effective_term(possible_term));
+            self.possible_term = Some(possible_term);
             self.confirmed_at = asked_at;
         }
     }
--- a/crates/stairward-engine/tests/lead.rs
+++ b/crates/stairward-engine/tests/lead.rs
@@ -290,6 +290,14 @@
     }
 }
 
+/// Answers all commands that are not status queries.
+fn answer_all_work(harness: &mut Harness) {
+    let is_work = |sent: &Sent| sent.command != BackendCommand::QueryStatus;
+    while harness.sent.iter().any(is_work) {
+        answer_work(harness, done(TransactionStatus::Idle, at(2, 12)));
+    }
+}
+
 /// Term 3 was announced before [`FAR_REPLICA`] was promoted, which started term 2. [`NEAR_REPLICA`], which might have
 /// been promoted as well, is gone for good, and the old leader has come back.
 fn promoted_while_a_member_is_gone(mut harness: Harness, earlier: Option<Event>) -> Harness {
@@ -310,6 +318,7 @@
     for _ in 0..25 {
         harness.advance(LEASE / 5);
         write(&mut harness);
+        answer_all_work(&mut harness);
         answer_status_queries(&mut harness, FAR_REPLICA, &leads);
         answer_status_queries(&mut harness, PRIMARY, &following(2));
     }
@@ -351,14 +360,34 @@
 fn a_term_that_is_over_is_not_announced_again() {
     let mut harness = promoted_while_a_member_is_gone(harness(), None);
     harness.handle(Event::LeadershipRevoked(service(), Term(3)));
-    harness.advance(LEASE / 5);
     let on_hold = status_report(BackendRole::Replica, 2, 3);
-    answer_status_queries(&mut harness, PRIMARY, &on_hold);
+    for _ in 0..15 {
+        harness.advance(LEASE / 5);
+        write(&mut harness);
+        answer_all_work(&mut harness);
+        answer_status_queries(&mut harness, PRIMARY, &on_hold);
+    }
     assert_eq!(harness.engine.announced_term(&service()), Term(2));
     harness.handle(Event::LeadershipRevoked(service(), Term(4)));
     assert_eq!(harness.engine.announced_term(&service()), Term(4));
 }
 
+/// Guards against two leaders: the platform counts terms without those that were announced only, so that the next leader may
+/// start the term that is over.
+#[test]
+fn a_leader_of_the_term_that_was_over_supersedes_the_present_one() {
+    let mut harness = promoted_while_a_member_is_gone(harness(), None);
+    let leads = status_report(BackendRole::Primary, 2, 0);
+    for _ in 0..15 {
+        harness.advance(LEASE / 5);
+        write(&mut harness);
+        answer_all_work(&mut harness);
+        answer_status_queries(&mut harness, PRIMARY, &following(3));
+        answer_status_queries(&mut harness, FAR_REPLICA, &leads);
+    }
+    assert_eq!(harness.engine.announced_term(&service()), Term(3));
+}
+
 /// Guards against two leaders as a node that has just started may see them: the new one is missing from discovery,
 /// and the only replica that is left was cut off when it was promoted.
 #[test]
