Engine: a promotion accepted just before an answered one may still take effect

What was looked for first, a member missing from the in-sync record: all three members had answered, and the coverage was sufficient for each decision.

Without a lease, a commit is withheld until such a promotion must have taken effect. With a lease, announced terms were over as soon as the answered promotion was known where tokens are examined; they are now over 3 leases after that, if another member's promotion had no answer. a_commit_is_withheld_while_a_promotion_is_unanswered expected the commit to pass at once, which the trace shows to be wrong; it now expects it to wait, and a later one to pass.

The variant hides the announcements of promotions as well, as those of the lease do.

--- a/crates/stairward-engine/src/confirmation.rs
+++ b/crates/stairward-engine/src/confirmation.rs
@@ -244,12 +244,10 @@
     ) {
         let are_fenced = self.options.promotions_are_fenced;
         let group = self.groups.entry(service.clone()).or_default();
+        group.leadership.are_promotions_fenced = are_fenced;
         group
             .leadership
             .record_promotion(now, leader, term, is_pending);
-        if are_fenced && !is_pending {
-            group.leadership.end_earlier_promotions();
-        }
         self.leadership_updated(now, service);
     }
 
--- a/crates/stairward-engine/src/leadership.rs
+++ b/crates/stairward-engine/src/leadership.rs
@@ -98,10 +98,12 @@
     candidates: BTreeSet<BackendId>,
     /// The newest promotion that the store's record or another node has shown.
     recorded: Option<RecordedPromotion>,
-    /// Members whose promotion was requested without an answer.
-    unanswered: BTreeSet<BackendId>,
+    /// Members whose promotion was requested without an answer, and since when a later one has been answered.
+    unanswered: BTreeMap<BackendId, Option<Time>>,
     /// The announced terms that are known to be over.
     settled: Option<SettledTerms>,
+    /// Whether the platform refuses a promotion if it has seen a higher fencing token.
+    pub are_promotions_fenced: bool,
     /// The last report of each member.
     reports: BTreeMap<BackendId, MemberReport>,
     /// Queries without a reply, by member.
@@ -131,7 +133,7 @@
             return;
         }
         self.reports.insert(member.clone(), report);
-        self.settle_announced_term();
+        self.settle_announced_term(now, lease);
         let awaited = self.awaited_by(&report);
         self.record_announced_term(now, lease, awaited, others);
         let is_continuous = now < self.confirmed_at + lease;
@@ -158,7 +160,7 @@
     /// Settles the announced terms if the newest known promotion, which was answered, is that of the member that
     /// reports to lead, and none of another member is unanswered. Each later term is announced before its promotion
     /// is requested, so that the promotion that started the leader's term was the only one for those in between.
-    fn settle_announced_term(&mut self) {
+    fn settle_announced_term(&mut self, now: Time, lease: Duration) {
         let Some(recorded) = self.recorded.as_ref().filter(|known| !known.is_pending) else {
             return;
         };
@@ -170,7 +172,8 @@
         };
         let is_announced =
             self.announced_term > report.term && self.announced_term <= recorded.term;
-        let others_unanswered = self.unanswered.iter().any(|id| *id != recorded.leader);
+        let others_unanswered =
+            self.may_another_take_effect(now, lease * ATTEMPT_IN_LEASES, &recorded.leader);
         let is_superseded = self.reports.values().any(|other| other.term > report.term);
         if !is_announced || others_unanswered || is_superseded {
             return;
@@ -275,9 +278,12 @@
             return;
         }
         if is_pending {
-            self.unanswered.insert(leader.clone());
+            self.unanswered.insert(leader.clone(), None);
         } else {
             self.unanswered.remove(&leader);
+            for answered_after in self.unanswered.values_mut() {
+                answered_after.get_or_insert(now);
+            }
         }
         self.recorded = Some(RecordedPromotion {
             leader,
@@ -287,9 +293,26 @@
         });
     }
 
-    /// No unanswered promotion can be carried out any more.
-    pub fn end_earlier_promotions(&mut self) {
-        self.unanswered.clear();
+    /// Whether an unanswered promotion of a member other than `leader` may take effect yet. Where tokens are examined,
+    /// one that was accepted just before a later one was answered takes effect within `age` after that.
+    pub fn may_another_take_effect(&self, now: Time, age: Duration, leader: &BackendId) -> bool {
+        let others = self.unanswered.iter().filter(|(id, _)| *id != leader);
+        let mut ends = others.map(|(_, answered_after)| answered_after);
+        let is_over = |at: Time| self.are_promotions_fenced && now >= at + age;
+        ends.any(|answered_after| !answered_after.is_some_and(is_over))
+    }
+
+    /// Whether an unanswered promotion of a member other than `leader` was followed by an answered one less than `age`
+    /// ago, so that it may be about to take effect.
+    pub fn was_another_overtaken_within(
+        &self,
+        now: Time,
+        age: Duration,
+        leader: &BackendId,
+    ) -> bool {
+        let others = self.unanswered.iter().filter(|(id, _)| *id != leader);
+        let mut ends = others.filter_map(|(_, answered_after)| *answered_after);
+        ends.any(|at| now < at + age)
     }
 
     /// The term of a promotion whose request is unanswered; 0 if there is none.
--- a/crates/stairward-engine/src/withholding.rs
+++ b/crates/stairward-engine/src/withholding.rs
@@ -56,7 +56,8 @@
         let (service, leader) = (&connection.service, &connection.backend);
         self.has_unconfirmed_synchronous_leader(service)
             && (self.is_promotion_pending(service, leader)
-                || self.is_being_replaced(now, service, leader))
+                || self.is_being_replaced(now, service, leader)
+                || self.may_another_take_effect(now, service, leader))
     }
 
     /// Whether a service has synchronous replicas, and leaders need no confirmation.
@@ -76,6 +77,21 @@
         group.leadership.is_promotion_pending(backend.term)
     }
 
+    /// Whether another member's promotion was overtaken by an answered one so recently that it may be about to take
+    /// effect.
+    fn may_another_take_effect(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        leader: &BackendId,
+    ) -> bool {
+        self.groups.get(service).is_some_and(|group| {
+            group
+                .leadership
+                .was_another_overtaken_within(now, PROMOTION_TIME, leader)
+        })
+    }
+
     /// Whether another member's promotion was answered so recently that it may be about to take effect.
     fn is_being_replaced(&self, now: Time, service: &ServiceName, leader: &BackendId) -> bool {
         let (Some(group), Some(backend)) = (self.groups.get(service), self.backends.get(leader))
@@ -179,7 +195,9 @@
                     self.process_reply(now, id, sent, reply);
                 }
             } else if self.is_leader_replaced(service, &leader)
-                || (may_be_lost && !self.is_promotion_pending(service, &leader))
+                || (may_be_lost
+                    && !self.is_promotion_pending(service, &leader)
+                    && self.is_being_replaced(now, service, &leader))
             {
                 self.reject_withheld(now, id);
             }
--- a/crates/stairward-engine/tests/synchronous_commits.rs
+++ b/crates/stairward-engine/tests/synchronous_commits.rs
@@ -61,8 +61,15 @@
     write(&mut harness);
     harness.advance(Duration::from_millis(200));
     assert!(harness.responses.is_empty(), "{:?}", harness.responses);
-    // The leader itself was promoted under a higher token.
+    // The leader itself was promoted under a higher token. The other's promotion may have been accepted just before.
     harness.handle(promotion(PRIMARY, false));
+    harness.advance(Duration::from_millis(100));
+    assert!(harness.responses.is_empty(), "{:?}", harness.responses);
+    harness.advance(Duration::from_secs(4));
+    harness.responses.clear();
+    harness.prove_position(at(1, 11));
+    harness.sent.clear();
+    write(&mut harness);
     assert_completed(&mut harness);
 }
 
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -223,6 +223,7 @@
                     self.options.broken,
                     Some(
                         BrokenVariant::HiddenPromotions
+                            | BrokenVariant::NoHold
                             | BrokenVariant::IgnoredRevocation
                             | BrokenVariant::NoLeaseWait
                             | BrokenVariant::LongLease
@@ -377,6 +378,7 @@
             self.options.broken,
             Some(
                 BrokenVariant::HiddenPromotions
+                    | BrokenVariant::NoHold
                     | BrokenVariant::NoPeerKnowledge
                     | BrokenVariant::NoStepDown
                     | BrokenVariant::IgnoredRevocation
--- a/crates/stairward-simulation/tests/mixes.rs
+++ b/crates/stairward-simulation/tests/mixes.rs
@@ -94,4 +94,6 @@
 #[test]
 fn an_unanswered_promotion_loses_no_commit_acknowledged_since() {
     assert_holds(&Mix::SynchronousEnding.options(8_000_626));
+    // The promotion of another member is accepted just before that of the leader itself is answered.
+    assert_holds(&Mix::SynchronousEnding.options(9_500_009));
 }
