--- a/crates/stairward-simulation/tests/mixes.rs
+++ b/crates/stairward-simulation/tests/mixes.rs
@@ -94,6 +94,11 @@
 #[test]
 fn an_unanswered_promotion_loses_no_commit_acknowledged_since() {
     assert_holds(&Mix::SynchronousEnding.options(8_000_626));
-    // The promotion of another member is accepted just before that of the leader itself is answered.
+}
+
+/// Guards against the loss of a commit that is acknowledged right after the leader's own promotion was answered: that of
+/// another member may have been accepted just before.
+#[test]
+fn a_promotion_accepted_before_an_answered_one_loses_no_commit_acknowledged_since() {
     assert_holds(&Mix::SynchronousEnding.options(9_500_009));
 }
