Failover: a primary without its log accounts for no missing replica

A primary that steps down and passes its whole log on needs no other member; one that had started without its log does so at position 0, which every replica covers. A replica that lacks acknowledged commits could then be promoted while the one that has them is missing. Such a log now counts only if no replica that answered is ahead of it.

only_a_primary_with_its_log_accounts_for_a_missing_replica fails before: db-2 is promoted at position 40 while db-3 is missing.

--- a/crates/stairward-failover/src/controller/demotion_steps.rs
+++ b/crates/stairward-failover/src/controller/demotion_steps.rs
@@ -285,7 +285,10 @@
             return;
         };
         let has_whole_log = match proof {
-            DemotionProof::SteppedDown(status) => attempt.covers_log_of(group, status.received),
+            // One that started without its log knows nothing of what it had acknowledged.
+            DemotionProof::SteppedDown(status) => {
+                !attempt.old_is_behind() && attempt.covers_log_of(group, status.received)
+            }
             DemotionProof::Revoked | DemotionProof::Lapsed | DemotionProof::Unknown => false,
         };
         if !has_whole_log && !self.keeps_acknowledged_commits(service) {
--- a/crates/stairward-failover/tests/demotion.rs
+++ b/crates/stairward-failover/tests/demotion.rs
@@ -970,3 +970,32 @@
     attempt.revoked(2, USER, 1);
     assert_eq!(attempt.promotions(), [backend(NEXT)]);
 }
+
+/// The replica that is chosen after the old primary, which leaves, has stepped down at a position. Another replica, which
+/// discovery lists no more, may have confirmed commits.
+fn promoted_without_a_replica(old_position: u64) -> Vec<BackendId> {
+    let mut attempt = Attempt::new(true);
+    let mut synchronous = GroupState {
+        synchronous_replicas: 1,
+        ..group(true)
+    };
+    let listing = |group: &GroupState| Event::Groups(BTreeMap::from([(service(), group.clone())]));
+    attempt.handle(listing(&synchronous));
+    synchronous.members.remove(&backend(OTHER));
+    attempt.handle(listing(&synchronous));
+    attempt.handle(written(4, Term(0)));
+    attempt.answer(OLD, status(BackendRole::Primary, 1, old_position, 0));
+    attempt.answer(NEXT, replica(40));
+    attempt.advance(400);
+    let stepped_down = MemberCallResult::GaveWay(replica(old_position));
+    attempt.call_result(OLD, Via::Direct, stepped_down);
+    attempt.advance(600);
+    attempt.promotions()
+}
+
+/// Guards against the loss of an acknowledged commit: the log of a primary that has started without it proves nothing.
+#[test]
+fn only_a_primary_with_its_log_accounts_for_a_missing_replica() {
+    assert_eq!(promoted_without_a_replica(40), [backend(NEXT)]);
+    assert_eq!(promoted_without_a_replica(0), []);
+}
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -100,7 +100,7 @@
     Empty(Duration),
 }
 
-/// A fault that is injected at a given time.
+/// What fails in a planned fault.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlannedFaultKind {
     /// The process of a database stops.
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -129,6 +129,7 @@
     CallerDisconnected(usize, u64),
     /// A caller closes its session if this request is still outstanding.
     CallerTimeout(usize, u64, u64),
+    /// A node's process is killed.
     KillNode(usize),
     StartNode(usize),
     InjectFault,
