Simulation and soak: only acknowledged commits show that a service is served again

A check of this series was too weak: served again was taken from writes that succeeded, and those inside open transactions need no synchronous replica. It was shown by a new broken variant, RefusalsLeaveHolds, which leaves replicas on hold after each refused attempt and was not detected: with the replica on hold no commit is acknowledged, but writes in transactions go on. The simulation's tests of members and the soak's ServedAgain now count commits with writes only; the variant is detected, all other tests of members hold with the stricter check.

Also: without_synchronous_replicas_the_best_replica_that_is_left_is_promoted, the operator's way out that docs/operations/backends.md names.

--- a/crates/stairward-failover/tests/in_sync.rs
+++ b/crates/stairward-failover/tests/in_sync.rs
@@ -272,6 +272,25 @@
     assert_eq!(promoted.collect::<Vec<_>>(), [backend(AHEAD)]);
 }
 
+/// The operator's decision where the missing member's data is gone for good.
+#[test]
+fn without_synchronous_replicas_the_best_replica_that_is_left_is_promoted() {
+    let mut node = node_that_misses_a_replica();
+    lose_primary(&mut node);
+    assert_eq!(node.promotions(), []);
+    node.set_group(GroupState {
+        synchronous_replicas: 0,
+        ..without(synchronous_group(), AHEAD)
+    });
+    node.advance(1_500);
+    node.handle(written(9));
+    let replica = status(BackendRole::Replica, 1, 40);
+    node.handle(Event::StatusReply(backend(BEHIND), replica));
+    node.advance(400);
+    let promoted = node.promotions().into_iter().map(|(target, _)| target);
+    assert_eq!(promoted.collect::<Vec<_>>(), [backend(BEHIND)]);
+}
+
 /// Guards against the loss of an acknowledged commit: the process is back, but its log is not.
 #[test]
 fn a_member_that_is_back_without_its_log_does_not_count() {
--- a/crates/stairward-simulation/src/callers.rs
+++ b/crates/stairward-simulation/src/callers.rs
@@ -106,9 +106,18 @@
         self.sent_count
     }
 
-    /// The kind of the statement whose response is outstanding.
-    pub fn awaited_kind(&self) -> Option<&StatementKind> {
-        self.in_flight.as_ref().map(|(_, kind)| kind)
+    /// Whether the response to a read is outstanding.
+    pub fn awaits_read(&self) -> bool {
+        matches!(self.in_flight, Some((_, StatementKind::Read)))
+    }
+
+    /// Whether the response that acknowledges a commit with writes is outstanding.
+    pub fn awaits_commit(&self) -> bool {
+        match &self.in_flight {
+            Some((_, StatementKind::Write)) => !self.in_transaction,
+            Some((_, StatementKind::Commit)) => !self.writes.is_empty(),
+            _ => false,
+        }
     }
 
     /// Whether a response is outstanding.
--- a/crates/stairward-simulation/src/checker.rs
+++ b/crates/stairward-simulation/src/checker.rs
@@ -48,7 +48,7 @@
     StopGrace,
     /// A planned stop cuts no request that a database has run.
     CompleteResponse,
-    /// Once nothing fails any more and all data is there, writes succeed again.
+    /// Once nothing fails any more and all data is there, commits are acknowledged again.
     ServedAgain,
     /// While nothing fails and all members answer, a service changes its primary at most once more.
     StablePrimary,
--- a/crates/stairward-simulation/src/in_sync.rs
+++ b/crates/stairward-simulation/src/in_sync.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use rand::RngExt as _;
+use stairward_engine::Event;
 use stairward_failover::{
     Event as FailoverEvent, InSyncRecord, MemberCallResult, RecordVersion, ReviewCall, Via,
 };
-use stairward_types::StoreRevision;
+use stairward_types::{StoreRevision, Term};
 
 use crate::options::BrokenVariant;
 use crate::world::{FAR_DELAY, STORE_DELAY, SimulationEvent, World};
@@ -91,6 +92,21 @@
         }
     }
 
+    /// Holds all replicas for a later term, and tells the nodes of it.
+    pub(crate) fn leave_holds_behind(&mut self) {
+        let databases = self.group.databases.values();
+        let newest = databases.map(|database| database.held.max(database.term));
+        let term = Term(newest.max().unwrap_or_default().0 + 1);
+        for database in self.group.databases.values_mut() {
+            database.hold(term);
+        }
+        for node in 0..self.nodes.len() {
+            let incarnation = self.nodes[node].incarnation;
+            let event = Event::LeadershipRevoked(crate::group::service(), term);
+            self.handle_engine_event(node, incarnation, event);
+        }
+    }
+
     /// The record with all members that the store's record contains.
     fn with_recorded_members(&self, mut record: InSyncRecord) -> InSyncRecord {
         let known = self.store.in_sync.iter().flat_map(|known| &known.members);
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -192,6 +192,8 @@
     MembersForgottenAtRestart,
     /// In-sync members are never removed.
     PermanentMembers,
+    /// An attempt that is refused for want of a member leaves replicas on hold, and a later term announced, each time.
+    RefusalsLeaveHolds,
 }
 
 impl BrokenVariant {
--- a/crates/stairward-simulation/src/world.rs
+++ b/crates/stairward-simulation/src/world.rs
@@ -157,8 +157,8 @@
     pub acknowledged_then_lost: u64,
     /// When reads at the leader succeeded.
     pub leader_reads: Vec<Time>,
-    /// When writes succeeded, in transactions or by themselves.
-    pub writes: Vec<Time>,
+    /// When commits with writes were acknowledged.
+    pub commits: Vec<Time>,
     /// The injected faults.
     pub faults: Vec<String>,
     /// Steps of the failover controllers, and promotions that took effect.
@@ -201,7 +201,7 @@
     pub(crate) failed: u64,
     pub(crate) promotions: u64,
     pub(crate) leader_reads: Vec<Time>,
-    pub(crate) writes: Vec<Time>,
+    pub(crate) commits: Vec<Time>,
     pub(crate) fingerprint: u64,
     /// Whether the run has reached its end.
     pub(crate) is_over: bool,
@@ -257,7 +257,7 @@
             failed: 0,
             promotions: 0,
             leader_reads: Vec::new(),
-            writes: Vec::new(),
+            commits: Vec::new(),
             fingerprint: 0,
             is_over: false,
             options,
@@ -314,7 +314,7 @@
             promotions: self.promotions,
             acknowledged_then_lost: self.checker.acknowledged_then_lost,
             leader_reads: self.leader_reads,
-            writes: self.writes,
+            commits: self.commits,
             faults: self.faults,
             decisions: self.decisions,
             fingerprint: self.fingerprint,
--- a/crates/stairward-simulation/src/world_callers.rs
+++ b/crates/stairward-simulation/src/world_callers.rs
@@ -1,7 +1,7 @@
 //! Turns of callers, starts and stops of nodes and databases, and configuration changes.
 
 use rand::RngExt as _;
-use stairward_engine::{Event, Response, SessionId, StatementKind};
+use stairward_engine::{Event, Response, SessionId};
 use stairward_types::{ApiKey, BackendId, BackendRole, GroupId, Time};
 
 use crate::callers::{Caller, DATABASES, Step};
@@ -167,10 +167,11 @@
         let now = self.now();
         let caller = &self.callers[caller];
         let (_, reads) = DATABASES[caller.database];
-        match caller.awaited_kind() {
-            Some(StatementKind::Read) if reads == ReadKind::Leader => self.leader_reads.push(now),
-            Some(StatementKind::Write) => self.writes.push(now),
-            _ => {}
+        if caller.awaits_read() && reads == ReadKind::Leader {
+            self.leader_reads.push(now);
+        }
+        if caller.awaits_commit() {
+            self.commits.push(now);
         }
     }
 
--- a/crates/stairward-simulation/src/world_store.rs
+++ b/crates/stairward-simulation/src/world_store.rs
@@ -6,8 +6,8 @@
 use rand::RngExt as _;
 use stairward_engine::{BackendDescription, Event, ServiceHolders};
 use stairward_failover::{
-    Effect as FailoverEffect, Event as FailoverEvent, FailoverRecord, PromotionOutcome,
-    RecordVersion, RecordedPromotion, Via,
+    Effect as FailoverEffect, Event as FailoverEvent, FailoverRecord, FailoverStep,
+    PromotionOutcome, RecordVersion, RecordedPromotion, Via,
 };
 use stairward_types::{BackendId, BackendRole, NodeId, ServiceName, StoreRevision, Term, Time};
 
@@ -341,6 +341,11 @@
                 self.promote(index, incarnation, backend, token)
             }
             FailoverEffect::Log(_, action) => {
+                if self.options.broken == Some(BrokenVariant::RefusalsLeaveHolds)
+                    && matches!(action, FailoverStep::MembersMissing { .. })
+                {
+                    self.leave_holds_behind();
+                }
                 let now = self.now();
                 self.decisions
                     .push(format!("{now:?} {}: {action:?}", node_name(index)));
--- a/crates/stairward-simulation/tests/members.rs
+++ b/crates/stairward-simulation/tests/members.rs
@@ -101,13 +101,13 @@
 }
 
 #[track_caller]
-fn assert_written_after(report: &Report, at: Duration, within: Duration) {
+fn assert_committed_after(report: &Report, at: Duration, within: Duration) {
     let from = Time::ZERO + at;
-    let first = report.writes.iter().find(|served| **served >= from);
+    let first = report.commits.iter().find(|served| **served >= from);
     let is_in_time = first.is_some_and(|served| *served <= from + within);
     assert!(
         is_in_time,
-        "write after {at:?}: {first:?}, {:#?}",
+        "commit after {at:?}: {first:?}, {:#?}",
         report.decisions
     );
 }
@@ -184,7 +184,7 @@
                 faults.push(restarts(LOST_AT + seconds(6)));
             }
             let report = assert_holds(&options(seed, faults));
-            assert_written_after(&report, LOST_AT + back_after, SERVED_AFTER);
+            assert_committed_after(&report, LOST_AT + back_after, SERVED_AFTER);
         }
     }
 }
@@ -219,6 +219,30 @@
     }
 }
 
+/// The first commit after the primary is back, beside a lagging replica and without the one that it was lost with.
+fn first_commit_after_return(broken: Option<BrokenVariant>, seed: u64) -> Option<Time> {
+    let back_after = seconds(8);
+    let faults = lost_together(Return::Never, Return::WithLog(back_after));
+    let report = simulate(&Options {
+        broken,
+        ..options(seed, faults)
+    });
+    let back_at = Time::ZERO + LOST_AT + back_after;
+    report.commits.into_iter().find(|served| *served >= back_at)
+}
+
+/// A refused attempt must leave nothing that outlives the return of a member.
+#[test]
+fn holds_that_refused_attempts_leave_behind_are_detected() {
+    let is_late = |broken| {
+        let limit = Time::ZERO + LOST_AT + seconds(8) + seconds(2);
+        let is_late = |seed| first_commit_after_return(broken, seed).is_none_or(|at| at > limit);
+        (1..=6).filter(|seed| is_late(*seed)).count()
+    };
+    assert_eq!(is_late(None), 0);
+    assert!(is_late(Some(BrokenVariant::RefusalsLeaveHolds)) > 0);
+}
+
 #[test]
 fn members_that_are_never_removed_are_detected() {
     let report = simulate(&Options {
--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -462,7 +462,8 @@
         BrokenVariant::NoHold
         | BrokenVariant::ForgottenMembers
         | BrokenVariant::MembersForgottenAtRestart
-        | BrokenVariant::PermanentMembers => Invariant::Kept,
+        | BrokenVariant::PermanentMembers
+        | BrokenVariant::RefusalsLeaveHolds => Invariant::Kept,
         BrokenVariant::NoStepDown
         | BrokenVariant::IgnoredRevocation
         | BrokenVariant::NoLeaseWait
