Engine: a reply tells whether it carries a signature

A reply to a command of the proxy itself has none; the engine could not tell it from a client's statement. The stand-ins of the engine's tests and of the simulation sign each statement with a signature of its own.

--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -490,9 +490,7 @@
         status: TransactionStatus,
     ) {
         let result = match reply.result {
-            Ok(signature) => ResponseResult::Completed {
-                signature: Some(signature),
-            },
+            Ok(signature) => ResponseResult::Completed { signature },
             Err(error) => ResponseResult::Failed(error),
         };
         let response = Response {
--- a/crates/stairward-engine/src/reply.rs
+++ b/crates/stairward-engine/src/reply.rs
@@ -68,8 +68,9 @@
 pub struct BackendReply {
     /// The result rows, opaque to the engine.
     pub rows: Vec<Bytes>,
-    /// The back end's signature of the completed command, or the error.
-    pub result: Result<String, BackendError>,
+    /// The back end's signature of the completed statement, which is missing in replies to commands of the proxy
+    /// itself, or the error.
+    pub result: Result<Option<String>, BackendError>,
     /// The connection's transaction state after the command.
     pub status: TransactionStatus,
     /// The back end's log position.
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -161,6 +161,16 @@
     pub command: BackendCommand,
 }
 
+impl Sent {
+    /// Whether the command runs a client's statement.
+    pub fn runs_statement(&self) -> bool {
+        matches!(
+            self.command,
+            BackendCommand::Run { .. } | BackendCommand::Execute { .. }
+        )
+    }
+}
+
 fn engine_options() -> EngineOptions {
     let near = ZoneName::new("zone-a").unwrap();
     let far = ZoneName::new("zone-b").unwrap();
@@ -206,6 +216,7 @@
     pub opens_automatically: bool,
     next_session: u64,
     next_statement: u64,
+    next_signature: u64,
 }
 
 impl Harness {
@@ -243,6 +254,7 @@
             opens_automatically: true,
             next_session: 0,
             next_statement: 0,
+            next_signature: 0,
         }
     }
 
@@ -366,10 +378,14 @@
         id
     }
 
-    /// Answers the oldest unanswered command.
-    pub fn answer(&mut self, reply: BackendReply) -> Sent {
+    /// Answers the oldest unanswered command. A success of a client's statement gets a signature of its own.
+    pub fn answer(&mut self, mut reply: BackendReply) -> Sent {
         let sent = self.sent.remove(0);
         let connection = sent.connection;
+        if sent.runs_statement() && reply.result == Ok(None) {
+            self.next_signature += 1;
+            reply.result = Ok(Some(format!("signature-{}", self.next_signature)));
+        }
         if let Some(position) = reply.position {
             self.positions.insert(sent.backend.clone(), position);
         }
@@ -459,7 +475,7 @@
 pub fn done(status: TransactionStatus, position: Freshness) -> BackendReply {
     BackendReply {
         rows: Vec::new(),
-        result: Ok("signed".to_owned()),
+        result: Ok(None),
         status,
         position: Some(position),
         member: None,
--- a/crates/stairward-simulation/src/database.rs
+++ b/crates/stairward-simulation/src/database.rs
@@ -379,6 +379,7 @@
             None => {}
         }
         let mut outcome = success(state, self.position());
+        outcome.reply.result = Ok(Some(self.signature(id)));
         outcome.executed = Some(executed);
         outcome.committed = committed;
         outcome
@@ -410,11 +411,17 @@
         };
         let committed = (!open.writes.is_empty()).then(|| self.append(open.writes));
         let mut outcome = success(state, self.position());
+        outcome.reply.result = Ok(Some(self.signature(id)));
         outcome.executed = Some(executed);
         outcome.committed = committed;
         outcome
     }
 
+    /// The signature of a client's statement that it has run.
+    fn signature(&self, statement: &str) -> String {
+        format!("{}.{statement}", self.id)
+    }
+
     fn append(&mut self, writes: Vec<String>) -> LogEntry {
         let number = u64::try_from(self.log.len() + 1).unwrap_or_default();
         let entry = LogEntry {
@@ -444,7 +451,7 @@
     Outcome {
         reply: BackendReply {
             rows: Vec::new(),
-            result: Ok("signed".to_owned()),
+            result: Ok(None),
             status: status(state),
             position: Some(position),
             member: None,
