Engine and node: doubted replies and invalid statements leave a line and a counter

A reply that does not answer the command that awaits one left no trace, nor did a message of a caller that is no valid statement. Event 433 (ReplyDoubted, stairward_replies_doubted_total) says what was expected, what came, how long after the last reply, and whether the connection had received the same before: a back end that repeats replies differs from a proxy that shifts them. Events 201 and 208 name the session whose message could not be read. What is done with a reply is unchanged.

--- a/crates/stairward-engine/src/connection.rs
+++ b/crates/stairward-engine/src/connection.rs
@@ -7,6 +7,7 @@
 use crate::event::BackendCommand;
 use crate::identifiers::{RequestNumber, SessionId};
 use crate::reply::BackendReply;
+use crate::reply_matching::ReplyHistory;
 use crate::statement::PreparedStatement;
 
 /// The user of a connection.
@@ -34,6 +35,21 @@
     Status,
 }
 
+impl Step {
+    /// The name in log lines.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Reset => "reset",
+            Self::SetValue { .. } => "set_value",
+            Self::Prepare(_) => "prepare",
+            Self::Begin { .. } => "begin",
+            Self::Rollback => "rollback",
+            Self::Statement => "statement",
+            Self::Status => "status",
+        }
+    }
+}
+
 /// A command without a reply yet.
 #[derive(Debug, Clone)]
 pub(crate) struct SentStep {
@@ -58,6 +74,8 @@
     pub prepared: BTreeSet<PreparedStatement>,
     /// Commands without a reply, oldest first.
     pub sent: VecDeque<SentStep>,
+    /// The replies received so far.
+    pub replies: ReplyHistory,
     /// A reply that can't be trusted until its leader is confirmed, and the command that it answers.
     pub withheld: Option<(SentStep, BackendReply)>,
     /// Its user; none while it is idle.
@@ -88,6 +106,7 @@
             values: BTreeMap::new(),
             prepared: BTreeSet::new(),
             sent: VecDeque::new(),
+            replies: ReplyHistory::default(),
             withheld: None,
             user: None,
             in_transaction: false,
--- a/crates/stairward-engine/src/event.rs
+++ b/crates/stairward-engine/src/event.rs
@@ -16,6 +16,7 @@
 use crate::identifiers::{ConnectionId, SessionId};
 use crate::leaving::LeavingChange;
 use crate::reply::{BackendReply, Response};
+use crate::reply_matching::ReplyDoubt;
 use crate::settings::{BackendDescription, Consistency, DiscoveryChange, RoutingTable};
 use crate::statement::{PreparedStatement, Statement};
 
@@ -332,6 +333,29 @@
     pub proof_age: Option<Duration>,
 }
 
+/// A log record of a reply that does not answer the command that awaits one, or may not.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplyRecord {
+    /// The back end.
+    pub backend: BackendId,
+    /// The connection.
+    pub connection: ConnectionId,
+    /// The awaited command; none if no command is unanswered.
+    pub expected: Option<&'static str>,
+    /// The caller's id of the statement that uses the connection, if any.
+    pub request: Option<String>,
+    /// Why the reply is doubted.
+    pub doubt: ReplyDoubt,
+    /// What the reply is: a signed success, an unsigned success or an error.
+    pub received: &'static str,
+    /// The log position that it shows.
+    pub position: Option<Freshness>,
+    /// Time since the last reply on the connection.
+    pub last_reply_age: Option<Duration>,
+    /// Whether the connection is closed.
+    pub is_closing: bool,
+}
+
 /// Measurement of a finished request, for metrics.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestMeasurement {
@@ -498,6 +522,8 @@
     },
     /// Log a decision about a request.
     Record(RequestRecord),
+    /// Log a doubted reply.
+    ReplyDoubted(ReplyRecord),
     /// Record the metrics of a finished request.
     Measured(RequestMeasurement),
     /// The planned stop is complete.
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -34,6 +34,8 @@
 mod proofs;
 mod replies;
 mod reply;
+mod reply_admission;
+mod reply_matching;
 mod requests;
 mod residency;
 mod revocation;
@@ -52,7 +54,7 @@
 pub use evacuation::ZoneActivity;
 pub use event::{
     BackendCommand, BackendEvidence, Decision, Effect, Event, LeadershipChange, OpenFailure,
-    OpenTarget, RequestMeasurement, RequestRecord,
+    OpenTarget, ReplyRecord, RequestMeasurement, RequestRecord,
 };
 pub use forwarding::ForwardedRequest;
 pub use holder_directory::{Holder, ServiceHolders};
@@ -62,6 +64,7 @@
 pub use reply::{
     BackendError, BackendErrorCode, BackendReply, Response, ResponseResult, TransactionStatus,
 };
+pub use reply_matching::{ReplyChecks, ReplyDoubt};
 pub use residency::Residency;
 pub use settings::{
     BackendDescription, Consistency, DiscoveryChange, EngineOptions, Route, RoutingTable,
--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -17,26 +17,6 @@
 const RETRY_BUSY: Duration = Duration::from_millis(200);
 
 impl Engine {
-    pub(crate) fn handle_reply(&mut self, now: Time, id: ConnectionId, reply: BackendReply) {
-        let Some(connection) = self.connections.get_mut(&id) else {
-            return;
-        };
-        let Some(sent) = connection.sent.pop_front() else {
-            // A reply without a command.
-            return self.drop_connection(now, id);
-        };
-        let backend_id = connection.backend.clone();
-        self.backend_answered(now, &backend_id, reply.position);
-        if sent.step == Step::Statement
-            && let Some(backend) = self.backends.get_mut(&backend_id)
-        {
-            backend.in_flight = backend.in_flight.saturating_sub(1);
-        }
-        if let Some((sent, reply)) = self.withhold(now, id, sent, reply) {
-            self.process_reply(now, id, sent, reply);
-        }
-    }
-
     /// Processes a reply that may be trusted.
     pub(crate) fn process_reply(
         &mut self,
--- a/crates/stairward-engine/src/reply.rs
+++ b/crates/stairward-engine/src/reply.rs
@@ -6,7 +6,7 @@
 use stairward_types::{Freshness, MemberStatus, ResultCode};
 
 /// Transaction state of a connection or session.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum TransactionStatus {
     /// No transaction is open.
     Idle,
@@ -17,7 +17,7 @@
 }
 
 /// Why a back end refused a statement or failed to run it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum BackendErrorCode {
     /// All slots and the queue are full; not run.
     Busy,
@@ -79,6 +79,18 @@
     pub member: Option<MemberStatus>,
 }
 
+impl BackendReply {
+    /// The kind of its result, for log lines.
+    #[must_use]
+    pub const fn kind_name(&self) -> &'static str {
+        match &self.result {
+            Ok(Some(_)) => "signed",
+            Ok(None) => "unsigned",
+            Err(_) => "error",
+        }
+    }
+}
+
 /// The result of a request for its caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ResponseResult {
--- a/crates/stairward-engine/src/settings.rs
+++ b/crates/stairward-engine/src/settings.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::leaving::DrainLimit;
+use crate::reply_matching::ReplyChecks;
 use crate::residency::Residency;
 use crate::tenants::TenantDirectory;
 use crate::warm_up::ColdBound;
@@ -173,6 +174,8 @@
     /// Whether no leader is confirmed before [`crate::Event::PeersConsulted`]. Only matters with a leadership
     /// lease.
     pub consults_peers: bool,
+    /// Which checks of back ends' replies are in force.
+    pub reply_checks: ReplyChecks,
     /// Time from the start of a planned stop to the end of the process.
     pub stop_grace: Duration,
     /// Maximum number of statements that a session may queue behind the running one.
@@ -216,6 +219,7 @@
             promotions_are_fenced: false,
             compares_logs: false,
             consults_peers: false,
+            reply_checks: ReplyChecks::default(),
             stop_grace: Duration::from_secs(6),
             session_queue_limit: 32,
             waiting_limit: 256,
--- a/crates/stairward-engine/tests/support/mod.rs
+++ b/crates/stairward-engine/tests/support/mod.rs
@@ -11,9 +11,9 @@
 use stairward_engine::{
     BackendCommand, BackendDescription, BackendError, BackendErrorCode, BackendEvidence,
     BackendReply, ConnectionId, Consistency, Effect, Engine, EngineOptions, Event,
-    ForwardedRequest, LeadershipChange, LeavingChange, OpenFailure, OpenTarget, Residency,
-    Response, ResponseResult, Route, RoutingTable, ServiceHolders, ServiceLimits, SessionId,
-    Statement, StatementKind, TransactionStatus, ZoneDistance,
+    ForwardedRequest, LeadershipChange, LeavingChange, OpenFailure, OpenTarget, ReplyRecord,
+    Residency, Response, ResponseResult, Route, RoutingTable, ServiceHolders, ServiceLimits,
+    SessionId, Statement, StatementKind, TransactionStatus, ZoneDistance,
 };
 use stairward_types::{
     BackendId, BackendRole, Freshness, GroupId, LogPosition, NodeId, RegionName, ResultCode,
@@ -204,6 +204,7 @@
     pub starts: Vec<BackendId>,
     pub closed_forwarded: Vec<(NodeId, SessionId)>,
     pub observed: Vec<(BackendId, BackendEvidence)>,
+    pub doubted_replies: Vec<ReplyRecord>,
     pub is_stopped: bool,
     connections: BTreeMap<ConnectionId, BackendId>,
     /// The target of each connection.
@@ -246,6 +247,7 @@
             starts: Vec::new(),
             closed_forwarded: Vec::new(),
             observed: Vec::new(),
+            doubted_replies: Vec::new(),
             is_stopped: false,
             connections: BTreeMap::new(),
             targets: BTreeMap::new(),
@@ -319,6 +321,7 @@
                 Effect::LeadershipObserved { change, .. } => self.leadership_changes.push(change),
                 Effect::LeavingObserved { change, .. } => self.leaving.push(change),
                 Effect::RestartObserved { backend } => self.starts.push(backend),
+                Effect::ReplyDoubted(record) => self.doubted_replies.push(record),
                 Effect::AcceptSession { session } => self.accepted_sessions.push(session),
                 Effect::RequestLimitGrant(..)
                 | Effect::RecordFleetSize(_)
--- a/crates/stairward-runtime/src/callers.rs
+++ b/crates/stairward-runtime/src/callers.rs
@@ -59,6 +59,7 @@
 
     async fn serve_session(self: Rc<Self>, session: SessionId, reading: OwnedReadHalf) {
         let mut reader = CallerReader {
+            session,
             reading,
             buffer: BytesMut::new(),
         };
@@ -97,7 +98,10 @@
                 Some(CallerMessage::Statement(statement)) => {
                     Event::Statement { session, statement }
                 }
-                Some(CallerMessage::BadStatement) => Event::InvalidStatement { session },
+                Some(CallerMessage::BadStatement) => {
+                    self.log.invalid_statement(session);
+                    Event::InvalidStatement { session }
+                }
                 Some(CallerMessage::Connect { .. } | CallerMessage::Terminate) | None => return,
             };
             self.handle(event);
@@ -106,6 +110,7 @@
 }
 
 struct CallerReader {
+    session: SessionId,
     reading: OwnedReadHalf,
     buffer: BytesMut,
 }
@@ -118,7 +123,9 @@
                 Ok(Some(message)) => return Some(message),
                 Ok(None) => {}
                 Err(error) => {
-                    tracing::warn!(event = LogEvent::ProtocolViolated.number(), %error);
+                    let event = LogEvent::ProtocolViolated;
+                    let (number, name) = (event.number(), event.name());
+                    tracing::warn!(event = number, name, session = self.session.0, %error);
                     return None;
                 }
             }
--- a/crates/stairward-runtime/src/log.rs
+++ b/crates/stairward-runtime/src/log.rs
@@ -5,7 +5,8 @@
 use std::time::Instant;
 
 use stairward_engine::{
-    Decision, EngineStatistics, LeadershipChange, LeavingChange, RequestRecord, SessionId,
+    Decision, EngineStatistics, LeadershipChange, LeavingChange, ReplyRecord, RequestRecord,
+    SessionId,
 };
 use stairward_failover::{FailoverStep, MemberCallResult, RecordedPromotion, Via};
 use stairward_limits::Shard;
@@ -123,6 +124,29 @@
         );
     }
 
+    /// Logs a reply of a back end that does not answer the command that awaits one, or may not.
+    pub fn doubted_reply(&self, now: Time, record: &ReplyRecord) {
+        let event = LogEvent::ReplyDoubted;
+        let Some(left_out) = self.admit(now, event) else {
+            return;
+        };
+        tracing::warn!(
+            event = event.number(),
+            name = event.name(),
+            request = record.request,
+            backend = record.backend.as_str(),
+            connection = record.connection.0,
+            expected = record.expected.unwrap_or("nothing"),
+            received = record.received,
+            reason = record.doubt.name(),
+            term = record.position.map(|at| at.term.0),
+            position = record.position.map(|at| at.position.0),
+            last_reply_age_ms = record.last_reply_age.map(|age| age.as_millis()),
+            is_closing = record.is_closing,
+            left_out,
+        );
+    }
+
     /// Logs the refusal of a session. The client's key is a secret and is not logged.
     pub fn session_refused(&self, now: Time, session: SessionId, code: ResultCode) {
         let event = match code {
@@ -135,6 +159,15 @@
         }
     }
 
+    /// Logs that a caller sent a message that is not a valid statement.
+    pub fn invalid_statement(&self, session: SessionId) {
+        let event = LogEvent::StatementInvalid;
+        if let Some(left_out) = self.admit(self.now(), event) {
+            let (number, name) = (event.number(), event.name());
+            tracing::warn!(event = number, name, session = session.0, left_out);
+        }
+    }
+
     /// Logs the start or end of an evacuation.
     pub fn evacuation(&self, now: Time, line: &EvacuationLine<'_>) {
         let event = LogEvent::EvacuationChanged;
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -486,6 +486,10 @@
                 self.update_failover_groups(&service.into_iter().collect());
             }
             Effect::Record(record) => self.log.request(now, &record),
+            Effect::ReplyDoubted(record) => {
+                prometheus::count_doubted_reply(record.doubt);
+                self.log.doubted_reply(now, &record);
+            }
             Effect::Measured(measure) => prometheus::count_request(&measure),
             Effect::Stopped => {
                 self.is_stopped.set(true);
--- a/crates/stairward-runtime/src/prometheus.rs
+++ b/crates/stairward-runtime/src/prometheus.rs
@@ -1,7 +1,9 @@
 //! The node's Prometheus metrics: counters, gauges and latency histograms.
 
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
-use stairward_engine::{Consistency, EngineStatistics, RequestMeasurement, ZoneActivity};
+use stairward_engine::{
+    Consistency, EngineStatistics, ReplyDoubt, RequestMeasurement, ZoneActivity,
+};
 use stairward_failover::FailoverStep;
 use stairward_types::{
     AccessClass, BackendRole, OutcomeClass, ServiceName, StoreRevision, ZoneName,
@@ -31,6 +33,8 @@
 const BACKEND_STARTS: &str = "stairward_backend_starts_total";
 /// Ignored discovery entries of back ends, by reason.
 const ENTRIES_REFUSED: &str = "stairward_entries_refused_total";
+/// Replies of back ends that do not answer the command that awaits one, or may not, by reason.
+const REPLIES_DOUBTED: &str = "stairward_replies_doubted_total";
 /// Era of the store, which rises each time the store is restored from an older copy.
 const STORE_ERA: &str = "stairward_store_era";
 /// Store revision of a feed's objects within the store's current era, by feed.
@@ -100,6 +104,11 @@
     metrics::counter!(ENTRIES_REFUSED, "reason" => reason).increment(1);
 }
 
+/// Counts a reply of a back end that does not answer the command that awaits one, or may not.
+pub(crate) fn count_doubted_reply(doubt: ReplyDoubt) {
+    metrics::counter!(REPLIES_DOUBTED, "reason" => doubt.name()).increment(1);
+}
+
 /// Sets the era of the store.
 pub fn set_store_era(era: u64) {
     metrics::gauge!(STORE_ERA).set(gauge_of_number(era));
--- a/crates/stairward-simulation/src/world_nodes.rs
+++ b/crates/stairward-simulation/src/world_nodes.rs
@@ -99,6 +99,7 @@
         match effect {
             Effect::AcceptSession { .. }
             | Effect::Record(_)
+            | Effect::ReplyDoubted(_)
             | Effect::Measured(_)
             | Effect::HolderLivenessChanged { .. }
             | Effect::EvacuationObserved { .. }
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -71,6 +71,8 @@
     KeyRefused = 206, Warn;
     /// A connection ended before all bytes for its peer were written.
     AnswerUndelivered = 207, Warn;
+    /// A caller sent a message that is not a valid statement; the session continues.
+    StatementInvalid = 208, Warn;
 
     /// A connection to another node was made.
     PeerConnected = 300, Debug;
@@ -154,6 +156,8 @@
     MissingMembersProbed = 431, Info;
     /// Acknowledged commits no longer depend on these members: all others have received them.
     InSyncMembersRemoved = 432, Info;
+    /// A reply of a back end does not answer the command that awaits one, or can't be told from an earlier reply.
+    ReplyDoubted = 433, Warn;
     /// A coordinator of tenant limits did not answer; another node is used.
     LimitCoordinatorSilent = 450, Warn;
 
