Engine: a reply answers a command only if it can't be a repetition of an earlier one

Callers saw: answers of other callers' statements, whole, with the signature and the rows of an earlier statement, where back ends send a reply twice; and refusals ("not run") of writes that were committed.

Cause: the engine took the next reply on a connection for the answer to the oldest command, and all that follow were shifted by one. Nothing in a reply names its command, so its place in the stream does not either once the back end may add to the stream.

Fix: a repetition is an exact copy, so a reply is new if its signature has not been received on the connection, or, unsigned, if it differs from all unsigned replies and errors or shows more of the log than the last of the same content. A known repetition is left out and the command stays unanswered. An error that may be one ends the connection: a read goes elsewhere, a write or commit gets no promise. A success of the proxy's own that may be one is confirmed by commands whose replies differ and that follow it in order. A reply of another shape than its command's ends the connection, among them a write that was answered inside a transaction.

Ruled out: identifying replies by their time of arrival, since a repetition may come at any later moment.

--- a/crates/stairward-engine/src/connection.rs
+++ b/crates/stairward-engine/src/connection.rs
@@ -27,12 +27,22 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Step {
     Reset,
-    SetValue { name: String, value: String },
+    SetValue {
+        name: String,
+        value: String,
+    },
     Prepare(PreparedStatement),
-    Begin { read_only: bool },
+    Begin {
+        read_only: bool,
+        floor: Option<Freshness>,
+    },
     Rollback,
     Statement,
     Status,
+    /// Begins an empty transaction, only to see its reply.
+    ConfirmationBegin,
+    /// Ends a transaction, only to see its reply.
+    ConfirmationEnd,
 }
 
 impl Step {
@@ -46,6 +56,8 @@
             Self::Rollback => "rollback",
             Self::Statement => "statement",
             Self::Status => "status",
+            Self::ConfirmationBegin => "confirmation_begin",
+            Self::ConfirmationEnd => "confirmation_end",
         }
     }
 }
@@ -57,6 +69,17 @@
     pub at: Time,
 }
 
+/// What is done once replies that may be repetitions are confirmed.
+#[derive(Debug)]
+pub(crate) enum Confirmation {
+    /// The set-up of the connection is complete.
+    Setup,
+    /// A transaction begins.
+    Begin,
+    /// A back end has reported its status.
+    Report(SentStep, BackendReply),
+}
+
 /// State of one connection to a back end.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -76,6 +99,10 @@
     pub sent: VecDeque<SentStep>,
     /// The replies received so far.
     pub replies: ReplyHistory,
+    /// Whether a reply to a set-up command may be a repetition.
+    pub is_setup_doubted: bool,
+    /// What is being confirmed.
+    pub confirmation: Option<Confirmation>,
     /// A reply that can't be trusted until its leader is confirmed, and the command that it answers.
     pub withheld: Option<(SentStep, BackendReply)>,
     /// Its user; none while it is idle.
@@ -107,6 +134,8 @@
             prepared: BTreeSet::new(),
             sent: VecDeque::new(),
             replies: ReplyHistory::default(),
+            is_setup_doubted: false,
+            confirmation: None,
             withheld: None,
             user: None,
             in_transaction: false,
@@ -180,7 +209,12 @@
             Step::Prepare(prepared) => {
                 self.prepared.insert(prepared);
             }
-            Step::Begin { .. } | Step::Rollback | Step::Statement | Step::Status => {}
+            Step::Begin { .. }
+            | Step::Rollback
+            | Step::Statement
+            | Step::Status
+            | Step::ConfirmationBegin
+            | Step::ConfirmationEnd => {}
         }
     }
 }
@@ -194,8 +228,9 @@
             value: value.clone(),
         },
         BackendCommand::Prepare(prepared) => Step::Prepare(prepared.clone()),
-        BackendCommand::Begin { read_only, .. } => Step::Begin {
+        BackendCommand::Begin { read_only, floor } => Step::Begin {
             read_only: *read_only,
+            floor: *floor,
         },
         BackendCommand::Rollback => Step::Rollback,
         BackendCommand::QueryStatus => Step::Status,
--- a/crates/stairward-engine/src/lib.rs
+++ b/crates/stairward-engine/src/lib.rs
@@ -35,6 +35,7 @@
 mod replies;
 mod reply;
 mod reply_admission;
+mod reply_confirmation;
 mod reply_matching;
 mod requests;
 mod residency;
--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -4,7 +4,7 @@
 
 use stairward_types::{BackendId, Freshness, ResultCode, Time};
 
-use crate::connection::{SentStep, Step, User};
+use crate::connection::{Confirmation, SentStep, Step, User};
 use crate::engine::Engine;
 use crate::event::{BackendCommand, BackendEvidence, Decision};
 use crate::identifiers::{ConnectionId, SessionId};
@@ -29,12 +29,13 @@
             Step::Reset | Step::SetValue { .. } | Step::Prepare(_) => {
                 self.handle_setup_reply(now, id, sent, &reply);
             }
-            Step::Begin { read_only } => {
+            Step::Begin { read_only, .. } => {
                 self.handle_begin_reply(now, id, read_only, sent.at, reply)
             }
             Step::Rollback => self.handle_rollback_reply(now, id, &reply),
             Step::Status => self.handle_status_reply(now, id, sent.at, &reply),
             Step::Statement => self.handle_statement_reply(now, id, sent.at, reply),
+            Step::ConfirmationBegin | Step::ConfirmationEnd => {}
         }
     }
 
@@ -52,7 +53,12 @@
             return;
         };
         connection.apply_setup(sent.step);
-        if connection.sent.is_empty() {
+        if !connection.sent.is_empty() {
+            return;
+        }
+        if std::mem::take(&mut connection.is_setup_doubted) {
+            self.send_confirmation(now, id, Confirmation::Setup);
+        } else {
             self.connection_ready(now, id);
         }
     }
@@ -121,7 +127,7 @@
     }
 
     /// A connection is set up: sends its user's statement, or completes the start of its transaction.
-    fn connection_ready(&mut self, now: Time, id: ConnectionId) {
+    pub(crate) fn connection_ready(&mut self, now: Time, id: ConnectionId) {
         let Some(connection) = self.connections.get(&id) else {
             return;
         };
@@ -239,7 +245,7 @@
     }
 
     /// Updates the back end's state from a refusal.
-    fn record_refusal(&mut self, now: Time, id: ConnectionId, code: BackendErrorCode) {
+    pub(crate) fn record_refusal(&mut self, now: Time, id: ConnectionId, code: BackendErrorCode) {
         let Some(connection) = self.connections.get(&id) else {
             return;
         };
--- a/crates/stairward-engine/src/reply_admission.rs
+++ b/crates/stairward-engine/src/reply_admission.rs
@@ -2,24 +2,47 @@
 
 use stairward_types::Time;
 
-use crate::connection::Step;
+use crate::connection::{SentStep, Step};
 use crate::engine::Engine;
 use crate::event::{Effect, ReplyRecord};
 use crate::identifiers::ConnectionId;
-use crate::reply::{BackendReply, TransactionStatus};
+use crate::reply::{BackendErrorCode, BackendReply, TransactionStatus};
 use crate::reply_matching::{Expected, Verdict};
 use crate::session::RequestKind;
 
 impl Engine {
     pub(crate) fn handle_reply(&mut self, now: Time, id: ConnectionId, reply: BackendReply) {
-        self.judge_reply(now, id, &reply);
-        let Some(connection) = self.connections.get_mut(&id) else {
+        let Some(verdict) = self.judge_reply(now, id, &reply) else {
             return;
         };
-        let Some(sent) = connection.sent.pop_front() else {
-            // A reply without a command.
-            return self.drop_connection(now, id);
+        match verdict {
+            Verdict::Repetition(_) => return,
+            Verdict::Mismatch(_) => return self.drop_connection(now, id),
+            Verdict::Answer | Verdict::Ambiguous => {}
+        }
+        let is_ambiguous = verdict == Verdict::Ambiguous;
+        if let (true, Err(error)) = (is_ambiguous, &reply.result) {
+            return self.reject_error(now, id, error.code);
+        }
+        let Some(sent) = self.take_answered_step(now, id, &reply) else {
+            return;
         };
+        if is_ambiguous {
+            self.confirm_reply(now, id, sent, reply);
+        } else {
+            self.accept_reply(now, id, sent, reply);
+        }
+    }
+
+    /// Removes the oldest unanswered command, which a reply answers.
+    fn take_answered_step(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        reply: &BackendReply,
+    ) -> Option<SentStep> {
+        let connection = self.connections.get_mut(&id)?;
+        let sent = connection.sent.pop_front()?;
         let backend_id = connection.backend.clone();
         self.backend_answered(now, &backend_id, reply.position);
         if sent.step == Step::Statement
@@ -27,11 +50,40 @@
         {
             backend.in_flight = backend.in_flight.saturating_sub(1);
         }
+        Some(sent)
+    }
+
+    /// Processes a reply that answers a command.
+    pub(crate) fn accept_reply(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        sent: SentStep,
+        reply: BackendReply,
+    ) {
+        match sent.step {
+            Step::ConfirmationBegin | Step::ConfirmationEnd if reply.result.is_err() => {
+                return self.drop_connection(now, id);
+            }
+            Step::ConfirmationBegin => return,
+            Step::ConfirmationEnd => return self.confirmation_ended(now, id),
+            Step::Begin { .. } => self.begin_confirmed(id),
+            _ => {}
+        }
         if let Some((sent, reply)) = self.withhold(now, id, sent, reply) {
             self.process_reply(now, id, sent, reply);
         }
     }
 
+    /// Closes a connection after an error that may be the repetition of an earlier one. Nothing shows that the
+    /// statement did not run, and the reply that is still to come would be taken for the next one's.
+    fn reject_error(&mut self, now: Time, id: ConnectionId, code: BackendErrorCode) {
+        if matches!(code, BackendErrorCode::Busy | BackendErrorCode::NotFresh) {
+            self.record_refusal(now, id, code);
+        }
+        self.drop_connection(now, id);
+    }
+
     /// Judges a reply, and reports it if it is doubted; none if the connection has ended.
     fn judge_reply(
         &mut self,
@@ -56,7 +108,7 @@
                 received: reply.kind_name(),
                 position: reply.position,
                 last_reply_age,
-                is_closing: matches!(verdict, Verdict::Mismatch(_)),
+                is_closing: verdict.ends_connection(reply),
             }));
         }
         Some(verdict)
@@ -77,8 +129,8 @@
         };
         let status = match &sent.step {
             Step::Reset | Step::SetValue { .. } | Step::Prepare(_) => current,
-            Step::Begin { .. } => TransactionStatus::Open,
-            Step::Rollback | Step::Status => TransactionStatus::Idle,
+            Step::Begin { .. } | Step::ConfirmationBegin => TransactionStatus::Open,
+            Step::Rollback | Step::Status | Step::ConfirmationEnd => TransactionStatus::Idle,
             Step::Statement => return self.expected_statement_reply(id),
         };
         Expected::Internal {
--- /dev/null
+++ b/crates/stairward-engine/src/reply_confirmation.rs
@@ -0,0 +1,99 @@
+//! Confirms successes of the proxy's own commands that may be repetitions of earlier replies.
+//!
+//! Commands whose replies differ are sent after the doubted one. Since a back end answers in order, a missing reply
+//! to the doubted command would come in place of theirs.
+
+use stairward_types::Time;
+
+use crate::connection::{Confirmation, SentStep, Step};
+use crate::engine::Engine;
+use crate::event::BackendCommand;
+use crate::identifiers::ConnectionId;
+use crate::reply::BackendReply;
+
+impl Engine {
+    /// Has a success confirmed that may be a repetition, if anything depends on it.
+    pub(crate) fn confirm_reply(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        sent: SentStep,
+        reply: BackendReply,
+    ) {
+        let may_send = !self.is_backend_unusable(now, id) && !self.is_on_evacuated_backend(now, id);
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        match sent.step {
+            Step::Begin { .. } | Step::Status if !may_send => self.drop_connection(now, id),
+            Step::Begin { .. } if connection.confirmation.is_none() => {
+                self.begin_anew(now, id, sent.step);
+            }
+            Step::Status => {
+                self.send_confirmation(now, id, Confirmation::Report(sent, reply));
+            }
+            Step::Reset | Step::SetValue { .. } | Step::Prepare(_) => {
+                connection.is_setup_doubted = true;
+                self.accept_reply(now, id, sent, reply);
+            }
+            Step::Begin { .. }
+            | Step::Rollback
+            | Step::Statement
+            | Step::ConfirmationBegin
+            | Step::ConfirmationEnd => self.accept_reply(now, id, sent, reply),
+        }
+    }
+
+    /// Begins and ends an empty transaction: its replies confirm those before them.
+    pub(crate) fn send_confirmation(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        confirmation: Confirmation,
+    ) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.confirmation = Some(confirmation);
+        }
+        let begin = BackendCommand::Begin {
+            read_only: true,
+            floor: None,
+        };
+        self.send_step(now, id, begin, Step::ConfirmationBegin);
+        self.send_step(now, id, BackendCommand::Rollback, Step::ConfirmationEnd);
+    }
+
+    /// Ends a transaction whose begin is doubted, and begins it again.
+    fn begin_anew(&mut self, now: Time, id: ConnectionId, step: Step) {
+        let Step::Begin { read_only, floor } = step else {
+            return;
+        };
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.confirmation = Some(Confirmation::Begin);
+        }
+        self.send_step(now, id, BackendCommand::Rollback, Step::ConfirmationEnd);
+        self.send(now, id, BackendCommand::Begin { read_only, floor });
+    }
+
+    /// A transaction has begun, which also confirms the set-up before it.
+    pub(crate) fn begin_confirmed(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.confirmation = None;
+            connection.is_setup_doubted = false;
+        }
+    }
+
+    /// The last command of a confirmation was answered in its place.
+    pub(crate) fn confirmation_ended(&mut self, now: Time, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        if !connection.sent.is_empty() {
+            return;
+        }
+        match connection.confirmation.take() {
+            Some(Confirmation::Setup) => self.connection_ready(now, id),
+            Some(Confirmation::Report(sent, reply)) => self.accept_reply(now, id, sent, reply),
+            Some(Confirmation::Begin) | None => self.free_connection(now, id),
+        }
+    }
+}
--- a/crates/stairward-engine/src/reply_matching.rs
+++ b/crates/stairward-engine/src/reply_matching.rs
@@ -116,6 +116,15 @@
 }
 
 impl Verdict {
+    /// Whether the connection is closed after such a reply.
+    pub const fn ends_connection(self, reply: &BackendReply) -> bool {
+        match self {
+            Self::Answer | Self::Repetition(_) => false,
+            Self::Ambiguous => reply.result.is_err(),
+            Self::Mismatch(_) => true,
+        }
+    }
+
     /// Why the reply is doubted, if it is.
     pub const fn doubt(self) -> Option<ReplyDoubt> {
         match self {
--- a/crates/stairward-engine/src/requests.rs
+++ b/crates/stairward-engine/src/requests.rs
@@ -4,7 +4,7 @@
 
 use stairward_types::{AccessClass, BackendId, Freshness, OutcomeClass, ResultCode, Time};
 
-use crate::connection::{SentStep, User, step_of};
+use crate::connection::{SentStep, Step, User, step_of};
 use crate::engine::{Engine, WaitingKey};
 use crate::event::{
     BackendCommand, BackendEvidence, Decision, Effect, RequestMeasurement, RequestRecord,
@@ -38,16 +38,27 @@
 
     /// Sends a command and records that its reply is pending.
     pub(crate) fn send(&mut self, now: Time, id: ConnectionId, command: BackendCommand) {
+        let step = step_of(&command);
+        self.send_step(now, id, command, step);
+    }
+
+    /// Sends a command that is a step of this kind, and records that its reply is pending.
+    pub(crate) fn send_step(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        command: BackendCommand,
+        step: Step,
+    ) {
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        let step = step_of(&command);
-        if step == crate::connection::Step::Statement
+        if step == Step::Statement
             && let Some(backend) = self.backends.get_mut(&connection.backend)
         {
             backend.statement_sent(now);
         }
-        if step == crate::connection::Step::Rollback {
+        if step == Step::Rollback {
             // The rollback undoes whatever the withheld reply acknowledged.
             connection.withheld = None;
         }
--- a/crates/stairward-engine/src/withholding.rs
+++ b/crates/stairward-engine/src/withholding.rs
@@ -27,7 +27,7 @@
             return false;
         };
         let is_proof = match step {
-            Step::Begin { read_only } => !read_only,
+            Step::Begin { read_only, .. } => !read_only,
             Step::Statement => self.is_commit(id),
             _ => false,
         };
@@ -139,7 +139,15 @@
         let (service, leader) = (connection.service.clone(), connection.backend.clone());
         let may_lack = self.may_lack_entries(now, &service, &leader, reply.position);
         if !self.must_withhold(now, id, &sent.step, &reply) {
-            if !may_lack && matches!(sent.step, Step::Begin { read_only: false }) {
+            if !may_lack
+                && matches!(
+                    sent.step,
+                    Step::Begin {
+                        read_only: false,
+                        ..
+                    }
+                )
+            {
                 self.log_found_complete(&service, &leader);
             }
             return Some((sent, reply));
