Engine: the set-up of a connection is not confirmed

A set-up command has no refusal that a repetition could hide. A success that may be a repetition is usual where nothing is written, and leaves no line.

--- a/crates/stairward-engine/src/connection.rs
+++ b/crates/stairward-engine/src/connection.rs
@@ -72,8 +72,6 @@
 /// What is done once replies that may be repetitions are confirmed.
 #[derive(Debug)]
 pub(crate) enum Confirmation {
-    /// The set-up of the connection is complete.
-    Setup,
     /// A transaction begins.
     Begin,
     /// A back end has reported its status.
@@ -99,8 +97,6 @@
     pub sent: VecDeque<SentStep>,
     /// The replies received so far.
     pub replies: ReplyHistory,
-    /// Whether a reply to a set-up command may be a repetition.
-    pub is_setup_doubted: bool,
     /// What is being confirmed.
     pub confirmation: Option<Confirmation>,
     /// A reply that can't be trusted until its leader is confirmed, and the command that it answers.
@@ -134,7 +130,6 @@
             prepared: BTreeSet::new(),
             sent: VecDeque::new(),
             replies: ReplyHistory::default(),
-            is_setup_doubted: false,
             confirmation: None,
             withheld: None,
             user: None,
--- a/crates/stairward-engine/src/replies.rs
+++ b/crates/stairward-engine/src/replies.rs
@@ -4,7 +4,7 @@
 
 use stairward_types::{BackendId, Freshness, ResultCode, Time};
 
-use crate::connection::{Confirmation, SentStep, Step, User};
+use crate::connection::{SentStep, Step, User};
 use crate::engine::Engine;
 use crate::event::{BackendCommand, BackendEvidence, Decision};
 use crate::identifiers::{ConnectionId, SessionId};
@@ -53,12 +53,7 @@
             return;
         };
         connection.apply_setup(sent.step);
-        if !connection.sent.is_empty() {
-            return;
-        }
-        if std::mem::take(&mut connection.is_setup_doubted) {
-            self.send_confirmation(now, id, Confirmation::Setup);
-        } else {
+        if connection.sent.is_empty() {
             self.connection_ready(now, id);
         }
     }
@@ -127,7 +122,7 @@
     }
 
     /// A connection is set up: sends its user's statement, or completes the start of its transaction.
-    pub(crate) fn connection_ready(&mut self, now: Time, id: ConnectionId) {
+    fn connection_ready(&mut self, now: Time, id: ConnectionId) {
         let Some(connection) = self.connections.get(&id) else {
             return;
         };
--- a/crates/stairward-engine/src/reply_admission.rs
+++ b/crates/stairward-engine/src/reply_admission.rs
@@ -98,7 +98,7 @@
         let connection = self.connections.get_mut(&id)?;
         let last_reply_age = connection.replies.record_arrival(now);
         let verdict = connection.replies.judge(checks, expected, reply);
-        if let Some(doubt) = verdict.doubt() {
+        if let Some(doubt) = verdict.doubt(reply) {
             self.effects.push(Effect::ReplyDoubted(ReplyRecord {
                 backend: connection.backend.clone(),
                 connection: id,
--- a/crates/stairward-engine/src/reply_confirmation.rs
+++ b/crates/stairward-engine/src/reply_confirmation.rs
@@ -29,30 +29,16 @@
             Step::Begin { .. } if connection.confirmation.is_none() => {
                 self.begin_anew(now, id, sent.step);
             }
-            Step::Status => {
-                self.send_confirmation(now, id, Confirmation::Report(sent, reply));
-            }
-            Step::Reset | Step::SetValue { .. } | Step::Prepare(_) => {
-                connection.is_setup_doubted = true;
-                self.accept_reply(now, id, sent, reply);
-            }
-            Step::Begin { .. }
-            | Step::Rollback
-            | Step::Statement
-            | Step::ConfirmationBegin
-            | Step::ConfirmationEnd => self.accept_reply(now, id, sent, reply),
+            Step::Status => self.confirm_report(now, id, Confirmation::Report(sent, reply)),
+            // The replies to these can only differ in an error that a back end has no reason for.
+            _ => self.accept_reply(now, id, sent, reply),
         }
     }
 
-    /// Begins and ends an empty transaction: its replies confirm those before them.
-    pub(crate) fn send_confirmation(
-        &mut self,
-        now: Time,
-        id: ConnectionId,
-        confirmation: Confirmation,
-    ) {
+    /// Begins and ends an empty transaction, whose replies confirm that the report came before them.
+    fn confirm_report(&mut self, now: Time, id: ConnectionId, report: Confirmation) {
         if let Some(connection) = self.connections.get_mut(&id) {
-            connection.confirmation = Some(confirmation);
+            connection.confirmation = Some(report);
         }
         let begin = BackendCommand::Begin {
             read_only: true,
@@ -74,11 +60,10 @@
         self.send(now, id, BackendCommand::Begin { read_only, floor });
     }
 
-    /// A transaction has begun, which also confirms the set-up before it.
+    /// A transaction has begun.
     pub(crate) fn begin_confirmed(&mut self, id: ConnectionId) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.confirmation = None;
-            connection.is_setup_doubted = false;
         }
     }
 
@@ -91,7 +76,6 @@
             return;
         }
         match connection.confirmation.take() {
-            Some(Confirmation::Setup) => self.connection_ready(now, id),
             Some(Confirmation::Report(sent, reply)) => self.accept_reply(now, id, sent, reply),
             Some(Confirmation::Begin) | None => self.free_connection(now, id),
         }
--- a/crates/stairward-engine/src/reply_matching.rs
+++ b/crates/stairward-engine/src/reply_matching.rs
@@ -125,10 +125,11 @@
         }
     }
 
-    /// Why the reply is doubted, if it is.
-    pub const fn doubt(self) -> Option<ReplyDoubt> {
+    /// Why the reply is not accepted. A success that may be a repetition is usual where nothing is written.
+    pub const fn doubt(self, reply: &BackendReply) -> Option<ReplyDoubt> {
         match self {
             Self::Answer => None,
+            Self::Ambiguous if reply.result.is_ok() => None,
             Self::Ambiguous => Some(ReplyDoubt::PossibleRepetition),
             Self::Repetition(doubt) | Self::Mismatch(doubt) => Some(doubt),
         }
