Statement protocol: a message ends at CR LF, not at a line feed

Callers saw a database run the first part of a write whose data held a line feed, and got rows of which a part looked like the end of a reply as two replies: the second was the answer to another client.

Cause: the codec ended a message at LF, with or without a CR before it. The protocol ends it at CR LF, and the last field holds anything else.

The framing is a module of its own, with an incremental decoder that both sides use. It remembers how far it has searched, so a large message in small reads costs time in proportion to its size; the limit of a message holds without its line ending, also while it is incomplete.

--- a/crates/stairward-runtime/src/backends.rs
+++ b/crates/stairward-runtime/src/backends.rs
@@ -52,8 +52,9 @@
     W::encode_open(target, &mut request);
     outgoing.send(&request).map_err(|_| OpenFailure::Other)?;
     let mut buffer = BytesMut::new();
+    let mut decoder = W::ReplyDecoder::default();
     loop {
-        match W::decode_opened(&mut buffer) {
+        match W::decode_opened(&mut decoder, &mut buffer) {
             Ok(Some(Ok(position))) => {
                 return Ok(OpenedConnection {
                     reading,
--- a/crates/stairward-runtime/src/callers.rs
+++ b/crates/stairward-runtime/src/callers.rs
@@ -58,11 +58,12 @@
     }
 
     async fn serve_session(self: Rc<Self>, session: SessionId, reading: OwnedReadHalf) {
-        let mut reader = CallerReader {
+        let mut reader = CallerReader::<W> {
             reading,
             buffer: BytesMut::new(),
+            decoder: W::CallerDecoder::default(),
         };
-        let first = tokio::time::timeout(CONNECT_TIMEOUT, reader.next::<W>()).await;
+        let first = tokio::time::timeout(CONNECT_TIMEOUT, reader.next()).await;
         if let Ok(Some(CallerMessage::Connect { database, key })) = first {
             match GroupId::new(database) {
                 Ok(database) => {
@@ -91,9 +92,9 @@
         }
     }
 
-    async fn serve_statements(self: &Rc<Self>, session: SessionId, reader: &mut CallerReader) {
+    async fn serve_statements(self: &Rc<Self>, session: SessionId, reader: &mut CallerReader<W>) {
         loop {
-            let event = match reader.next::<W>().await {
+            let event = match reader.next().await {
                 Some(CallerMessage::Statement(statement)) => {
                     Event::Statement { session, statement }
                 }
@@ -105,16 +106,17 @@
     }
 }
 
-struct CallerReader {
+struct CallerReader<W: Wire> {
     reading: OwnedReadHalf,
     buffer: BytesMut,
+    decoder: W::CallerDecoder,
 }
 
-impl CallerReader {
+impl<W: Wire> CallerReader<W> {
     /// The next message; none at the end of the connection or after a protocol violation.
-    async fn next<W: Wire>(&mut self) -> Option<CallerMessage> {
+    async fn next(&mut self) -> Option<CallerMessage> {
         loop {
-            match W::decode_caller(&mut self.buffer) {
+            match W::decode_caller(&mut self.decoder, &mut self.buffer) {
                 Ok(Some(message)) => return Some(message),
                 Ok(None) => {}
                 Err(error) => {
--- a/crates/stairward-runtime/src/wire.rs
+++ b/crates/stairward-runtime/src/wire.rs
@@ -62,8 +62,10 @@
 }
 
 /// A statement protocol. Decoders remove complete messages from the front of the buffer and return none while the
-/// first one is incomplete.
+/// first one is incomplete. A decoder's state belongs to one buffer, to which the embedding code only appends.
 pub trait Wire: 'static {
+    /// State of a partly received message of a caller.
+    type CallerDecoder: Default;
     /// State of a partly received reply of a back end.
     type ReplyDecoder: Default;
 
@@ -71,7 +73,10 @@
     ///
     /// # Errors
     /// [`WireError`] on a protocol violation.
-    fn decode_caller(buffer: &mut BytesMut) -> Result<Option<CallerMessage>, WireError>;
+    fn decode_caller(
+        decoder: &mut Self::CallerDecoder,
+        buffer: &mut BytesMut,
+    ) -> Result<Option<CallerMessage>, WireError>;
 
     /// Encodes the acceptance of a session.
     fn encode_accept(out: &mut BytesMut);
@@ -85,11 +90,12 @@
     /// Encodes the start-up message for a back end.
     fn encode_open(target: &OpenTarget, out: &mut BytesMut);
 
-    /// Decodes the reply to [`Wire::encode_open`].
+    /// Decodes the reply to [`Wire::encode_open`]. Bytes after it stay in the buffer, for a new decoder.
     ///
     /// # Errors
     /// [`WireError`] on a protocol violation.
     fn decode_opened(
+        decoder: &mut Self::ReplyDecoder,
         buffer: &mut BytesMut,
     ) -> Result<Option<Result<Option<Freshness>, OpenFailure>>, WireError>;
 
