Statement protocol: an encoder refuses what it can't write as one message

A field that holds a line ending, wherever it comes from (another node, an error of a database, a session value), would have been sent as a message and the beginning of the next: work nobody has sent, or an answer to the next statement. Cause: the encoders joined fields without a look at them. An encoder returns an error and writes nothing; the node logs it as event 208, sends nothing more of what belongs to it, and closes the session or connection.

--- a/crates/stairward-runtime/src/backends.rs
+++ b/crates/stairward-runtime/src/backends.rs
@@ -13,7 +13,7 @@
 use crate::node::Node;
 use crate::socket::Outgoing;
 use crate::traffic::OpeningKind;
-use crate::wire::Wire;
+use crate::wire::{Wire, log_unencodable};
 
 /// Timeout for a back end to accept a connection and report that it is ready.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -49,7 +49,10 @@
         })?;
     let (mut reading, outgoing) = Outgoing::split(stream);
     let mut request = BytesMut::new();
-    W::encode_open(target, &mut request);
+    W::encode_open(target, &mut request).map_err(|error| {
+        log_unencodable(error);
+        OpenFailure::Other
+    })?;
     outgoing.send(&request).map_err(|_| OpenFailure::Other)?;
     let mut buffer = BytesMut::new();
     let mut decoder = W::ReplyDecoder::default();
--- a/crates/stairward-runtime/src/callers.rs
+++ b/crates/stairward-runtime/src/callers.rs
@@ -13,7 +13,7 @@
 use crate::node::Node;
 use crate::socket::Outgoing;
 use crate::traffic::OpeningKind;
-use crate::wire::{CallerMessage, Wire};
+use crate::wire::{CallerMessage, Wire, log_unencodable};
 
 /// Buffer space reserved before each read.
 const READ_SIZE: usize = 2 * 1024;
@@ -86,7 +86,9 @@
         let outgoing = self.sessions.borrow().get(&session).cloned();
         if let Some(outgoing) = outgoing {
             let mut bytes = BytesMut::new();
-            W::encode_refusal(code, &mut bytes);
+            if let Err(error) = W::encode_refusal(code, &mut bytes) {
+                return log_unencodable(error);
+            }
             // The connection is closed in any case.
             let _ = outgoing.send(&bytes);
         }
--- a/crates/stairward-runtime/src/lib.rs
+++ b/crates/stairward-runtime/src/lib.rs
@@ -41,4 +41,4 @@
 pub use node::{Node, NodeOptions};
 pub use peer_link::fetch_document;
 pub use stairward_membership::feed::{FeedContent, RestoredView, StoreObject, StoreRetry};
-pub use wire::{CallerMessage, MemberRequest, Wire, WireError};
+pub use wire::{CallerMessage, EncodeError, MemberRequest, Wire, WireError};
--- a/crates/stairward-runtime/src/member_requests.rs
+++ b/crates/stairward-runtime/src/member_requests.rs
@@ -14,7 +14,7 @@
 
 use crate::backends::{OpenedConnection, open_connection};
 use crate::node::Node;
-use crate::wire::{MemberRequest, Wire};
+use crate::wire::{MemberRequest, Wire, log_unencodable};
 
 /// Timeout for a member request.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
@@ -144,7 +144,9 @@
     let began = tokio::time::Instant::now();
     loop {
         let mut bytes = BytesMut::new();
-        W::encode_member_request(request, &mut bytes);
+        W::encode_member_request(request, &mut bytes)
+            .inspect_err(|error| log_unencodable(*error))
+            .ok()?;
         opened.outgoing.send(&bytes).ok()?;
         let reply = loop {
             if let Some(reply) = W::decode_reply(&mut decoder, &mut opened.buffer).ok()? {
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -8,7 +8,7 @@
 
 use bytes::BytesMut;
 use stairward_engine::{
-    BackendEvidence, ConnectionId, DiscoveryChange, Effect, Engine, EngineOptions,
+    BackendCommand, BackendEvidence, ConnectionId, DiscoveryChange, Effect, Engine, EngineOptions,
     EngineStatistics, Event, LeadershipChange, LeavingChange, RoutingTable, SessionId,
     ZoneActivity,
 };
@@ -38,7 +38,7 @@
 use crate::socket::Outgoing;
 use crate::traffic::Traffic;
 use crate::unsent::UnsentConnections;
-use crate::wire::Wire;
+use crate::wire::{EncodeError, Wire, log_unencodable};
 
 /// When a planned stop no longer waits for answers to be written, as a percentage of the grace period. The rest is for
 /// the end of the process.
@@ -114,6 +114,44 @@
 struct PendingWrites {
     to_sessions: BTreeMap<SessionId, BytesMut>,
     to_connections: BTreeMap<ConnectionId, BytesMut>,
+    /// Sessions and connections with a message that can't be encoded.
+    failed_sessions: BTreeSet<SessionId>,
+    failed_connections: BTreeSet<ConnectionId>,
+}
+
+impl PendingWrites {
+    /// Encodes a message to a session. Nothing follows one that can't be encoded.
+    fn encode_to_session(
+        &mut self,
+        session: SessionId,
+        encode: impl FnOnce(&mut BytesMut) -> Result<(), EncodeError>,
+    ) {
+        if self.failed_sessions.contains(&session) {
+            return;
+        }
+        if let Err(error) = encode(self.to_sessions.entry(session).or_default()) {
+            log_unencodable(error);
+            self.failed_sessions.insert(session);
+        }
+    }
+
+    /// Encodes a command. If it can't be encoded, none of the commands with it is sent, since they depend on each
+    /// other.
+    fn encode_to_connection<W: Wire>(
+        &mut self,
+        connection: ConnectionId,
+        command: &BackendCommand,
+    ) {
+        if self.failed_connections.contains(&connection) {
+            return;
+        }
+        let out = self.to_connections.entry(connection).or_default();
+        if let Err(error) = W::encode_command(command, out) {
+            log_unencodable(error);
+            self.to_connections.remove(&connection);
+            self.failed_connections.insert(connection);
+        }
+    }
 }
 
 impl<W: Wire> Node<W> {
@@ -368,13 +406,19 @@
         for effect in effects {
             self.apply_effect(now, effect, &mut writes);
         }
-        self.flush(writes);
+        self.flush(&mut writes);
+        for session in writes.failed_sessions {
+            self.session_ended(session);
+        }
+        for connection in writes.failed_connections {
+            self.connection_ended(connection);
+        }
     }
 
     fn apply_effect(self: &Rc<Self>, now: Time, effect: Effect, writes: &mut PendingWrites) {
         match effect {
             Effect::AcceptSession { session } => {
-                W::encode_accept(writes.to_sessions.entry(session).or_default());
+                writes.encode_to_session(session, W::encode_accept);
             }
             Effect::Forward {
                 holder,
@@ -429,17 +473,17 @@
             }
             Effect::RefuseSession { session, code } => {
                 self.log.session_refused(now, session, code);
-                W::encode_refusal(code, writes.to_sessions.entry(session).or_default());
-                self.flush(std::mem::take(writes));
+                writes.encode_to_session(session, |out| W::encode_refusal(code, out));
+                self.flush(writes);
                 self.close_session(session);
             }
             Effect::Respond { session, response } => {
                 if let Some(response) = self.answer_remote_session(session, response) {
-                    W::encode_response(&response, writes.to_sessions.entry(session).or_default());
+                    writes.encode_to_session(session, |out| W::encode_response(&response, out));
                 }
             }
             Effect::CloseSession { session } => {
-                self.flush(std::mem::take(writes));
+                self.flush(writes);
                 self.close_session(session);
                 self.forget_remote_session(session);
             }
@@ -447,10 +491,7 @@
             Effect::Send {
                 connection,
                 command,
-            } => W::encode_command(
-                &command,
-                writes.to_connections.entry(connection).or_default(),
-            ),
+            } => writes.encode_to_connection::<W>(connection, &command),
             Effect::CloseConnection { connection } => {
                 writes.to_connections.remove(&connection);
                 if let Some(outgoing) = self.connections.borrow_mut().remove(&connection) {
@@ -494,8 +535,8 @@
         }
     }
 
-    fn flush(self: &Rc<Self>, writes: PendingWrites) {
-        for (session, bytes) in writes.to_sessions {
+    fn flush(self: &Rc<Self>, writes: &mut PendingWrites) {
+        for (session, bytes) in std::mem::take(&mut writes.to_sessions) {
             let outgoing = self.sessions.borrow().get(&session).cloned();
             if let Some(outgoing) = outgoing
                 && outgoing.send(&bytes).is_err()
@@ -503,7 +544,7 @@
                 self.defer_session_end(session);
             }
         }
-        for (connection, bytes) in writes.to_connections {
+        for (connection, bytes) in std::mem::take(&mut writes.to_connections) {
             let outgoing = self.connections.borrow().get(&connection).cloned();
             if let Some(outgoing) = outgoing
                 && outgoing.send(&bytes).is_err()
--- a/crates/stairward-runtime/src/wire.rs
+++ b/crates/stairward-runtime/src/wire.rs
@@ -6,7 +6,7 @@
 use stairward_engine::{
     BackendCommand, BackendReply, OpenFailure, OpenTarget, Response, Statement,
 };
-use stairward_types::{ApiKey, Freshness, ResultCode, Term};
+use stairward_types::{ApiKey, Freshness, LogEvent, ResultCode, Term};
 
 /// A message from a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -46,6 +46,34 @@
 
 impl std::error::Error for WireError {}
 
+/// Why a message can't be encoded. Nothing of it is written, and what it was for ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EncodeError {
+    /// A field that others follow is empty, or holds a separator or a line ending.
+    InvalidField,
+    /// The last field holds a line ending.
+    LineEndingInLastField,
+    /// The message is larger than allowed.
+    TooLarge,
+}
+
+impl fmt::Display for EncodeError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::InvalidField => "a field is empty, or holds a separator or a line ending",
+            Self::LineEndingInLastField => "the last field holds a line ending",
+            Self::TooLarge => "the message exceeds the maximum size",
+        })
+    }
+}
+
+impl std::error::Error for EncodeError {}
+
+/// Logs that a message was not sent.
+pub(crate) fn log_unencodable(error: EncodeError) {
+    tracing::warn!(event = LogEvent::MessageUnencodable.number(), %error);
+}
+
 /// A request to a member of a group, outside any session. The member replies with its status.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MemberRequest {
@@ -63,6 +91,7 @@
 
 /// A statement protocol. Decoders remove complete messages from the front of the buffer and return none while the
 /// first one is incomplete. A decoder's state belongs to one buffer, to which the embedding code only appends.
+/// Encoders append whole messages, or leave the buffer unchanged and return an [`EncodeError`].
 pub trait Wire: 'static {
     /// State of a partly received message of a caller.
     type CallerDecoder: Default;
@@ -79,16 +108,28 @@
     ) -> Result<Option<CallerMessage>, WireError>;
 
     /// Encodes the acceptance of a session.
-    fn encode_accept(out: &mut BytesMut);
+    ///
+    /// # Errors
+    /// [`EncodeError`] if a field can't be encoded.
+    fn encode_accept(out: &mut BytesMut) -> Result<(), EncodeError>;
 
     /// Encodes the refusal of a session.
-    fn encode_refusal(code: ResultCode, out: &mut BytesMut);
+    ///
+    /// # Errors
+    /// [`EncodeError`] if a field can't be encoded.
+    fn encode_refusal(code: ResultCode, out: &mut BytesMut) -> Result<(), EncodeError>;
 
     /// Encodes the response to a statement.
-    fn encode_response(response: &Response, out: &mut BytesMut);
+    ///
+    /// # Errors
+    /// [`EncodeError`] if a field can't be encoded.
+    fn encode_response(response: &Response, out: &mut BytesMut) -> Result<(), EncodeError>;
 
     /// Encodes the start-up message for a back end.
-    fn encode_open(target: &OpenTarget, out: &mut BytesMut);
+    ///
+    /// # Errors
+    /// [`EncodeError`] if a field can't be encoded.
+    fn encode_open(target: &OpenTarget, out: &mut BytesMut) -> Result<(), EncodeError>;
 
     /// Decodes the reply to [`Wire::encode_open`]. Bytes after it stay in the buffer, for a new decoder.
     ///
@@ -100,7 +141,10 @@
     ) -> Result<Option<Result<Option<Freshness>, OpenFailure>>, WireError>;
 
     /// Encodes a command for a back end.
-    fn encode_command(command: &BackendCommand, out: &mut BytesMut);
+    ///
+    /// # Errors
+    /// [`EncodeError`] if a field can't be encoded.
+    fn encode_command(command: &BackendCommand, out: &mut BytesMut) -> Result<(), EncodeError>;
 
     /// Decodes the reply to the oldest command or member request that has none yet. A reply to a member request sets
     /// [`BackendReply::member`].
@@ -113,5 +157,11 @@
     ) -> Result<Option<BackendReply>, WireError>;
 
     /// Encodes a request to a member.
-    fn encode_member_request(question: MemberRequest, out: &mut BytesMut);
+    ///
+    /// # Errors
+    /// [`EncodeError`] if a field can't be encoded.
+    fn encode_member_request(
+        question: MemberRequest,
+        out: &mut BytesMut,
+    ) -> Result<(), EncodeError>;
 }
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -71,6 +71,8 @@
     KeyRefused = 206, Warn;
     /// A connection ended before all bytes for its peer were written.
     AnswerUndelivered = 207, Warn;
+    /// A message was not sent, because a field of it can't be encoded; its session or connection is closed.
+    MessageUnencodable = 208, Warn;
 
     /// A connection to another node was made.
     PeerConnected = 300, Debug;
