Forwarding: an answer carries the number of its own request

A caller could have got the answer to an earlier statement that its node had given up. Cause: the node that runs forwarded statements kept one number for each session, that of the newest request, and answered every request of the session under it. A request that follows an unanswered one now ends the earlier one, whose answer is not wanted any more, and runs in a session of its own. Each request is answered once.

--- a/crates/stairward-runtime/src/peers.rs
+++ b/crates/stairward-runtime/src/peers.rs
@@ -35,11 +35,12 @@
     Open(Rc<Outgoing>),
 }
 
-/// A session of another node that forwards statements to this one, with its latest request.
+/// A session of another node that forwards statements to this one.
 pub(crate) struct RemoteSession {
     outgoing: Rc<Outgoing>,
     session: u64,
-    request: u64,
+    /// The number of the request that is not answered yet.
+    request: Option<u64>,
 }
 
 /// Sessions of other nodes, by local session id and by link and remote session id.
@@ -50,6 +51,15 @@
     last_link: u64,
 }
 
+impl RemoteSessions {
+    /// Whether a session of another node waits for an answer.
+    fn is_unanswered(&self, link: u64, remote_id: u64) -> bool {
+        let own = self.by_remote_id.get(&(link, remote_id));
+        own.and_then(|own| self.by_local_id.get(own))
+            .is_some_and(|remote_session| remote_session.request.is_some())
+    }
+}
+
 impl<W: Wire> Node<W> {
     /// Accepts links from other nodes. Never returns.
     pub async fn accept_peers(self: Rc<Self>, listener: TcpListener) {
@@ -225,14 +235,19 @@
         true
     }
 
-    /// Returns the local id of another node's session and records its current request.
+    /// Returns the local id of another node's session and records its current request. A request that follows an
+    /// unanswered one gets a session of its own, since the other node has given the earlier one up.
     fn remote_session(
-        &self,
+        self: &Rc<Self>,
         link: u64,
         outgoing: &Rc<Outgoing>,
         remote_id: u64,
         request: u64,
     ) -> SessionId {
+        let is_unanswered = self.remote_sessions.borrow().is_unanswered(link, remote_id);
+        if is_unanswered {
+            self.close_remote_session(link, remote_id);
+        }
         let mut remote_sessions = self.remote_sessions.borrow_mut();
         let known = remote_sessions
             .by_remote_id
@@ -243,7 +258,7 @@
         let remote_session = RemoteSession {
             outgoing: Rc::clone(outgoing),
             session: remote_id,
-            request,
+            request: Some(request),
         };
         remote_sessions.by_local_id.insert(own, remote_session);
         own
@@ -276,17 +291,19 @@
         }
     }
 
-    /// Sends a response to the node that forwarded the statement. Returns it unsent if the session is local.
+    /// Sends a response to the node that forwarded the statement, if one is unanswered. Returns it unsent if the session
+    /// is local.
     pub(crate) fn answer_remote_session(
         &self,
         session: SessionId,
         response: Response,
     ) -> Option<Response> {
-        let remote_sessions = self.remote_sessions.borrow();
-        let Some(remote_session) = remote_sessions.by_local_id.get(&session) else {
+        let mut remote_sessions = self.remote_sessions.borrow_mut();
+        let Some(remote_session) = remote_sessions.by_local_id.get_mut(&session) else {
             return Some(response);
         };
-        let answer = encode_answer(remote_session.session, remote_session.request, response);
+        let request = remote_session.request.take()?;
+        let answer = encode_answer(remote_session.session, request, response);
         // A failed link is cleaned up by the task that reads it.
         let _ = self.send_message(&remote_session.outgoing, &NodeMessage::Answer(answer));
         None
