--- a/crates/stairward-runtime/src/lib.rs
+++ b/crates/stairward-runtime/src/lib.rs
@@ -27,7 +27,7 @@
 pub mod prometheus;
 mod promotion_messages;
 mod socket;
-mod statement_messages;
+pub mod statement_messages;
 mod traffic;
 mod unsent;
 mod wire;
--- a/crates/stairward-runtime/src/statement_messages.rs
+++ b/crates/stairward-runtime/src/statement_messages.rs
@@ -59,7 +59,8 @@
 }
 
 /// Converts a forwarded statement to a message; none for a kind that is never forwarded.
-pub(crate) fn encode_statement(
+#[must_use]
+pub fn encode_statement(
     session: u64,
     request: u64,
     forwarded: ForwardedRequest,
@@ -102,7 +103,8 @@
 }
 
 /// Converts a message to a forwarded statement; none if it is malformed.
-pub(crate) fn decode_statement(message: &ForwardedStatement) -> Option<ForwardedRequest> {
+#[must_use]
+pub fn decode_statement(message: &ForwardedStatement) -> Option<ForwardedRequest> {
     let mut values = BTreeMap::new();
     for value in &message.values {
         values.insert(text(&value.name)?, text(&value.value)?);
@@ -148,7 +150,8 @@
 }
 
 /// Converts a response to a message.
-pub(crate) fn encode_answer(session: u64, request: u64, response: Response) -> ForwardedAnswer {
+#[must_use]
+pub fn encode_answer(session: u64, request: u64, response: Response) -> ForwardedAnswer {
     let (outcome, code, retry_after, body) = match response.result {
         ResponseResult::Completed { signature: None } => (COMPLETED, 0, 0, String::new()),
         ResponseResult::Completed {
@@ -192,7 +195,8 @@
 }
 
 /// Converts a message to a response. Unknown codes become failures whose outcome is unknown.
-pub(crate) fn decode_answer(message: ForwardedAnswer) -> Response {
+#[must_use]
+pub fn decode_answer(message: ForwardedAnswer) -> Response {
     let body = text(&message.text).unwrap_or_default();
     let result = match message.outcome {
         COMPLETED => ResponseResult::Completed { signature: None },
