Messages between nodes: one that can't be encoded is logged

A statement of a session whose values exceed the limit of a frame was not sent, and nothing said so. Cause: the error of the encoder was dropped.

--- a/crates/stairward-runtime/src/peer_link.rs
+++ b/crates/stairward-runtime/src/peer_link.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use stairward_protocol::node_message::NodeMessage;
 use stairward_protocol::{Text, decode_frame, encode_frame};
+use stairward_types::LogEvent;
 use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -59,11 +60,13 @@
     }
 }
 
-/// Encodes a message as a frame.
+/// Encodes a message as a frame. A message that can't be encoded, for example because a session's values exceed the
+/// size limit, is logged and gives an empty frame: its request ends at its deadline.
 pub(crate) fn frame(message: &NodeMessage) -> BytesMut {
     let mut bytes = BytesMut::new();
-    // Encoding fails only for a message over the size limit, and none is built that long.
-    let _ = encode_frame(message, &mut bytes);
+    if let Err(error) = encode_frame(message, &mut bytes) {
+        tracing::warn!(event = LogEvent::MessageUnencodable.number(), %error);
+    }
     bytes
 }
 
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -71,7 +71,7 @@
     KeyRefused = 206, Warn;
     /// A connection ended before all bytes for its peer were written.
     AnswerUndelivered = 207, Warn;
-    /// A message was not sent, because a field of it can't be encoded; its session or connection is closed.
+    /// A message was not sent, because a field of it can't be encoded or it is too large.
     MessageUnencodable = 208, Warn;
 
     /// A connection to another node was made.
