--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -72,7 +72,7 @@
     /// A connection ended before all bytes for its peer were written.
     AnswerUndelivered = 207, Warn;
     /// A message was not sent, because a field of it can't be encoded or it is too large.
-    MessageUnencodable = 208, Warn;
+    MessageUnencodable = 209, Warn;
 
     /// A connection to another node was made.
     PeerConnected = 300, Debug;
