--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -73,6 +73,8 @@
     AnswerUndelivered = 207, Warn;
     /// A caller sent a message that is not a valid statement; the session continues.
     StatementInvalid = 208, Warn;
+    /// A message was not sent, because a field of it can't be encoded or it is too large.
+    MessageUnencodable = 209, Warn;
 
     /// A connection to another node was made.
     PeerConnected = 300, Debug;
