Stand-ins: messages end at CR LF, and texts and rows hold CR, LF and words of the wire

What callers saw: answers that were not their own, and databases ran texts that no client had sent, while all tests and the soak were green.

Cause: the stand-in databases and clients read lines that end at LF, as the codec does. They shared its misreading of the protocol, sent no text or row that tells the two apart, and no client compared the rows and signature that it received.

A client's success must carry a signature and the rows that a database sent for this very statement (OwnResponse), a message that nobody asked for is a violation (OneResponse), and a text is checked when a database receives it, also if it is not run (UnmodifiedStatement).

--- a/crates/stairward-simulation/src/callers.rs
+++ b/crates/stairward-simulation/src/callers.rs
@@ -15,6 +15,9 @@
     ("bounded", ReadKind::Bounded),
     ("own", ReadKind::Own),
 ];
+/// Supplies text that a caller adds to things, data, values, shapes and arguments.
+pub type AddedText = fn(&mut ChaCha8Rng) -> String;
+
 /// The only prepared statement name that callers use.
 const PREPARED_NAME: &str = "p1";
 
@@ -59,6 +62,8 @@
     in_flight: Option<(String, StatementKind)>,
     /// Number of statements sent in this session.
     sent_count: u64,
+    /// Supplies text to add; `None` for plain texts.
+    added_text: Option<AddedText>,
 }
 
 /// A caller's next step.
@@ -88,6 +93,15 @@
             writes: Vec::new(),
             in_flight: None,
             sent_count: 0,
+            added_text: None,
+        }
+    }
+
+    /// A caller that is not connected and adds text to all fields that may hold anything.
+    pub fn with_added_text(number: u64, added_text: AddedText) -> Self {
+        Self {
+            added_text: Some(added_text),
+            ..Self::new(number)
         }
     }
 
@@ -97,6 +111,7 @@
             session,
             node: Some(node),
             database,
+            added_text: self.added_text,
             ..Self::new(self.number)
         };
     }
@@ -197,8 +212,9 @@
             self.plan_operation(random, now, operation, writes_per_twenty);
         }
         let kind = self.remaining.pop().unwrap_or(StatementKind::Read);
+        let kind = self.with_text_added_to_fields(random, kind);
         let id = format!("a{last_statement_number}");
-        let text = self.text(&kind, &id);
+        let text = self.text(random, &kind, &id);
         if let StatementKind::Begin { .. } = kind {
             self.in_transaction = true;
         }
@@ -221,8 +237,40 @@
         Step::Send(Statement { id, kind, text })
     }
 
-    fn text(&self, kind: &StatementKind, id: &str) -> String {
+    fn added_text(&self, random: &mut ChaCha8Rng) -> String {
+        self.added_text
+            .map_or_else(String::new, |added_text| added_text(random))
+    }
+
+    fn with_text_added_to_fields(
+        &self,
+        random: &mut ChaCha8Rng,
+        mut kind: StatementKind,
+    ) -> StatementKind {
+        match &mut kind {
+            StatementKind::SetValue { value: field, .. }
+            | StatementKind::Execute {
+                arguments: field, ..
+            } => field.push_str(&self.added_text(random)),
+            StatementKind::Prepare { prepared, .. } => {
+                prepared.shape.push_str(&self.added_text(random));
+            }
+            _ => {}
+        }
+        kind
+    }
+
+    fn text(&self, random: &mut ChaCha8Rng, kind: &StatementKind, id: &str) -> String {
         match kind {
+            StatementKind::Read if self.added_text.is_some() => {
+                let (before, after) = (self.added_text(random), self.added_text(random));
+                format!("READ {before}{id}{after}")
+            }
+            StatementKind::Write if self.added_text.is_some() => {
+                // Only the last field may hold blanks.
+                let thing = self.added_text(random).replace(' ', "_");
+                format!("WRITE {id}{thing} {}", self.added_text(random))
+            }
             StatementKind::Read => format!("READ {id}"),
             StatementKind::Write => format!("WRITE {id}"),
             StatementKind::Commit => "COMMIT".to_owned(),
--- a/crates/stairward-simulation/src/checker.rs
+++ b/crates/stairward-simulation/src/checker.rs
@@ -34,6 +34,8 @@
     Leaving,
     /// A caller receives exactly one response to each statement.
     OneResponse,
+    /// A success carries the signature of the caller's own statement and the rows of its own read.
+    OwnResponse,
     /// A statement runs on a connection that was opened for its own tenant.
     TenantIsolation,
     /// No statement runs with a withdrawn key.
@@ -178,25 +180,31 @@
         database: &Database,
         executed: &ExecutedStatement,
     ) {
-        self.count(Invariant::UnmodifiedStatement);
         self.executed.insert(executed.id.clone());
-        let Some(sent) = self.sent.get(&executed.id).cloned() else {
-            return self.record_violation(
-                now,
-                Invariant::UnmodifiedStatement,
-                format!("{} was never sent", executed.id),
-            );
+        let Some(sent) = self.check_received(now, &executed.id, &executed.text) else {
+            return;
         };
-        if sent.text != executed.text {
-            let text = format!("text {:?} was changed to {:?}", sent.text, executed.text);
-            self.record_violation(now, Invariant::UnmodifiedStatement, text);
-        }
         self.check_transaction(now, &sent, executed);
         if let Some(read_at) = executed.read_at {
             self.check_read(now, database, &sent, executed, read_at);
         }
     }
 
+    /// Checks that a statement which a database received was sent by a caller with this text. Returns what was sent.
+    pub fn check_received(&mut self, now: Time, id: &str, text: &str) -> Option<SentStatement> {
+        self.count(Invariant::UnmodifiedStatement);
+        let Some(sent) = self.sent.get(id).cloned() else {
+            let text = format!("{id} was never sent, with the text {text:?}");
+            self.record_violation(now, Invariant::UnmodifiedStatement, text);
+            return None;
+        };
+        if sent.text != text {
+            let text = format!("text {:?} of {id} was changed to {text:?}", sent.text);
+            self.record_violation(now, Invariant::UnmodifiedStatement, text);
+        }
+        Some(sent)
+    }
+
     fn check_transaction(&mut self, now: Time, sent: &SentStatement, executed: &ExecutedStatement) {
         self.count(Invariant::SessionIsolation);
         let is_of_other_operation = |id: &String| {
--- a/crates/stairward-simulation/src/lib.rs
+++ b/crates/stairward-simulation/src/lib.rs
@@ -32,7 +32,7 @@
 mod world_nodes;
 mod world_store;
 
-pub use callers::{Caller, DATABASES, Step};
+pub use callers::{AddedText, Caller, DATABASES, Step};
 pub use checker::{Checker, Invariant, ReadKind, SentStatement, Violation};
 pub use cold::ColdStart;
 pub use database::{
