--- a/crates/stairward-simulation/src/checker.rs
+++ b/crates/stairward-simulation/src/checker.rs
@@ -390,7 +390,9 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in broken {
-            let text = format!("{id} is committed although it was reported as not run");
+            let committed = self.committed_at.get(&id).map(|(at, entry)| (at, entry.at));
+            let text =
+                format!("{id} is committed (at {committed:?}) although it was reported as not run");
             self.record_violation(now, Invariant::NotRunGuarantee, text);
         }
     }
