Store: an odd last entry of a page does not end the listing

What callers saw: machines stopped following the list of databases once another writer had left an odd entry; with more than a page of entries it was enough that the odd one came last on its page.

Cause: the name to continue after was read by parsing the whole last object, and it went into the request's path unencoded. An object without readable metadata, a name with a blank or a line end, or one longer than a request line, made the listing fail, and it was tried again without end.

Why this works: the listing continues after the last name on the page that can be read apart from the rest of its object, percent-encoded; objects behind it are listed again. A page without any such name cannot be continued: the objects that the node holds beyond it stay in force, changes are followed from the listing's revision, and event 614 says so. What leaves beyond such a page while the history is forgotten stays listed until it is written or removed.

--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -196,6 +196,8 @@
     LostObjectsKept = 612, Warn;
     /// The grace period after a restore has ended; these objects were not written again, and the store's content applies.
     LostObjectsGivenUp = 613, Warn;
+    /// A page of a listing has no name to continue after; what is held stands for the rest.
+    ListingCutShort = 614, Warn;
 }
 
 impl LogEvent {
