--- a/crates/stairward-runtime/src/prometheus.rs
+++ b/crates/stairward-runtime/src/prometheus.rs
@@ -31,6 +31,8 @@
 const BACKEND_STARTS: &str = "stairward_backend_starts_total";
 /// Ignored discovery entries of back ends, by reason.
 const ENTRIES_REFUSED: &str = "stairward_entries_refused_total";
+/// Items of the store's lists that can't be read, by kind.
+const ITEMS_UNREADABLE: &str = "stairward_store_items_unreadable_total";
 /// Era of the store, which rises each time the store is restored from an older copy.
 const STORE_ERA: &str = "stairward_store_era";
 /// Store revision of a feed's objects within the store's current era, by feed.
@@ -100,6 +102,12 @@
     metrics::counter!(ENTRIES_REFUSED, "reason" => reason).increment(1);
 }
 
+/// Counts unreadable items of a list.
+pub fn count_unreadable_items(kind: &'static str, items: usize) {
+    let items = u64::try_from(items).unwrap_or(u64::MAX);
+    metrics::counter!(ITEMS_UNREADABLE, "kind" => kind).increment(items);
+}
+
 /// Sets the era of the store.
 pub fn set_store_era(era: u64) {
     metrics::gauge!(STORE_ERA).set(gauge_of_number(era));
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -198,6 +198,8 @@
     LostObjectsGivenUp = 613, Warn;
     /// A page of a listing has no name to continue after; what is held stands for the rest.
     ListingCutShort = 614, Warn;
+    /// An item of the store's list, or a whole list from a peer, can't be read and is left out; the others hold.
+    StoreItemUnreadable = 615, Warn;
 }
 
 impl LogEvent {
