--- a/crates/stairward-runtime/src/prometheus.rs
+++ b/crates/stairward-runtime/src/prometheus.rs
@@ -35,6 +35,8 @@
 const ENTRIES_REFUSED: &str = "stairward_entries_refused_total";
 /// Replies of back ends that do not answer the command that awaits one, or may not, by reason.
 const REPLIES_DOUBTED: &str = "stairward_replies_doubted_total";
+/// Items of the store's lists that can't be read, by kind.
+const ITEMS_UNREADABLE: &str = "stairward_store_items_unreadable_total";
 /// Era of the store, which rises each time the store is restored from an older copy.
 const STORE_ERA: &str = "stairward_store_era";
 /// Store revision of a feed's objects within the store's current era, by feed.
@@ -107,6 +109,10 @@
 /// Counts a reply of a back end that does not answer the command that awaits one, or may not.
 pub(crate) fn count_doubted_reply(doubt: ReplyDoubt) {
     metrics::counter!(REPLIES_DOUBTED, "reason" => doubt.name()).increment(1);
+/// Counts unreadable items of a list.
+pub fn count_unreadable_items(kind: &'static str, items: usize) {
+    let items = u64::try_from(items).unwrap_or(u64::MAX);
+    metrics::counter!(ITEMS_UNREADABLE, "kind" => kind).increment(items);
 }
 
 /// Sets the era of the store.
