Node: a member's answer is believed only if it can't be a repetition

Promotions could be decided by stale answers: requests to members of a group (status, hold, step-down, resume) share a connection for 1.5 s and took the next reply for theirs, while a member may send any earlier reply again. A primary could count as having given way by an answer that it had sent as a replica.

A repetition is an exact copy, so a reply that differs from all earlier ones of its connection is new, and the first reply of a connection always is. Any other report closes the connection, is logged as ReplyDoubted and counted, and the request is sent again on a new connection within its timeout. Refusals and insufficient reports may be repetitions; from then on the connection serves that request only. A connection with unread bytes is not used again. MemberConnections is independent of the node, so that a test can use it with a scripted member.

A second command of another shape after each request was weighed: both replies can be repeated together, and it costs a message for each request. The price is a connection for each report that equals an earlier one; it was not measured on a fleet.

--- a/crates/stairward-runtime/src/lib.rs
+++ b/crates/stairward-runtime/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod holders;
 mod limit_messages;
 mod log;
+mod member_connection;
+pub mod member_replies;
 mod member_requests;
 mod membership;
 mod node;
@@ -37,6 +39,7 @@
 };
 pub use feeds::{FeedObjects, FeedTimeouts, PUBLISH_INTERVAL};
 pub use health::{HealthService, Readiness};
+pub use member_requests::{DoubtedMemberReply, MemberConnections};
 pub use membership::PeerIdentity;
 pub use node::{Node, NodeOptions};
 pub use peer_link::fetch_document;
--- a/crates/stairward-runtime/src/log.rs
+++ b/crates/stairward-runtime/src/log.rs
@@ -15,6 +15,7 @@
     Time, ZoneName,
 };
 
+use crate::member_requests::DoubtedMemberReply;
 use crate::traffic::Traffic;
 
 /// Maximum lines of one kind per second. Suppressed lines are counted and the count is logged with the next one.
@@ -147,6 +148,27 @@
         );
     }
 
+    /// Logs a reply to a member request that may be a repetition of an earlier one.
+    pub fn doubted_member_reply(&self, now: Time, doubted: &DoubtedMemberReply) {
+        let event = LogEvent::ReplyDoubted;
+        let Some(left_out) = self.admit(now, event) else {
+            return;
+        };
+        tracing::warn!(
+            event = event.number(),
+            name = event.name(),
+            backend = doubted.backend.as_str(),
+            expected = doubted.request.name(),
+            received = doubted.received,
+            reason = doubted.doubt.name(),
+            term = doubted.position.map(|at| at.term.0),
+            position = doubted.position.map(|at| at.position.0),
+            last_reply_age_ms = doubted.last_reply_age.map(|age| age.as_millis()),
+            is_closing = true,
+            left_out,
+        );
+    }
+
     /// Logs the refusal of a session. The client's key is a secret and is not logged.
     pub fn session_refused(&self, now: Time, session: SessionId, code: ResultCode) {
         let event = match code {
--- a/crates/stairward-runtime/src/node.rs
+++ b/crates/stairward-runtime/src/node.rs
@@ -79,7 +79,7 @@
     pub(crate) holders: RefCell<HolderAssignments>,
     pub(crate) links: RefCell<BTreeMap<NodeId, Link>>,
     pub(crate) remote_sessions: RefCell<RemoteSessions>,
-    pub(crate) member_connections: RefCell<MemberConnections>,
+    pub(crate) member_connections: Rc<MemberConnections>,
     /// Peers that relay member requests and receive reports of silent back ends.
     pub(crate) relay_peers: RefCell<Vec<NodeId>>,
     /// Other nodes that are members or were recently, and so may still use a leader.
@@ -153,7 +153,7 @@
             holders: RefCell::default(),
             links: RefCell::default(),
             remote_sessions: RefCell::default(),
-            member_connections: RefCell::default(),
+            member_connections: Rc::default(),
             relay_peers: RefCell::default(),
             leader_users: RefCell::default(),
             fleet_version: Cell::default(),
--- a/crates/stairward-runtime/src/wire.rs
+++ b/crates/stairward-runtime/src/wire.rs
@@ -61,6 +61,20 @@
     Resume,
 }
 
+impl MemberRequest {
+    /// The name in log lines.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Status => "member_status",
+            Self::Received(_) => "member_received",
+            Self::StepDown(_) => "member_step_down",
+            Self::Hold(_) => "member_hold",
+            Self::Resume => "member_resume",
+        }
+    }
+}
+
 /// A statement protocol. Decoders remove complete messages from the front of the buffer and return none while the
 /// first one is incomplete.
 pub trait Wire: 'static {
