--- a/crates/stairward-runtime/src/prometheus.rs
+++ b/crates/stairward-runtime/src/prometheus.rs
@@ -109,6 +109,8 @@
 /// Counts a reply of a back end that does not answer the command that awaits one, or may not.
 pub(crate) fn count_doubted_reply(doubt: ReplyDoubt) {
     metrics::counter!(REPLIES_DOUBTED, "reason" => doubt.name()).increment(1);
+}
+
 /// Counts unreadable items of a list.
 pub fn count_unreadable_items(kind: &'static str, items: usize) {
     let items = u64::try_from(items).unwrap_or(u64::MAX);
