Simulation: a broken variant for each check of repeated replies

Each switches off one of the engine's ReplyChecks, and a test requires that the invariant it protects is then violated.

--- a/crates/stairward-simulation/src/nodes.rs
+++ b/crates/stairward-simulation/src/nodes.rs
@@ -6,7 +6,7 @@
 
 use stairward_engine::{
     BackendDescription, ColdBound, ConnectionId, Consistency, DrainLimit, Engine, EngineOptions,
-    Residency, Route, RoutingTable, ServiceLimits, TenantDirectory, ZoneDistance,
+    ReplyChecks, Residency, Route, RoutingTable, ServiceLimits, TenantDirectory, ZoneDistance,
 };
 use stairward_failover::{
     FailoverController, FailoverOptions, GroupState, KnownPromotion, LEADERSHIP_LEASE,
@@ -91,6 +91,17 @@
     }
 }
 
+/// The checks of replies that the nodes of a run make.
+fn reply_checks(broken: Option<BrokenVariant>) -> ReplyChecks {
+    ReplyChecks {
+        signatures: broken != Some(BrokenVariant::RepeatedSignaturesAccepted),
+        shapes: broken != Some(BrokenVariant::ReplyShapesIgnored),
+        positions: broken != Some(BrokenVariant::FallingPositionsAccepted),
+        errors: broken != Some(BrokenVariant::RepeatedErrorsBelieved),
+        confirmations: broken != Some(BrokenVariant::NoReplyConfirmation),
+    }
+}
+
 pub(crate) fn node_name(index: usize) -> String {
     format!("node-{index}")
 }
@@ -113,6 +124,7 @@
             leadership_lease: leases.engine,
             compares_logs: run.compares_logs && run.broken != Some(BrokenVariant::UncomparedLogs),
             consults_peers: true,
+            reply_checks: reply_checks(run.broken),
             leaving_limit: DrainLimit {
                 after_notice: run.drain_limit.saturating_sub(NOTICE_MARGIN),
                 after_announcement: run.drain_limit.saturating_sub(ANNOUNCEMENT_MARGIN),
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -194,10 +194,29 @@
     PermanentMembers,
     /// An attempt that is refused for want of a member leaves replicas on hold, and a later term announced, each time.
     RefusalsLeaveHolds,
+    /// Replies with a signature that was received before are passed on.
+    RepeatedSignaturesAccepted,
+    /// Replies are accepted whatever their transaction status, rows and signature.
+    ReplyShapesIgnored,
+    /// Unsigned replies and errors are accepted although a later one of the same content showed more of the log.
+    FallingPositionsAccepted,
+    /// Errors that may be repetitions are believed.
+    RepeatedErrorsBelieved,
+    /// Successes of the proxy's own commands that may be repetitions are not confirmed.
+    NoReplyConfirmation,
 }
 
 impl BrokenVariant {
-    /// All variants that random faults expose. The others need faults at given times.
+    /// All variants that only databases that repeat replies expose.
+    pub const OF_REPEATED_REPLIES: [Self; 5] = [
+        Self::RepeatedSignaturesAccepted,
+        Self::ReplyShapesIgnored,
+        Self::FallingPositionsAccepted,
+        Self::RepeatedErrorsBelieved,
+        Self::NoReplyConfirmation,
+    ];
+
+    /// All variants that random faults expose. The others need faults at given times or repeated replies.
     pub const ALL: [Self; 29] = [
         Self::NoReadFloor,
         Self::NoLeaderCheck,
--- a/crates/stairward-simulation/tests/repeated_replies.rs
+++ b/crates/stairward-simulation/tests/repeated_replies.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use stairward_simulation::{Invariant, Options, Report, simulate};
+use stairward_simulation::{BrokenVariant, Invariant, Options, Report, simulate};
 use support::assert_holds;
 
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=20;
@@ -99,8 +99,8 @@
     assert_eq!(first.fingerprint, second.fingerprint);
 }
 
-/// Seeds of runs with many repetitions.
-const FREQUENT_SEEDS: std::ops::RangeInclusive<u64> = 31..=40;
+/// Seeds whose runs expose every missing defence.
+const EXPOSING_SEEDS: std::ops::RangeInclusive<u64> = 31..=40;
 
 /// A run in which databases repeat many replies and faults are close upon each other.
 fn with_many_repetitions(seed: u64) -> Options {
@@ -115,7 +115,7 @@
 
 #[test]
 fn invariants_hold_where_databases_repeat_many_replies() {
-    for seed in FREQUENT_SEEDS {
+    for seed in EXPOSING_SEEDS {
         assert_repeated(&assert_holds(&with_many_repetitions(seed)));
     }
 }
@@ -131,3 +131,35 @@
         }));
     }
 }
+
+/// The invariant that a missing defence violates.
+fn detecting_invariant(variant: BrokenVariant) -> Invariant {
+    match variant {
+        BrokenVariant::FallingPositionsAccepted | BrokenVariant::RepeatedErrorsBelieved => {
+            Invariant::NotRunGuarantee
+        }
+        BrokenVariant::NoReplyConfirmation => Invariant::SessionIsolation,
+        _ => Invariant::OwnResponse,
+    }
+}
+
+/// Guards against checks that pass although a defence is missing.
+#[test]
+fn each_missing_defence_against_repeated_replies_is_detected() {
+    let is_detected = |variant: BrokenVariant| {
+        EXPOSING_SEEDS.into_iter().any(|seed| {
+            let report = simulate(&Options {
+                broken: Some(variant),
+                ..with_many_repetitions(seed)
+            });
+            let invariant = detecting_invariant(variant);
+            let mut violations = report.violations.iter();
+            violations.any(|violation| violation.invariant == invariant)
+        })
+    };
+    let undetected: Vec<_> = BrokenVariant::OF_REPEATED_REPLIES
+        .into_iter()
+        .filter(|variant| !is_detected(*variant))
+        .collect();
+    assert_eq!(undetected, []);
+}
--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -450,10 +450,15 @@
         | BrokenVariant::NoLeaderCheck
         | BrokenVariant::HiddenLostLog
         | BrokenVariant::UncomparedLogs => Invariant::FreshRead,
-        BrokenVariant::FalseNotRun => Invariant::NotRunGuarantee,
+        BrokenVariant::FalseNotRun
+        | BrokenVariant::FallingPositionsAccepted
+        | BrokenVariant::RepeatedErrorsBelieved => Invariant::NotRunGuarantee,
         BrokenVariant::DuplicateWrite => Invariant::AtMostOnce,
-        BrokenVariant::NoSessionReset | BrokenVariant::WrongConnection => {
-            Invariant::SessionIsolation
+        BrokenVariant::NoSessionReset
+        | BrokenVariant::WrongConnection
+        | BrokenVariant::NoReplyConfirmation => Invariant::SessionIsolation,
+        BrokenVariant::RepeatedSignaturesAccepted | BrokenVariant::ReplyShapesIgnored => {
+            Invariant::OwnResponse
         }
         BrokenVariant::ReusedToken | BrokenVariant::IgnoredEra => Invariant::UniqueToken,
         BrokenVariant::IgnoredLeaving | BrokenVariant::UnprotectedRestore => Invariant::Leaving,
