--- a/crates/stairward-runtime/src/callers.rs
+++ b/crates/stairward-runtime/src/callers.rs
@@ -13,7 +13,7 @@
 use crate::node::Node;
 use crate::socket::Outgoing;
 use crate::traffic::OpeningKind;
-use crate::wire::{CallerMessage, Wire};
+use crate::wire::{CallerMessage, Wire, log_unencodable};
 
 /// Buffer space reserved before each read.
 const READ_SIZE: usize = 2 * 1024;
@@ -58,12 +58,13 @@
     }
 
     async fn serve_session(self: Rc<Self>, session: SessionId, reading: OwnedReadHalf) {
-        let mut reader = CallerReader {
+        let mut reader = CallerReader::<W> {
             session,
             reading,
             buffer: BytesMut::new(),
+            decoder: W::CallerDecoder::default(),
         };
-        let first = tokio::time::timeout(CONNECT_TIMEOUT, reader.next::<W>()).await;
+        let first = tokio::time::timeout(CONNECT_TIMEOUT, reader.next()).await;
         if let Ok(Some(CallerMessage::Connect { database, key })) = first {
             match GroupId::new(database) {
                 Ok(database) => {
@@ -86,15 +87,17 @@
         let outgoing = self.sessions.borrow().get(&session).cloned();
         if let Some(outgoing) = outgoing {
             let mut bytes = BytesMut::new();
-            W::encode_refusal(code, &mut bytes);
+            if let Err(error) = W::encode_refusal(code, &mut bytes) {
+                return log_unencodable(error);
+            }
             // The connection is closed in any case.
             let _ = outgoing.send(&bytes);
         }
     }
 
-    async fn serve_statements(self: &Rc<Self>, session: SessionId, reader: &mut CallerReader) {
+    async fn serve_statements(self: &Rc<Self>, session: SessionId, reader: &mut CallerReader<W>) {
         loop {
-            let event = match reader.next::<W>().await {
+            let event = match reader.next().await {
                 Some(CallerMessage::Statement(statement)) => {
                     Event::Statement { session, statement }
                 }
@@ -109,17 +112,18 @@
     }
 }
 
-struct CallerReader {
+struct CallerReader<W: Wire> {
     session: SessionId,
     reading: OwnedReadHalf,
     buffer: BytesMut,
+    decoder: W::CallerDecoder,
 }
 
-impl CallerReader {
+impl<W: Wire> CallerReader<W> {
     /// The next message; none at the end of the connection or after a protocol violation.
-    async fn next<W: Wire>(&mut self) -> Option<CallerMessage> {
+    async fn next(&mut self) -> Option<CallerMessage> {
         loop {
-            match W::decode_caller(&mut self.buffer) {
+            match W::decode_caller(&mut self.decoder, &mut self.buffer) {
                 Ok(Some(message)) => return Some(message),
                 Ok(None) => {}
                 Err(error) => {
--- a/crates/stairward-runtime/src/member_connection.rs
+++ b/crates/stairward-runtime/src/member_connection.rs
@@ -12,7 +12,7 @@
 
 use crate::backends::OpenedConnection;
 use crate::member_replies::{MemberReplies, MemberVerdict};
-use crate::wire::{MemberRequest, Wire};
+use crate::wire::{MemberRequest, Wire, log_unencodable};
 
 /// Delay before a request is repeated to a member that was busy, at its connection limit, or had not received enough log.
 pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(15);
@@ -157,7 +157,9 @@
         decoder: &mut W::ReplyDecoder,
     ) -> Result<BackendReply, RequestFailure> {
         let mut bytes = BytesMut::new();
-        W::encode_member_request(request, &mut bytes);
+        W::encode_member_request(request, &mut bytes)
+            .inspect_err(|error| log_unencodable(*error))
+            .map_err(|_| RequestFailure::Lost)?;
         let opened = &mut self.opened;
         opened
             .outgoing
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -73,6 +73,8 @@
     AnswerUndelivered = 207, Warn;
     /// A caller sent a message that is not a valid statement; the session continues.
     StatementInvalid = 208, Warn;
+    /// A message was not sent, because a field of it can't be encoded or it is too large.
+    MessageUnencodable = 209, Warn;
 
     /// A connection to another node was made.
     PeerConnected = 300, Debug;
@@ -200,6 +202,10 @@
     LostObjectsKept = 612, Warn;
     /// The grace period after a restore has ended; these objects were not written again, and the store's content applies.
     LostObjectsGivenUp = 613, Warn;
+    /// A page of a listing has no name to continue after; what is held stands for the rest.
+    ListingCutShort = 614, Warn;
+    /// An item of the store's list, or a whole list from a peer, can't be read and is left out; the others hold.
+    StoreItemUnreadable = 615, Warn;
 }
 
 impl LogEvent {
