Log events: a back end that breaks the protocol is logged

Its connection ended without a line, so on-call could not tell it from a lost one. Cause: the reader dropped the decoder's error. The tests of the codec show what is refused; no test looks at the line.

--- a/crates/stairward-runtime/src/backends.rs
+++ b/crates/stairward-runtime/src/backends.rs
@@ -5,7 +5,7 @@
 
 use bytes::BytesMut;
 use stairward_engine::{ConnectionId, Event, OpenFailure, OpenTarget};
-use stairward_types::Freshness;
+use stairward_types::{Freshness, LogEvent};
 use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -13,7 +13,7 @@
 use crate::node::Node;
 use crate::socket::Outgoing;
 use crate::traffic::OpeningKind;
-use crate::wire::{Wire, log_unencodable};
+use crate::wire::{Wire, WireError, log_unencodable};
 
 /// Timeout for a back end to accept a connection and report that it is ready.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -68,7 +68,10 @@
             }
             Ok(Some(Err(failure))) => return Err(failure),
             Ok(None) => {}
-            Err(_) => return Err(OpenFailure::Other),
+            Err(error) => {
+                log_violation(target, error);
+                return Err(OpenFailure::Other);
+            }
         }
         match reading.read_buf(&mut buffer).await {
             Ok(0) | Err(_) => return Err(OpenFailure::Other),
@@ -77,6 +80,11 @@
     }
 }
 
+fn log_violation(target: &OpenTarget, error: WireError) {
+    let event = LogEvent::BackendProtocolViolated.number();
+    tracing::warn!(event, backend = target.backend.as_str(), %error);
+}
+
 impl<W: Wire> Node<W> {
     pub(crate) fn open(self: &Rc<Self>, connection: ConnectionId, target: OpenTarget) {
         self.traffic.opened(OpeningKind::Backend);
@@ -99,7 +107,7 @@
             .insert(connection, opened.outgoing);
         let node = Rc::clone(&self);
         let reading = tokio::task::spawn_local(async move {
-            node.read_replies(connection, opened.reading, opened.buffer)
+            node.read_replies(connection, target, opened.reading, opened.buffer)
                 .await;
             node.connection_ended(connection);
         });
@@ -113,6 +121,7 @@
     async fn read_replies(
         self: &Rc<Self>,
         connection: ConnectionId,
+        target: OpenTarget,
         mut reading: OwnedReadHalf,
         mut buffer: BytesMut,
     ) {
@@ -124,7 +133,7 @@
                     continue;
                 }
                 Ok(None) => {}
-                Err(_) => return,
+                Err(error) => return log_violation(&target, error),
             }
             buffer.reserve(READ_SIZE);
             match reading.read_buf(&mut buffer).await {
--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -156,6 +156,8 @@
     MissingMembersProbed = 431, Info;
     /// Acknowledged commits no longer depend on these members: all others have received them.
     InSyncMembersRemoved = 432, Info;
+    /// A back end violated the protocol, and its connection was closed.
+    BackendProtocolViolated = 434, Warn;
     /// A coordinator of tenant limits did not answer; another node is used.
     LimitCoordinatorSilent = 450, Warn;
 
