--- a/crates/stairward-types/src/event.rs
+++ b/crates/stairward-types/src/event.rs
@@ -160,6 +160,8 @@
     InSyncMembersRemoved = 432, Info;
     /// A reply of a back end does not answer the command that awaits one, or can't be told from an earlier reply.
     ReplyDoubted = 433, Warn;
+    /// A back end violated the protocol, and its connection was closed.
+    BackendProtocolViolated = 434, Warn;
     /// A coordinator of tenant limits did not answer; another node is used.
     LimitCoordinatorSilent = 450, Warn;
 
