Simulation: callers take a mix of operations instead of a run's options

The stand-in's clients use the simulation's callers without a run, and did not compile against the option for set-up inside transactions ("expected `&Options`, found `u32`"). OperationMix holds both figures.

--- a/crates/stairward-simulation/src/callers.rs
+++ b/crates/stairward-simulation/src/callers.rs
@@ -9,7 +9,7 @@
 
 use crate::checker::{Checker, Invariant, ReadKind, SentStatement};
 use crate::database::row_of_read;
-use crate::options::Options;
+use crate::options::OperationMix;
 
 /// The databases that callers connect to, with the reads that their routes provide.
 pub const DATABASES: [(&str, ReadKind); 3] = [
@@ -214,30 +214,30 @@
         random: &mut ChaCha8Rng,
         now: Time,
         operation: u64,
-        options: &Options,
+        mix: OperationMix,
     ) {
         self.operation = operation;
         self.start = now;
         self.in_transaction = false;
         self.before.clear();
         self.writes.clear();
-        let writes_per_twenty = options.writes_per_twenty;
+        let writes_per_twenty = mix.writes_per_twenty;
         self.remaining = match random.random_range(0..20) {
             0 => vec![random_value(random)],
             1 => vec![random_preparation(random)],
             2 if self.prepared.is_some() => vec![execution()],
-            3..=6 => self.plan_transaction(random, options),
+            3..=6 => self.plan_transaction(random, mix),
             kind if kind >= 7 && kind < 7 + writes_per_twenty => vec![StatementKind::Write],
             _ => vec![StatementKind::Read],
         };
     }
 
-    fn plan_transaction(&self, random: &mut ChaCha8Rng, options: &Options) -> Vec<StatementKind> {
-        let may_write = options.writes_per_twenty > 1;
+    fn plan_transaction(&self, random: &mut ChaCha8Rng, mix: OperationMix) -> Vec<StatementKind> {
+        let may_write = mix.writes_per_twenty > 1;
         let read_only = random.random_range(0..3) == 0 || !may_write;
         let mut remaining = vec![StatementKind::Begin { read_only }];
         for _ in 0..random.random_range(1..4) {
-            if options.sets_up_in_transactions {
+            if mix.sets_up_in_transactions {
                 remaining.extend(self.plan_set_up(random));
             }
             let writes = !read_only && random.random_range(0..2) == 0;
@@ -271,7 +271,7 @@
         &mut self,
         random: &mut ChaCha8Rng,
         now: Time,
-        options: &Options,
+        mix: OperationMix,
         last_statement_number: &mut u64,
         checker: &mut Checker,
     ) -> Step {
@@ -281,7 +281,7 @@
         *last_statement_number += 1;
         if self.remaining.is_empty() {
             let operation = *last_statement_number;
-            self.plan_operation(random, now, operation, options);
+            self.plan_operation(random, now, operation, mix);
         }
         let kind = self.remaining.pop().unwrap_or(StatementKind::Read);
         let kind = self.with_text_added_to_fields(random, kind);
--- a/crates/stairward-simulation/src/lib.rs
+++ b/crates/stairward-simulation/src/lib.rs
@@ -41,6 +41,8 @@
 };
 pub use group::{Group, SERVICE, service};
 pub use mixes::Mix;
-pub use options::{BrokenVariant, FaultKind, Options, PlannedFault, PlannedFaultKind, Return};
+pub use options::{
+    BrokenVariant, FaultKind, OperationMix, Options, PlannedFault, PlannedFaultKind, Return,
+};
 pub use replies::ReplyOrder;
 pub use world::{Report, simulate};
--- a/crates/stairward-simulation/src/options.rs
+++ b/crates/stairward-simulation/src/options.rs
@@ -250,6 +250,24 @@
     ];
 }
 
+/// The operations that callers choose from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OperationMix {
+    /// How many of twenty operations are single writes. With 1 or less, transactions only read.
+    pub writes_per_twenty: u32,
+    /// Whether callers also set values, prepare statements and execute them inside transactions.
+    pub sets_up_in_transactions: bool,
+}
+
+impl Default for OperationMix {
+    fn default() -> Self {
+        Self {
+            writes_per_twenty: 5,
+            sets_up_in_transactions: false,
+        }
+    }
+}
+
 /// Options of a run.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -267,10 +285,8 @@
     pub nodes: u32,
     /// Number of concurrent sessions.
     pub sessions: u32,
-    /// How many of twenty operations are single writes. With 1 or less, transactions only read.
-    pub writes_per_twenty: u32,
-    /// Whether callers also set values, prepare statements and execute them inside transactions.
-    pub sets_up_in_transactions: bool,
+    /// The operations of the callers.
+    pub operations: OperationMix,
     /// How long callers send statements.
     pub duration: Duration,
     /// Maximum number of connections that all nodes together may hold to each back end. With few connections,
@@ -311,8 +327,7 @@
             max_pause_ms: 5_000,
             nodes: 4,
             sessions: 24,
-            writes_per_twenty: 5,
-            sets_up_in_transactions: false,
+            operations: OperationMix::default(),
             duration: Duration::from_secs(20),
             connections: 40,
             synchronous_replicas: 0,
--- a/crates/stairward-simulation/src/world_callers.rs
+++ b/crates/stairward-simulation/src/world_callers.rs
@@ -44,7 +44,7 @@
         let step = caller.next_step(
             &mut self.random,
             now,
-            &self.options,
+            self.options.operations,
             &mut self.last_statement_number,
             &mut self.checker,
         );
--- a/crates/stairward-simulation/tests/repeated_replies.rs
+++ b/crates/stairward-simulation/tests/repeated_replies.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use stairward_simulation::{BrokenVariant, Invariant, Options, Report, simulate};
+use stairward_simulation::{BrokenVariant, Invariant, OperationMix, Options, Report, simulate};
 use support::assert_holds;
 
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=20;
@@ -12,7 +12,10 @@
 fn with_repetitions(seed: u64) -> Options {
     Options {
         repeated_reply_percent: 5,
-        sets_up_in_transactions: true,
+        operations: OperationMix {
+            sets_up_in_transactions: true,
+            ..OperationMix::default()
+        },
         ..Options::new(seed)
     }
 }
--- a/crates/stairward-simulation/tests/simulation.rs
+++ b/crates/stairward-simulation/tests/simulation.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use stairward_simulation::{
-    BrokenVariant, ColdStart, FaultKind, Invariant, Mix, Options, simulate,
+    BrokenVariant, ColdStart, FaultKind, Invariant, Mix, OperationMix, Options, simulate,
 };
 use support::assert_holds;
 
@@ -544,7 +544,10 @@
     }
     Options {
         // The first write on a node would tell it who leads.
-        writes_per_twenty: 1,
+        operations: OperationMix {
+            writes_per_twenty: 1,
+            ..OperationMix::default()
+        },
         ..options
     }
 }
