Engine and statement protocol: tests of replies repeated late, of refusals that answer another command, and of their cost

Green: a back end that refuses everything at one log position gets at most one new connection and two commands for each request.

--- a/crates/stairward-engine/tests/repeated_replies.rs
+++ b/crates/stairward-engine/tests/repeated_replies.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use stairward_engine::{
     BackendCommand, BackendErrorCode, BackendReply, ConnectionId, Event, ReplyDoubt,
     ResponseResult, StatementKind, TransactionStatus,
@@ -256,3 +258,149 @@
     assert_eq!(harness.closed_connections, [connection]);
     assert_ne!(begin(&harness).connection, connection);
 }
+
+/// Serves writes of a session, each with a signature of its own; returns the connection of the last one.
+fn serve_writes(
+    harness: &mut Harness,
+    session: stairward_engine::SessionId,
+    count: u64,
+) -> ConnectionId {
+    let mut connection = None;
+    for number in 0..count {
+        harness.submit(session, StatementKind::Write);
+        let reply = signed(&format!("later-{number}"), IDLE, at(1, 11 + number));
+        connection = Some(harness.answer(reply).connection);
+        harness.response();
+    }
+    connection.expect("no write")
+}
+
+#[test]
+#[ignore = "listed in KNOWN-RED.txt"]
+fn an_answer_repeated_after_many_others_is_not_given_to_a_caller() {
+    let mut harness = Harness::new();
+    let session = harness.open(LEADER_READS);
+    harness.submit(session, StatementKind::Write);
+    let old = signed("old", IDLE, at(1, 10));
+    let connection = harness.answer(old.clone()).connection;
+    harness.response();
+    assert_eq!(serve_writes(&mut harness, session, 512), connection);
+    harness.submit(session, StatementKind::Write);
+    assert_eq!(harness.sent[0].connection, connection);
+    repeat(&mut harness, connection, &old);
+    assert_eq!(harness.responses, Vec::new());
+}
+
+#[test]
+#[ignore = "listed in KNOWN-RED.txt"]
+fn a_refused_set_up_is_no_promise_that_the_write_after_it_did_not_run() {
+    let mut harness = Harness::new();
+    let session = harness.open(LEADER_READS);
+    let set_up = done(IDLE, at(1, 10));
+    let set = |value: &str| StatementKind::SetValue {
+        name: "zone".to_owned(),
+        value: value.to_owned(),
+    };
+    harness.submit(session, set("a"));
+    harness.response();
+    harness.submit(session, StatementKind::Write);
+    harness.answer(set_up.clone());
+    let connection = harness.answer(signed("first", IDLE, at(1, 10))).connection;
+    harness.response();
+    harness.submit(session, set("b"));
+    harness.response();
+    harness.submit(session, StatementKind::Write);
+    assert_eq!(harness.sent[0].connection, connection);
+    // The repetition of the first set-up's reply, then the refusal of the second set-up.
+    repeat(&mut harness, connection, &set_up);
+    assert!(harness.sent.iter().any(Sent::runs_statement));
+    repeat(&mut harness, connection, &busy(at(1, 10)));
+    let code = harness.refusal();
+    assert_eq!(code.class(), OutcomeClass::OutcomeUnknown);
+}
+
+#[test]
+#[ignore = "listed in KNOWN-RED.txt"]
+fn a_begin_refused_after_two_repetitions_is_no_promise_about_a_write() {
+    let mut harness = Harness::new();
+    let session = harness.open(LEADER_READS);
+    harness.begin(session, false, at(1, 10));
+    let connection = begin_again(&mut harness, session);
+    // Both replies of the first transaction come again, then the replies to begin, rollback and begin.
+    repeat(&mut harness, connection, &done(OPEN, at(1, 10)));
+    repeat(&mut harness, connection, &done(IDLE, at(1, 10)));
+    repeat(&mut harness, connection, &done(OPEN, at(1, 10)));
+    let began = harness.responses.pop();
+    harness.submit(session, StatementKind::Write);
+    repeat(&mut harness, connection, &done(IDLE, at(1, 10)));
+    repeat(&mut harness, connection, &busy(at(1, 10)));
+    // The refused begin leaves the write outside any transaction, where it is committed.
+    let answer = harness.responses.pop();
+    assert_eq!((began.is_some(), answer), (true, None));
+}
+
+/// What requests have cost a back end that refuses everything.
+#[derive(Debug, PartialEq, Eq)]
+struct Cost {
+    commands: usize,
+    openings: usize,
+    closings: usize,
+}
+
+/// Refuses all commands at one log position until none is left.
+fn refuse_all(harness: &mut Harness) -> usize {
+    let mut commands = 0;
+    while !harness.sent.is_empty() {
+        harness.answer(busy(at(1, 10)));
+        commands += 1;
+    }
+    commands
+}
+
+/// The cost of requests, one after the other, to a back end that refuses all of them at one log position.
+fn cost_of(harness: &mut Harness, kind: &StatementKind, requests: usize) -> Cost {
+    harness.opened.clear();
+    harness.closed_connections.clear();
+    let mut commands = 0;
+    for _ in 0..requests {
+        let session = harness.open(LEADER_READS);
+        harness.submit(session, kind.clone());
+        commands += refuse_all(harness);
+        harness.response();
+        harness.handle(Event::SessionClosed { session });
+        harness.advance(Duration::from_millis(10));
+    }
+    Cost {
+        commands,
+        openings: harness.opened.len(),
+        closings: harness.closed_connections.len(),
+    }
+}
+
+#[test]
+fn refusals_of_an_overloaded_back_end_do_not_multiply_its_connections() {
+    let begin = StatementKind::Begin { read_only: false };
+    for kind in [StatementKind::Write, StatementKind::Read, begin] {
+        let cost = cost_of(&mut Harness::new(), &kind, 100);
+        println!("{kind:?}: {cost:?}");
+        assert!(
+            cost.openings <= 100 && cost.commands <= 200,
+            "{kind:?}: {cost:?}"
+        );
+    }
+}
+
+#[test]
+fn one_read_ends_a_limited_number_of_connections_of_an_overloaded_back_end() {
+    let mut harness = Harness::new();
+    // Each connection has been refused something once.
+    let sessions: Vec<_> = (0..8).map(|_| harness.open(LEADER_READS)).collect();
+    for session in &sessions {
+        harness.submit(*session, StatementKind::Read);
+    }
+    refuse_all(&mut harness);
+    harness.responses.clear();
+    let cost = cost_of(&mut harness, &StatementKind::Read, 1);
+    println!("{cost:?}");
+    assert!(cost.closings <= 5 && cost.commands <= 5, "{cost:?}");
+}
