--- a/crates/stairward-engine/src/reply_matching.rs
+++ b/crates/stairward-engine/src/reply_matching.rs
@@ -4,7 +4,7 @@
 //! A repetition is an exact copy. Hence a reply is certainly new if its signature, or its content at this log
 //! position, has not been received on the connection before.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -12,8 +12,8 @@
 
 use crate::reply::{BackendReply, TransactionStatus};
 
-/// Number of signatures remembered for each connection. An older one is recognized by its log position.
-const SIGNATURES_KEPT: usize = 512;
+/// A connection that has received this many signatures is not used again, which bounds the memory for them.
+const SIGNATURES_KEPT: usize = 4_096;
 /// Number of different unsigned replies and errors remembered for each connection. Beyond that, every new one counts
 /// as a possible repetition.
 const CONTENTS_KEPT: usize = 64;
@@ -175,10 +175,8 @@
 /// The replies received on one connection.
 #[derive(Debug, Default)]
 pub(crate) struct ReplyHistory {
-    /// Digests of the signatures received last.
-    signatures: VecDeque<(u64, Progress)>,
-    /// How far the log was in the last reply whose signature is forgotten.
-    forgotten: Option<Progress>,
+    /// Digests of all signatures received.
+    signatures: BTreeSet<u64>,
     /// For each unsigned content, as a digest, how far the log was in its last reply.
     contents: BTreeMap<u64, Progress>,
     /// When the last reply was received.
@@ -192,6 +190,11 @@
         last_at.map(|at| now.since(at))
     }
 
+    /// Whether it has no room for further signatures.
+    pub fn is_full(&self) -> bool {
+        self.signatures.len() >= SIGNATURES_KEPT
+    }
+
     /// Judges a reply and remembers it.
     pub fn judge(
         &mut self,
@@ -200,7 +203,7 @@
         reply: &BackendReply,
     ) -> Verdict {
         match &reply.result {
-            Ok(Some(signature)) => self.judge_signed(checks, expected, signature, reply),
+            Ok(Some(signature)) => self.judge_signed(checks, expected, signature, reply.status),
             Ok(None) => {
                 let novelty = self.remember_content(checks, reply);
                 judge_unsigned(checks, expected, reply, novelty)
@@ -217,23 +220,16 @@
         checks: ReplyChecks,
         expected: Expected,
         signature: &str,
-        reply: &BackendReply,
+        status: TransactionStatus,
     ) -> Verdict {
-        let novelty = self.remember_signature(signature, Progress::of(reply));
+        let is_new = self.remember_signature(signature);
         match expected {
-            _ if novelty == Novelty::Equal && checks.signatures => {
-                Verdict::Repetition(ReplyDoubt::RepeatedSignature)
-            }
+            _ if !is_new && checks.signatures => Verdict::Repetition(ReplyDoubt::RepeatedSignature),
             Expected::Nothing => Verdict::Mismatch(ReplyDoubt::Unsolicited),
-            Expected::Statement { is_repeatable, .. }
-                if novelty == Novelty::Earlier && checks.signatures =>
-            {
-                judge_forgotten(is_repeatable)
-            }
             Expected::Statement {
-                status: Some(status),
+                status: Some(awaited),
                 ..
-            } if checks.shapes && status != reply.status => {
+            } if checks.shapes && awaited != status => {
                 Verdict::Mismatch(ReplyDoubt::UnexpectedShape)
             }
             Expected::Internal { .. } if checks.shapes => {
@@ -243,34 +239,9 @@
         }
     }
 
-    /// Remembers a signature; returns whether its reply may be a repetition.
-    fn remember_signature(&mut self, signature: &str, progress: Progress) -> Novelty {
-        let digest = digest_of(signature);
-        if self.signatures.iter().any(|(known, _)| *known == digest) {
-            return Novelty::Equal;
-        }
-        let is_recent = self
-            .forgotten
-            .is_none_or(|forgotten| progress.exceeds(forgotten));
-        if !is_recent {
-            return Novelty::Earlier;
-        }
-        if self.signatures.len() == SIGNATURES_KEPT {
-            self.forgotten = self.signatures.pop_front().map(|(_, progress)| progress);
-        }
-        self.signatures.push_back((digest, progress));
-        Novelty::New
-    }
-
-    /// Whether a signature that can't be told from a later one by its log position is about to be forgotten.
-    pub fn is_exhausted(&self) -> bool {
-        let (oldest, newest) = (self.signatures.front(), self.signatures.back());
-        match (oldest, newest) {
-            (Some((_, oldest)), Some((_, newest))) => {
-                self.signatures.len() == SIGNATURES_KEPT && !newest.exceeds(*oldest)
-            }
-            _ => false,
-        }
+    /// Remembers a signature; returns whether it is new.
+    fn remember_signature(&mut self, signature: &str) -> bool {
+        self.signatures.insert(digest_of(signature))
     }
 
     /// Remembers an unsigned reply or an error; returns whether it may be a repetition.
@@ -297,16 +268,6 @@
     }
 }
 
-/// Judges a signed reply at a position up to which signatures are forgotten.
-fn judge_forgotten(is_repeatable: bool) -> Verdict {
-    if is_repeatable {
-        Verdict::Mismatch(ReplyDoubt::EarlierPosition)
-    } else {
-        // The log of a leader only grows, and closing the connection would leave the outcome unknown.
-        Verdict::Repetition(ReplyDoubt::EarlierPosition)
-    }
-}
-
 fn judge_unsigned(
     checks: ReplyChecks,
     expected: Expected,
