--- a/crates/stairward-engine/tests/lead.rs
+++ b/crates/stairward-engine/tests/lead.rs
@@ -698,7 +698,7 @@
 
 /// Guards against a leader that is confirmed by a report from before a later term began.
 #[test]
-fn a_repeated_report_does_not_confirm_a_leader() {
+fn a_repeated_status_report_is_not_believed_before_it_is_confirmed() {
     let mut harness = harness();
     write(&mut harness);
     confirm(&mut harness);
@@ -709,8 +709,20 @@
     let connection = status_query_to(&mut harness, NEAR_REPLICA)
         .expect("a status query")
         .connection;
-    for reply in [following(1), following(2)] {
-        harness.handle(Event::Reply { connection, reply });
-    }
+    let reply = following(1);
+    harness.handle(Event::Reply { connection, reply });
+    let on_connection = harness
+        .sent
+        .iter()
+        .filter(|sent| sent.connection == connection);
+    let commands: Vec<_> = on_connection.map(|sent| sent.command.clone()).collect();
+    let begin = BackendCommand::Begin {
+        read_only: true,
+        floor: None,
+    };
+    assert_eq!(commands, [begin, BackendCommand::Rollback]);
+    // The reply to the query comes in place of the confirmation's.
+    let reply = following(2);
+    harness.handle(Event::Reply { connection, reply });
     assert_eq!(harness.closed_connections, [connection]);
 }
